--- /dev/null
+++ b/turmerictally/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the operators' and developers' command line."""
--- /dev/null
+++ b/turmerictally/config/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the fleet's configuration: contracts, keys, routes, services, servers."""
--- /dev/null
+++ b/turmerictally/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Carry the inner protocol between entry hosts."""
--- /dev/null
+++ b/turmerictally/settings.py
@@ -0,0 +1,446 @@
+"""Read, default and check the settings of one host.
+
+``DEFAULTS`` holds every key with its default. Durations here end in ``_s`` and are
+in seconds; sizes end in ``_bytes``.
+"""
+
+import ipaddress
+import pathlib
+import typing
+
+import attrs
+import cattrs
+import yaml
+
+REQUIRED = None  # default of a key that must be given
+
+DEFAULTS: dict[str, typing.Any] = {
+    "host_id": REQUIRED,
+    "region": REQUIRED,
+    "failure_domain": REQUIRED,
+    "listen": {
+        "callers": "127.0.0.1:8080",
+        "operators": "127.0.0.1:8081",
+        "peers": "127.0.0.1:8082",
+        "max_connections": 2000,
+        "max_body_bytes": 4 * 1024 * 1024,
+        "max_upload_bytes": 512 * 1024 * 1024,
+        "header_timeout_s": 10.0,
+        "body_timeout_s": 30.0,
+        "idle_timeout_s": 75.0,
+        "max_headers": 100,
+    },
+    "tls": {
+        "callers": {"certificate": "", "key": "", "authority": ""},
+        "operators": {"certificate": "", "key": "", "authority": ""},
+        "peers": {"certificate": "", "key": "", "authority": ""},
+        "reload_s": 30.0,
+    },
+    "peer_secret": REQUIRED,
+    "platform": {
+        "url": REQUIRED,
+        "token": "",
+        "timeout_s": 2.0,
+        "reads_per_s": 20.0,
+        "writes_per_s": 10.0,
+        "backoff_min_s": 0.1,
+        "backoff_max_s": 5.0,
+    },
+    "operator_key_hashes": {},
+    "log": {"level": "INFO", "json": False},
+    "config": {
+        "poll_s": 2.0,
+        "push_timeout_s": 2.0,
+        "accept_timeout_s": 4.0,
+        "snapshot_every": 200,
+        "max_staleness_s": 3600.0,
+    },
+    "membership": {
+        "list_poll_s": 5.0,
+        "ping_interval_s": 1.0,
+        "ping_timeout_s": 0.3,
+        "ping_targets": 3,
+        "indirect_targets": 2,
+        "suspicion_s": 3.0,
+        "forget_s": 60.0,
+    },
+    "limits": {
+        "shares_per_domain": 2,
+        "slots_per_domain": 32,
+        "share_lease_s": 3600.0,
+        "renew_s": 60.0,
+        "grant_ttl_s": 2.0,
+        "grant_timeout_s": 0.1,
+        "prefetch_s": 0.25,
+        "drift_ratio": 0.01,
+    },
+    "routing": {
+        "subset_size": 16,
+        "poll_s": 0.5,
+        "report_max_age_s": 5.0,
+        "affinity_tokens": 64,
+        "affinity_max_load": 1.25,
+        "max_running_per_server": 32,
+        "unhealthy_after": 3,
+        "probe_s": 1.0,
+        "leaving_poll_s": 1.0,
+    },
+    "online": {
+        "first_token_target_s": 0.91,
+        "token_gap_target_s": 0.053,
+        "deadline_s": 60.0,
+        "connect_timeout_s": 1.0,
+        "queue_length": 256,
+        "queue_wait_s": 5.0,
+        "retry_budget_ratio": 0.1,
+        "retry_budget_min_per_s": 1.0,
+        "max_attempts": 3,
+        "stream_buffer_bytes": 256 * 1024,
+        "slow_reader_timeout_s": 30.0,
+        "idempotency_ttl_s": 86400.0,
+        "idempotency_max_answer_bytes": 256 * 1024,
+    },
+    "batch": {
+        "range_items": 500,
+        "max_items": 190_000,
+        "lease_s": 30.0,
+        "claim_poll_s": 0.5,
+        "max_tries": 3,
+        "window_s": 86400.0,
+        "retention_s": 2_592_000.0,
+        "headroom_ratio": 0.25,
+        "max_concurrent_items": 64,
+        "max_pending_results_bytes": 64 * 1024 * 1024,
+        "cancel_poll_s": 2.0,
+    },
+    "orders": {"lease_s": 30.0, "poll_s": 1.0},
+    "metrics": {"max_teams": 100, "explain_records": 10_000},
+    "stop": {"announce_s": 2.0, "drain_s": 60.0},
+}
+
+
+@attrs.frozen
+class Listen:
+    """Hold the listeners' addresses (``ip:port``) and limits."""
+
+    callers: str
+    operators: str
+    peers: str
+    max_connections: int
+    max_body_bytes: int
+    max_upload_bytes: int
+    header_timeout_s: float
+    body_timeout_s: float
+    idle_timeout_s: float
+    max_headers: int
+
+
+@attrs.frozen
+class TlsFiles:
+    """Hold paths of PEM files; an empty certificate turns TLS off."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
+@attrs.frozen
+class Tls:
+    """Hold the TLS files of each listener."""
+
+    callers: TlsFiles
+    operators: TlsFiles
+    peers: TlsFiles
+    reload_s: float
+
+
+@attrs.frozen
+class Platform:
+    """Hold how the platform is reached and this host's share of its budget."""
+
+    url: str
+    token: str = attrs.field(repr=False)
+    timeout_s: float
+    reads_per_s: float
+    writes_per_s: float
+    backoff_min_s: float
+    backoff_max_s: float
+
+
+@attrs.frozen
+class Log:
+    """Hold the log level and format."""
+
+    level: str
+    json: bool
+
+
+@attrs.frozen
+class Config:
+    """Hold how configuration changes are learned and how old they may get."""
+
+    poll_s: float
+    push_timeout_s: float
+    accept_timeout_s: float
+    snapshot_every: int
+    max_staleness_s: float
+
+
+@attrs.frozen
+class Membership:
+    """Hold the failure detector's settings."""
+
+    list_poll_s: float
+    ping_interval_s: float
+    ping_timeout_s: float
+    ping_targets: int
+    indirect_targets: int
+    suspicion_s: float
+    forget_s: float
+
+
+@attrs.frozen
+class Limits:
+    """Hold the settings of fleet-wide rate limits."""
+
+    shares_per_domain: int
+    slots_per_domain: int
+    share_lease_s: float
+    renew_s: float
+    grant_ttl_s: float
+    grant_timeout_s: float
+    prefetch_s: float
+    drift_ratio: float
+
+
+@attrs.frozen
+class Routing:
+    """Hold the settings of the choice of a backend server."""
+
+    subset_size: int
+    poll_s: float
+    report_max_age_s: float
+    affinity_tokens: int
+    affinity_max_load: float
+    max_running_per_server: int
+    unhealthy_after: int
+    probe_s: float
+    leaving_poll_s: float
+
+
+@attrs.frozen
+class Online:
+    """Hold the settings of the online path."""
+
+    first_token_target_s: float
+    token_gap_target_s: float
+    deadline_s: float
+    connect_timeout_s: float
+    queue_length: int
+    queue_wait_s: float
+    retry_budget_ratio: float
+    retry_budget_min_per_s: float
+    max_attempts: int
+    stream_buffer_bytes: int
+    slow_reader_timeout_s: float
+    idempotency_ttl_s: float
+    idempotency_max_answer_bytes: int
+
+
+@attrs.frozen
+class Batch:
+    """Hold the settings of batch jobs."""
+
+    range_items: int
+    max_items: int
+    lease_s: float
+    claim_poll_s: float
+    max_tries: int
+    window_s: float
+    retention_s: float
+    headroom_ratio: float
+    max_concurrent_items: int
+    max_pending_results_bytes: int
+    cancel_poll_s: float
+
+
+@attrs.frozen
+class Orders:
+    """Hold the settings of orders to engines."""
+
+    lease_s: float
+    poll_s: float
+
+
+@attrs.frozen
+class Metrics:
+    """Hold the bounds of metrics and decision records."""
+
+    max_teams: int
+    explain_records: int
+
+
+@attrs.frozen
+class Stop:
+    """Hold the times of a planned stop."""
+
+    announce_s: float
+    drain_s: float
+
+
+@attrs.frozen
+class Settings:
+    """Hold every setting of one host."""
+
+    host_id: str
+    region: str
+    failure_domain: str
+    listen: Listen
+    tls: Tls
+    peer_secret: str = attrs.field(repr=False)
+    platform: Platform
+    operator_key_hashes: dict[str, str] = attrs.field(repr=False)
+    log: Log
+    config: Config
+    membership: Membership
+    limits: Limits
+    routing: Routing
+    online: Online
+    batch: Batch
+    orders: Orders
+    metrics: Metrics
+    stop: Stop
+
+
+@attrs.frozen
+class Fault:
+    """Describe one fault of a settings file: where it is and what was expected."""
+
+    path: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.expected}"
+
+
+class SettingsError(Exception):
+    """Report every fault found in a settings file."""
+
+    def __init__(self, faults: list[Fault]) -> None:
+        self.faults = faults
+        super().__init__("\n".join(str(fault) for fault in faults))
+
+
+def load(path: str) -> Settings:
+    """Read a YAML settings file, raising ``SettingsError`` with every fault."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        given = yaml.safe_load(text)
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            [Fault(path, f"expected a readable file: {error}")]
+        ) from error
+    except yaml.YAMLError as error:
+        raise SettingsError(
+            [Fault(path, f"expected YAML: {_one_line(error)}")]
+        ) from error
+    return build(given if given is not None else {})
+
+
+def build(given: typing.Any) -> Settings:
+    """Merge given values over the defaults and check the result."""
+    if not isinstance(given, dict):
+        raise SettingsError([Fault("(top level)", "expected a mapping")])
+    faults: list[Fault] = []
+    merged = _merge(DEFAULTS, given, "", faults)
+    if not faults:
+        faults.extend(_check_ranges(merged))
+    if faults:
+        raise SettingsError(sorted(faults, key=lambda fault: fault.path))
+    return cattrs.structure(merged, Settings)
+
+
+def _merge(defaults: dict, given: dict, prefix: str, faults: list[Fault]) -> dict:
+    merged = {}
+    for key in given.keys() - defaults.keys():
+        faults.append(Fault(f"{prefix}{key}", "unknown key"))
+    for key, default in defaults.items():
+        path = f"{prefix}{key}"
+        if key not in given:
+            if default is REQUIRED:
+                faults.append(Fault(path, "required, but missing"))
+            merged[key] = default
+        else:
+            merged[key] = _merge_value(default, given[key], path, faults)
+    return merged
+
+
+def _merge_value(
+    default: typing.Any, value: typing.Any, path: str, faults: list[Fault]
+) -> typing.Any:
+    if isinstance(default, dict) and default:
+        if not isinstance(value, dict):
+            faults.append(Fault(path, "expected a mapping"))
+            return default
+        return _merge(default, value, f"{path}.", faults)
+    expected = str if default is REQUIRED else type(default)
+    if expected is float and type(value) is int:
+        return float(value)
+    if type(value) is not expected or (default is REQUIRED and not value):
+        names = {str: "a non-empty text" if default is REQUIRED else "a text"}
+        names |= {int: "a whole number", float: "a number", bool: "true or false"}
+        names |= {dict: "a mapping"}
+        faults.append(Fault(path, f"expected {names[expected]}"))
+    return value
+
+
+def _check_ranges(merged: dict) -> list[Fault]:
+    faults = []
+    for name in ("callers", "operators", "peers"):
+        fault = _check_address(merged["listen"][name])
+        if fault:
+            faults.append(Fault(f"listen.{name}", fault))
+    for section, values in merged.items():
+        if isinstance(values, dict):
+            faults.extend(_check_numbers(section, values))
+    if merged["log"]["level"] not in ("DEBUG", "INFO", "WARNING", "ERROR"):
+        faults.append(Fault("log.level", "expected DEBUG, INFO, WARNING or ERROR"))
+    faults.extend(_check_operator_keys(merged["operator_key_hashes"]))
+    return faults
+
+
+def _check_numbers(section: str, values: dict) -> list[Fault]:
+    faults = []
+    for key, value in values.items():
+        path = f"{section}.{key}"
+        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        if is_number and key.endswith("_ratio") and not 0 <= value <= 1:
+            faults.append(Fault(path, "expected a ratio from 0 to 1"))
+        elif is_number and not 0 < value < float("inf"):
+            faults.append(Fault(path, "expected a number above 0"))
+    return faults
+
+
+def _check_operator_keys(hashes: dict) -> list[Fault]:
+    faults = []
+    for name, digest in hashes.items():
+        if not isinstance(digest, str) or len(digest) != 64:
+            path = f"operator_key_hashes.{name}"
+            faults.append(Fault(path, "expected a SHA-256 digest of 64 hex digits"))
+    return faults
+
+
+def _check_address(value: str) -> str | None:
+    expected = "expected IP:PORT with a port from 0 to 65535"
+    host, separator, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return expected
+    if not separator or not port.isdigit() or int(port) > 65535:
+        return expected
+    return None
+
+
+def _one_line(error: Exception) -> str:
+    return " ".join(str(error).split())
--- /dev/null
+++ b/turmerictally/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, the model engines and plain services."""
--- /dev/null
+++ b/turmerictally/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the package with behave; see docs/CONTRIBUTING.md."""
--- /dev/null
+++ b/turmerictally/tests/features/settings.feature
@@ -0,0 +1,24 @@
+Feature: Settings are checked early
+  Scenario: The minimal settings are enough
+    Given the minimal settings
+    When the settings are checked
+    Then there is no fault
+    And every key has a default or is required
+
+  Scenario: Every fault is reported at once with its key path
+    Given the minimal settings
+    And these settings over them
+      """
+      host_id: ""
+      surprise: 1
+      listen: {callers: "localhost:1", colour: red}
+      batch: {lease_s: soon}
+      """
+    When the settings are checked
+    Then the faults are
+      """
+      batch.lease_s: expected a number
+      host_id: expected a non-empty text
+      listen.colour: unknown key
+      surprise: unknown key
+      """
--- /dev/null
+++ b/turmerictally/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Share helpers among the tests."""
