--- /dev/null
+++ b/turmerictally/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure policies in virtual time with fixed seeds."""
--- /dev/null
+++ b/turmerictally/online/__init__.py
@@ -0,0 +1,1 @@
+"""Carry online requests to backend servers and whole answers back."""
--- /dev/null
+++ b/turmerictally/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose backend servers for online requests and batch work."""
--- /dev/null
+++ b/turmerictally/routing/subset.py
@@ -0,0 +1,59 @@
+"""Pick the servers that one host uses, by rendezvous hashing."""
+
+import hashlib
+import heapq
+import math
+
+import attrs
+
+# Hosts that should know each server, on average, whatever the fleet's size.
+COVERAGE = 4
+# Part of the subset taken from other failure domains.
+SPILL_DIVISOR = 4
+
+
+@attrs.frozen
+class Subset:
+    """Hold addresses in the host's own failure domain and in others."""
+
+    own: tuple[str, ...] = ()
+    spill: tuple[str, ...] = ()
+
+
+def score(*parts: str) -> int:
+    """Return a rendezvous weight for the joined parts."""
+    data = "\0".join(parts).encode()
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
+
+
+def highest(name: str, candidates: list[str]) -> str | None:
+    """Return the candidate with the highest rendezvous weight for a name."""
+    return max(candidates, key=lambda each: score(name, each), default=None)
+
+
+def select(
+    host_id: str,
+    service: str,
+    domains: dict[str, list[str]],
+    own_domain: str,
+    size: int,
+    hosts: int,
+) -> Subset:
+    """Return the host's subset of a service's or model's servers.
+
+    ``domains`` maps a failure domain to server addresses. ``hosts`` counts the live
+    hosts of the own domain; the subset grows so that each server stays covered.
+    """
+    local = domains.get(own_domain, [])
+    others = [a for d, each in domains.items() if d != own_domain for a in each]
+    cover = math.ceil(len(local) * COVERAGE / max(1, hosts))
+    own = _top(host_id, service, local, max(size, cover))
+    room = size if not own else max(1, size // SPILL_DIVISOR)
+    return Subset(own=own, spill=_top(host_id, service, others, room))
+
+
+def _top(host_id: str, service: str, addresses: list[str], size: int) -> tuple:
+    if len(addresses) <= size:
+        return tuple(sorted(addresses))
+    weigh = {address: score(host_id, service, address) for address in addresses}
+    return tuple(heapq.nlargest(size, addresses, key=weigh.__getitem__))
