Reach the platform over HTTP within a budget of lanes

The hosts need the platform's services over the network, and several hundred writes a second are for the whole fleet.

--- a/turmerictally/bench/report.py
+++ b/turmerictally/bench/report.py
@@ -28,3 +28,31 @@
     def ok(self) -> bool:
         """Return whether every check held."""
         return all(check.ok for check in self.checks)
+
+    def text(self) -> str:
+        """Return the rows as a table, followed by a line for each check."""
+        lines = _table(self.rows)
+        for check in self.checks:
+            verdict = "ok" if check.ok else "FAILED"
+            lines.append(f"{verdict}: {check.name}: {check.detail}")
+        return "\n".join(lines)
+
+
+def _table(rows: list[dict]) -> list[str]:
+    if not rows:
+        return []
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    cells = [names] + [[_cell(row.get(name)) for name in names] for row in rows]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(names))]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        for line in cells
+    ]
+
+
+def _cell(value: object) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    return str(value)
--- /dev/null
+++ b/turmerictally/platform/client.py
@@ -0,0 +1,344 @@
+"""Reach the platform's services over HTTP."""
+
+import collections.abc
+import contextlib
+import logging
+import typing
+import urllib.parse
+
+import attrs
+import cattrs
+import httpx
+import trio
+
+from turmerictally import settings
+from turmerictally.platform import guard, hosts, objects, table, weights
+
+logger = logging.getLogger(__name__)
+
+KEEPALIVE_EXPIRY_S = 4.0
+MAX_CONNECTIONS = 32  # for each of the table and the object store
+STREAM_CHUNK_BYTES = 64 * 1024
+
+# The request was never sent, so a write cannot have taken effect.
+_NOT_SENT = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+)
+
+
+class Channel:
+    """Send requests to one service and classify what goes wrong."""
+
+    def __init__(self, config: settings.Platform) -> None:
+        headers = {}
+        if config.token:
+            headers["authorization"] = f"Bearer {config.token}"
+        self.timeout_s = config.timeout_s
+        self.client = httpx.AsyncClient(
+            base_url=config.url,
+            headers=headers,
+            timeout=config.timeout_s,
+            limits=httpx.Limits(
+                max_connections=MAX_CONNECTIONS, keepalive_expiry=KEEPALIVE_EXPIRY_S
+            ),
+        )
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        write: bool = False,
+        passed: tuple[int, ...] = (),
+        whole_timeout: bool = True,
+        **options: typing.Any,
+    ) -> httpx.Response:
+        """Send a request; statuses in ``passed`` are left to the caller."""
+        with classified(write):
+            left = self.timeout_s if whole_timeout else float("inf")
+            with trio.fail_after(left):
+                response = await self.client.request(method, path, **options)
+        check(response, write, passed)
+        return response
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self.client.aclose()
+
+
+@contextlib.contextmanager
+def classified(write: bool) -> collections.abc.Iterator[None]:
+    """Turn transport errors into ``table.UnavailableError``."""
+    try:
+        yield
+    except _NOT_SENT as error:
+        raise table.UnavailableError(_reason(error)) from error
+    except (httpx.HTTPError, trio.TooSlowError) as error:
+        raise table.UnavailableError(_reason(error), maybe_applied=write) from error
+
+
+def check(response: httpx.Response, write: bool, passed: tuple[int, ...]) -> None:
+    """Raise ``table.UnavailableError`` for a status that is no answer."""
+    status = response.status_code
+    if status < 300 or status in passed:
+        return
+    if status == 429:
+        raise table.OverloadedError("status 429")
+    refused = status == 503 or status < 500
+    maybe_applied = write and not refused
+    raise table.UnavailableError(f"status {status}", maybe_applied=maybe_applied)
+
+
+def read_json(response: httpx.Response, write: bool = False) -> typing.Any:
+    """Return the decoded body; a broken body is an unanswered call."""
+    try:
+        return response.json()
+    except ValueError as error:
+        raise table.UnavailableError("bad JSON", maybe_applied=write) from error
+
+
+@contextlib.contextmanager
+def _structured(write: bool = False) -> collections.abc.Iterator[None]:
+    try:
+        yield
+    except (KeyError, TypeError, AttributeError, cattrs.BaseValidationError) as error:
+        raise table.UnavailableError(
+            "unexpected answer", maybe_applied=write
+        ) from error
+
+
+@attrs.frozen
+class Table:
+    """Implement ``table.Table``."""
+
+    channel: Channel
+
+    async def get(self, key: str) -> table.Row | None:
+        """Return the row, or None."""
+        path = f"/table/rows/{_quote(key)}"
+        response = await self.channel.request("GET", path, passed=(404,))
+        if response.status_code == 404:
+            return None
+        body = read_json(response)
+        with _structured():
+            return cattrs.structure(body, table.Row)
+
+    async def scan(
+        self, prefix: str, *, after: str = "", limit: int = 1000
+    ) -> list[table.Row]:
+        """Return rows under the prefix in key order."""
+        params = {"prefix": prefix, "after": after, "limit": limit}
+        response = await self.channel.request("GET", "/table/scan", params=params)
+        body = read_json(response)
+        with _structured():
+            return cattrs.structure(body["rows"], list[table.Row])
+
+    async def commit(
+        self, checks: list[table.Check], writes: list[table.Write]
+    ) -> dict[str, int]:
+        """Apply the writes if every check holds."""
+        body = {
+            "checks": [attrs.asdict(check) for check in checks],
+            "writes": [_write_to_json(write) for write in writes],
+        }
+        response = await self.channel.request(
+            "POST", "/table/commit", write=True, passed=(409,), json=body
+        )
+        answer = read_json(response, write=True)
+        with _structured(write=True):
+            if response.status_code == 409:
+                raise table.ConflictError(answer["key"])
+            return cattrs.structure(answer["versions"], dict[str, int])
+
+
+@attrs.frozen
+class Objects:
+    """Implement ``objects.Objects``."""
+
+    channel: Channel
+
+    async def put(
+        self,
+        key: str,
+        data: bytes | collections.abc.AsyncIterable[bytes],
+        *,
+        if_absent: bool = False,
+    ) -> objects.ObjectInfo:
+        """Store the object once all its bytes have arrived."""
+        headers = {"if-none-match": "*"} if if_absent else {}
+        response = await self.channel.request(
+            "PUT",
+            _object_path(key),
+            write=True,
+            passed=(409, 412),
+            whole_timeout=False,
+            content=data,
+            headers=headers,
+        )
+        if response.status_code in (409, 412):
+            raise table.ConflictError(key)
+        body = read_json(response, write=True)
+        with _structured(write=True):
+            return cattrs.structure(body, objects.ObjectInfo)
+
+    async def get(self, key: str, *, start: int = 0, end: int | None = None) -> bytes:
+        """Return a range of bytes."""
+        if end is not None and end <= start:
+            return b""
+        last = "" if end is None else end - 1
+        response = await self.channel.request(
+            "GET",
+            _object_path(key),
+            passed=(404, 416),
+            whole_timeout=False,
+            headers={"range": f"bytes={start}-{last}"},
+        )
+        if response.status_code == 404:
+            raise KeyError(key)
+        if response.status_code == 416:
+            return b""
+        return response.content
+
+    async def stream(self, key: str) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the object in chunks."""
+        with classified(write=False):
+            async with self.channel.client.stream("GET", _object_path(key)) as response:
+                if response.status_code == 404:
+                    raise KeyError(key)
+                check(response, False, ())
+                async for chunk in response.aiter_bytes(STREAM_CHUNK_BYTES):
+                    yield chunk
+
+    async def head(self, key: str) -> objects.ObjectInfo | None:
+        """Return the object's description, or None."""
+        path = _object_path(key)
+        response = await self.channel.request("HEAD", path, passed=(404,))
+        if response.status_code == 404:
+            return None
+        size = int(response.headers["content-length"])
+        etag = response.headers["etag"].strip('"')
+        return objects.ObjectInfo(key=key, size=size, etag=etag)
+
+    async def delete(self, key: str) -> None:
+        """Delete the object."""
+        path = _object_path(key)
+        await self.channel.request("DELETE", path, write=True, passed=(404,))
+
+    async def list(
+        self, prefix: str, *, after: str = "", limit: int = 1000
+    ) -> list[objects.ObjectInfo]:
+        """Return descriptions in key order."""
+        params = {"prefix": prefix, "after": after, "limit": limit}
+        response = await self.channel.request("GET", "/objects", params=params)
+        body = read_json(response)
+        with _structured():
+            return cattrs.structure(body["objects"], list[objects.ObjectInfo])
+
+
+@attrs.frozen
+class HostList:
+    """Implement ``hosts.HostList``."""
+
+    channel: Channel
+
+    async def list(self, role: hosts.Role) -> list[hosts.ListedHost]:
+        """Return the listed hosts of a role."""
+        params = {"role": role.value}
+        response = await self.channel.request("GET", "/hosts", params=params)
+        body = read_json(response)
+        with _structured():
+            return cattrs.structure(body["hosts"], list[hosts.ListedHost])
+
+    async def register(self, host: hosts.ListedHost) -> None:
+        """Announce this host."""
+        path = f"/hosts/{_quote(host.id)}"
+        body = cattrs.unstructure(host)
+        await self.channel.request("PUT", path, write=True, json=body)
+
+    async def deregister(self, host_id: str, instance: str) -> None:
+        """Remove this host."""
+        path = f"/hosts/{_quote(host_id)}"
+        params = {"instance": instance}
+        await self.channel.request("DELETE", path, write=True, params=params)
+
+
+@attrs.frozen
+class WeightStore:
+    """Implement ``weights.WeightStore``."""
+
+    channel: Channel
+
+    async def list(self) -> list[weights.WeightsInfo]:
+        """Return every stored version."""
+        response = await self.channel.request("GET", "/weights")
+        body = read_json(response)
+        with _structured():
+            return cattrs.structure(body["weights"], list[weights.WeightsInfo])
+
+    async def reserve(self, name: str, version: str) -> weights.WeightsInfo:
+        """Reserve one download."""
+        response = await self.channel.request(
+            "POST",
+            "/weights/reserve",
+            write=True,
+            passed=(404, 429),
+            json={"name": name, "version": version},
+        )
+        if response.status_code == 404:
+            raise KeyError((name, version))
+        if response.status_code == 429:
+            raise weights.ThrottledError(float(response.headers["retry-after"]))
+        body = read_json(response, write=True)
+        with _structured(write=True):
+            return cattrs.structure(body, weights.WeightsInfo)
+
+
+class Client:
+    """Bundle the services; the object store has connections of its own."""
+
+    def __init__(self, config: settings.Platform) -> None:
+        self.rows = Channel(config)
+        self.blobs = Channel(config)
+        self.table = Table(self.rows)
+        self.objects = Objects(self.blobs)
+        self.hosts = HostList(self.rows)
+        self.weights = WeightStore(self.rows)
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self.rows.aclose()
+        await self.blobs.aclose()
+
+
+@contextlib.asynccontextmanager
+async def connect(
+    config: settings.Platform,
+) -> collections.abc.AsyncIterator[guard.Platform]:
+    """Return the guarded platform of one host for the time of the context."""
+    client = Client(config)
+    try:
+        yield guard.Platform(guard.Guard(config), client)
+    finally:
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + 1.0):
+            await client.aclose()
+
+
+def _write_to_json(write: table.Write) -> dict:
+    if isinstance(write, table.Delete):
+        return {"delete": write.key}
+    return {"put": write.key, "value": write.value}
+
+
+def _object_path(key: str) -> str:
+    return f"/objects/{_quote(key)}"
+
+
+def _quote(key: str) -> str:
+    return urllib.parse.quote(key, safe="/")
+
+
+def _reason(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}".rstrip(": ")
--- a/turmerictally/platform/table.py
+++ b/turmerictally/platform/table.py
@@ -65,6 +65,10 @@
         super().__init__(reason)
 
 
+class OverloadedError(UnavailableError):
+    """Report that the platform refused a call above its rate; nothing was applied."""
+
+
 class Table(typing.Protocol):
     """Read and write rows of the table service.
 
--- a/turmerictally/standins/faults.py
+++ b/turmerictally/standins/faults.py
@@ -56,7 +56,7 @@
         self.level = self.rate
 
     def take(self, amount: int = 1) -> None:
-        """Count calls, or raise ``table.UnavailableError`` above the rate."""
+        """Count calls, or raise ``table.OverloadedError`` above the rate."""
         self.count += amount
         if math.isinf(self.rate):
             return
@@ -65,5 +65,5 @@
         self.level = min(self.rate, self.level + refill)
         self.updated = now
         if self.level < amount:
-            raise table.UnavailableError("throttled")
+            raise table.OverloadedError("throttled")
         self.level -= amount
