--- /dev/null
+++ b/turmerictally/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Accept, run, cancel and read batch jobs."""
--- a/turmerictally/settings.py
+++ b/turmerictally/settings.py
@@ -111,7 +111,12 @@
         "headroom_ratio": 0.25,
         "max_concurrent_items": 64,
         "max_pending_results_bytes": 64 * 1024 * 1024,
-        "cancel_poll_s": 2.0,
+        "cancel_poll_s": 3.0,
+        "max_ranges": 4,
+        "part_s": 60.0,
+        "part_bytes": 1024 * 1024,
+        "reads_per_s": 1.0,
+        "writes_per_s": 0.5,
     },
     "orders": {"lease_s": 30.0, "poll_s": 1.0},
     "metrics": {"max_teams": 100, "explain_records": 10_000},
@@ -262,6 +267,11 @@
     max_concurrent_items: int
     max_pending_results_bytes: int
     cancel_poll_s: float
+    max_ranges: int
+    part_s: float
+    part_bytes: int
+    reads_per_s: float
+    writes_per_s: float
 
 
 @attrs.frozen
