--- /dev/null
+++ b/turmerictally/online/events.py
@@ -0,0 +1,140 @@
+"""Read an engine's server-sent events and follow a stream's tokens."""
+
+import json
+import re
+
+import attrs
+
+from turmerictally import errors
+
+DONE = b"data: [DONE]\n\n"
+MAX_EVENT_BYTES = 1024 * 1024
+
+_END = re.compile(rb"\r?\n\r?\n")
+
+
+class CutError(Exception):
+    """Report that a stream cannot go on from here; ``crossed`` means foreign data."""
+
+    def __init__(self, reason: str, *, crossed: bool = False) -> None:
+        self.reason = reason
+        self.crossed = crossed
+        super().__init__(reason)
+
+
+@attrs.define
+class Parser:
+    """Split bytes into events; an unfinished event is never passed on."""
+
+    rest: bytes = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the data of each event that is now complete."""
+        *whole, self.rest = _END.split(self.rest + data)
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise CutError("event too large")
+        found = [_data(event) for event in whole]
+        return [event for event in found if event]
+
+
+def _data(event: bytes) -> bytes:
+    lines = [line for line in event.splitlines() if line.startswith(b"data:")]
+    return b"\n".join(line[5:].strip() for line in lines)
+
+
+@attrs.define
+class Progress:
+    """Follow one stream: what was delivered and whether it is whole.
+
+    ``next`` is the index of the next token. ``resumable`` turns False when the
+    engine gives no offsets or more than one choice.
+    """
+
+    id: str
+    next: int = 0
+    tokens: list[str] = attrs.Factory(list)
+    finished: bool = False
+    done: bool = False
+    resumable: bool = True
+    delivered: bool = False
+
+    def accept(self, data: bytes) -> bytes | None:
+        """Return the event to deliver, or None for a repeated one.
+
+        Raises ``CutError`` when the event does not continue this stream.
+        """
+        if data == b"[DONE]":
+            return self._end()
+        chunk = self._parse(data)
+        if not self._advance(chunk):
+            return None
+        self.delivered = True
+        return b"data: " + data + b"\n\n"
+
+    def _end(self) -> bytes:
+        if not self.finished:
+            raise CutError("end without a finish reason")
+        self.done = True
+        return DONE
+
+    def _parse(self, data: bytes) -> dict:
+        try:
+            chunk = json.loads(data)
+            owner = str(chunk["id"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise CutError("malformed event") from error
+        if "error" in chunk:
+            raise CutError("the engine reported an error")
+        if not owner.endswith(self.id):
+            raise CutError("event of another request", crossed=True)
+        return chunk
+
+    def _advance(self, chunk: dict) -> bool:
+        """Count the chunk's tokens; return False for a repeated chunk."""
+        choices = chunk.get("choices") or []
+        text = "".join(_text(choice) for choice in choices)
+        if len(choices) > 1 or (text and "offset" not in chunk):
+            self.resumable = False
+        if any(_has_calls(choice) for choice in choices):
+            self.resumable = False
+        elif self.next and choices and not text and not _ends(choices):
+            return False  # a resumed stream's introduction
+        if text and self.resumable:
+            count = int(chunk.get("tokens", 1))
+            if not self._continues(int(chunk["offset"]), count):
+                return False
+            self.next += count
+            self.tokens.append(text)
+        if _ends(choices):
+            repeated, self.finished = self.finished, True
+            return not repeated
+        return True
+
+    def _continues(self, offset: int, count: int) -> bool:
+        if offset == self.next:
+            return True
+        if offset + count <= self.next:
+            return False
+        raise CutError(f"token {offset} follows token {self.next}")
+
+
+def _text(choice: dict) -> str:
+    delta = choice.get("delta")
+    if isinstance(delta, dict):
+        return delta.get("content") or ""
+    return choice.get("text") or ""
+
+
+def _has_calls(choice: dict) -> bool:
+    delta = choice.get("delta")
+    return isinstance(delta, dict) and bool(delta.get("tool_calls"))
+
+
+def _ends(choices: list[dict]) -> bool:
+    return any(choice.get("finish_reason") for choice in choices)
+
+
+def error_event(error: errors.Error) -> bytes:
+    """Return the event that ends a stream which is not whole."""
+    body = json.dumps(error.body(), separators=(",", ":"))
+    return b"data: " + body.encode() + b"\n\n"
--- /dev/null
+++ b/turmerictally/routing/engines.py
@@ -0,0 +1,124 @@
+"""Speak the engines' control protocol: load, cache events, cancel and KV cache."""
+
+import json
+
+import attrs
+import httpx
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally.routing import load
+
+CONTROL_TIMEOUT_S = 1.0
+# Longest age a load report may claim, in seconds.
+MAX_CLAIMED_AGE_S = 60.0
+
+
+class ControlError(Exception):
+    """Report that a control call failed.
+
+    ``refused`` means that nothing listens, ``answered`` that the server lives but
+    does not know the call.
+    """
+
+    def __init__(
+        self, reason: str, *, refused: bool = False, answered: bool = False
+    ) -> None:
+        self.refused = refused
+        self.answered = answered
+        super().__init__(reason)
+
+
+@attrs.frozen
+class LoadAnswer:
+    """Hold one load report with the instance that gave it."""
+
+    report: load.Report
+    instance: str
+    leaving: bool
+
+
+@attrs.frozen
+class CacheEvents:
+    """Hold cache events and the last sequence number they cover."""
+
+    events: list[dict]
+    last: int
+
+
+class Engines:
+    """Call engines through a pool that requests never wait for."""
+
+    def __init__(
+        self, clock: clocks.Clock, transport: httpx.AsyncBaseTransport | None = None
+    ) -> None:
+        self.clock = clock
+        self.client = httpx.AsyncClient(
+            transport=transport, timeout=CONTROL_TIMEOUT_S, trust_env=False
+        )
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self.client.aclose()
+
+    async def load(self, address: str) -> LoadAnswer:
+        """Return a server's load report."""
+        answer = await self._call(address, "GET", "/engine/load")
+        try:
+            return self._load(answer)
+        except (KeyError, TypeError, ValueError) as error:
+            raise ControlError("malformed load report") from error
+
+    async def events(self, address: str, after: int) -> CacheEvents:
+        """Return the cache events after a sequence number."""
+        answer = await self._call(address, "GET", f"/engine/events?after={after}")
+        try:
+            return CacheEvents(list(answer["events"]), int(answer["next"]))
+        except (KeyError, TypeError, ValueError) as error:
+            raise ControlError("malformed events") from error
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Cancel a request; cancelling an ended one succeeds."""
+        await self._call(address, "POST", "/engine/cancel", request_id=request_id)
+
+    async def export_kv(self, address: str, request_id: str) -> str:
+        """Return a running request's KV cache as an opaque text."""
+        path = "/engine/kv/export"
+        answer = await self._call(address, "POST", path, request_id=request_id)
+        return str(answer.get("kv", ""))
+
+    async def import_kv(self, address: str, request_id: str, kv: str) -> None:
+        """Hand an exported KV cache to another server."""
+        path = "/engine/kv/import"
+        await self._call(address, "POST", path, request_id=request_id, kv=kv)
+
+    async def _call(self, address: str, method: str, path: str, **body) -> dict:
+        try:
+            with trio.fail_after(CONTROL_TIMEOUT_S):
+                answer = await self.client.request(
+                    method, f"http://{address}{path}", json=body or None
+                )
+            answer.raise_for_status()
+            found = answer.json()
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise ControlError("connection refused", refused=True) from error
+        except httpx.HTTPStatusError as error:
+            lives = error.response.status_code < httpx.codes.INTERNAL_SERVER_ERROR
+            raise ControlError("status", answered=lives) from error
+        except (httpx.HTTPError, trio.TooSlowError, json.JSONDecodeError) as error:
+            raise ControlError(type(error).__name__) from error
+        if not isinstance(found, dict):
+            raise ControlError("malformed answer")
+        return found
+
+    def _load(self, answer: dict) -> LoadAnswer:
+        age = min(MAX_CLAIMED_AGE_S, max(0.0, float(answer.get("at_age_s", 0.0))))
+        report = load.Report(
+            running=int(answer["running"]),
+            waiting=int(answer["waiting"]),
+            capacity=max(1, int(answer["capacity"])),
+            sampled_at=self.clock.monotonic() - age,
+            batch_running=int(answer.get("batch_running", 0)),
+        )
+        instance = str(answer.get("instance", ""))
+        return LoadAnswer(report, instance, bool(answer.get("leaving", False)))
--- /dev/null
+++ b/turmerictally/routing/headroom.py
@@ -0,0 +1,301 @@
+"""Run batch work on spare capacity and give it back when online needs room."""
+
+import collections.abc
+import contextlib
+import logging
+import math
+
+import attrs
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally import errors, settings
+from turmerictally.peers import calls, routing_pb2
+from turmerictally.platform import hosts
+from turmerictally.routing import router, servers, subset
+
+logger = logging.getLogger(__name__)
+
+# Seconds that room which another host asked for stays reserved.
+DEMAND_S = 1.0
+# Seconds without new batch work on a server after it yielded.
+HOLD_S = 0.25
+# Shortest time between two calls to the owner of one server, in seconds.
+YIELD_INTERVAL_S = 0.02
+YIELD_TIMEOUT_S = 0.25
+# Seconds between two looks for room that opened without an event.
+WAKE_S = 0.1
+# Seconds between two checks of who owns which servers.
+OWNERSHIP_S = 0.25
+
+LiveHosts = collections.abc.Callable[[], list[hosts.ListedHost]]
+
+
+@attrs.define(eq=False)
+class Slot:
+    """Hold room for one batch item; ``scope`` is cancelled when it must yield."""
+
+    server: servers.Server
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    yielded: trio.Event = attrs.field(factory=trio.Event)
+
+    def give_back(self) -> None:
+        """Tell the item to stop."""
+        self.yielded.set()
+        self.scope.cancel()
+
+
+@attrs.define
+class Owned:
+    """Hold the batch state of one server that this host owns."""
+
+    slots: list[Slot] = attrs.Factory(list)
+    demand: int = 0
+    demand_until: float = 0.0
+    hold_until: float = 0.0
+
+
+def owner(
+    address: str, domain: str, live: list[hosts.ListedHost]
+) -> hosts.ListedHost | None:
+    """Return the one host of a domain that may send batch work to a server."""
+    local = {host.id: host for host in live if host.failure_domain == domain}
+    return local.get(subset.highest(address, list(local)) or "")
+
+
+class BatchGate:
+    """Hand out batch slots on the servers this host owns.
+
+    Each server's batch owner is the rendezvous choice among the live hosts of its
+    failure domain. While hosts disagree about who is live, two may own a server;
+    each then counts the other's work from the server's reports.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        chooser: router.Router,
+        options: settings.Batch,
+        live_hosts: LiveHosts,
+        peers: calls.Peers,
+        *,
+        clock: clocks.Clock,
+    ) -> None:
+        self.host_id = host_id
+        self.router = chooser
+        self.options = options
+        self.live_hosts = live_hosts
+        self.peers = peers
+        self.clock = clock
+        self.state: dict[str, Owned] = {}
+        self.changed = trio.Event()
+        self.asked: dict[str, float] = {}
+        self.asks, self.asked_for = trio.open_memory_channel[str](64)
+        self.owned_cache: tuple = ()
+        self.owned_key: object = None
+        self.owned_until = 0.0
+        self.yielded_total = 0
+        self.stopping = False
+        chooser.on_online.append(self.online_started)
+        peers.handle(calls.Kind.YIELD, self.handle_yield)
+
+    async def run(self) -> None:
+        """Send calls for room to other owners and wake waiting items."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._wake)
+            async for address in self.asked_for:
+                nursery.start_soon(self._ask_owner, address)
+
+    def owned(self) -> tuple[str, ...]:
+        """Return the servers whose batch work this host sends."""
+        now = self.clock.monotonic()
+        if now < self.owned_until:
+            return self.owned_cache
+        self.owned_until = now + OWNERSHIP_S
+        live = self.live_hosts()
+        members = tuple(sorted(h.id for h in live))
+        key = (self.router.servers.version, members)
+        if key != self.owned_key:
+            known = self.router.servers.known.values()
+            mine = [s.address for s in known if self._owns(s, live)]
+            self.owned_cache = tuple(mine)
+            self.owned_key = key
+            self._drop_lost()
+        return self.owned_cache
+
+    def room(self, address: str) -> int:
+        """Return how many more batch items the server takes; negative when over."""
+        now = self.clock.monotonic()
+        owned = self.state.setdefault(address, Owned())
+        return self.allowed(address, now) - self._batch(address, owned, now)
+
+    def allowed(self, address: str, now: float) -> int:
+        """Return how many batch items the server may run beside online work."""
+        loads = self.router.loads
+        limit = loads.limit(address)
+        usable = math.floor(limit * (1.0 - self.options.headroom_ratio))
+        online = max(0, loads.total(address, now) - loads.batch(address, now))
+        owned = self.state.get(address)
+        if owned is not None and owned.demand_until > now:
+            online += owned.demand
+        return max(0, usable - online)
+
+    def free(self, model: str) -> int:
+        """Return how many items of a model could start now."""
+        rooms = [self.room(a) for a in self._eligible(model)]
+        return sum(room for room in rooms if room > 0)
+
+    @contextlib.asynccontextmanager
+    async def slot(self, model: str) -> collections.abc.AsyncIterator[Slot]:
+        """Wait for room, then hold it; leave the block soon after ``yielded``."""
+        taken = await self._take(model)
+        try:
+            yield taken
+        finally:
+            self._release(taken)
+
+    def online_started(self, address: str) -> None:
+        """Make room for a request that this host sends."""
+        if address in self.owned():
+            self.enforce(address)
+        elif self._is_tight(address):
+            self._queue_ask(address)
+
+    def enforce(self, address: str) -> int:
+        """Cancel the newest batch items above the allowed number; return how many."""
+        over = -self.room(address)
+        if over <= 0:
+            return 0
+        owned = self.state[address]
+        victims = [s for s in owned.slots if not s.yielded.is_set()][-over:]
+        for slot in victims:
+            slot.give_back()
+        if victims:
+            owned.hold_until = self.clock.monotonic() + HOLD_S
+            self.yielded_total += len(victims)
+            logger.debug("%d batch items yield on %s.", len(victims), address)
+        return len(victims)
+
+    def reported(self, address: str) -> None:
+        """React to a new load report."""
+        if address in self.state:
+            self.enforce(address)
+        self._notify()
+
+    async def handle_yield(self, caller: calls.Caller, body: bytes) -> bytes:
+        """Make room that another host asks for."""
+        message = routing_pb2.Yield.FromString(body)
+        now = self.clock.monotonic()
+        if message.address not in self.owned():
+            return routing_pb2.YieldReply().SerializeToString()
+        owned = self.state.setdefault(message.address, Owned())
+        limit = self.router.loads.limit(message.address)
+        if owned.demand_until <= now:
+            owned.demand = 0
+        owned.demand = min(limit, max(owned.demand, message.started))
+        owned.demand_until = now + DEMAND_S
+        cancelled = self.enforce(message.address)
+        return routing_pb2.YieldReply(cancelled=cancelled).SerializeToString()
+
+    def give_all_back(self) -> None:
+        """Stop batch work, as before a planned stop."""
+        self.stopping = True
+        for owned in self.state.values():
+            for slot in owned.slots:
+                slot.give_back()
+
+    def _owns(self, server: servers.Server, live: list[hosts.ListedHost]) -> bool:
+        found = owner(server.address, server.failure_domain, live)
+        return found is not None and found.id == self.host_id
+
+    def _drop_lost(self) -> None:
+        for address in self.state.keys() - set(self.owned_cache):
+            for slot in self.state[address].slots:
+                slot.give_back()
+            if not self.state[address].slots:
+                del self.state[address]
+
+    def _batch(self, address: str, owned: Owned, now: float) -> int:
+        kept = sum(1 for slot in owned.slots if not slot.yielded.is_set())
+        yielding = len(owned.slots) - kept
+        return max(kept, self.router.loads.batch(address, now) - yielding)
+
+    def _eligible(self, model: str) -> list[str]:
+        now = self.clock.monotonic()
+        return [a for a in self.owned() if self._takes_batch(a, model, now)]
+
+    def _takes_batch(self, address: str, model: str, now: float) -> bool:
+        server = self.router.servers.known.get(address)
+        if self.stopping or server is None or model not in server.models:
+            return False
+        held = address in self.state and self.state[address].hold_until > now
+        usable = self.router.servers.takes_work(address)
+        return usable and not held and self.router.health.allows(address, now)
+
+    async def _take(self, model: str) -> Slot:
+        await trio.lowlevel.checkpoint()
+        while True:
+            taken = self._try_take(model)
+            if taken is not None:
+                return taken
+            changed = self.changed
+            await changed.wait()
+
+    def _try_take(self, model: str) -> Slot | None:
+        best = max(self._eligible(model), key=self.room, default=None)
+        if best is None or self.room(best) <= 0:
+            return None
+        taken = Slot(self.router.servers.known[best])
+        self.state[best].slots.append(taken)
+        self.router.loads.started(best, self.clock.monotonic(), batch=True)
+        return taken
+
+    def _release(self, taken: Slot) -> None:
+        address = taken.server.address
+        self.router.loads.ended(address, self.clock.monotonic(), batch=True)
+        if address in self.state:
+            self.state[address].slots.remove(taken)
+        self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def _wake(self) -> None:
+        # Holds and demands run out without an event of their own.
+        while True:
+            await trio.sleep(WAKE_S)
+            self._notify()
+
+    def _is_tight(self, address: str) -> bool:
+        now = self.clock.monotonic()
+        loads = self.router.loads
+        free = loads.limit(address) - loads.total(address, now)
+        reserve = loads.limit(address) * self.options.headroom_ratio
+        return loads.batch(address, now) > 0 and free < reserve
+
+    def _queue_ask(self, address: str) -> None:
+        now = self.clock.monotonic()
+        if now - self.asked.get(address, -1e9) < YIELD_INTERVAL_S:
+            return
+        self.asked[address] = now
+        with contextlib.suppress(trio.WouldBlock):
+            self.asks.send_nowait(address)
+
+    async def _ask_owner(self, address: str) -> None:
+        server = self.router.servers.known.get(address)
+        if server is None:
+            return
+        found = owner(address, server.failure_domain, self.live_hosts())
+        if found is None or found.id == self.host_id:
+            return
+        started = self.router.loads.started_online(address)
+        body = routing_pb2.Yield(address=address, started=started)
+        deadline = self.clock.monotonic() + YIELD_TIMEOUT_S
+        with contextlib.suppress(errors.Error):
+            await self.peers.call(
+                found.address,
+                calls.Kind.YIELD,
+                body.SerializeToString(),
+                deadline=deadline,
+            )
--- /dev/null
+++ b/turmerictally/routing/router.py
@@ -0,0 +1,199 @@
+"""Choose the backend server of one request."""
+
+import collections.abc
+import random
+
+import attrs
+
+from turmerictally import clock as clocks
+from turmerictally import errors, settings
+from turmerictally.routing import affinity, health, load, servers, subset
+
+# Load ratio of the own failure domain above which other domains are weighed too.
+SPILL_LOAD = 0.85
+# Factor on the cost of a server in another failure domain.
+SPILL_PENALTY = 1.2
+# Random draws before the whole subset is searched.
+DRAWS = 6
+# Seconds after which a subset follows the number of live hosts.
+REFRESH_S = 5.0
+RETRY_AFTER_S = 1.0
+
+
+@attrs.define
+class Cached:
+    """Hold a computed subset and what it was computed from."""
+
+    subset: subset.Subset
+    version: int
+    refresh_at: float
+
+
+class Router:
+    """Choose among a bounded subset by corrected load, prefix and domain.
+
+    ``count_hosts`` returns the number of live hosts in the own failure domain.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        domain: str,
+        options: settings.Routing,
+        known: servers.Servers,
+        *,
+        clock: clocks.Clock,
+        rng: random.Random,
+        count_hosts: collections.abc.Callable[[], int] = lambda: 1,
+    ) -> None:
+        self.host_id = host_id
+        self.domain = domain
+        self.options = options
+        self.servers = known
+        self.clock = clock
+        self.rng = rng
+        self.count_hosts = count_hosts
+        self.health = health.Health(options.unhealthy_after, options.probe_s)
+        self.loads = load.Loads(
+            options.report_max_age_s, options.max_running_per_server
+        )
+        self.affinity = affinity.Affinity()
+        self.cache: dict[str, Cached] = {}
+        self.on_online: list[collections.abc.Callable[[str], None]] = []
+
+    def choose(
+        self,
+        wanted: servers.Wanted,
+        exclude: collections.abc.Collection[str] = (),
+        *,
+        only_with_room: bool = False,
+    ) -> servers.Server | None:
+        """Return a server; None when ``only_with_room`` and all drawn are full.
+
+        Raises ``errors.Error`` with ``NO_BACKEND_SERVER`` when none takes work.
+        """
+        now = self.clock.monotonic()
+        current = self.subset(wanted.name)
+        address = self._by_prefix(wanted, current, exclude, now)
+        if address is None:
+            address = self._by_load(wanted, current, exclude, now)
+        if address is None:
+            raise errors.Error(
+                errors.Kind.NO_BACKEND_SERVER, retry_after_s=RETRY_AFTER_S
+            )
+        if only_with_room and self.loads.ratio(address, now) >= 1.0:
+            address = self._least_loaded(current, exclude, now)
+        return self.servers.known[address] if address else None
+
+    def started(self, address: str, prefix: str = "") -> None:
+        """Count a request as sent."""
+        now = self.clock.monotonic()
+        self.health.started(address, now)
+        self.loads.started(address, now)
+        if prefix:
+            self.affinity.learn(prefix, address, now)
+        for notify in self.on_online:
+            notify(address)
+
+    def ended(self, address: str) -> None:
+        """Count a request as ended."""
+        self.loads.ended(address, self.clock.monotonic())
+
+    def subset(self, name: str) -> subset.Subset:
+        """Return the host's subset for a group of servers."""
+        now = self.clock.monotonic()
+        cached = self.cache.get(name)
+        if (
+            cached
+            and cached.version == self.servers.version
+            and (now < cached.refresh_at)
+        ):
+            return cached.subset
+        found = subset.select(
+            self.host_id,
+            name,
+            self.servers.domains(name),
+            self.domain,
+            self.options.subset_size,
+            self.count_hosts(),
+        )
+        self.cache[name] = Cached(found, self.servers.version, now + REFRESH_S)
+        return found
+
+    def replaced(self, address: str) -> None:
+        """Drop what was learned about a server's former instance."""
+        self.health.forget(address)
+        self.loads.forget(address)
+        self.affinity.forget(address, self.clock.monotonic())
+
+    def _usable(self, address: str, exclude, now: float) -> bool:
+        return (
+            address not in exclude
+            and self.servers.takes_work(address)
+            and self.health.allows(address, now)
+        )
+
+    def _cost(self, address: str, name: str, now: float) -> float:
+        # The added request counts, so that slowness matters on idle servers too.
+        total = self.loads.total(address, now) + 1
+        slow = self.loads.slowness(address, name, now)
+        return slow * total / self.loads.limit(address)
+
+    def _by_prefix(self, wanted, current, exclude, now: float) -> str | None:
+        if not wanted.prefix or not current.own:
+            return None
+        candidates = self.affinity.lookup(wanted.prefix)
+        candidates = [a for a in candidates if a in current.own]
+        home = subset.highest(wanted.prefix, current.own)
+        for address in [*candidates, home]:
+            if self._usable(address, exclude, now) and self._bounded(
+                address, wanted.name, current.own, now
+            ):
+                return address
+        return None
+
+    def _bounded(self, address, name, addresses, now: float) -> bool:
+        """Tell whether affinity to a server keeps the load even."""
+        cost = self._cost(address, name, now)
+        costs = [self._cost(each, name, now) for each in self._draw(addresses)]
+        average = sum(costs) / len(costs)
+        one = 1.0 / self.loads.limit(address)
+        return cost <= self.options.affinity_max_load * average + one
+
+    def _least_loaded(self, current, exclude, now: float) -> str | None:
+        """Return the least loaded server of the subset if it has room."""
+        usable = [
+            address
+            for address in (*current.own, *current.spill)
+            if self._usable(address, exclude, now)
+        ]
+        best = min(usable, key=lambda a: self.loads.ratio(a, now), default=None)
+        if best is None or self.loads.ratio(best, now) >= 1.0:
+            return None
+        return best
+
+    def _draw(self, addresses) -> list[str]:
+        return [self.rng.choice(addresses) for _ in range(min(4, len(addresses)))]
+
+    def _by_load(self, wanted, current, exclude, now: float) -> str | None:
+        own = self._two_choices(current.own, wanted.name, exclude, now)
+        if own is not None and self.loads.ratio(own, now) < SPILL_LOAD:
+            return own
+        other = self._two_choices(current.spill, wanted.name, exclude, now)
+        if own is None or other is None:
+            return own or other
+        here = self._cost(own, wanted.name, now)
+        there = self._cost(other, wanted.name, now) * SPILL_PENALTY
+        return own if here <= there else other
+
+    def _two_choices(self, addresses, name, exclude, now: float) -> str | None:
+        drawn: list[str] = []
+        for _ in range(DRAWS):
+            if not addresses or len(drawn) == 2:
+                break
+            address = self.rng.choice(addresses)
+            if address not in drawn and self._usable(address, exclude, now):
+                drawn.append(address)
+        if not drawn:
+            drawn = [a for a in addresses if self._usable(a, exclude, now)]
+        return min(drawn, key=lambda a: self._cost(a, name, now), default=None)
--- /dev/null
+++ b/turmerictally/routing/servers.py
@@ -0,0 +1,146 @@
+"""Know the backend servers, from the host list, the configuration and reports."""
+
+import collections
+import logging
+
+import attrs
+
+from turmerictally import clock as clocks
+from turmerictally.config import model
+from turmerictally.platform import hosts
+
+logger = logging.getLogger(__name__)
+
+# Time for the list to show a server's new instance before it is used unconfirmed.
+CONFIRM_S = 10.0
+
+
+@attrs.frozen
+class Server:
+    """Describe one backend server as it is listed."""
+
+    address: str
+    instance: str
+    region: str
+    failure_domain: str
+    service: str
+    models: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Wanted:
+    """State what a request needs; ``prefix`` is empty without affinity."""
+
+    service: str
+    model: str = ""
+    prefix: str = ""
+
+    @property
+    def name(self) -> str:
+        """Return the name under which the servers are grouped."""
+        return f"{self.service}/{self.model}"
+
+
+@attrs.define
+class Evidence:
+    """Hold what a server's own answers showed; ``hold_until`` is monotonic."""
+
+    instance: str = ""
+    leaving: bool = False
+    hold_until: float = 0.0
+
+
+class Servers:
+    """Keep every known server and whether it takes new work."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        self.version = 0
+        self.known: dict[str, Server] = {}
+        self.listed_leaving: set[str] = set()
+        self.drained: frozenset[str] = frozenset()
+        self.evidence: dict[str, Evidence] = {}
+        self.groups: dict[str, dict[str, list[str]]] = {}
+
+    def update(self, listed: list[hosts.ListedHost]) -> None:
+        """Replace the list; a stale list never revives a leaving instance."""
+        known = {host.address: _server(host) for host in listed}
+        leaving = {h.address for h in listed if h.status is hosts.Status.LEAVING}
+        for address in self.known.keys() - known.keys():
+            self.evidence.pop(address, None)
+        for server in known.values():
+            self._confirm(server)
+        self.listed_leaving = leaving
+        if known != self.known:
+            self.known = known
+            self.groups = _group(known)
+            self.version += 1
+
+    def set_view(self, view: model.View) -> None:
+        """Take the drained servers from a configuration."""
+        drained = [a for a, server in view.servers.items() if server.drained]
+        self.drained = frozenset(drained)
+
+    def report(self, address: str, instance: str, leaving: bool) -> bool:
+        """Note a server's own report; return whether its instance is another one."""
+        now = self.clock.monotonic()
+        seen = self.evidence.setdefault(address, Evidence())
+        changed = bool(seen.instance and instance and seen.instance != instance)
+        if changed:
+            logger.info("Backend server %s was replaced by another instance.", address)
+            listed = self.known.get(address)
+            confirmed = listed is not None and listed.instance == instance
+            seen.leaving = False
+            seen.hold_until = 0.0 if confirmed else now + CONFIRM_S
+        if instance:
+            seen.instance = instance
+        if leaving and not seen.leaving:
+            logger.info("Backend server %s reports that it leaves.", address)
+        seen.leaving = leaving
+        return changed
+
+    def takes_work(self, address: str) -> bool:
+        """Return whether a server may get new work."""
+        if address not in self.known:
+            return False
+        if address in self.listed_leaving or address in self.drained:
+            return False
+        seen = self.evidence.get(address)
+        if seen is None:
+            return True
+        return not seen.leaving and seen.hold_until <= self.clock.monotonic()
+
+    def domains(self, name: str) -> dict[str, list[str]]:
+        """Return addresses by failure domain for a ``Wanted.name``."""
+        return self.groups.get(name, {})
+
+    def _confirm(self, server: Server) -> None:
+        seen = self.evidence.get(server.address)
+        if seen is None:
+            return
+        before = self.known.get(server.address)
+        relisted = before is not None and before.instance != server.instance
+        if seen.instance == server.instance:
+            seen.hold_until = 0.0
+        elif relisted:
+            self.evidence[server.address] = Evidence(instance=server.instance)
+
+
+def _server(host: hosts.ListedHost) -> Server:
+    return Server(
+        address=host.address,
+        instance=host.instance,
+        region=host.region,
+        failure_domain=host.failure_domain,
+        service=host.service,
+        models=tuple(host.models),
+    )
+
+
+def _group(known: dict[str, Server]) -> dict[str, dict[str, list[str]]]:
+    groups: dict = collections.defaultdict(lambda: collections.defaultdict(list))
+    for server in known.values():
+        for name in ("", *server.models):
+            wanted = Wanted(server.service, name)
+            groups[wanted.name][server.failure_domain].append(server.address)
+    return {name: dict(domains) for name, domains in groups.items()}
