Isolate suspects on a quiet host and give idle ranges back

Cause: a poisonous item took other ranges of its host down with it; a host without capacity kept its ranges; an unexpected error ended the worker.

Change: suspects wait until the host holds no other range; a range whose items cannot start is given back; items have a time limit; errors stay in their range. The suite shows that items run twice when starts are not recorded.

--- a/turmerictally/batch/cancel.py
+++ b/turmerictally/batch/cancel.py
@@ -14,6 +14,7 @@
 logger = logging.getLogger(__name__)
 
 PUSH_TIMEOUT_S = 2.0
+PUSHES = 32  # calls in progress at once
 PAGE = 500
 
 
@@ -61,13 +62,15 @@
     rows = await kept.scan_all(f"{records.RANGES}{job_id}/")
     holders = {row.value["holder"] for row in rows} - {""}
     answered = []
+    limiter = trio.CapacityLimiter(PUSHES)
     async with trio.open_nursery() as nursery:
         for holder in holders:
-            nursery.start_soon(_notify, kept, peers, holder, job_id, answered)
+            await limiter.acquire_on_behalf_of(holder)
+            nursery.start_soon(_notify, kept, peers, holder, job_id, answered, limiter)
     return len(answered)
 
 
-async def _notify(kept, peers, holder, job_id, answered) -> None:
+async def _notify(kept, peers, holder, job_id, answered, limiter) -> None:
     deadline = trio.current_time() + PUSH_TIMEOUT_S
     try:
         row = await kept.get(f"{records.WORKERS}{holder}")
@@ -79,6 +82,8 @@
         answered.append(holder)
     except (errors.Error, table.UnavailableError) as error:
         logger.info("Worker %s was not told of a cancellation: %s.", holder, error)
+    finally:
+        limiter.release_on_behalf_of(holder)
 
 
 def handler(stop_job: collections.abc.Callable[[str], None]) -> calls.Handler:
--- a/turmerictally/batch/executor.py
+++ b/turmerictally/batch/executor.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from turmerictally import clock, settings
+from turmerictally import clock, errors, settings
 from turmerictally.batch import (
     cancel,
     capacity,
@@ -28,6 +28,7 @@
 
 RENEWALS = 3  # renewals in the time of a lease
 WATCHED = 3  # workers that each host watches, next to its own id
+ANNOUNCED = 8  # hosts that are told of a new job
 IDLE_LOOKS = 10  # an idle host skips all but one in this many looks for cancels
 IDLE_MAX_S = 8.0  # longest pause between looks for work, in seconds
 
@@ -60,7 +61,6 @@
     sessions: int = 0
     stopping: bool = False
     wake: trio.Event = attrs.Factory(trio.Event)
-    idle: trio.Event = attrs.Factory(trio.Event)
 
     def __attrs_post_init__(self) -> None:
         self.chooser = choice.build(self)
@@ -104,6 +104,7 @@
             self.idempotent,
             limiter,
             self.rng,
+            self._other_works,
             self.tally,
         )
         async with trio.open_nursery() as nursery:
@@ -177,6 +178,30 @@
                 logger.info("Holders were not told of a cancellation: %s.", error)
         return job
 
+    def serve(self, peers: calls.Peers) -> None:
+        """Register the handlers of the calls between hosts."""
+        peers.handle(calls.Kind.JOB_CANCEL, cancel.handler(self.stop_job))
+        peers.handle(calls.Kind.JOB_READY, self._handle_ready)
+
+    async def announce(self, peers: calls.Peers, addresses: list[str]) -> None:
+        """Tell a few hosts that a job was accepted; their scans stand behind it."""
+        self.notify()
+        chosen = self.rng.sample(addresses, min(ANNOUNCED, len(addresses)))
+        async with trio.open_nursery() as nursery:
+            for address in chosen:
+                nursery.start_soon(self._announce_to, peers, address)
+
+    async def _announce_to(self, peers: calls.Peers, address: str) -> None:
+        deadline = self.clock.monotonic() + cancel.PUSH_TIMEOUT_S
+        try:
+            await peers.call(address, calls.Kind.JOB_READY, b"", deadline=deadline)
+        except errors.Error:
+            logger.debug("Host %s was not told of a job.", address)
+
+    async def _handle_ready(self, caller: calls.Caller, body: bytes) -> bytes:
+        self.notify()
+        return b""
+
     def stop_job(self, job_id: str) -> None:
         """Stop a cancelled job's ranges on this host."""
         for running in list(self.works.values()):
@@ -201,36 +226,49 @@
         batch = self.given.batch
         if len(self.works) >= batch.max_ranges or self.held.lapsed:
             return False
+        if any(running.claim.suspect for running in self.works.values()):
+            return False
+        if not self._any_free():
+            return False
         waiting = sum(running.unstarted for running in self.works.values())
         room = self.context.limiter.available_tokens > 0
         return room and waiting < batch.max_concurrent_items
 
+    def _any_free(self) -> bool:
+        services = self.view().services.values()
+        names = [name for service in services for name in service.models]
+        return not names or any(self.gate.free(name) > 0 for name in names)
+
+    def _other_works(self) -> int:
+        """Count the ranges whose items run together."""
+        return sum(not running.claim.suspect for running in self.works.values())
+
     async def _claim_one(self, nursery: trio.Nursery) -> bool:
         try:
             claimed = await self.chooser.claim(self.held)
             if claimed is None:
                 return False
-            data = await self._read(claimed)
         except (table.UnavailableError, lease.LapsedError) as error:
             logger.info("No range was claimed: %s.", error)
             return False
+        except Exception:
+            logger.exception("A look for work failed.")
+            return False
         file = self.chooser.file(claimed.stored.job)
-        running = work.Work(self.context, claimed, file, data)
+        running = work.Work(self.context, claimed, file)
         self.works[claimed.key] = running
         nursery.start_soon(self._work, running)
         return True
 
-    async def _read(self, claimed: ranges.Claim) -> bytes:
-        key = self.chooser.file(claimed.stored.job).object_key
-        where = claimed.slice
-        return await self.kept.read(
-            lambda: self.kept.objects.get(key, start=where.start, end=where.end)
-        )
-
     async def _work(self, running: work.Work) -> None:
         started = self.clock.monotonic()
         open_items = len(running.claim.open_offsets())
-        await running.run()
+        try:
+            await running.run()
+        except Exception:
+            logger.exception("Range %s failed.", running.claim.key)
+            await trio.sleep(IDLE_MAX_S)
+            await running.abandon()
         self.works.pop(running.claim.key, None)
         self.chooser.learn(open_items, self.clock.monotonic() - started)
         if running.claim.range.state is records.RangeState.DONE:
--- a/turmerictally/batch/work.py
+++ b/turmerictally/batch/work.py
@@ -15,6 +15,7 @@
 CHECK_S = 0.25  # pause before a held-up item looks again, in seconds
 WAIT_MIN_S = 0.5  # first pause after a refusal, in seconds
 WAIT_MAX_S = 30.0
+IDLE_RANGE_S = 90.0  # a range whose items cannot start so long is given back
 MARK_ITEMS = 32  # items on non-idempotent routes whose start is recorded at once
 
 # Refusals that say nothing against the item; they count as tries only once the
@@ -67,7 +68,9 @@
     idempotent: collections.abc.Callable[[files.Item], bool]
     limiter: trio.CapacityLimiter
     rng: random.Random
+    others: collections.abc.Callable[[], int]
     tally: Tally = attrs.Factory(Tally)
+    alone: trio.Lock = attrs.Factory(trio.Lock)
 
     def may_start(self) -> bool:
         """Tell whether any item may start: lease valid and memory left."""
@@ -82,11 +85,13 @@
     context: Context
     claim: ranges.Claim
     file: records.File
-    data: bytes
+    data: bytes = b""
     pending: list[ranges.Result] = attrs.Factory(list)
     pending_bytes: int = 0
     stopped: bool = False
     unstarted: int = 0
+    sending: int = 0
+    last_sent: float = 0.0
     outer: trio.Nursery | None = None
     scope: trio.CancelScope = attrs.Factory(trio.CancelScope)
     flush: trio.Event = attrs.Factory(trio.Event)
@@ -105,6 +110,7 @@
     async def run(self) -> None:
         """Run the open items; return when the range is done or given back."""
         self.unstarted = len(self.claim.open_offsets())
+        self.last_sent = self.claim.kept.clock.monotonic()
         try:
             await self._run()
         except* (ranges.FencedError, lease.LapsedError):
@@ -117,10 +123,13 @@
         """Run items in a scope that can be stopped, commits outside of it."""
         async with trio.open_nursery() as self.outer:
             self.outer.start_soon(self._commit_early)
+            self.outer.start_soon(self._give_back)
             with self.scope:
+                self.data = await self._read()
                 await self._settle_started()
                 if self.claim.suspect:
-                    await self._run_alone()
+                    async with self.context.alone:
+                        await self._run_alone()
                 else:
                     await self._run_together()
             await self._commit()
@@ -128,6 +137,18 @@
                 await self._release()
             self.outer.cancel_scope.cancel()
 
+    async def _read(self) -> bytes:
+        """Return the lines of the range; a missing object has none."""
+        kept, where = self.claim.kept, self.claim.slice
+        key = self.file.object_key
+        try:
+            return await kept.read(
+                lambda: kept.objects.get(key, start=where.start, end=where.end)
+            )
+        except KeyError:
+            logger.error("Input %s is missing.", key)
+            return b""
+
     async def _run_together(self) -> None:
         async with trio.open_nursery() as items:
             await self._start_all(items)
@@ -164,6 +185,8 @@
 
     async def _run_alone(self) -> None:
         """Run suspects one at a time, each named in the row before it starts."""
+        while self.context.others():
+            await trio.sleep(CHECK_S)
         for item in self._open_items():
             offset = self._offset(item)
             tries = self.claim.range.alone_tries.get(offset, 0)
@@ -208,15 +231,30 @@
             if not self.context.may_start():
                 return None
             sent = True
-            if self.context.idempotent(item):
-                answer = await self.context.send(item, slot)
-            else:
-                with trio.CancelScope(shield=True):
-                    answer = await self.context.send(item, slot)
+            answer = await self._send(item, slot)
         if answer is None and sent and not self.context.idempotent(item):
             raise errors.Error(errors.Kind.OUTCOME_UNKNOWN)
         return answer
 
+    async def _send(self, item: files.Item, slot: capacity.Slot) -> capacity.ItemResult:
+        """Send an item; one that may not be repeated is not interrupted."""
+        shield = not self.context.idempotent(item)
+        timeout = self.context.given.item_timeout_s
+        self.sending += 1
+        try:
+            with trio.CancelScope(shield=shield) as scope:
+                scope.deadline = trio.current_time() + timeout
+                return await self.context.send(item, slot)
+        except errors.Error:
+            raise
+        except Exception as error:
+            logger.exception("Item %s of %s failed.", item.index, self.job.id)
+            raise errors.Error(errors.Kind.INTERNAL) from error
+        finally:
+            self.sending -= 1
+            self.last_sent = self.claim.kept.clock.monotonic()
+        raise errors.Error(errors.Kind.DEADLINE_EXCEEDED)
+
     def _counts(self, error: errors.Error) -> bool:
         late = self.claim.kept.clock.wall() > self.job.deadline
         return late or error.kind not in PASSING
@@ -265,6 +303,11 @@
                 self._fail(index, f"line-{bad[index].line}", kind, reason)
                 continue
             yield files.parse(line, index)
+        for offset in sorted(open_offsets):
+            if offset >= len(lines):
+                index = self.claim.slice.first + offset
+                kind = errors.Kind.INTERNAL.value
+                self._fail(index, f"item-{index}", kind, "The line is missing.")
 
     def _offset(self, item: files.Item) -> int:
         return item.index - self.claim.slice.first
@@ -329,6 +372,23 @@
             self.flush = trio.Event()
             await self._commit()
 
+    async def _give_back(self) -> None:
+        """Stop when this host finds no capacity, so that another may try."""
+        while True:
+            await trio.sleep(IDLE_RANGE_S / 3)
+            idle_s = self.claim.kept.clock.monotonic() - self.last_sent
+            waiting = not self.sending and not self.claim.suspect
+            if waiting and idle_s > IDLE_RANGE_S and self.context.may_start():
+                logger.info("Range %s is given back.", self.claim.key)
+                self.stop()
+
+    async def abandon(self) -> None:
+        """Give the range back after an unexpected error."""
+        try:
+            await self._release()
+        except (ranges.FencedError, lease.LapsedError):
+            logger.info("Range %s was lost.", self.claim.key)
+
     async def _wait_until_allowed(self) -> None:
         while not self.context.may_start():
             if self.pending:
--- a/turmerictally/settings.py
+++ b/turmerictally/settings.py
@@ -113,6 +113,7 @@
         "max_pending_results_bytes": 64 * 1024 * 1024,
         "cancel_poll_s": 3.0,
         "max_ranges": 4,
+        "item_timeout_s": 600.0,
         "part_s": 60.0,
         "part_bytes": 1024 * 1024,
         "reads_per_s": 1.0,
@@ -268,6 +269,7 @@
     max_pending_results_bytes: int
     cancel_poll_s: float
     max_ranges: int
+    item_timeout_s: float
     part_s: float
     part_bytes: int
     reads_per_s: float
--- a/turmerictally/tests/features/batch.feature
+++ b/turmerictally/tests/features/batch.feature
@@ -65,6 +65,18 @@
     Then each such batch item was sent at most once
     And batch items in doubt end as may have run
 
+  Scenario: Without start records such items run twice
+    When batch items on a non-idempotent route meet lost hosts without start records
+    Then a batch item that may run once was sent twice
+
+  Scenario: A planned stop gives batch ranges back at once
+    When a host with batch ranges is stopped as planned
+    Then the batch job goes on without waiting for its lease
+
+  Scenario: A batch range without capacity goes to another host
+    When the host that holds a batch range finds no capacity
+    Then another host completes the batch job
+
   Scenario: Yielded batch items run again without counting as tries
     When batch slots are yielded again and again
     Then every batch item completes
--- a/turmerictally/tests/features/steps/batch_steps.py
+++ b/turmerictally/tests/features/steps/batch_steps.py
@@ -1,3 +1,5 @@
+from unittest import mock
+
 import hypothesis
 import hypothesis.strategies as st
 import trio
@@ -420,8 +422,7 @@
     assert b"worker_lost" in context.fleet.lines["poison"]
 
 
-@when("batch items on a non-idempotent route meet lost hosts")
-def _(context):
+def lose_hosts():
     async def body(nursery):
         made = started(nursery)
         lines = [fleet.item(f"s{n}", url="/side") for n in range(40)]
@@ -432,9 +433,73 @@
             await (busy or made.hosts)[0].crash()
         return await made.follow(job.id), made
 
+    return fleet.run(body)
+
+
+@when("batch items on a non-idempotent route meet lost hosts")
+def _(context):
+    context.progress, context.fleet = lose_hosts()
+
+
+async def mark_nothing(claim, offsets):
+    await trio.lowlevel.checkpoint()
+
+
+@when("batch items on a non-idempotent route meet lost hosts without start records")
+def _(context):
+    with mock.patch.object(ranges.Claim, "mark_started", mark_nothing):
+        context.progress, context.fleet = lose_hosts()
+
+
+@then("a batch item that may run once was sent twice")
+def _(context):
+    sent = [custom_id for _, _, custom_id in context.fleet.sends]
+    assert len(sent) > len(set(sent))
+
+
+@when("a host with batch ranges is stopped as planned")
+def _(context):
+    async def body(nursery):
+        made = started(nursery, given=fleet.make_settings(lease_s=1000.0))
+        job = await made.accept(fleet.items(200))
+        await trio.sleep(4.0)
+        busy = [host for host in made.hosts if host.executor.works][0]
+        await busy.executor.stop()
+        return await made.follow(job.id, limit_s=300.0), made
+
     context.progress, context.fleet = fleet.run(body)
 
 
+@then("the batch job goes on without waiting for its lease")
+def _(context):
+    assert context.progress.counts == records.Counts(200, 200, 0)
+    assert not context.fleet.faults, context.fleet.faults
+
+
+@when("the host that holds a batch range finds no capacity")
+def _(context):
+    async def body(nursery):
+        made = fleet.Fleet(nursery, hosts=2)
+        idle = made.hosts[0]
+        made.hosts[0].gate.limiter.total_tokens = 0
+        made.hosts[0].gate.free = lambda name: 1
+        nursery.start_soon(made.hosts[0].run)
+        job = await made.accept(fleet.items(10))
+        await trio.sleep(5.0)
+        assert idle.executor.works
+        del made.hosts[0].gate.free
+        nursery.start_soon(made.hosts[1].run)
+        return await made.follow(job.id, limit_s=300.0), made
+
+    context.progress, context.fleet = fleet.run(body)
+
+
+@then("another host completes the batch job")
+def _(context):
+    assert context.progress.counts == records.Counts(10, 10, 0)
+    assert {name for _, name, _ in context.fleet.sends} == {"h1"}
+
+
 @then("each such batch item was sent at most once")
 def _(context):
     sent = [custom_id for _, _, custom_id in context.fleet.sends]
--- a/turmerictally/tests/support/batch_fleet.py
+++ b/turmerictally/tests/support/batch_fleet.py
@@ -10,7 +10,6 @@
 
 from turmerictally import clock, errors, settings
 from turmerictally.batch import (
-    cancel,
     capacity,
     executor,
     files,
@@ -109,10 +108,10 @@
         token = object()
         await self.limiter.acquire_on_behalf_of(token)
         scope = trio.CancelScope()
-        self.scopes.add(scope)
         try:
+            await self.host.running()
+            self.scopes.add(scope)
             with scope:
-                await self.host.running()
                 yield Slot("server")
         finally:
             self.scopes.discard(scope)
@@ -157,8 +156,7 @@
             idempotent=lambda item: item.url != "/side",
             rng=self.rng,
         )
-        handler = cancel.handler(self.executor.stop_job)
-        self.peers.handle(network.calls.Kind.JOB_CANCEL, handler)
+        self.executor.serve(self.peers)
 
     async def running(self):
         while self.resumed is not None:
