Keep the configuration in the table and bring changes in force everywhere

Operators change contracts and keys while traffic runs, and hosts lose each other and the platform. One linear history in the table, replicas that only move up, pushes through one relay a failure domain with digests in pings behind them, and acceptance that waits for every host that may still serve.

--- a/turmerictally/config/model.py
+++ b/turmerictally/config/model.py
@@ -2,7 +2,9 @@
 
 import enum
 import hashlib
+import json
 import math
+import zlib
 
 import attrs
 import cattrs
@@ -18,7 +20,7 @@
     """State what one team may use; every limit of the team follows from it.
 
     ``rate`` is in requests a second and ``burst`` in requests, both over the whole
-    fleet. Empty ``models`` allows every model. ``max_staleness_s`` overrides the
+    fleet. Empty ``models`` allows every model. ``max_staleness_s`` shortens the
     setting of the same name for this team's keys, in seconds.
     """
 
@@ -119,7 +121,7 @@
     """Record one accepted change; ``value`` is None for a removal.
 
     ``version`` is the configuration's version after the change. ``at`` is in Unix
-    seconds.
+    seconds. ``id`` differs for each attempt to change the configuration.
     """
 
     version: int
@@ -128,11 +130,15 @@
     value: Item | None
     who: str
     at: float
+    id: str = ""
 
 
 @attrs.frozen
 class View:
-    """Hold the whole configuration as of one version."""
+    """Hold the whole configuration as of one version.
+
+    ``versions`` maps ``kind/name`` to the version that last changed the object.
+    """
 
     version: int = 0
     contracts: dict[str, Contract] = attrs.field(factory=dict)
@@ -140,6 +146,17 @@
     services: dict[str, Service] = attrs.field(factory=dict)
     routes: dict[str, Route] = attrs.field(factory=dict)
     servers: dict[str, Server] = attrs.field(factory=dict)
+    versions: dict[str, int] = attrs.field(factory=dict)
+
+    def find(self, kind: ItemKind, name: str) -> Item | None:
+        """Return an object by its name (a key by its id), or None."""
+        if kind is ItemKind.KEY:
+            return next((k for k in self.keys.values() if k.id == name), None)
+        return getattr(self, _FIELDS[kind]).get(name)
+
+    def object_version(self, kind: ItemKind, name: str) -> int:
+        """Return the version that last changed an object, or 0 when absent."""
+        return self.versions.get(f"{kind.value}/{name}", 0)
 
     def apply(self, change: Change) -> "View":
         """Return the next version; ``change`` must directly follow this one."""
@@ -148,7 +165,13 @@
         field = _FIELDS[change.kind]
         items = dict(getattr(self, field))
         _replace(items, change)
-        return attrs.evolve(self, version=change.version, **{field: items})
+        versions = dict(self.versions)
+        versions.pop(f"{change.kind.value}/{change.name}", None)
+        if change.value is not None:
+            versions[f"{change.kind.value}/{change.name}"] = change.version
+        return attrs.evolve(
+            self, version=change.version, versions=versions, **{field: items}
+        )
 
 
 _FIELDS = {
@@ -198,4 +221,16 @@
         value=item,
         who=row["who"],
         at=row["at"],
+        id=row.get("id", ""),
     )
+
+
+def view_to_bytes(view: View) -> bytes:
+    """Return a whole view in the snapshot format."""
+    text = json.dumps(converter.unstructure(view), separators=(",", ":"))
+    return zlib.compress(text.encode())
+
+
+def view_from_bytes(data: bytes) -> View:
+    """Return the view that ``view_to_bytes`` wrote."""
+    return converter.structure(json.loads(zlib.decompress(data)), View)
--- /dev/null
+++ b/turmerictally/config/spread.py
@@ -0,0 +1,288 @@
+"""Bring a change in force on every host and learn who has not confirmed it."""
+
+import logging
+import random
+
+import attrs
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally import errors, settings
+from turmerictally.config import replica, store, sync, wire
+from turmerictally.membership import members
+from turmerictally.peers import calls
+from turmerictally.platform import table
+
+logger = logging.getLogger(__name__)
+
+# Recent changes sent along, so that a host one or two behind need not pull.
+CHANGES_PER_PUSH = 4
+RETRY_S = 0.25
+# Share of the time left that a relay spends on the hosts behind it.
+RELAY_TIME_SHARE = 0.6
+MIN_RELAYED = 3
+
+
+@attrs.frozen
+class Pending:
+    """Name a host that has not confirmed a version.
+
+    ``may_serve_until`` is a local monotonic instant; after it the host has either
+    learned the version or refuses to serve.
+    """
+
+    host_id: str
+    failure_domain: str
+    state: str
+    version: int
+    may_serve_until: float
+
+
+@attrs.frozen
+class Delivery:
+    """Report on how many of the known hosts a version is in force.
+
+    ``complete`` is False when the registered hosts could not be read, so that
+    others may be missing from the count.
+    """
+
+    version: int
+    hosts: int
+    in_force: int
+    pending: tuple[Pending, ...]
+    complete: bool
+    versions: dict[str, int] = attrs.field(factory=dict)
+
+
+class Round:
+    """Collect the confirmations of one version."""
+
+    def __init__(self, version: int, targets: dict[str, wire.Target]) -> None:
+        self.version = version
+        self.targets = targets
+        self.versions: dict[str, int] = {}
+        self.tried: set[str] = set()
+        self.done = trio.Event()
+
+    def take(self, confirmations: list[wire.Confirmation]) -> None:
+        """Count confirmations; wait for the unregistered hosts they name, too."""
+        for one in confirmations:
+            known = self.versions.get(one.host_id, 0)
+            self.versions[one.host_id] = max(known, one.version)
+            for dependent in one.dependents:
+                self.targets.setdefault(dependent.host_id, dependent)
+
+    def missing(self) -> list[wire.Target]:
+        """Return the hosts that have not confirmed the version."""
+        return [
+            target
+            for host_id, target in self.targets.items()
+            if self.versions.get(host_id, -1) < self.version
+        ]
+
+
+class Spreader:
+    """Push changes to all hosts, through one relay in each other failure domain.
+
+    Whoever is not reached is tried directly, then through other hosts, until the
+    deadline. Behind it stand the digests in pings and the polling of the platform.
+    """
+
+    def __init__(
+        self,
+        synchronizer: sync.Synchronizer,
+        known: members.Members,
+        peers: calls.Peers,
+        config: settings.Config,
+        clock: clocks.Clock,
+    ) -> None:
+        self.sync = synchronizer
+        self.replica: replica.Replica = synchronizer.replica
+        self.store: store.Store = synchronizer.store
+        self.me = wire.target(synchronizer.me)
+        self.members = known
+        self.peers = peers
+        self.config = config
+        self.clock = clock
+        self.rng = random.Random(f"{self.me.host_id}/spread")
+        peers.handle(calls.Kind.CONFIG_PUSH, self.on_push)
+
+    async def deliver(self, version: int, team: str = "") -> Delivery:
+        """Push up to ``version`` and return who has confirmed within the time-out.
+
+        It returns sooner when every host has confirmed or is known to be dead.
+        """
+        targets, complete = await self._targets()
+        round_ = Round(version, targets)
+        round_.take([self._confirmation()])
+        with trio.move_on_after(self.config.accept_timeout_s):
+            await self._first_round(round_)
+            await self._retry(round_)
+        return self._report(round_, complete, team)
+
+    async def on_push(self, caller: calls.Caller, body: bytes) -> bytes:
+        """Apply pushed changes, pass them on, and confirm for all reached."""
+        push = wire.decode_push(body)
+        applied = self.replica.apply(push.changes)
+        if not applied or self.replica.view.version < push.version:
+            await self.sync.pull(push.sender)
+        round_ = Round(push.version, {one.host_id: one for one in push.relay_to})
+        if push.relay_to:
+            limit = push.time_left_s * RELAY_TIME_SHARE
+            with trio.move_on_after(limit):
+                await self._push_each(list(push.relay_to), round_, limit)
+        relayed = [
+            wire.Confirmation(host_id, confirmed)
+            for host_id, confirmed in round_.versions.items()
+        ]
+        extra = [t for t in round_.targets.values() if t not in push.relay_to]
+        mine = self._confirmation()
+        mine = attrs.evolve(mine, dependents=mine.dependents + tuple(extra))
+        return wire.encode_confirmations([mine, *relayed])
+
+    async def _targets(self) -> tuple[dict[str, wire.Target], bool]:
+        complete = True
+        try:
+            registered = await self.store.hosts()
+        except table.UnavailableError:
+            registered = []
+            complete = False
+        targets = {host.id: wire.target(host) for host in registered}
+        for member in self.members.by_id.values():
+            if member.state is not members.State.DEAD:
+                one = wire.Target(member.id, member.address, member.failure_domain)
+                targets.setdefault(member.id, one)
+        targets.setdefault(self.me.host_id, self.me)
+        return targets, complete
+
+    async def _first_round(self, round_: Round) -> None:
+        groups: dict[str, list[wire.Target]] = {}
+        for target in round_.missing():
+            groups.setdefault(target.failure_domain, []).append(target)
+        async with trio.open_nursery() as nursery:
+            for domain, group in groups.items():
+                if domain == self.me.failure_domain or len(group) < MIN_RELAYED:
+                    nursery.start_soon(self._push_each, group, round_)
+                else:
+                    nursery.start_soon(self._relay, group, round_)
+
+    async def _retry(self, round_: Round) -> None:
+        through_others = False
+        while self._worth_retrying(round_):
+            missing = round_.missing()
+            if through_others:
+                await self._push_through(missing, round_)
+            else:
+                await self._push_each(missing, round_)
+            through_others = not through_others
+            if round_.missing():
+                await trio.sleep(RETRY_S)
+
+    def _worth_retrying(self, round_: Round) -> bool:
+        for target in round_.missing():
+            member = self.members.lookup(target.host_id)
+            dead = member is not None and member.state is members.State.DEAD
+            if not dead or target.host_id not in round_.tried:
+                return True
+        return False
+
+    async def _relay(self, group: list[wire.Target], round_: Round) -> None:
+        relay = self._choose_relay(group)
+        rest = tuple(target for target in group if target != relay)
+        await self._push(relay, round_, rest)
+
+    def _choose_relay(self, group: list[wire.Target]) -> wire.Target:
+        healthy = [target for target in group if self._is_healthy(target)]
+        return self.rng.choice(healthy or group)
+
+    def _is_healthy(self, target: wire.Target) -> bool:
+        member = self.members.lookup(target.host_id)
+        if member is None:
+            return False
+        return member.reachable and member.state is members.State.LIVE
+
+    async def _push_each(
+        self,
+        targets: list[wire.Target],
+        round_: Round,
+        timeout_s: float | None = None,
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            for target in targets:
+                nursery.start_soon(self._push, target, round_, (), timeout_s)
+
+    async def _push_through(self, missing: list[wire.Target], round_: Round) -> None:
+        """Have one host of each of several domains push to those missing."""
+        helpers: dict[str, members.Member] = {}
+        live = self.members.live()
+        self.rng.shuffle(live)
+        absent = {target.host_id for target in missing}
+        for member in live:
+            if member.reachable and member.id not in absent:
+                helpers.setdefault(member.failure_domain, member)
+        rest = tuple(missing)
+        async with trio.open_nursery() as nursery:
+            for member in helpers.values():
+                one = wire.Target(member.id, member.address, member.failure_domain)
+                nursery.start_soon(self._push, one, round_, rest)
+
+    async def _push(
+        self,
+        target: wire.Target,
+        round_: Round,
+        relay_to: tuple[wire.Target, ...],
+        timeout_s: float | None = None,
+    ) -> None:
+        timeout_s = timeout_s or self.config.push_timeout_s
+        push = wire.Push(
+            changes=self._recent(),
+            version=self.replica.view.version,
+            relay_to=relay_to,
+            time_left_s=timeout_s,
+            sender=self.me.address,
+        )
+        deadline = self.clock.monotonic() + timeout_s
+        body = wire.encode_push(push)
+        kind = calls.Kind.CONFIG_PUSH
+        try:
+            reply = await self.peers.call(target.address, kind, body, deadline=deadline)
+            round_.take(wire.decode_confirmations(reply))
+        except errors.Error:
+            self.members.mark_evidence(target.address, ok=False)
+        finally:
+            round_.tried.add(target.host_id)
+
+    def _recent(self) -> tuple:
+        recent = list(self.replica.recent)[-CHANGES_PER_PUSH:]
+        return tuple(known.change for known in recent)
+
+    def _confirmation(self) -> wire.Confirmation:
+        version = self.replica.view.version
+        dependents = self.sync.current_dependents()
+        return wire.Confirmation(self.me.host_id, version, dependents)
+
+    def _report(self, round_: Round, complete: bool, team: str) -> Delivery:
+        until = self.replica.lapses_at(round_.version, team)
+        pending = ()
+        if self.clock.monotonic() < until:
+            pending = tuple(
+                self._pending(target, round_, until) for target in round_.missing()
+            )
+        return Delivery(
+            version=round_.version,
+            hosts=len(round_.targets),
+            in_force=len(round_.targets) - len(round_.missing()),
+            pending=pending,
+            complete=complete or self.clock.monotonic() >= until,
+            versions=dict(round_.versions),
+        )
+
+    def _pending(self, target: wire.Target, round_: Round, until: float) -> Pending:
+        member = self.members.lookup(target.host_id)
+        return Pending(
+            host_id=target.host_id,
+            failure_domain=target.failure_domain,
+            state="unknown" if member is None else member.state.name.lower(),
+            version=round_.versions.get(target.host_id, 0),
+            may_serve_until=until,
+        )
--- a/turmerictally/settings.py
+++ b/turmerictally/settings.py
@@ -63,6 +63,7 @@
         "indirect_targets": 2,
         "suspicion_s": 3.0,
         "forget_s": 60.0,
+        "seeds": [],
     },
     "limits": {
         "shares_per_domain": 2,
@@ -194,7 +195,10 @@
 
 @attrs.frozen
 class Membership:
-    """Hold the failure detector's settings."""
+    """Hold the failure detector's settings.
+
+    ``seeds`` are peer addresses asked when the platform's list cannot be read.
+    """
 
     list_poll_s: float
     ping_interval_s: float
@@ -203,6 +207,7 @@
     indirect_targets: int
     suspicion_s: float
     forget_s: float
+    seeds: list[str]
 
 
 @attrs.frozen
@@ -401,7 +406,7 @@
     if type(value) is not expected or (default is REQUIRED and not value):
         names = {str: "a non-empty text" if default is REQUIRED else "a text"}
         names |= {int: "a whole number", float: "a number", bool: "true or false"}
-        names |= {dict: "a mapping"}
+        names |= {dict: "a mapping", list: "a list"}
         faults.append(Fault(path, f"expected {names[expected]}"))
     return value
 
@@ -418,6 +423,7 @@
     if merged["log"]["level"] not in ("DEBUG", "INFO", "WARNING", "ERROR"):
         faults.append(Fault("log.level", "expected DEBUG, INFO, WARNING or ERROR"))
     faults.extend(_check_operator_keys(merged["operator_key_hashes"]))
+    faults.extend(_check_seeds(merged["membership"]["seeds"]))
     return faults
 
 
@@ -442,6 +448,12 @@
     return faults
 
 
+def _check_seeds(seeds: list) -> list[Fault]:
+    expected = "expected a list of IP:PORT"
+    bad = [s for s in seeds if not isinstance(s, str) or _check_address(s)]
+    return [Fault("membership.seeds", expected)] if bad else []
+
+
 def _check_address(value: str) -> str | None:
     expected = "expected IP:PORT with a port from 0 to 65535"
     host, separator, port = value.rpartition(":")
