--- a/turmerictally/config/operations.py
+++ b/turmerictally/config/operations.py
@@ -144,9 +144,9 @@
         return item, view.object_version(kind, name)
 
     async def status(self, version: int | None = None) -> Outcome:
-        """Ask every host for its version and report on one version's state.
+        """Ask every host for its version and report how far one change has come.
 
-        Defaults to this host's version.
+        Defaults to the newest change that this host knows.
         """
         version = version or self.replica.view.version
         return _outcome(await self.spread.deliver(version))
@@ -175,13 +175,12 @@
         if expected is None:
             expected = self.replica.view.object_version(kind, name)
         draft = Draft(secrets.token_hex(8), who, kind, name, value, expected)
-        team = self._team(draft)
         try:
             change = await self._commit(draft)
         except errors.Error as error:
             self._audit_refusal(draft, error)
             raise
-        return _outcome(await self.spread.deliver(change.version, team))
+        return _outcome(await self.spread.deliver(change.version))
 
     async def _commit(self, draft: Draft) -> model.Change:
         for attempt in range(COMMIT_ATTEMPTS):
@@ -258,11 +257,6 @@
         entry = self._entry(draft, result, reason=error.kind.value)
         self.trail.add(entry)
 
-    def _team(self, draft: Draft) -> str:
-        """Return the team that a change concerns alone, or an empty text."""
-        item = draft.value or self.replica.view.find(draft.kind, draft.name)
-        return getattr(item, "team", "")
-
 
 def _outcome(delivery: spread.Delivery) -> Outcome:
     accepted = delivery.complete and not delivery.pending
--- a/turmerictally/config/replica.py
+++ b/turmerictally/config/replica.py
@@ -19,10 +19,14 @@
 
 @attrs.frozen
 class Known:
-    """Hold a change and when this host learned it, on its monotonic clock."""
+    """Hold a change and when this host learned it, on its monotonic clock.
+
+    ``team`` is the team that it concerns alone, or empty.
+    """
 
     change: model.Change
     learned_at: float
+    team: str
 
 
 Listener = collections.abc.Callable[[model.View, model.View], None]
@@ -63,7 +67,8 @@
                 continue
             if change.version != self.view.version + 1:
                 return False
-            self.recent.append(Known(change, self.clock.monotonic()))
+            team = self._team(change)
+            self.recent.append(Known(change, self.clock.monotonic(), team))
             self._move(self.view.apply(change))
         return True
 
@@ -108,15 +113,16 @@
             return self.max_staleness_s
         return min(contract.max_staleness_s, self.max_staleness_s)
 
-    def lapses_at(self, version: int, team: str = "") -> float:
-        """Return when no host may still serve a team on less than ``version``.
+    def lapses_at(self, version: int) -> float:
+        """Return when no host may still serve as if a change had not been made.
 
         A host confirmed its freshness before the commit at the latest, and this
-        host learned the change after it. A team's own limit counts once every host
-        that may serve knows that limit.
+        host learned the change after it. The limit of a team that alone is concerned
+        counts once every host that may serve knows that limit.
         """
         margin = 1 + DRIFT_RATIO
         limit = self.max_staleness_s
+        team = next((k.team for k in self.recent if k.change.version == version), "")
         contract = self.view.object_version(model.ItemKind.CONTRACT, team)
         if contract and contract != version:
             known_at = self.learned_at(contract) + limit * margin
@@ -141,6 +147,10 @@
             return None
         return [k.change for k in self.recent if k.change.version > version]
 
+    def _team(self, change: model.Change) -> str:
+        item = change.value or self.view.find(change.kind, change.name)
+        return getattr(item, "team", "")
+
     def _move(self, view: model.View) -> None:
         old, self.view = self.view, view
         event, self.event = self.event, trio.Event()
--- a/turmerictally/config/spread.py
+++ b/turmerictally/config/spread.py
@@ -55,25 +55,49 @@
 
 
 class Round:
-    """Collect the confirmations of one version."""
+    """Collect the confirmations of one version.
 
-    def __init__(self, version: int, targets: dict[str, wire.Target]) -> None:
+    A confirmation counts for the start of a host that was waited for only, as an
+    earlier start may run on.
+    """
+
+    def __init__(
+        self, version: int, targets: dict[str, wire.Target], known: members.Members
+    ) -> None:
         self.version = version
+        self.members = known
         self.targets = targets
         self.versions: dict[str, int] = {}
+        self.confirmed: dict[str, wire.Confirmation] = {}
         self.tried: set[str] = set()
         self.done = trio.Event()
 
     def take(self, confirmations: list[wire.Confirmation]) -> None:
         """Count confirmations; wait for the unregistered hosts they name, too."""
         for one in confirmations:
+            target = self.targets.get(one.host_id)
+            if target is not None and target.instance != one.instance:
+                continue
+            self.confirmed[one.host_id] = one
             known = self.versions.get(one.host_id, 0)
             self.versions[one.host_id] = max(known, one.version)
             for dependent in one.dependents:
                 self.targets.setdefault(dependent.host_id, dependent)
 
+    def hear(self) -> None:
+        """Count the versions that hosts told in their pings."""
+        for target in list(self.targets.values()):
+            member = self.members.lookup(target.host_id)
+            if member is None or member.config_version < self.version:
+                continue
+            version = member.config_version
+            told = wire.Confirmation(member.id, member.instance, version)
+            if self.versions.get(member.id, -1) < version:
+                self.take([told])
+
     def missing(self) -> list[wire.Target]:
         """Return the hosts that have not confirmed the version."""
+        self.hear()
         return [
             target
             for host_id, target in self.targets.items()
@@ -107,18 +131,18 @@
         self.rng = random.Random(f"{self.me.host_id}/spread")
         peers.handle(calls.Kind.CONFIG_PUSH, self.on_push)
 
-    async def deliver(self, version: int, team: str = "") -> Delivery:
+    async def deliver(self, version: int) -> Delivery:
         """Push up to ``version`` and return who has confirmed within the time-out.
 
         It returns sooner when every host has confirmed or is known to be dead.
         """
         targets, complete = await self._targets()
-        round_ = Round(version, targets)
+        round_ = Round(version, targets, self.members)
         round_.take([self._confirmation()])
         with trio.move_on_after(self.config.accept_timeout_s):
             await self._first_round(round_)
             await self._retry(round_)
-        return self._report(round_, complete, team)
+        return self._report(round_, complete)
 
     async def on_push(self, caller: calls.Caller, body: bytes) -> bytes:
         """Apply pushed changes, pass them on, and confirm for all reached."""
@@ -126,15 +150,14 @@
         applied = self.replica.apply(push.changes)
         if not applied or self.replica.view.version < push.version:
             await self.sync.pull(push.sender)
-        round_ = Round(push.version, {one.host_id: one for one in push.relay_to})
+        targets = {one.host_id: one for one in push.relay_to}
+        round_ = Round(push.version, targets, self.members)
         if push.relay_to:
             limit = push.time_left_s * RELAY_TIME_SHARE
             with trio.move_on_after(limit):
                 await self._push_each(list(push.relay_to), round_, limit)
-        relayed = [
-            wire.Confirmation(host_id, confirmed)
-            for host_id, confirmed in round_.versions.items()
-        ]
+        round_.hear()
+        relayed = round_.confirmed.values()
         extra = [t for t in round_.targets.values() if t not in push.relay_to]
         mine = self._confirmation()
         mine = attrs.evolve(mine, dependents=mine.dependents + tuple(extra))
@@ -150,7 +173,7 @@
         targets = {host.id: wire.target(host) for host in registered}
         for member in self.members.by_id.values():
             if member.state is not members.State.DEAD:
-                one = wire.Target(member.id, member.address, member.failure_domain)
+                one = _target(member)
                 targets.setdefault(member.id, one)
         targets.setdefault(self.me.host_id, self.me)
         return targets, complete
@@ -223,7 +246,7 @@
         rest = tuple(missing)
         async with trio.open_nursery() as nursery:
             for member in helpers.values():
-                one = wire.Target(member.id, member.address, member.failure_domain)
+                one = _target(member)
                 nursery.start_soon(self._push, one, round_, rest)
 
     async def _push(
@@ -259,10 +282,10 @@
     def _confirmation(self) -> wire.Confirmation:
         version = self.replica.view.version
         dependents = self.sync.current_dependents()
-        return wire.Confirmation(self.me.host_id, version, dependents)
+        return wire.Confirmation(self.me.host_id, self.me.instance, version, dependents)
 
-    def _report(self, round_: Round, complete: bool, team: str) -> Delivery:
-        until = self.replica.lapses_at(round_.version, team)
+    def _report(self, round_: Round, complete: bool) -> Delivery:
+        until = self.replica.lapses_at(round_.version)
         pending = ()
         if self.clock.monotonic() < until:
             pending = tuple(
@@ -286,3 +309,9 @@
             version=round_.versions.get(target.host_id, 0),
             may_serve_until=until,
         )
+
+
+def _target(member: members.Member) -> wire.Target:
+    return wire.Target(
+        member.id, member.address, member.failure_domain, member.instance
+    )
--- a/turmerictally/config/wire.py
+++ b/turmerictally/config/wire.py
@@ -11,22 +11,24 @@
 
 @attrs.frozen
 class Target:
-    """Name one host to reach: its id, peer address and failure domain."""
+    """Name one start of a host: its id, peer address, failure domain and instance."""
 
     host_id: str
     address: str
     failure_domain: str
+    instance: str
 
 
 @attrs.frozen
 class Confirmation:
-    """Tell which version a host has in force.
+    """Tell which version one start of a host has in force.
 
     ``dependents`` are hosts without a registration that took their configuration
     from it.
     """
 
     host_id: str
+    instance: str
     version: int
     dependents: tuple[Target, ...] = ()
 
@@ -74,7 +76,7 @@
 
 def target(host: store.Host) -> Target:
     """Return a registered host as a target."""
-    return Target(host.id, host.address, host.failure_domain)
+    return Target(host.id, host.address, host.failure_domain, host.instance)
 
 
 def encode_push(push: Push) -> bytes:
@@ -108,6 +110,7 @@
     for one in confirmations:
         reply.confirmations.add(
             host_id=one.host_id,
+            instance=one.instance,
             version=one.version,
             dependents=_targets(one.dependents),
         )
@@ -120,6 +123,7 @@
     return [
         Confirmation(
             host_id=one.host_id,
+            instance=one.instance,
             version=one.version,
             dependents=tuple(_target(dependent) for dependent in one.dependents),
         )
@@ -207,4 +211,6 @@
 
 
 def _target(message: config_pb2.Target) -> Target:
-    return Target(message.host_id, message.address, message.failure_domain)
+    return Target(
+        message.host_id, message.address, message.failure_domain, message.instance
+    )
--- a/turmerictally/tests/support/config_schedule.py
+++ b/turmerictally/tests/support/config_schedule.py
@@ -291,8 +291,8 @@
 
     real = host.parts.spread.deliver
 
-    async def deliver(version, team=""):
-        delivery = await real(version, team)
+    async def deliver(version):
+        delivery = await real(version)
         return attrs.evolve(delivery, pending=(), complete=True)
 
     host.parts.spread.deliver = deliver
