Hold each team's rate and burst over all hosts with leased slots and grants

Cause: an even split refuses a team whose traffic sits on one host, a counter in the table dies with the platform, and a restarted host with a full bucket mints burst.

Change: every failure domain has limit slots in the table, leased by hosts with fencing epochs; a slot owns an equal part of each of its teams' limits, and other hosts borrow by grants that are deducted first, expire by both clocks, and are settled once.

--- /dev/null
+++ b/turmerictally/limits/limiter.py
@@ -0,0 +1,499 @@
+"""Admit requests within the team's rate and burst over the whole fleet."""
+
+import logging
+import math
+
+import attrs
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally import errors, settings
+from turmerictally.config import model
+from turmerictally.limits import account as accounts
+from turmerictally.limits import bucket, home, layout, leases
+from turmerictally.peers import calls, limits_pb2
+
+logger = logging.getLogger(__name__)
+
+MAX_ROUNDS = 4  # rounds of asks for one request
+MIN_ASK = 1e-3  # tokens
+BACKOFF_MAX_S = 8.0
+HOLD_MAX_S = 1.0
+CONTENDED_S = 1.0  # after a refusal, in which the next one counts as consecutive
+CONTENDED_HOLD_S = 0.2  # from which on a team counts as above its limits
+CONTENDED_SETTLE_S = 1.0
+NEAR_BONUS = 0.25  # of a full bucket, by which a home in the own domain is preferred
+IDLE_RATIO = 0.25  # of a grant's lifetime, after which its rest goes back
+FORGET_ACCOUNT_S = 60.0
+PRUNE_S = 10.0
+UNKNOWN_RETRY_S = 1.0
+
+
+@attrs.define
+class Backoff:
+    """Skip a host that does not answer; ``until`` is on the local clock."""
+
+    until: float
+    delay_s: float
+
+
+@attrs.define
+class Counters:
+    """Count decisions and messages since the start."""
+
+    admitted: int = 0
+    admitted_locally: int = 0
+    refused: int = 0
+    unavailable: int = 0
+    asks: int = 0
+    returns: int = 0
+
+
+class Limiter:
+    """Hold the limits of all teams on one host."""
+
+    def __init__(
+        self,
+        held: leases.Leases,
+        home_slots: home.Home,
+        peers: calls.Peers,
+        clock: clocks.Clock,
+        options: settings.Limits,
+    ) -> None:
+        self.leases = held
+        self.home = home_slots
+        self.peers = peers
+        self.clock = clock
+        self.options = options
+        self.accounts: dict[str, accounts.Account] = {}
+        self.outbox: dict[str, list[limits_pb2.Settlement]] = {}
+        self.backoffs: dict[str, Backoff] = {}
+        self.counters = Counters()
+        self.last_ask_id = 0
+        self.prune_at = -math.inf
+        self.hurry = trio.Event()
+        peers.handle(calls.Kind.LIMIT_GRANT, home_slots.answer_ask)
+        peers.handle(calls.Kind.LIMIT_RETURN, home_slots.answer_return)
+
+    async def admit(
+        self, contract: model.Contract, cost: float = 1.0, *, deadline: float
+    ) -> None:
+        """Spend ``cost`` tokens, or raise why not.
+
+        ``deadline`` is on the local clock. Raises ``errors.Error`` with
+        ``RATE_LIMITED`` and when to come back, or ``LIMITS_UNAVAILABLE`` when no
+        holder of the team's slots can be reached.
+        """
+        if cost > contract.burst:
+            self.counters.refused += 1
+            raise errors.Error(
+                errors.Kind.RATE_LIMITED, "The request exceeds the team's burst."
+            )
+        now = self.clock.monotonic()
+        account = self._account(contract, now)
+        account.count_demand(cost, now)
+        if account.waiting == 0 and self._spend(account, cost):
+            self.counters.admitted_locally += 1
+        else:
+            await self._admit_in_turn(account, cost, deadline)
+        self.counters.admitted += 1
+
+    async def run(self) -> None:
+        """Settle grants until cancelled."""
+        while True:
+            with trio.move_on_after(self.options.settle_s):
+                await self.hurry.wait()
+            self.hurry = trio.Event()
+            await self.settle()
+
+    async def settle(self) -> None:
+        """Send the settlements of grants that are spent or idle."""
+        now = self.clock.monotonic()
+        for account in self.accounts.values():
+            if account.cached and now >= account.settle_at:
+                self._queue_settlements(account, now)
+        self._prune(now)
+        if not self.outbox:
+            return
+        outbox, self.outbox = self.outbox, {}
+        async with trio.open_nursery() as nursery:
+            for address, settlements in outbox.items():
+                nursery.start_soon(self._send_return, address, settlements)
+
+    async def stop(self) -> None:
+        """Return all unspent grants and release the slots, for a planned stop."""
+        now = self.clock.monotonic()
+        for account in self.accounts.values():
+            account.settle_at = now
+            for grant in account.cached:
+                grant.idle_at = now
+        await self.settle()
+        await self.leases.stop()
+
+    async def _admit_in_turn(
+        self, account: accounts.Account, cost: float, deadline: float
+    ) -> None:
+        self._refuse_early(account, cost)
+        account.waiting += cost
+        time_left = deadline - self.clock.monotonic()
+        try:
+            with trio.move_on_after(max(0.0, time_left)):
+                async with account.lock:
+                    await self._admit_alone(account, cost)
+                    return
+            raise self._unavailable()
+        finally:
+            account.waiting = max(0.0, account.waiting - cost)
+
+    async def _admit_alone(self, account: accounts.Account, cost: float) -> None:
+        failures = 0
+        for _ in range(MAX_ROUNDS):
+            if self._spend(account, cost):
+                account.hold_s /= 2
+                return
+            self._refuse_early(account, cost)
+            results = await self._ask_round(account, cost, 1 + failures)
+            failures += results.count(False)
+            if not results:
+                break
+        if not self._spend(account, cost):
+            raise self._refusal(account, cost)
+
+    def _spend(self, account: accounts.Account, cost: float) -> bool:
+        """Spend local tokens: cached grants first, as they expire."""
+        now = self.clock.monotonic()
+        cached = min(cost, account.cached_level(now))
+        if not self.home.take(account.contract, cost - cached):
+            return False
+        account.spend_cached(cached, now)
+        return True
+
+    def _refuse_early(self, account: accounts.Account, cost: float) -> None:
+        now = self.clock.monotonic()
+        if now < account.refuse_until:
+            raise self._rate_limited(max(account.refuse_until - now, 0.0))
+
+    def _refusal(self, account: accounts.Account, cost: float) -> errors.Error:
+        """Return the refusal and refuse cheaply until tokens may be there."""
+        now = self.clock.monotonic()
+        if not self._reachable(account, now):
+            return self._unavailable()
+        estimates = self._choices(account, cost, now)
+        rate = sum(estimate.rate(now) for estimate in estimates)
+        known = account.cached_level(now)
+        known += sum(estimate.available(now) for estimate in estimates)
+        wait = (cost - known) / rate if rate > 0 else UNKNOWN_RETRY_S
+        hold = 2 * account.hold_s if self._was_refused(account) else 0.0
+        account.hold_s = min(max(self.options.refusal_hold_s, hold), HOLD_MAX_S)
+        account.refuse_until = now + max(wait, account.hold_s)
+        if not self._is_contended(account):
+            self.hurry.set()
+        return self._rate_limited(account.refuse_until - now)
+
+    def _rate_limited(self, wait: float) -> errors.Error:
+        self.counters.refused += 1
+        # The homes count spent grants until their settlements arrive.
+        wait += self.options.settle_s
+        return errors.Error(errors.Kind.RATE_LIMITED, retry_after_s=wait)
+
+    def _unavailable(self) -> errors.Error:
+        self.counters.unavailable += 1
+        return errors.Error(
+            errors.Kind.LIMITS_UNAVAILABLE, retry_after_s=UNKNOWN_RETRY_S
+        )
+
+    async def _ask_round(
+        self, account: accounts.Account, cost: float, width: int
+    ) -> list[bool]:
+        """Ask homes for what waiting requests lack; tell which asks were answered.
+
+        At least ``width`` homes are asked, if there are so many.
+        """
+        now = self.clock.monotonic()
+        have = account.cached_level(now) + self.home.level(account.contract)
+        short = max(account.waiting, cost) - have
+        plan = self._plan(account, cost - have, short, width)
+        least = cost - have if self._is_contended(account) and len(plan) == 1 else 0.0
+        results: list[bool] = []
+        async with trio.open_nursery() as nursery:
+            for address, wanted in plan.items():
+                ask = self._write_ask(account, address, wanted, least)
+                nursery.start_soon(self._ask, account, address, ask, results)
+        return results
+
+    def _plan(
+        self, account: accounts.Account, least: float, short: float, width: int
+    ) -> dict[str, list[tuple[accounts.Estimate, float]]]:
+        """Choose whom to ask for how much, own failure domain first.
+
+        Returns nothing when the homes together cannot have the ``least`` needed.
+        """
+        now = self.clock.monotonic()
+        estimates = self._choices(account, least, now)
+        if width > 1:  # some homes failed, so all others are worth asking
+            estimates = self._reachable(account, now)
+        if sum(e.available(now) for e in estimates) + bucket.EPSILON < least:
+            return {}
+        plan: dict[str, list[tuple[accounts.Estimate, float]]] = {}
+        missing = short
+        for estimate in estimates:
+            if missing <= bucket.EPSILON and width <= 0:
+                break
+            available = estimate.available(now)
+            if available < MIN_ASK:
+                continue
+            wanted = missing if missing > bucket.EPSILON else short
+            part = min(max(wanted, MIN_ASK), available)
+            address = self.leases.holder(estimate.slot)
+            plan.setdefault(address, []).append((estimate, part))
+            missing -= part
+            width -= 1
+        if len(plan) > math.ceil(short) + 1 and not account.may_gather(now):
+            return {}
+        return plan
+
+    def _choices(
+        self, account: accounts.Account, cost: float, now: float
+    ) -> list[accounts.Estimate]:
+        """Return the homes worth asking, best first.
+
+        For a team above its limits these are the fewest whose burst covers the
+        cost: it is not worth many asks for fractions of a token.
+        """
+        estimates = self._reachable(account, now)
+        estimates.sort(key=lambda estimate: self._rank(estimate, now))
+        if self._is_contended(account):
+            return _fewest(estimates, cost)
+        return estimates
+
+    def _is_contended(self, account: accounts.Account) -> bool:
+        return self._was_refused(account) and account.hold_s >= CONTENDED_HOLD_S
+
+    def _was_refused(self, account: accounts.Account) -> bool:
+        return self.clock.monotonic() < account.refuse_until + CONTENDED_S
+
+    def _rank(self, estimate: accounts.Estimate, now: float) -> tuple:
+        available = estimate.available(now)
+        score = available / max(1.0, estimate.part.burst)
+        if estimate.slot.domain == self.leases.domain:
+            score += NEAR_BONUS
+        return available < 1.0, -score
+
+    def _reachable(
+        self, account: accounts.Account, now: float
+    ) -> list[accounts.Estimate]:
+        """Return the homes that other hosts hold and that answer."""
+        return [
+            estimate
+            for slot, estimate in account.estimates.items()
+            if self.leases.usable(slot, now) is None
+            and estimate.skip_until <= now
+            and self._answers(slot, now)
+        ]
+
+    def _answers(self, slot: layout.Slot, now: float) -> bool:
+        address = self.leases.holder(slot)
+        if not address or address == self.leases.me.address:
+            return False
+        backoff = self.backoffs.get(address)
+        return backoff is None or backoff.until <= now
+
+    async def _ask(
+        self,
+        account: accounts.Account,
+        address: str,
+        ask: limits_pb2.Ask,
+        results: list[bool],
+    ) -> None:
+        sent = self.clock.monotonic()
+        self.counters.asks += 1
+        answered = False
+        try:
+            body = await self.peers.call(
+                address,
+                calls.Kind.LIMIT_GRANT,
+                ask.SerializeToString(),
+                deadline=trio.current_time() + self.options.grant_timeout_s,
+            )
+            reply = limits_pb2.Grant.FromString(body)
+            answered = True
+        except errors.Error as error:
+            logger.debug("Host %s did not grant tokens: %s", address, error)
+        finally:
+            if not answered:
+                self._give_up(account, address, ask)
+        if not answered:
+            self._back_off(address, sent)
+            results.append(False)
+            return
+        self.backoffs.pop(address, None)
+        results.append(self._accept(account, address, ask, reply, sent))
+
+    def _write_ask(
+        self,
+        account: accounts.Account,
+        address: str,
+        wanted: list[tuple[accounts.Estimate, float]],
+        least: float,
+    ) -> limits_pb2.Ask:
+        self.last_ask_id += 1
+        self._queue_settlements(account, self.clock.monotonic())
+        ask = limits_pb2.Ask(
+            ask_id=self.last_ask_id,
+            team=account.contract.team,
+            need=sum(part for _, part in wanted),
+            prefetch=self._prefetch(account),
+            ttl_s=self.options.grant_ttl_s,
+            least=least,
+            settlements=self.outbox.pop(address, []),
+        )
+        for estimate, _ in wanted:
+            ask.slots.add(domain=estimate.slot.domain, index=estimate.slot.index)
+        return ask
+
+    def _prefetch(self, account: accounts.Account) -> float:
+        """Return the tokens that recent demand will spend within the horizon.
+
+        Less than one token is not worth holding back from other hosts.
+        """
+        expected = account.demand * self.options.prefetch_s
+        return expected if expected >= 1.0 else 0.0
+
+    def _accept(
+        self,
+        account: accounts.Account,
+        address: str,
+        ask: limits_pb2.Ask,
+        reply: limits_pb2.Grant,
+        sent: float,
+    ) -> bool:
+        now = self.clock.monotonic()
+        ttl = min(reply.ttl_s, ask.ttl_s)
+        answered = True
+        for part in reply.parts:
+            slot = layout.Slot(part.slot.domain, part.slot.index)
+            if not part.held:
+                answered &= self._redirect(account, slot, part, now)
+                continue
+            self._note(account, part, slot, now)
+            if part.amount > 0 and sent + ttl > now:
+                account.cached.append(
+                    accounts.Cached(
+                        ask_id=ask.ask_id,
+                        slot=slot,
+                        address=address,
+                        left=part.amount,
+                        expires=sent + ttl,
+                        idle_at=sent + ttl * IDLE_RATIO,
+                        settle_early=reply.settle_early,
+                    )
+                )
+        return answered
+
+    def _redirect(
+        self,
+        account: accounts.Account,
+        slot: layout.Slot,
+        part: limits_pb2.Part,
+        now: float,
+    ) -> bool:
+        before = self.leases.holder(slot)
+        self.leases.learn(slot, part.holder_address, part.epoch)
+        if self.leases.holder(slot) != before:
+            return True
+        estimate = account.estimates.get(slot)
+        if estimate is not None:
+            estimate.skip_until = now + self.options.backoff_s
+        return False
+
+    def _note(
+        self,
+        account: accounts.Account,
+        part: limits_pb2.Part,
+        slot: layout.Slot,
+        now: float,
+    ) -> None:
+        estimate = account.estimates.get(slot)
+        if estimate is not None:
+            estimate.update(part.amount + part.left, part.left, now)
+
+    def _give_up(
+        self, account: accounts.Account, address: str, ask: limits_pb2.Ask
+    ) -> None:
+        """Return what a lost or late answer may have granted."""
+        self.outbox.setdefault(address, []).extend(ask.settlements)
+        for slot in ask.slots:
+            self.outbox[address].append(
+                limits_pb2.Settlement(
+                    ask_id=ask.ask_id,
+                    slot=slot,
+                    team=account.contract.team,
+                    unspent=ask.need + ask.prefetch,
+                )
+            )
+
+    def _back_off(self, address: str, now: float) -> None:
+        known = self.backoffs.get(address)
+        delay = min(known.delay_s * 2, BACKOFF_MAX_S) if known else self._first_delay()
+        self.backoffs[address] = Backoff(now + delay, delay)
+
+    def _first_delay(self) -> float:
+        return self.options.backoff_s
+
+    def _queue_settlements(self, account: accounts.Account, now: float) -> None:
+        """Queue the settlements that are due; a busy team's mostly ride on asks."""
+        if self._is_contended(account):
+            account.settle_at = now + CONTENDED_SETTLE_S
+        for grant in account.take_finished(now):
+            slot = limits_pb2.Slot(domain=grant.slot.domain, index=grant.slot.index)
+            settlement = limits_pb2.Settlement(
+                ask_id=grant.ask_id,
+                slot=slot,
+                team=account.contract.team,
+                unspent=grant.left,
+            )
+            self.outbox.setdefault(grant.address, []).append(settlement)
+
+    async def _send_return(
+        self, address: str, settlements: list[limits_pb2.Settlement]
+    ) -> None:
+        """Send settlements once; a lost one only delays its tokens."""
+        self.counters.returns += 1
+        message = limits_pb2.Return(settlements=settlements)
+        try:
+            await self.peers.call(
+                address,
+                calls.Kind.LIMIT_RETURN,
+                message.SerializeToString(),
+                deadline=trio.current_time() + self.options.grant_timeout_s,
+            )
+        except errors.Error as error:
+            logger.debug("Host %s took no settlements: %s", address, error)
+
+    def _account(self, contract: model.Contract, now: float) -> accounts.Account:
+        found = self.accounts.get(contract.team)
+        if found is None or found.contract != contract:
+            found = accounts.create(contract, self.leases.fleet, now, found)
+            self.accounts[contract.team] = found
+        return found
+
+    def _prune(self, now: float) -> None:
+        if now < self.prune_at:
+            return
+        self.prune_at = now + PRUNE_S
+        idle = now - FORGET_ACCOUNT_S
+        for team, account in list(self.accounts.items()):
+            if account.used_at < idle and not account.cached and not account.waiting:
+                del self.accounts[team]
+
+
+def _fewest(estimates: list[accounts.Estimate], cost: float) -> list[accounts.Estimate]:
+    """Return the first estimates whose burst covers the cost."""
+    covered = 0.0
+    chosen = []
+    for estimate in estimates:
+        if covered >= cost:
+            break
+        chosen.append(estimate)
+        covered += estimate.part.burst
+    return chosen
--- a/turmerictally/settings.py
+++ b/turmerictally/settings.py
@@ -73,7 +73,11 @@
         "grant_ttl_s": 2.0,
         "grant_timeout_s": 0.1,
         "prefetch_s": 0.25,
+        "refusal_hold_s": 0.03,
+        "settle_s": 0.2,
+        "backoff_s": 1.0,
         "drift_ratio": 0.01,
+        "failure_domains": [],
     },
     "routing": {
         "subset_size": 16,
@@ -212,7 +216,10 @@
 
 @attrs.frozen
 class Limits:
-    """Hold the settings of fleet-wide rate limits."""
+    """Hold the settings of fleet-wide rate limits.
+
+    ``failure_domains`` names every failure domain of the fleet.
+    """
 
     shares_per_domain: int
     slots_per_domain: int
@@ -221,7 +228,11 @@
     grant_ttl_s: float
     grant_timeout_s: float
     prefetch_s: float
+    refusal_hold_s: float
+    settle_s: float
+    backoff_s: float
     drift_ratio: float
+    failure_domains: list[str]
 
 
 @attrs.frozen
