--- a/turmerictally/batch/choice.py
+++ b/turmerictally/batch/choice.py
@@ -169,6 +169,12 @@
     return records.Counts(job.items, completed, failed)
 
 
+def committed(rows: list[table.Row]) -> int:
+    """Count the items that have results."""
+    parts = [part for row in rows for part in row.value["parts"]]
+    return sum(part["completed"] + part["failed"] for part in parts)
+
+
 def build(executor) -> Choice:
     """Return the choice of one host's executor."""
 
--- /dev/null
+++ b/turmerictally/batch/context.py
@@ -0,0 +1,43 @@
+"""Share what one worker session has among the ranges that it runs."""
+
+import collections.abc
+import random
+
+import attrs
+import trio
+
+from turmerictally import settings
+from turmerictally.batch import capacity, files, lease
+
+
+@attrs.define
+class Tally:
+    """Count what a worker did, for metrics; ``pending_bytes`` is a level."""
+
+    completed: int = 0
+    failed: int = 0
+    yielded: int = 0
+    retried: int = 0
+    wasted: int = 0
+    pending_bytes: int = 0
+
+
+@attrs.define
+class Context:
+    """Share a worker's means among its ranges."""
+
+    given: settings.Batch
+    lease: lease.Lease
+    gate: capacity.Gate
+    send: capacity.Send
+    idempotent: collections.abc.Callable[[files.Item], bool]
+    limiter: trio.CapacityLimiter
+    rng: random.Random
+    others: collections.abc.Callable[[], int]
+    tally: Tally = attrs.Factory(Tally)
+    alone: trio.Lock = attrs.Factory(trio.Lock)
+
+    def may_start(self) -> bool:
+        """Tell whether any item may start: lease valid and memory left."""
+        most = self.given.max_pending_results_bytes
+        return self.lease.valid and self.tally.pending_bytes < most
--- a/turmerictally/batch/executor.py
+++ b/turmerictally/batch/executor.py
@@ -12,6 +12,7 @@
     cancel,
     capacity,
     choice,
+    context,
     files,
     jobs,
     lease,
@@ -26,7 +27,8 @@
 
 logger = logging.getLogger(__name__)
 
-RENEWALS = 3  # renewals in the time of a lease
+RENEWALS = 2  # renewals in the time of a lease
+LOOKS = 3  # looks at the neighbours in the time of a lease
 WATCHED = 3  # workers that each host watches, next to its own id
 ANNOUNCED = 8  # hosts that are told of a new job
 IDLE_LOOKS = 10  # an idle host skips all but one in this many looks for cancels
@@ -55,9 +57,9 @@
     chooser: choice.Choice = attrs.field(init=False)
     cancels: cancel.Poll = attrs.field(init=False)
     held: lease.Lease | None = None
-    context: work.Context | None = None
+    shared: context.Context | None = None
     works: dict[str, work.Work] = attrs.Factory(dict)
-    tally: work.Tally = attrs.Factory(work.Tally)
+    tally: context.Tally = attrs.Factory(context.Tally)
     sessions: int = 0
     stopping: bool = False
     wake: trio.Event = attrs.Factory(trio.Event)
@@ -96,7 +98,7 @@
         batch = self.given.batch
         self.held = lease.Lease(self.kept, worker, self.address, batch.lease_s)
         limiter = trio.CapacityLimiter(batch.max_concurrent_items)
-        self.context = work.Context(
+        self.shared = context.Context(
             batch,
             self.held,
             self.gate,
@@ -133,7 +135,7 @@
         """Open the ranges of workers next to this one whose lease lapsed."""
         seen = lease.Watch(self.clock, self.given.batch.lease_s)
         while True:
-            period = self.given.batch.lease_s / RENEWALS
+            period = self.given.batch.lease_s / LOOKS
             await trio.sleep(period * self.rng.uniform(0.9, 1.1))
             try:
                 await self._look(seen)
@@ -231,7 +233,7 @@
         if not self._any_free():
             return False
         waiting = sum(running.unstarted for running in self.works.values())
-        room = self.context.limiter.available_tokens > 0
+        room = self.shared.limiter.available_tokens > 0
         return room and waiting < batch.max_concurrent_items
 
     def _any_free(self) -> bool:
@@ -255,7 +257,7 @@
             logger.exception("A look for work failed.")
             return False
         file = self.chooser.file(claimed.stored.job)
-        running = work.Work(self.context, claimed, file)
+        running = work.Work(self.shared, claimed, file)
         self.works[claimed.key] = running
         nursery.start_soon(self._work, running)
         return True
--- a/turmerictally/batch/files.py
+++ b/turmerictally/batch/files.py
@@ -24,13 +24,14 @@
 
 @attrs.frozen
 class Item:
-    """Hold one item: its place in the file and the request to make."""
+    """Hold one item: its place in the file, the request to make and its team."""
 
     index: int
     custom_id: str
     method: str
     url: str
     body: dict
+    team: str = ""
 
     @property
     def model(self) -> str:
@@ -39,7 +40,7 @@
         return model if isinstance(model, str) else ""
 
 
-def parse(line: bytes, index: int) -> Item:
+def parse(line: bytes, index: int, team: str = "") -> Item:
     """Return the item of a line; raise ``ValueError`` with the reason."""
     try:
         value = json.loads(line)
@@ -57,7 +58,7 @@
         raise ValueError("url must be a path")
     if not isinstance(value.get("body"), dict):
         raise ValueError("body must be a JSON object")
-    return Item(index, custom_id, value["method"], url, value["body"])
+    return Item(index, custom_id, value["method"], url, value["body"], team)
 
 
 @attrs.define
--- a/turmerictally/batch/policy.py
+++ b/turmerictally/batch/policy.py
@@ -1,8 +1,8 @@
 """Choose which job's range a host claims next.
 
 Each host shares its own work among teams by weight; a new host starts from a random
-state, so that many hosts with short lives are fair together. Among the jobs whose
-slack is short, the same sharing decides, for most of the claims.
+state, so that many hosts with short lives are fair together. Jobs whose slack is
+short go first, as long as their team is not far ahead of its share.
 """
 
 import collections.abc
@@ -12,7 +12,7 @@
 
 from turmerictally.batch import records
 
-URGENT_SHARE = 0.75  # part of the claims kept for urgent jobs when there are any
+CREDIT_RANGES = 16  # ranges by which urgent jobs may take a team beyond its share
 URGENT_SLACK = 0.5  # urgent when the slack is below this part of the work left
 MIN_URGENT_SLACK_S = 600.0
 MAX_PASSES = 20_000
@@ -74,14 +74,30 @@
     virtual: float = 0.0
 
     def order(self, candidates: list[Candidate], now: float) -> list[Candidate]:
-        """Return the jobs in the order in which to try them."""
-        urgent = [c for c in candidates if self.urgent(c, now)]
-        others = [c for c in candidates if not self.urgent(c, now)]
-        first = self._fair(urgent, now, by_slack=True)
-        rest = self._fair(others, now, by_slack=False)
-        if urgent and others and self.rng.random() >= URGENT_SHARE:
-            return rest + first
-        return first + rest
+        """Return the jobs in the order in which to try them.
+
+        Urgent jobs of teams within their credit come first, by slack; then all
+        others by their team's share, and within a team urgent jobs first. A job
+        that cannot be on time any more is not urgent: it would only make others
+        late.
+        """
+        known = [self.teams[c.team] for c in candidates if c.team in self.teams]
+        self.virtual = max(self.virtual, min(known, default=0.0))
+        for candidate in candidates:
+            self._enter(candidate)
+        floor = min((self.teams[c.team] for c in candidates), default=0.0)
+
+        def place(candidate):
+            slack = self.slack(candidate, now)
+            urgent = self.urgent(candidate, now)
+            late = slack <= -self.range_s
+            if urgent and not late and self._within_credit(candidate, floor):
+                return (0, slack, 0, 0.0)
+            rank = 1 if late else 0 if urgent else 2
+            within = slack if urgent else self.jobs.get(candidate.job, 0.0)
+            return (1, self.teams[candidate.team], rank, within)
+
+        return sorted(candidates, key=place)
 
     def charge(self, candidate: Candidate, items: int) -> None:
         """Count items that this host took on for a job."""
@@ -89,15 +105,22 @@
             self.teams.clear()
             self.jobs.clear()
         start = self.teams.get(candidate.team, self.virtual)
-        self.virtual = max(self.virtual, start)
         self.teams[candidate.team] = start + items / candidate.weight
         self.jobs[candidate.job] = self.jobs.get(candidate.job, 0.0) + items
 
+    @property
+    def range_s(self) -> float:
+        """Return the seconds that one range takes."""
+        return self.range_items / max(self.range_rate(), 0.001)
+
+    def slack(self, candidate: Candidate, now: float) -> float:
+        """Return the seconds left beyond the least time the job needs."""
+        return candidate.deadline - now - self.work_s(candidate.left)
+
     def urgent(self, candidate: Candidate, now: float) -> bool:
         """Tell whether a job's slack is short against its remaining work."""
-        work_s = self.work_s(candidate.left)
-        limit = max(MIN_URGENT_SLACK_S, URGENT_SLACK * work_s)
-        return candidate.deadline - now - work_s < limit
+        limit = max(MIN_URGENT_SLACK_S, URGENT_SLACK * self.work_s(candidate.left))
+        return self.slack(candidate, now) < limit
 
     def work_s(self, left: int) -> float:
         """Return the least seconds in which the fleet can complete items."""
@@ -105,18 +128,10 @@
         rate = min(self.fleet_rate(), ranges * self.range_rate())
         return left / max(rate, 0.001)
 
-    def _fair(self, candidates, now, *, by_slack):
-        """Order by team pass, then by slack or by the job's own pass."""
-        for candidate in candidates:
-            self._enter(candidate)
-
-        def place(candidate):
-            within = self.jobs.get(candidate.job, 0.0)
-            if by_slack:
-                within = candidate.deadline - now - self.work_s(candidate.left)
-            return (self.teams[candidate.team], within, candidate.deadline)
-
-        return sorted(candidates, key=place)
+    def _within_credit(self, candidate: Candidate, floor: float) -> bool:
+        """Tell whether a team is not far ahead of its share on this host."""
+        credit = CREDIT_RANGES * self.range_items / candidate.weight
+        return self.teams[candidate.team] - floor <= credit
 
     def _enter(self, candidate: Candidate) -> None:
         stride = self.range_items / candidate.weight
--- a/turmerictally/batch/reading.py
+++ b/turmerictally/batch/reading.py
@@ -12,6 +12,7 @@
 
 OUTPUT = b"O"
 ERROR = b"E"
+MAX_LOOKS = 10  # jobs whose progress one overview reads
 
 
 @attrs.frozen
@@ -86,6 +87,45 @@
     return policy.forecast(ready, done, ahead, rate, kept.clock.wall())
 
 
+@attrs.frozen
+class Outlook:
+    """Show an unfinished job to operators with its expected finish."""
+
+    ready: records.Ready
+    done: int
+    forecast: policy.Forecast
+
+
+async def overview(kept: store.Store, rate: float, *, limit: int) -> list[Outlook]:
+    """Return unfinished jobs in order of deadline with their forecasts.
+
+    ``rate`` is the fleet's items a second. Progress is read only for the few jobs
+    with the least time to spare, so that the platform is spared; all others are
+    shown as if nothing were done.
+    """
+    found: list[Outlook] = []
+    ahead = 0
+    now = kept.clock.wall()
+    async for ready in jobs.unfinished(kept):
+        if len(found) >= limit:
+            break
+        expected = policy.forecast(ready, 0, ahead, rate, now)
+        found.append(Outlook(ready, 0, expected))
+        ahead += ready.items
+    for outlook in sorted(found, key=_spare_s)[:MAX_LOOKS]:
+        at = found.index(outlook)
+        before = sum(other.ready.items - other.done for other in found[:at])
+        rows = await _range_rows(kept, outlook.ready.job)
+        done = choice.committed(rows)
+        expected = policy.forecast(outlook.ready, done, before, rate, now)
+        found[at] = Outlook(outlook.ready, done, expected)
+    return found
+
+
+def _spare_s(outlook: Outlook) -> float:
+    return outlook.forecast.deadline - outlook.forecast.finish
+
+
 def _check_retention(kept: store.Store, job: records.Job) -> None:
     if job.expires_at is not None and kept.clock.wall() >= job.expires_at:
         raise errors.Error(errors.Kind.RESULT_EXPIRED)
--- a/turmerictally/batch/work.py
+++ b/turmerictally/batch/work.py
@@ -2,13 +2,12 @@
 
 import collections.abc
 import logging
-import random
 
 import attrs
 import trio
 
-from turmerictally import errors, settings
-from turmerictally.batch import capacity, files, lease, ranges, records
+from turmerictally import errors
+from turmerictally.batch import capacity, context, files, lease, ranges, records
 
 logger = logging.getLogger(__name__)
 
@@ -45,44 +44,11 @@
 }
 
 
-@attrs.define
-class Tally:
-    """Count what a worker did, for metrics; ``pending_bytes`` is a level."""
-
-    completed: int = 0
-    failed: int = 0
-    yielded: int = 0
-    retried: int = 0
-    wasted: int = 0
-    pending_bytes: int = 0
-
-
-@attrs.define
-class Context:
-    """Share a worker's means among its ranges."""
-
-    given: settings.Batch
-    lease: lease.Lease
-    gate: capacity.Gate
-    send: capacity.Send
-    idempotent: collections.abc.Callable[[files.Item], bool]
-    limiter: trio.CapacityLimiter
-    rng: random.Random
-    others: collections.abc.Callable[[], int]
-    tally: Tally = attrs.Factory(Tally)
-    alone: trio.Lock = attrs.Factory(trio.Lock)
-
-    def may_start(self) -> bool:
-        """Tell whether any item may start: lease valid and memory left."""
-        most = self.given.max_pending_results_bytes
-        return self.lease.valid and self.tally.pending_bytes < most
-
-
 @attrs.define
 class Work:
     """Run one claimed range to its end, to its cancellation or to a release."""
 
-    context: Context
+    context: context.Context
     claim: ranges.Claim
     file: records.File
     data: bytes = b""
@@ -302,7 +268,7 @@
                 kind = errors.Kind.BAD_REQUEST.value
                 self._fail(index, f"line-{bad[index].line}", kind, reason)
                 continue
-            yield files.parse(line, index)
+            yield files.parse(line, index, self.job.team)
         for offset in sorted(open_offsets):
             if offset >= len(lines):
                 index = self.claim.slice.first + offset
--- a/turmerictally/tests/features/batch.feature
+++ b/turmerictally/tests/features/batch.feature
@@ -91,6 +91,10 @@
     When a batch job's retention ends
     Then its results are refused as expired and deleted
 
+  Scenario: The batch benchmark holds its bounds
+    When the batch benchmark runs
+    Then every bound of the batch benchmark holds
+
   Scenario: The forecast shows a late batch job before it is late
     When a batch job is larger than the fleet can complete in its window
     Then the batch forecast shows it late long before its deadline
--- a/turmerictally/tests/features/steps/batch_steps.py
+++ b/turmerictally/tests/features/steps/batch_steps.py
@@ -15,6 +15,7 @@
     reading,
     records,
 )
+from turmerictally.bench import batch
 from turmerictally.tests.support import batch_fleet as fleet
 
 FENCING = (records.RANGES, records.WORKERS)
@@ -614,6 +615,16 @@
     assert set(left) <= {"active-jobs", "batch-collector", "batch-workers"}, left
 
 
+@when("the batch benchmark runs")
+def _(context):
+    context.report = batch.main()
+
+
+@then("every bound of the batch benchmark holds")
+def _(context):
+    assert context.report.ok, context.report.text()
+
+
 @when("a batch job is larger than the fleet can complete in its window")
 def _(context):
     async def body(nursery):
@@ -621,6 +632,9 @@
         job = await made.accept(fleet.items(2000), window_s=60.0)
         await trio.sleep(10.0)
         found = await reading.forecast(made.reader, fleet.TEAM, job.id, rate=40.0)
+        shown = await reading.overview(made.reader, 40.0, limit=10)
+        assert [line.ready.job for line in shown] == [job.id]
+        assert shown[0].forecast.late_s > 0 and shown[0].done > 0
         return found, made.clock.wall()
 
     context.forecast, context.now = fleet.run(body)
--- a/turmerictally/tests/support/batch_fleet.py
+++ b/turmerictally/tests/support/batch_fleet.py
@@ -167,7 +167,7 @@
         if item.body.get("poison"):
             self.fleet.nursery.start_soon(self.crash)
             await trio.sleep_forever()
-        await trio.sleep(self.rng.uniform(0.2, 1.0))
+        await trio.sleep(self.rng.uniform(*self.fleet.item_s))
         if item.body.get("broken"):
             raise errors.Error(errors.Kind.BACKEND_SERVER_ERROR)
         return capacity.ItemResult(200, {"by": self.name, "n": self.rng.random()})
@@ -212,6 +212,7 @@
         self.sends = []
         self.lines = {}
         self.faults = []
+        self.item_s = (0.2, 1.0)
         self.given = given or make_settings()
         self.hosts = []
         for number in range(hosts):
