--- a/turmerictally/peers/bridge.py
+++ b/turmerictally/peers/bridge.py
@@ -42,7 +42,8 @@
         self.token = token
         self.sender, self.receiver = trio.open_memory_channel(MAX_BUFFERED_MESSAGES)
         self.outgoing: asyncio.Queue[envelope_pb2.Envelope | None] = asyncio.Queue()
-        self.queued_bytes = 0
+        self.sent_bytes = 0  # changed by trio's thread only
+        self.written_bytes = 0  # changed by asyncio's thread only
         self.reason = ""
         self.closed = False
 
@@ -55,9 +56,9 @@
         if self.closed:
             raise StreamClosedError(self.reason)
         size = envelope.ByteSize()
-        if self.queued_bytes + size > MAX_QUEUED_BYTES:
+        if self.sent_bytes + size - self.written_bytes > MAX_QUEUED_BYTES:
             raise StreamClosedError("the peer reads too slowly")
-        self.queued_bytes += size
+        self.sent_bytes += size
         self.loop.call_soon_threadsafe(self.outgoing.put_nowait, envelope)
 
     async def receive(self) -> envelope_pb2.Envelope:
@@ -75,7 +76,7 @@
 
     def written(self, envelope: envelope_pb2.Envelope) -> None:
         """Count an envelope as written; called from the asyncio thread."""
-        self.token_call(self._shrink, envelope.ByteSize())
+        self.written_bytes += envelope.ByteSize()
 
     def received(self, envelope: envelope_pb2.Envelope) -> None:
         """Hand an envelope to trio; called from the asyncio thread."""
@@ -92,9 +93,6 @@
         except trio.RunFinishedError:
             self.closed = True
 
-    def _shrink(self, size: int) -> None:
-        self.queued_bytes -= size
-
     def _buffer(self, envelope: envelope_pb2.Envelope) -> None:
         try:
             self.sender.send_nowait(envelope)
