Check a fault at each platform call; count refused answers as failed items

Cause: random schedules seldom hit the steps between two platform calls; an answer with an error status counted as completed.

Change: crash, pause and lost answer at each of a host's first 36 platform calls; answers from status 400 on go to the error file.

--- a/turmerictally/batch/ranges.py
+++ b/turmerictally/batch/ranges.py
@@ -184,8 +184,8 @@
     return b"".join(tags[r.completed] + r.line + b"\n" for r in results)
 
 
-def success(job: records.Job, item: files.Item, status: int, body) -> bytes:
-    """Return the output file's line for an answered item."""
+def answered(job: records.Job, item: files.Item, status: int, body) -> bytes:
+    """Return the output or error file's line for an answered item."""
     response = {"status_code": status, "request_id": "", "body": body}
     return _line(job, item.index, item.custom_id, response, None)
 
--- a/turmerictally/batch/work.py
+++ b/turmerictally/batch/work.py
@@ -11,6 +11,7 @@
 
 logger = logging.getLogger(__name__)
 
+FIRST_ERROR_STATUS = 400  # answers from here on count as failed items
 CHECK_S = 0.25  # pause before a held-up item looks again, in seconds
 WAIT_MIN_S = 0.5  # first pause after a refusal, in seconds
 WAIT_MAX_S = 30.0
@@ -183,12 +184,19 @@
                 await self._wait(waits, error.retry_after_s)
                 continue
             if answer is not None:
-                self.context.tally.completed += 1
-                line = ranges.success(self.job, item, answer.status, answer.body)
-                return ranges.Result(self._offset(item), True, line)
+                return self._answered(item, answer)
             self.context.tally.yielded += 1
             await self._wait_until_allowed()
 
+    def _answered(self, item: files.Item, answer: capacity.ItemResult) -> ranges.Result:
+        completed = answer.status < FIRST_ERROR_STATUS
+        if completed:
+            self.context.tally.completed += 1
+        else:
+            self.context.tally.failed += 1
+        line = ranges.answered(self.job, item, answer.status, answer.body)
+        return ranges.Result(self._offset(item), completed, line)
+
     async def _attempt(self, item: files.Item) -> capacity.ItemResult | None:
         """Send an item once; None means that its slot was yielded."""
         answer = None
--- a/turmerictally/tests/features/batch.feature
+++ b/turmerictally/tests/features/batch.feature
@@ -28,6 +28,9 @@
   Scenario: Batch results keep their promises under any schedule of faults
     Then 25 random schedules of batch faults break no promise
 
+  Scenario: A fault at each step of a batch host breaks no promise
+    Then a crash, pause or lost answer at each batch platform call breaks no promise
+
   Scenario: Without fencing random schedules break batch promises
     Then random schedules of batch faults without fencing break a promise
 
@@ -60,6 +63,10 @@
     When a batch job holds an item that kills its host
     Then only that batch item fails and all others complete
 
+  Scenario: Items that cannot be done fail alone after bounded tries
+    When a batch job holds items that are refused, broken or name no model
+    Then these batch items fail with their reasons and all others complete
+
   Scenario: Items that may not be repeated run at most once
     When batch items on a non-idempotent route meet lost hosts
     Then each such batch item was sent at most once
@@ -77,6 +84,10 @@
     When the host that holds a batch range finds no capacity
     Then another host completes the batch job
 
+  Scenario: Idle capacity is used within a second
+    When capacity for batch items comes free on a host without ranges
+    Then a batch item starts within one second
+
   Scenario: Yielded batch items run again without counting as tries
     When batch slots are yielded again and again
     Then every batch item completes
--- a/turmerictally/tests/features/steps/batch_steps.py
+++ b/turmerictally/tests/features/steps/batch_steps.py
@@ -258,6 +258,30 @@
     check()
 
 
+STEPS = ("crash before", "crash after", "pause before", "pause after", "lose answer")
+CALLS = 36
+
+
+async def run_step(nursery, call, step):
+    made = fleet.Fleet(nursery, hosts=2, given=fleet.make_settings(part_s=1.0))
+    job = await made.accept([*fleet.items(20), fleet.item("s0", url="/side")])
+    made.hosts[0].plan = {made.hosts[0].calls + call: step}
+    made.start()
+    progress = await made.follow(job.id, limit_s=300.0)
+    check_end(made, progress, [], trio.current_time())
+    await trio.sleep(40.0)
+    await made.inspect(job.id)
+    return made.faults
+
+
+@then("a crash, pause or lost answer at each batch platform call breaks no promise")
+def _(context):
+    for call in range(1, CALLS + 1):
+        for step in STEPS:
+            faults = fleet.run(lambda nursery: run_step(nursery, call, step))
+            assert not faults, (call, step, faults)
+
+
 @then("random schedules of batch faults without fencing break a promise")
 def _(context):
     def check(seed, steps):
@@ -423,6 +447,31 @@
     assert b"worker_lost" in context.fleet.lines["poison"]
 
 
+@when("a batch job holds items that are refused, broken or name no model")
+def _(context):
+    async def body(nursery):
+        made = started(nursery)
+        lines = fleet.items(30)
+        lines[3] = fleet.item("refused", refused=True)
+        lines[4] = fleet.item("broken", broken=True)
+        lines[5] = fleet.item("nameless", model_name="nope")
+        job = await made.accept(lines)
+        return await made.follow(job.id), made
+
+    context.progress, context.fleet = fleet.run(body)
+
+
+@then("these batch items fail with their reasons and all others complete")
+def _(context):
+    made = context.fleet
+    assert context.progress.counts == records.Counts(30, 27, 3)
+    assert b'"status_code":422' in made.lines["refused"]
+    assert b"backend_server_error" in made.lines["broken"]
+    assert b"unknown_model" in made.lines["nameless"]
+    assert len(made.sends_of("broken")) == made.given.batch.max_tries
+    assert not made.sends_of("nameless") and not made.faults
+
+
 def lose_hosts():
     async def body(nursery):
         made = started(nursery)
@@ -516,6 +565,29 @@
     assert len(failed) == counts.failed and not context.fleet.faults
 
 
+@when("capacity for batch items comes free on a host without ranges")
+def _(context):
+    async def body(nursery):
+        made = fleet.Fleet(nursery, hosts=1)
+        host = made.hosts[0]
+        host.gate.free = lambda name: 0
+        made.start()
+        await made.accept(fleet.items(50))
+        await trio.sleep(120.0)
+        assert not made.sends
+        del host.gate.free
+        at = trio.current_time()
+        await trio.sleep(5.0)
+        return made.sends[0][0] - at
+
+    context.delay = fleet.run(body)
+
+
+@then("a batch item starts within one second")
+def _(context):
+    assert context.delay <= 1.0, context.delay
+
+
 @when("batch slots are yielded again and again")
 def _(context):
     async def body(nursery):
--- a/turmerictally/tests/support/batch_fleet.py
+++ b/turmerictally/tests/support/batch_fleet.py
@@ -75,10 +75,15 @@
 
         async def call(*args, **kwargs):
             await self.host.running()
+            step = self.host.next_step()
+            if step in ("crash before", "pause before"):
+                await self.host.meet(step)
             if self.host.cut:
                 await trio.sleep(0.5)
                 raise table.UnavailableError("cut off")
             answer = await inner(*args, **kwargs)
+            if step in ("crash after", "pause after", "lose answer"):
+                await self.host.meet(step)
             await self.host.running()
             return answer
 
@@ -129,6 +134,8 @@
         self.fleet = fleet
         self.name = name
         self.cut = False
+        self.calls = 0
+        self.plan = {}
         self.resumed = None
         self.starts = 0
         self.scope = None
@@ -158,6 +165,20 @@
         )
         self.executor.serve(self.peers)
 
+    def next_step(self):
+        """Count a platform call; return the fault planned for it, if any."""
+        self.calls += 1
+        return self.plan.get(self.calls)
+
+    async def meet(self, step):
+        if step.startswith("crash"):
+            await self.crash()
+            await trio.sleep(0)
+        elif step.startswith("pause"):
+            await self.pause(25.0)
+        else:
+            raise table.UnavailableError("answer lost", maybe_applied=True)
+
     async def running(self):
         while self.resumed is not None:
             await self.resumed.wait()
@@ -170,6 +191,8 @@
         await trio.sleep(self.rng.uniform(*self.fleet.item_s))
         if item.body.get("broken"):
             raise errors.Error(errors.Kind.BACKEND_SERVER_ERROR)
+        if item.body.get("refused"):
+            return capacity.ItemResult(422, {"error": "refused"})
         return capacity.ItemResult(200, {"by": self.name, "n": self.rng.random()})
 
     async def run(self):
