--- a/turmerictally/online/pipeline.py
+++ b/turmerictally/online/pipeline.py
@@ -24,6 +24,8 @@
 logger = logging.getLogger(__name__)
 
 RETRY_AFTER_S = 1.0
+# Seconds between two looks for room on behalf of waiting requests.
+LOOK_S = 0.05
 # Answers by which a server says that another one may do better.
 RETRY_STATUSES = frozenset({429, 500, 502, 503, 504})
 # Queues kept for groups of servers; idle ones go first.
@@ -92,11 +94,16 @@
         )
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Own the streams and the claimed requests until cancelled."""
+        """Own the streams and the claimed requests until cancelled.
+
+        Room that opens without an event, as after a probe, is looked for here.
+        """
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             task_status.started()
-            await trio.sleep_forever()
+            while True:
+                await trio.sleep(LOOK_S)
+                self.reported("")
 
     async def run(
         self, request: messages.Request
@@ -112,7 +119,8 @@
     def reported(self, address: str) -> None:
         """Place waiting requests after a load report."""
         for waiting in list(self.queues.values()):
-            waiting.pump()
+            if len(waiting):
+                waiting.pump()
 
     def cancel_engine(self, server: servers.Server, request_id: str) -> None:
         """Cancel work on an engine in the background."""
--- a/turmerictally/online/queue.py
+++ b/turmerictally/online/queue.py
@@ -15,8 +15,6 @@
 TEAM_SHARE = 0.5
 # Weight of the latest interval in the estimated drain rate.
 SMOOTHING = 0.1
-# Seconds within which a waiting request looks for room without an event.
-LOOK_S = 0.02
 # Least and most seconds that a refused caller is told to wait.
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 30.0
@@ -91,7 +89,6 @@
     def push(self, entry: Entry) -> None:
         """Add a request, or raise ``errors.Error`` when it cannot be met."""
         now = self.clock.monotonic()
-        self._expire(now)
         entry.start = max(self.virtual, self.last_finish.get(entry.team, 0.0))
         self._check_deadline(entry, now)
         self._check_length(entry)
@@ -103,7 +100,6 @@
     def pump(self) -> None:
         """Place waiting requests in fair order while there is room."""
         now = self.clock.monotonic()
-        self._expire(now)
         while self.heap:
             entry = self.heap[0][2]
             try:
@@ -123,11 +119,12 @@
         return len(self.heap)
 
     async def _wait(self, entry: Entry) -> None:
-        while not entry.done.is_set():
-            with trio.move_on_after(LOOK_S):
-                await entry.done.wait()
-            if not entry.done.is_set():
-                self.pump()
+        left = entry.expires - self.clock.monotonic()
+        with trio.move_on_after(max(0.0, left)):
+            await entry.done.wait()
+        if not entry.done.is_set():
+            self._remove(entry)
+            self._refuse(entry, errors.Kind.DEADLINE_UNREACHABLE)
 
     def _pop(self, now: float) -> None:
         start, _, entry = heapq.heappop(self.heap)
@@ -163,12 +160,6 @@
         heapq.heapify(self.heap)
         self._forget(entry)
 
-    def _expire(self, now: float) -> None:
-        late = [item[2] for item in self.heap if item[2].expires <= now]
-        for entry in late:
-            self._remove(entry)
-            self._refuse(entry, errors.Kind.DEADLINE_UNREACHABLE)
-
     def _check_deadline(self, entry: Entry, now: float) -> None:
         wait = self.estimate_s(entry.start)
         if now + wait >= entry.expires:
--- a/turmerictally/routing/affinity.py
+++ b/turmerictally/routing/affinity.py
@@ -49,8 +49,8 @@
 class Feed:
     """Follow one server's cache events.
 
-    ``last`` is the last sequence number seen. Beliefs confirmed before
-    ``valid_from``, in monotonic seconds, no longer count.
+    ``last`` is the last sequence number seen. Beliefs count only when they
+    were confirmed after ``valid_from``, in monotonic seconds.
     """
 
     last: int = 0
@@ -92,7 +92,7 @@
         holders = self.holders.get(prefix)
         if not holders:
             return []
-        valid = [a for a, at in holders.items() if at >= self.feed(a).valid_from]
+        valid = [a for a, at in holders.items() if at > self.feed(a).valid_from]
         return valid[::-1]
 
     def apply(self, address: str, events: list[dict], last: int, now: float) -> None:
--- a/turmerictally/routing/headroom.py
+++ b/turmerictally/routing/headroom.py
@@ -45,15 +45,28 @@
         self.scope.cancel()
 
 
+@attrs.frozen
+class Demand:
+    """Hold the online requests one host announced, until a monotonic time."""
+
+    started: int
+    until: float
+
+
 @attrs.define
 class Owned:
     """Hold the batch state of one server that this host owns."""
 
     slots: list[Slot] = attrs.Factory(list)
-    demand: int = 0
-    demand_until: float = 0.0
+    demands: dict[str, Demand] = attrs.Factory(dict)
     hold_until: float = 0.0
 
+    def demand(self, now: float) -> int:
+        """Return the online requests that other hosts have announced."""
+        for host_id in [h for h, d in self.demands.items() if d.until <= now]:
+            del self.demands[host_id]
+        return sum(each.started for each in self.demands.values())
+
 
 def owner(
     address: str, domain: str, live: list[hosts.ListedHost]
@@ -94,6 +107,7 @@
         self.owned_cache: tuple = ()
         self.owned_key: object = None
         self.owned_until = 0.0
+        self.owned_version = -1
         self.yielded_total = 0
         self.stopping = False
         chooser.on_online.append(self.online_started)
@@ -109,12 +123,14 @@
     def owned(self) -> tuple[str, ...]:
         """Return the servers whose batch work this host sends."""
         now = self.clock.monotonic()
-        if now < self.owned_until:
+        version = self.router.servers.version
+        if now < self.owned_until and version == self.owned_version:
             return self.owned_cache
+        self.owned_version = version
         self.owned_until = now + OWNERSHIP_S
         live = self.live_hosts()
         members = tuple(sorted(h.id for h in live))
-        key = (self.router.servers.version, members)
+        key = (version, members)
         if key != self.owned_key:
             known = self.router.servers.known.values()
             mine = [s.address for s in known if self._owns(s, live)]
@@ -136,8 +152,8 @@
         usable = math.floor(limit * (1.0 - self.options.headroom_ratio))
         online = max(0, loads.total(address, now) - loads.batch(address, now))
         owned = self.state.get(address)
-        if owned is not None and owned.demand_until > now:
-            online += owned.demand
+        if owned is not None:
+            online += owned.demand(now)
         return max(0, usable - online)
 
     def free(self, model: str) -> int:
@@ -190,10 +206,8 @@
             return routing_pb2.YieldReply().SerializeToString()
         owned = self.state.setdefault(message.address, Owned())
         limit = self.router.loads.limit(message.address)
-        if owned.demand_until <= now:
-            owned.demand = 0
-        owned.demand = min(limit, max(owned.demand, message.started))
-        owned.demand_until = now + DEMAND_S
+        started = min(limit, message.started)
+        owned.demands[caller.host_id] = Demand(started, now + DEMAND_S)
         cancelled = self.enforce(message.address)
         return routing_pb2.YieldReply(cancelled=cancelled).SerializeToString()
 
@@ -270,6 +284,8 @@
     def _is_tight(self, address: str) -> bool:
         now = self.clock.monotonic()
         loads = self.router.loads
+        if loads.fresh(loads.server(address).polled, now) is None:
+            return True
         free = loads.limit(address) - loads.total(address, now)
         reserve = loads.limit(address) * self.options.headroom_ratio
         return loads.batch(address, now) > 0 and free < reserve
--- a/turmerictally/routing/load.py
+++ b/turmerictally/routing/load.py
@@ -158,6 +158,11 @@
         """Return the estimated load in parts of the capacity."""
         return self.total(address, now) / self.limit(address)
 
+    def online_ratio(self, address: str, now: float) -> float:
+        """Return the estimated load without batch work."""
+        online = self.total(address, now) - self.batch(address, now)
+        return online / self.limit(address)
+
     def fresh(self, report: Report | None, now: float) -> Report | None:
         """Return the report while it is young enough."""
         if report is None or now - report.sampled_at > self.max_age_s:
--- a/turmerictally/routing/router.py
+++ b/turmerictally/routing/router.py
@@ -81,7 +81,7 @@
             raise errors.Error(
                 errors.Kind.NO_BACKEND_SERVER, retry_after_s=RETRY_AFTER_S
             )
-        if only_with_room and self.loads.ratio(address, now) >= 1.0:
+        if only_with_room and not self._has_room(address, now):
             address = self._least_loaded(current, exclude, now)
         return self.servers.known[address] if address else None
 
@@ -167,11 +167,15 @@
             for address in (*current.own, *current.spill)
             if self._usable(address, exclude, now)
         ]
-        best = min(usable, key=lambda a: self.loads.ratio(a, now), default=None)
-        if best is None or self.loads.ratio(best, now) >= 1.0:
+        best = min(usable, key=lambda a: self.loads.online_ratio(a, now), default=None)
+        if best is None or not self._has_room(best, now):
             return None
         return best
 
+    def _has_room(self, address: str, now: float) -> bool:
+        # Batch work yields, so online requests do not wait for it here.
+        return self.loads.online_ratio(address, now) < 1.0
+
     def _draw(self, addresses) -> list[str]:
         return [self.rng.choice(addresses) for _ in range(min(4, len(addresses)))]
 
--- /dev/null
+++ b/turmerictally/tests/features/steps/idempotency_steps.py
@@ -0,0 +1,315 @@
+"""Steps for requests that run at most once."""
+
+import random
+
+import attrs
+import behave
+import hypothesis
+import trio
+from hypothesis import strategies
+
+from turmerictally import errors
+from turmerictally.online import idempotency, messages
+from turmerictally.tests.support import online
+
+SERVICE = "10.0.0.9:8000"
+
+
+async def attempt(host, request, found):
+    try:
+        found.append(await host.pipeline.run(request))
+    except errors.Error as error:
+        found.append(error)
+
+
+async def three_hosts(fleet, count=3):
+    service = await fleet.add_service(SERVICE)
+    hosts = [await fleet.add_host(f"h{n}", poll=False) for n in range(count)]
+    return service, hosts
+
+
+def outcomes(main):
+    found = []
+    counts = []
+
+    async def body(fleet):
+        service, hosts = await three_hosts(fleet)
+        await main(fleet, service, hosts, found)
+        counts.append(service.executions["b1"])
+
+    online.run(body)
+    return found, counts[0]
+
+
+def code(outcome):
+    return outcome.kind if isinstance(outcome, errors.Error) else outcome.status
+
+
+@behave.when("a confirmation is sent to two hosts at once and later to a third")
+def sent_to_two(context):
+    async def main(fleet, service, hosts, found):
+        service.faults.answer_delay_s = 1.0
+        async with trio.open_nursery() as nursery:
+            for host in hosts[:2]:
+                nursery.start_soon(attempt, host, online.confirm(), found)
+        await attempt(hosts[2], online.confirm(), found)
+        await attempt(hosts[0], online.confirm(), found)
+
+    context.found, context.count = outcomes(main)
+
+
+@behave.then("it ran once")
+def ran_once(context):
+    assert context.count == 1, context.count
+
+
+@behave.then("every host answers with the one stored answer or says it is in progress")
+def one_answer(context):
+    early, *answers = context.found
+    assert code(early) is errors.Kind.IDEMPOTENCY_IN_PROGRESS
+    assert early.retry_after_s
+    assert len({answer.body for answer in answers}) == 1
+    assert [answer.replayed for answer in answers] == [False, True, True]
+
+
+@behave.when("the same key comes with another body and from another team")
+def other_body(context):
+    async def main(fleet, service, hosts, found):
+        await attempt(hosts[0], online.confirm(), found)
+        await attempt(hosts[1], online.confirm(reference="b2"), found)
+        await attempt(hosts[1], online.confirm(team="rival", reference="b3"), found)
+        context.rival = service.executions["b3"]
+
+    context.found, context.count = outcomes(main)
+
+
+@behave.then("the other body is refused and the other team's request ran by itself")
+def other_body_refused(context):
+    kinds = [code(outcome) for outcome in context.found]
+    assert kinds == [201, errors.Kind.IDEMPOTENCY_MISMATCH, 201], kinds
+    assert not context.found[2].replayed
+    assert (context.count, context.rival) == (1, 1)
+
+
+@behave.when("a host is killed while its confirmation runs and the caller resends it")
+def holder_killed(context):
+    async def main(fleet, service, hosts, found):
+        service.faults.answer_delay_s = 1.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(attempt, hosts[0], online.confirm(), [])
+            await trio.sleep(0.5)
+            await attempt(hosts[1], online.confirm(), found)
+            fleet.kill("h0")
+            await attempt(hosts[1], online.confirm(), found)
+            await attempt(hosts[2], online.confirm(), found)
+            nursery.cancel_scope.cancel()
+
+    context.found, context.count = outcomes(main)
+
+
+@behave.then("the resend is told that it may have run")
+def may_have_run(context):
+    kinds = [code(outcome) for outcome in context.found]
+    unknown = errors.Kind.OUTCOME_UNKNOWN
+    assert kinds == [errors.Kind.IDEMPOTENCY_IN_PROGRESS, unknown, unknown], kinds
+    assert all(o.ran is errors.Ran.MAY_HAVE_RUN for o in context.found)
+
+
+@behave.when("the platform is down before a confirmation and while another one runs")
+def platform_down(context):
+    async def main(fleet, service, hosts, found):
+        faults = fleet.platform.table.faults
+        faults.down = True
+        await attempt(hosts[0], online.confirm(key="k0", reference="b0"), found)
+        context.first = service.executions["b0"]
+        faults.down = False
+        service.faults.answer_delay_s = 1.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(attempt, hosts[0], online.confirm(), found)
+            await trio.sleep(0.5)
+            faults.down = True
+        await attempt(hosts[0], online.confirm(), found)
+        await trio.sleep(60.0)
+        faults.down = False
+        await trio.sleep(10.0)
+        await attempt(hosts[1], online.confirm(), found)
+        assert not hosts[0].claims.held
+
+    context.found, context.count = outcomes(main)
+
+
+@behave.then("the first is refused as not run and did not run")
+def first_not_run(context):
+    first = context.found[0]
+    assert first.kind is errors.Kind.PLATFORM_UNAVAILABLE
+    assert first.ran is errors.Ran.NOT_RUN
+    assert context.first == 0
+
+
+@behave.then("the second is answered and stored once the platform is back")
+def second_stored(context):
+    answers = context.found[1:]
+    assert [answer.replayed for answer in answers] == [False, True, True], answers
+    assert context.count == 1
+
+
+@behave.when("a claim's answer is lost, the platform goes down and the caller moves on")
+def abandoned_claim(context):
+    async def main(fleet, service, hosts, found):
+        faults = fleet.platform.table.faults
+        faults.lose_answer = 1.0
+        with trio.move_on_after(0.01):
+            await attempt(hosts[0], online.confirm(), found)
+        await trio.sleep(5.0)
+        faults.lose_answer = 0.0
+        await attempt(hosts[1], online.confirm(), found)
+
+    context.found, context.count = outcomes(main)
+
+
+@behave.then("another host runs the confirmation once")
+def other_host_runs(context):
+    assert [code(outcome) for outcome in context.found] == [201], context.found
+    assert context.count == 1
+
+
+@behave.when("a caller without a team resends a confirmation")
+def open_route(context):
+    async def main(fleet, service, hosts, found):
+        request = {"team": "", "contract": None}
+        await attempt(hosts[0], online.confirm(**request), found)
+        await attempt(hosts[1], online.confirm(**request), found)
+
+    context.found, context.count = outcomes(main)
+
+
+@behave.then("the resend is refused as done")
+def refused_done(context):
+    assert code(context.found[0]) == 201
+    assert context.found[1].ran is errors.Ran.DONE
+
+
+@attrs.define
+class Story:
+    """Hold what happened to one confirmation."""
+
+    seed: int
+    outcomes: list = attrs.Factory(list)
+    count: int = 0
+
+    def faults(self):
+        """Return every promise that was broken."""
+        broken = []
+        if self.count > 1:
+            broken.append(f"ran {self.count} times")
+        answers = [o for o in self.outcomes if isinstance(o, messages.Answer)]
+        if len({answer.body for answer in answers if answer.status == 201}) > 1:
+            broken.append("different answers")
+        known = [o for o in self.outcomes if isinstance(o, errors.Error)]
+        not_run = [e.ran is errors.Ran.NOT_RUN for e in known]
+        if self.count and not answers and not_run and all(not_run):
+            broken.append("ran, but every refusal said not run")
+        return broken
+
+
+def tell(seed):
+    """Run one story of random resends and faults."""
+    rng = random.Random(seed)
+    story = Story(seed)
+
+    async def main(fleet):
+        service, hosts = await three_hosts(fleet)
+        service.faults.answer_delay_s = rng.choice([0.0, 0.3, 1.5])
+        faults = fleet.platform.table.faults
+        faults.lose_answer = rng.choice([0.0, 0.3, 0.7])
+        faults.lose_request = rng.choice([0.0, 0.3])
+        faults.delay_s = rng.choice([0.0, 0.05, 0.9])
+        fleet.network.lose_reply = rng.choice([0.0, 0.5])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(disturb, fleet, rng)
+            for n in range(6):
+                host = rng.choice(hosts)
+                nursery.start_soon(send, host, n, rng.uniform(0.0, 6.0), story)
+            await trio.sleep(15.0)
+            nursery.cancel_scope.cancel()
+        story.count = service.executions["b1"]
+
+    online.run(main, seed)
+    return story
+
+
+async def send(host, number, at, story):
+    await trio.sleep(at)
+    if host.scope.cancelled_caught or host.scope.cancel_called:
+        return
+    request = online.confirm(f"r{number}", deadline=trio.current_time() + 4.0)
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follow, host.scope, scope)
+            await attempt(host, request, story.outcomes)
+            nursery.cancel_scope.cancel()
+
+
+async def follow(killed, scope):
+    """Cancel a caller's request when its host is killed."""
+    while not killed.cancel_called:
+        await trio.sleep(0.01)
+    scope.cancel()
+
+
+async def disturb(fleet, rng):
+    await trio.sleep(rng.uniform(0.0, 3.0))
+    if rng.random() < 0.7:
+        fleet.kill("h0")
+    await trio.sleep(rng.uniform(0.0, 2.0))
+    if rng.random() < 0.5:
+        fleet.platform.table.faults.down = True
+        await trio.sleep(rng.uniform(0.0, 3.0))
+        fleet.platform.table.faults.down = False
+
+
+@behave.when("resends meet random faults")
+def random_resends(context):
+    context.stories = []
+
+    @hypothesis.settings(max_examples=60)
+    @hypothesis.given(seed=strategies.integers(0, 100_000))
+    def example(seed):
+        context.stories.append(tell(seed))
+
+    example()
+
+
+@behave.then("no confirmation ran twice and no refusal was untrue")
+def none_broken(context):
+    broken = [(s.seed, s.faults(), s.outcomes) for s in context.stories if s.faults()]
+    assert not broken, broken[:3]
+    assert sum(s.count for s in context.stories) * 2 > len(context.stories)
+
+
+@behave.then("without claims the check finds a confirmation that ran twice")
+def without_claims(context):
+    async def begin(self, request):
+        return self._claim(request)
+
+    kept = idempotency.Claims.begin
+    idempotency.Claims.begin = begin
+    try:
+        assert any(tell(seed).faults() for seed in range(20))
+    finally:
+        idempotency.Claims.begin = kept
+
+
+@behave.then("with claims that are taken over from dead hosts it finds one too")
+def takeover(context):
+    async def ask_holder(self, claim, row):
+        if self.is_alive(row.value["host"], row.value["instance"]):
+            return await kept(self, claim, row)
+        return row.version
+
+    kept = idempotency.Claims._ask_holder
+    idempotency.Claims._ask_holder = ask_holder
+    try:
+        assert any(tell(seed).faults() for seed in range(60))
+    finally:
+        idempotency.Claims._ask_holder = kept
--- a/turmerictally/tests/support/online.py
+++ b/turmerictally/tests/support/online.py
@@ -184,6 +184,9 @@
         """Lose a host with everything it holds."""
         self.dead.add(host_id)
         self.network.detach(host_id)
+        unreachable = memory.Table()
+        unreachable.faults.down = True
+        self.hosts[host_id].claims.table = unreachable
         self.hosts[host_id].scope.cancel()
 
     async def _run_host(self, host, poll, task_status):
