Measure latency, refusals and decisions in bounded series

Operators need percentiles over the fleet, the worst-served team and wrongful refusals at 7,600 teams. Add mergeable histograms of the busiest teams, windowed refusals, a bounded decision record and the scraped text.

Only one gap between tokens in eight is recorded.

--- /dev/null
+++ b/turmerictally/metrics/exposition.py
@@ -0,0 +1,197 @@
+"""Expose a host's measurements in the format that monitoring systems scrape."""
+
+import bisect
+import collections.abc
+import time
+import typing
+
+import attrs
+import hdrh.histogram
+import prometheus_client
+import prometheus_client.core
+import prometheus_client.registry
+import trio
+
+from turmerictally.metrics import host, latency
+from turmerictally.peers import calls, traffic
+from turmerictally.platform import guard
+
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
+PREFIX = "turmerictally"
+BOUNDS_S = (
+    0.005,
+    0.01,
+    0.02,
+    0.035,
+    0.053,
+    0.08,
+    0.12,
+    0.25,
+    0.5,
+    0.91,
+    1.5,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+)
+QUANTILES = (50.0, 95.0)  # of single teams
+
+Family = prometheus_client.core.Metric
+
+
+@attrs.frozen
+class Sources:
+    """Name the parts whose measurements are exposed."""
+
+    metrics: host.Metrics
+    platform: guard.Guard | None = None
+    peers: traffic.Traffic | None = None
+    control_cpu_s: collections.abc.Callable[[], float] | None = None
+
+
+@attrs.frozen
+class Summary:
+    """Hold one team's quantiles, in seconds, in the order of ``QUANTILES``."""
+
+    series: latency.Series
+    quantiles: tuple[float, ...]
+
+
+async def text(sources: Sources) -> bytes:
+    """Return all measurements as text; other tasks run between two histograms."""
+    histograms = sources.metrics.latencies.histograms
+    summaries = []
+    for series, histogram in list(histograms.items()):
+        counts = latency.cumulative(histogram)
+        quantiles = tuple(latency.percentile_of(counts, q) for q in QUANTILES)
+        summaries.append(Summary(series, quantiles))
+        await trio.lowlevel.checkpoint()
+    registry = prometheus_client.CollectorRegistry(auto_describe=False)
+    registry.register(Families(list(_collect(sources, summaries))))
+    # Rendering takes longer than the gap between two tokens of a stream.
+    return await trio.to_thread.run_sync(prometheus_client.generate_latest, registry)
+
+
+@attrs.frozen(eq=False)
+class Families(prometheus_client.registry.Collector):
+    """Hold families for one rendering."""
+
+    families: list[Family]
+
+    def collect(self) -> list[Family]:
+        """Return every family."""
+        return self.families
+
+
+def _collect(
+    sources: Sources, summaries: list[Summary]
+) -> collections.abc.Iterator[Family]:
+    metrics = sources.metrics
+    yield _latency(metrics.latencies.histograms)
+    yield _team_latency(summaries)
+    yield from _counters(metrics)
+    yield _counter("process_cpu_seconds", [], [((), time.process_time())])
+    if sources.platform is not None:
+        yield _platform_calls(sources.platform)
+    if sources.peers is not None:
+        yield from _control(sources.peers)
+    if sources.control_cpu_s is not None:
+        yield _counter("control_cpu_seconds", [], [((), sources.control_cpu_s())])
+
+
+def _latency(histograms: latency.Histograms) -> Family:
+    family = prometheus_client.core.HistogramMetricFamily(
+        f"{PREFIX}_latency_seconds",
+        "Latency over all teams.",
+        labels=["measure", "work"],
+    )
+    for measure in latency.Measure:
+        for work in latency.Work:
+            merged = latency.total(histograms, measure, work)
+            buckets, sum_s = _buckets(merged)
+            family.add_metric([measure.value, work.value], buckets, sum_s)
+    return family
+
+
+def _buckets(
+    histogram: hdrh.histogram.HdrHistogram,
+) -> tuple[list[tuple[str, float]], float]:
+    cells = latency.upper_bounds()
+    counts = latency.cumulative(histogram)
+    buckets = []
+    for bound in BOUNDS_S:
+        index = bisect.bisect_right(cells, bound) - 1
+        buckets.append((str(bound), float(counts[index])))
+    buckets.append(("+Inf", float(counts[-1])))
+    sum_s = sum(
+        cell * count
+        for cell, count in zip(cells, latency.cell_counts(histogram), strict=True)
+        if count
+    )
+    return buckets, sum_s
+
+
+def _team_latency(summaries: list[Summary]) -> Family:
+    family = prometheus_client.core.GaugeMetricFamily(
+        f"{PREFIX}_team_latency_seconds",
+        "Latency quantiles of the busiest teams.",
+        labels=["team", "measure", "work", "quantile"],
+    )
+    for summary in summaries:
+        series = summary.series
+        names = [series.team, series.measure.value, series.work.value]
+        for share, value in zip(QUANTILES, summary.quantiles, strict=True):
+            family.add_metric([*names, f"{share / 100:g}"], value)
+    return family
+
+
+def _counters(metrics: host.Metrics) -> collections.abc.Iterator[Family]:
+    requests = [((r.work.value, r.outcome), n) for r, n in metrics.requests.items()]
+    yield _counter("requests", ["work", "outcome"], requests)
+    refused = [((kind.value,), n) for kind, n in metrics.refused.items()]
+    yield _counter("refusals", ["kind"], refused)
+    retries = [((reason,), n) for reason, n in metrics.retries.items()]
+    yield _counter("retries", ["reason"], retries)
+    items = [((outcome,), n) for outcome, n in metrics.batch_items.items()]
+    yield _counter("batch_items", ["outcome"], items)
+    yield _counter("yields", [], [((), metrics.yields)])
+    yield _counter("cut_answers", [], [((), metrics.cut_answers)])
+
+
+def _platform_calls(watched: guard.Guard) -> Family:
+    values = [((c.service, c.lane, c.outcome), n) for c, n in watched.counts.items()]
+    return _counter("platform_calls", ["service", "lane", "outcome"], values)
+
+
+def _control(counts: traffic.Traffic) -> collections.abc.Iterator[Family]:
+    sent, received = counts.sent_bytes, counts.received_bytes
+    values = _by_kind("sent", sent) + _by_kind("received", received)
+    yield _counter("control_bytes", ["direction", "kind"], values)
+    sent, received = counts.sent_messages, counts.received_messages
+    values = _by_kind("sent", sent) + _by_kind("received", received)
+    yield _counter("control_messages", ["direction", "kind"], values)
+
+
+def _by_kind(direction: str, counts: dict[int, int]) -> list[tuple]:
+    values: dict[tuple[str, str], int] = {}
+    for number, count in counts.items():
+        try:
+            name = calls.Kind(number).name.lower()
+        except ValueError:
+            name = "unknown"
+        values[(direction, name)] = values.get((direction, name), 0) + count
+    return list(values.items())
+
+
+def _counter(
+    name: str, labels: list[str], values: list[tuple[typing.Any, float]]
+) -> Family:
+    words = name.replace("_", " ")
+    family = prometheus_client.core.CounterMetricFamily(
+        f"{PREFIX}_{name}", f"Count of {words}.", labels=labels
+    )
+    for names, value in values:
+        family.add_metric(list(names), value)
+    return family
--- /dev/null
+++ b/turmerictally/metrics/host.py
@@ -0,0 +1,90 @@
+"""Bring together what one host measures."""
+
+import collections
+
+import attrs
+
+from turmerictally import clock, errors, settings
+from turmerictally.metrics import decisions, latency, refusals
+
+GAP_SAMPLE = 8  # of a stream's gaps between tokens, one in so many is recorded
+
+# Refusals that follow from a team's own rate and burst.
+_LIMIT_KINDS = (errors.Kind.RATE_LIMITED, errors.Kind.LIMITS_UNAVAILABLE)
+
+
+@attrs.frozen
+class Request:
+    """Name a counter of finished requests by class and outcome."""
+
+    work: latency.Work
+    outcome: str
+
+
+class Metrics:
+    """Hold every measurement of one host."""
+
+    def __init__(
+        self, config: settings.Metrics, now: clock.Clock | None = None
+    ) -> None:
+        self.clock = now or clock.Clock()
+        self.max_teams = config.max_teams
+        self.latencies = latency.Latencies(config.max_teams, self.clock)
+        self.decisions = decisions.Decisions(config.explain_records, self.clock)
+        self.refusals = refusals.Refusals(self.clock)
+        self.requests: collections.Counter[Request] = collections.Counter()
+        self.refused: collections.Counter[errors.Kind] = collections.Counter()
+        self.retries: collections.Counter[str] = collections.Counter()
+        self.yields = 0
+        self.cut_answers = 0
+        self.batch_items: collections.Counter[str] = collections.Counter()
+
+    def start(self, team: str, work: latency.Work) -> "Timer":
+        """Begin timing one admitted request."""
+        self.refusals.count(team, refused=False)
+        return Timer(self, team, work)
+
+    def refuse(self, team: str, kind: errors.Kind) -> None:
+        """Count one refusal; ``team`` is empty when no key was valid."""
+        self.refused[kind] += 1
+        if team and kind in _LIMIT_KINDS:
+            self.refusals.count(team, refused=True)
+
+    def retry(self, reason: str) -> None:
+        """Count one retry; reasons must be few."""
+        self.retries[reason] += 1
+
+
+class Timer:
+    """Time one request: its first token, gaps between tokens and whole answer."""
+
+    def __init__(self, metrics: Metrics, team: str, work: latency.Work) -> None:
+        self.metrics = metrics
+        self.team = team
+        self.work = work
+        self.started_at = metrics.clock.monotonic()
+        self.last_at: float | None = None
+        self.tokens = 0
+
+    def token(self) -> None:
+        """Note that a token, or a chunk of tokens, was passed on."""
+        now = self.metrics.clock.monotonic()
+        if self.last_at is None:
+            self._record(latency.Measure.FIRST_TOKEN, now - self.started_at)
+        elif self.tokens % GAP_SAMPLE == 0:
+            self._record(latency.Measure.TOKEN_GAP, now - self.last_at)
+        self.tokens += 1
+        self.last_at = now
+
+    def finish(self, error: errors.Error | None = None) -> None:
+        """End the timing; only whole answers count towards the latency."""
+        if error is None:
+            elapsed = self.metrics.clock.monotonic() - self.started_at
+            self._record(latency.Measure.WHOLE_ANSWER, elapsed)
+        elif error.kind is errors.Kind.ANSWER_INCOMPLETE:
+            self.metrics.cut_answers += 1
+        outcome = "whole" if error is None else error.kind.value
+        self.metrics.requests[Request(self.work, outcome)] += 1
+
+    def _record(self, measure: latency.Measure, seconds: float) -> None:
+        self.metrics.latencies.record(measure, self.work, self.team, seconds)
--- a/turmerictally/peers/bridge.py
+++ b/turmerictally/peers/bridge.py
@@ -6,6 +6,7 @@
 import functools
 import logging
 import threading
+import time
 
 import grpc
 import grpc.aio
@@ -168,6 +169,10 @@
             raise
         return future.result()
 
+    def cpu_s(self) -> float:
+        """Return the processor time of the bridge's thread, in seconds."""
+        return time.clock_gettime(time.pthread_getcpuclockid(self.thread.ident))
+
     def _run(self) -> None:
         asyncio.set_event_loop(self.loop)
         self.loop.run_forever()
