--- a/turmerictally/settings.py
+++ b/turmerictally/settings.py
@@ -435,6 +435,7 @@
         faults.append(Fault("log.level", "expected DEBUG, INFO, WARNING or ERROR"))
     faults.extend(_check_operator_keys(merged["operator_key_hashes"]))
     faults.extend(_check_seeds(merged["membership"]["seeds"]))
+    faults.extend(_check_tls(merged["tls"]))
     return faults
 
 
@@ -465,6 +466,21 @@
     return [Fault("membership.seeds", expected)] if bad else []
 
 
+def _check_tls(listeners: dict) -> list[Fault]:
+    faults = []
+    for name in ("callers", "operators", "peers"):
+        files = listeners[name]
+        needed = ("key", "authority") if name == "peers" else ("key",)
+        for key in needed:
+            if files["certificate"] and not files[key]:
+                expected = "required when a certificate is given"
+                faults.append(Fault(f"tls.{name}.{key}", expected))
+        if any(files.values()) and not files["certificate"]:
+            expected = "required when a key or an authority is given"
+            faults.append(Fault(f"tls.{name}.certificate", expected))
+    return faults
+
+
 def _check_address(value: str) -> str | None:
     expected = "expected IP:PORT with a port from 0 to 65535"
     host, separator, port = value.rpartition(":")
