Carry orders to engines under fenced leases and measure the limits

Cause: two operators, a paused holder or a late order could undo a newer order, above all on engines that ignore fencing numbers; the ways to limit were not yet compared in one run.

Change: one row a server holds the pending order, holder and fence; each send takes a new fence and needs time left on the lease; a takeover waits lease and send timeout; unchecked engines are read twice; a guard keeps a model's last server. The limits benchmark runs even split, table counter and leased slots over the same arrivals; tests and benchmarks of both fix the order of trio's tasks.

--- a/turmerictally/settings.py
+++ b/turmerictally/settings.py
@@ -124,7 +124,12 @@
         "reads_per_s": 1.0,
         "writes_per_s": 0.5,
     },
-    "orders": {"lease_s": 30.0, "poll_s": 1.0},
+    "orders": {
+        "lease_s": 30.0,
+        "poll_s": 1.0,
+        "send_timeout_s": 10.0,
+        "apply_timeout_s": 600.0,
+    },
     "metrics": {"max_teams": 100, "explain_records": 10_000},
     "stop": {"announce_s": 2.0, "drain_s": 60.0},
 }
@@ -298,6 +303,8 @@
 
     lease_s: float
     poll_s: float
+    send_timeout_s: float
+    apply_timeout_s: float
 
 
 @attrs.frozen
--- a/turmerictally/tests/features/limits.feature
+++ b/turmerictally/tests/features/limits.feature
@@ -68,3 +68,8 @@
   Scenario: Hosts with another layout of slots hold none
     When a host joins with another number of limit slots
     Then that host holds no limit slot and reports a conflict
+
+  Scenario: The limits benchmark holds its bounds
+    When the limits benchmark runs calm and with all faults
+    Then every check of the limits benchmark holds
+    And the even split refuses more requests inside the rate than the leases
--- /dev/null
+++ b/turmerictally/tests/support/orders_fleet.py
@@ -0,0 +1,185 @@
+"""Run order executors over fake engines."""
+
+import random
+
+import attrs
+import trio
+import trio.testing
+
+from turmerictally import clock as clocks
+from turmerictally import settings
+from turmerictally.config import model as configuration
+from turmerictally.orders import engines, executor, guards, model, sheet
+from turmerictally.platform import hosts
+from turmerictally.standins import memory
+from turmerictally.tests.support import limits_fleet
+
+
+@attrs.define
+class FakeEngine:
+    """Follow orders; ``received`` logs fence and order of each that arrived."""
+
+    checks: bool
+    models: dict[str, str] = attrs.Factory(dict)
+    role: str = "any"
+    fence: int = 0
+    last_order_id: str = ""
+    received: list[tuple[int, str]] = attrs.Factory(list)
+
+    def apply(self, order, fence):
+        self.received.append((fence, order.id))
+        if self.checks and fence < self.fence:
+            raise engines.StaleFenceError(self.fence)
+        self.fence = max(self.fence, fence)
+        self.last_order_id = order.id
+        if order.action is model.Action.LOAD:
+            self.models[order.name] = order.version
+        elif order.action is model.Action.UNLOAD:
+            self.models.pop(order.name, None)
+        else:
+            self.role = order.name
+
+
+@attrs.define
+class FakeEngines:
+    """Carry orders to fake engines, late or with lost answers."""
+
+    nursery: trio.Nursery
+    engines: dict[str, FakeEngine]
+    delay_s: float = 0.01
+    lose_answer: float = 0.0
+    rng: random.Random = attrs.Factory(lambda: random.Random(3))
+
+    async def state(self, server, timeout_s):
+        await trio.sleep(0.01)
+        kept = self.engines[server]
+        return model.EngineState(
+            dict(kept.models), kept.role, kept.fence, kept.last_order_id
+        )
+
+    async def send(self, order, fence, timeout_s):
+        """Deliver an order that no longer depends on its sender."""
+        answer = {}
+        done = trio.Event()
+        self.nursery.start_soon(self._deliver, order, fence, answer, done)
+        with trio.move_on_after(timeout_s):
+            await done.wait()
+            if self.rng.random() >= self.lose_answer:
+                if "error" in answer:
+                    raise answer["error"]
+                return
+        raise engines.UnansweredError("timeout")
+
+    async def _deliver(self, order, fence, answer, done):
+        await trio.sleep(self.delay_s)
+        try:
+            self.engines[order.server].apply(order, fence)
+        except engines.StaleFenceError as error:
+            answer["error"] = error
+        done.set()
+
+
+@attrs.define
+class Host:
+    """Hold one executor and what stops it."""
+
+    executor: executor.Executor
+    gate: limits_fleet.Gate
+    scope: trio.CancelScope
+
+
+@attrs.define
+class Fleet:
+    """Start, pause and kill executors over one table."""
+
+    nursery: trio.Nursery
+    engines: FakeEngines
+    checks: bool
+    table: memory.Table = attrs.Factory(memory.Table)
+    weights: memory.WeightStore = attrs.Factory(memory.WeightStore)
+    hosts: dict[str, Host] = attrs.Factory(dict)
+    versions: dict[str, str] = attrs.Factory(dict)
+    starts: int = 0
+
+    def servers(self):
+        for address in self.engines.engines:
+            yield hosts.ListedHost(
+                address, "i", hosts.Role.BACKEND_SERVER, address, "r", "a"
+            )
+
+    def live(self):
+        return list(self.hosts)
+
+    def configured(self, server):
+        return configuration.Server(server, checks_fencing=self.checks)
+
+    def start(self, name):
+        self.starts += 1
+        gate = limits_fleet.Gate()
+        store = limits_fleet.GatedTable(self.table, gate)
+        guard = guards.LastServerGuard(store, self.engines, self.servers)
+        carried = executor.Executor(
+            name,
+            f"i{self.starts}",
+            store,
+            self.engines,
+            self.weights,
+            guard,
+            self.configured,
+            self.live,
+            clocks.VirtualClock(offset=100.0 * self.starts),
+            settings.Orders(**settings.DEFAULTS["orders"]),
+        )
+        host = Host(carried, gate, trio.CancelScope())
+        self.hosts[name] = host
+        self.nursery.start_soon(self._run, host)
+        return host
+
+    async def _run(self, host):
+        with host.scope:
+            await host.executor.run()
+
+    def kill(self, name):
+        self.hosts.pop(name).scope.cancel()
+
+    async def submit(self, order_id, action, name, version="", server="s1", who="op"):
+        order = model.Order(order_id, server, model.Action(action), name, version, who)
+        return await sheet.submit(self.table, order)
+
+    async def ended(self, order_id, server="s1", seconds=400.0):
+        """Wait until an order has ended and return how."""
+        with trio.move_on_after(seconds):
+            while True:
+                found = await sheet.read(self.table, server)
+                if found.find_ended(order_id):
+                    return found.find_ended(order_id)
+                await trio.sleep(0.5)
+        return None
+
+    async def holder(self, server="s1"):
+        """Wait until some host holds a server's lease and return its name."""
+        while True:
+            row = self.table.rows.get(sheet.SERVERS_PREFIX + server)
+            if row and row.value["holder"]:
+                return row.value["holder"].split("/")[0]
+            await trio.sleep(0.005)
+
+
+def simulate(body, *, checks=True, hosts_count=3, servers=("s1", "s2"), seed=0):
+    """Run ``await body(fleet)`` in virtual time and return its result."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            made = {server: FakeEngine(checks, {"m": "1"}) for server in servers}
+            fleet = Fleet(nursery, FakeEngines(nursery, made), checks)
+            for version in ("1", "2", "3"):
+                info = memory.weights.WeightsInfo("m", version, 1)
+                fleet.weights.stored[("m", version)] = info
+            for number in range(hosts_count):
+                fleet.start(f"h{number}")
+            result = await body(fleet)
+            nursery.cancel_scope.cancel()
+        return result
+
+    with limits_fleet.fixed_order(seed):
+        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
