--- a/turmerictally/batch/choice.py
+++ b/turmerictally/batch/choice.py
@@ -13,7 +13,10 @@
 PAGE = 100  # jobs read from each place of the ready list
 TRIED = 4  # jobs whose ranges are read in one look
 FULL_S = 5.0  # time in which a job without open ranges is passed over, in seconds
+FEW_RANGES = 20  # ranges left from which on each end of a range is looked at
+COUNT_AGE_S = 60.0  # time for which a count of the items left is used, in seconds
 MAX_FILES = 32
+MAX_COUNTS = 5000
 MIN_WEIGHT = 0.001  # weight of a team whose contract was removed
 EWMA = 0.2  # weight of the newest measurement
 
@@ -31,6 +34,7 @@
     files: collections.OrderedDict = attrs.Factory(collections.OrderedDict)
     full: dict[str, float] = attrs.Factory(dict)
     left: dict[str, int] = attrs.Factory(dict)
+    counted: dict[str, float] = attrs.Factory(dict)
     range_rate: float = 1.0
     share: policy.Share = attrs.field(init=False)
 
@@ -67,7 +71,16 @@
         return None
 
     async def finish_if_done(self, stored: jobs.Stored) -> bool:
-        """Complete a job whose ranges are all done; tell whether they are."""
+        """Complete a job whose ranges are all done; tell whether they are.
+
+        The ranges are not read while a recent count shows that many are left; the
+        looks for work find the end then.
+        """
+        job_id = stored.job.id
+        age_s = self.kept.clock.monotonic() - self.counted.get(job_id, -COUNT_AGE_S)
+        many = self.left.get(job_id, 0) >= FEW_RANGES * self.given.range_items
+        if many and age_s < COUNT_AGE_S:
+            return False
         rows = await self._ranges(stored.job.id)
         return await self._finish(stored, rows)
 
@@ -80,6 +93,9 @@
             after = max(rows[-1].key, f"{records.READY}{at:011d}/")
             rows += await self.kept.scan(records.READY, after=after, limit=PAGE)
         now = self.kept.clock.monotonic()
+        if len(self.left) > MAX_COUNTS:
+            self.left.clear()
+            self.counted.clear()
         self.full = {job: until for job, until in self.full.items() if until > now}
         found = [records.load(records.Ready, row.value) for row in rows]
         return [self._candidate(row) for row in found if self._eligible(row)]
@@ -140,9 +156,11 @@
     async def _finish(self, stored: jobs.Stored, rows: dict[int, table.Row]) -> bool:
         counts = count(stored.job, list(rows.values()))
         self.left[stored.job.id] = counts.total - counts.completed - counts.failed
+        self.counted[stored.job.id] = self.kept.clock.monotonic()
         if self.left[stored.job.id]:
             return False
         self.left.pop(stored.job.id)
+        self.counted.pop(stored.job.id)
         state = records.JobState.COMPLETED
         await jobs.finish(self.kept, stored, state, counts, self.given.retention_s)
         return True
--- a/turmerictally/bench/batch.py
+++ b/turmerictally/bench/batch.py
@@ -7,11 +7,15 @@
 second; a lost host's range runs elsewhere within three lease times.
 """
 
+import json
+
 import attrs
 import trio
 
 from turmerictally import settings
+from turmerictally.batch import files, jobs
 from turmerictally.bench import batch_policy, report
+from turmerictally.config import model
 from turmerictally.standins import memory
 from turmerictally.tests.support import batch_fleet
 
@@ -28,7 +32,12 @@
 RECOVERY_LEASES = 3.0
 ON_TIME_FEASIBLE = 0.95
 ON_TIME_FLOOD = 0.9
+CONTROL_BYTES_PER_S = 6000.0
 COST_HOSTS = 4
+FULL_S = 600.0
+FULL_TEAMS = 20
+FULL_JOBS = 12_000
+FULL_ITEMS = 19_000
 COST_ITEMS = 8_000
 ITEM_S = (0.9, 1.5)  # with 8 slots a host: 6.65 items a second
 
@@ -43,6 +52,40 @@
     object_reads: float
     items_per_s: float
     duplicates: int
+    table_bytes_per_s: float
+
+
+class CountingTable:
+    """Count the bytes of rows that pass between the hosts and the table."""
+
+    def __init__(self, inner):
+        self.inner = inner
+        self.size = 0
+
+    def __getattr__(self, name):
+        return getattr(self.inner, name)
+
+    async def get(self, key):
+        """Read a row."""
+        row = await self.inner.get(key)
+        self.size += _size([row])
+        return row
+
+    async def scan(self, prefix, *, after="", limit=1000):
+        """Read a page of rows."""
+        rows = await self.inner.scan(prefix, after=after, limit=limit)
+        self.size += _size(rows)
+        return rows
+
+    async def commit(self, checks, writes):
+        """Write rows."""
+        self.size += _size(writes) + sum(len(check.key) for check in checks)
+        return await self.inner.commit(checks, writes)
+
+
+def _size(rows: list) -> int:
+    values = [getattr(row, "value", None) for row in rows]
+    return sum(len(json.dumps(value)) for value in values) + 40 * len(rows)
 
 
 def defaults(**changes) -> settings.Settings:
@@ -57,7 +100,12 @@
     async def body(nursery):
         fleet = batch_fleet.Fleet(nursery, hosts=COST_HOSTS, given=defaults())
         fleet.item_s = ITEM_S
+        counting = CountingTable(fleet.platform.table)
+        fleet.table = counting
+        for host in fleet.hosts:
+            host.boot()
         job = await fleet.accept(batch_fleet.items(COST_ITEMS))
+        counting.size = 0
         fleet.start()
         start = trio.current_time()
         services = (fleet.platform.table, fleet.platform.objects)
@@ -69,11 +117,50 @@
         spent = [(b - a) / COST_ITEMS for a, b in zip(before, after, strict=True)]
         duplicates = len(fleet.sends) - COST_ITEMS
         rate = COST_ITEMS / elapsed / COST_HOSTS
-        return Cost(spent[0], spent[1], spent[2], spent[3], rate, duplicates)
+        traffic = counting.size / elapsed / COST_HOSTS
+        return Cost(*spent, rate, duplicates, traffic)
+
+    return batch_fleet.run(body)
+
+
+def measure_full_list() -> Cost:
+    """Run for ten minutes with 12,000 unfinished jobs of 19,000 items."""
+
+    async def body(nursery):
+        fleet = batch_fleet.Fleet(nursery, hosts=COST_HOSTS, given=defaults())
+        fleet.item_s = ITEM_S
+        counting = CountingTable(fleet.platform.table)
+        await _fill(fleet)
+        fleet.table = counting
+        for host in fleet.hosts:
+            host.boot()
+        fleet.start()
+        services = (fleet.platform.table, fleet.platform.objects)
+        before = [c.count for s in services for c in (s.writes, s.reads)]
+        await trio.sleep(FULL_S)
+        after = [c.count for s in services for c in (s.writes, s.reads)]
+        done = len(fleet.sends)
+        spent = [(b - a) / done for a, b in zip(before, after, strict=True)]
+        traffic = counting.size / FULL_S / COST_HOSTS
+        return Cost(*spent, done / FULL_S / COST_HOSTS, 0, traffic)
 
     return batch_fleet.run(body)
 
 
+async def _fill(fleet) -> None:
+    """Accept many jobs of many teams over one file each."""
+    kept = fleet.reader
+    for number in range(FULL_TEAMS):
+        team = f"team-{number}"
+        lines = batch_fleet.chunks(batch_fleet.items(FULL_ITEMS), size=65536)
+        file = await files.upload(kept, fleet.given, team, "f", lines)
+        contract = model.Contract(team, rate=1000.0, burst=10)
+        for job in range(FULL_JOBS // FULL_TEAMS):
+            window_s = 3600.0 + 6.0 * (number + job * FULL_TEAMS)
+            request = jobs.Request(file.id, "/v1/chat", window_s)
+            await jobs.create(kept, fleet.given, contract, request)
+
+
 async def _final(fleet, job) -> bool:
     row = fleet.platform.table.rows[job.key]
     await trio.lowlevel.checkpoint()
@@ -139,6 +226,9 @@
     made.check("writes at the target", writes <= most, f"{writes:.0f} of {most:.0f}")
     most = PLATFORM_SHARE * memory.READS_PER_S
     made.check("reads at the target", reads <= most, f"{reads:.0f} of {most:.0f}")
+    most = CONTROL_BYTES_PER_S / 2
+    detail = f"{cost.table_bytes_per_s:.0f} of {most:.0f}"
+    made.check("bytes a second a host", cost.table_bytes_per_s <= most, detail)
     made.check("no item ran twice", cost.duplicates == 0, f"{cost.duplicates}")
 
 
