Serve the whole path: callers, operators, command line, demo, binary

Cause: the parts of a host had no frame: no HTTP towards callers and operators, no start and stop, no command line.

--- a/turmerictally/cli/commands.py
+++ b/turmerictally/cli/commands.py
@@ -1,10 +1,17 @@
 """Map verbs of the command line to what they run."""
 
+import json
+import logging
+import signal
 import sys
 
-from turmerictally import settings
+import trio
 
-EXIT_INVALID = 2
+from turmerictally import demo as demo_module
+from turmerictally import host, log, settings
+from turmerictally.cli import client, verbs
+
+logger = logging.getLogger(__name__)
 
 
 def check(path: str) -> None:
@@ -13,14 +20,74 @@
     print(f"{path}: valid")
 
 
+def serve(path: str) -> None:
+    """Run one entry host from a settings file."""
+    config = read_settings(path)
+    log.setup(config.log.level, config.log.json)
+    trio.run(_serve, config)
+
+
+def demo(path: str | None = None) -> None:
+    """Run a whole deployment on loopback: Dalisay's, or the one of a file."""
+    log.setup("WARNING", False)
+    try:
+        deployment = demo_module.load(path)
+    except settings.SettingsError as error:
+        client.fail(client.EXIT_INVALID, str(error))
+    trio.run(_demo, deployment)
+
+
 def read_settings(path: str) -> settings.Settings:
     """Return the settings of a file, or print its faults and exit."""
     try:
-        return settings.load(path)
+        return settings.load(str(path))
     except settings.SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
-        sys.exit(EXIT_INVALID)
+        sys.exit(client.EXIT_INVALID)
+
+
+async def _serve(config: settings.Settings) -> None:
+    served = host.Host(config)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(stop_on_signal, served.stop)
+        await served.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _demo(deployment: demo_module.Deployment) -> None:
+    running = demo_module.Demo(deployment)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(stop_on_signal, running.stop)
+        nursery.start_soon(running.run)
+        await running.ready.wait()
+        print(json.dumps(running.summary()), flush=True)
+        await running.stopped.wait()
+        nursery.cancel_scope.cancel()
+
+
+async def stop_on_signal(
+    stop, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Call ``stop`` on the first SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        task_status.started()
+        async for number in received:
+            logger.info("Received %s.", signal.Signals(number).name)
+            stop()
 
 
-VERBS = {"check": check}
+VERBS = {
+    "check": check,
+    "serve": serve,
+    "demo": demo,
+    "contract": verbs.Contract(),
+    "key": verbs.Key(),
+    "job": verbs.Job(),
+    "host": verbs.Host(),
+    "server": verbs.Server(),
+    "service": verbs.Service(),
+    "route": verbs.Route(),
+    "audit": verbs.audit,
+    "status": verbs.status,
+}
--- /dev/null
+++ b/turmerictally/cli/verbs.py
@@ -0,0 +1,209 @@
+"""Offer the operators' verbs; each talks to an entry host's operator listener."""
+
+import sys
+import urllib.parse
+
+from turmerictally.cli import client
+
+
+def _quote(text: object) -> str:
+    return urllib.parse.quote(str(text), safe="")
+
+
+def _print_outcome(outcome: dict, as_json: bool) -> None:
+    if as_json:
+        client.show(outcome, True)
+        return
+    print(
+        f"version {outcome['version']} {outcome['status']}, in force on "
+        f"{outcome['in_force']} of {outcome['hosts']} hosts"
+    )
+    for pending in outcome["pending"]:
+        print(f"not confirmed: {pending}", file=sys.stderr)
+
+
+class Contract:
+    """Manage contracts: one per team."""
+
+    def list(self, operator=None, operator_key=None, json=False):
+        """List every contract."""
+        found = client.call("GET", "/v1/contracts", operator, operator_key)
+        client.show(found["data"], json)
+
+    def show(self, team, operator=None, operator_key=None, json=False):
+        """Show one contract."""
+        path = f"/v1/contracts/{_quote(team)}"
+        client.show(client.call("GET", path, operator, operator_key), json)
+
+    def put(
+        self,
+        team,
+        rate,
+        burst,
+        models="",
+        max_staleness_s=None,
+        expected_version=None,
+        operator=None,
+        operator_key=None,
+        json=False,
+    ):
+        """Create or change a contract: rate in requests a second, burst in requests."""
+        names = models if isinstance(models, (list, tuple)) else str(models).split(",")
+        body = {"rate": rate, "burst": burst}
+        body["models"] = [str(name) for name in names if name]
+        body["max_staleness_s"] = max_staleness_s
+        if expected_version is not None:
+            body["expected_version"] = expected_version
+        path = f"/v1/contracts/{_quote(team)}"
+        found = client.call("PUT", path, operator, operator_key, body=body)
+        _print_outcome(found["outcome"], json)
+
+    def remove(self, team, operator=None, operator_key=None, json=False):
+        """Remove a contract that has no keys."""
+        path = f"/v1/contracts/{_quote(team)}"
+        found = client.call("DELETE", path, operator, operator_key)
+        _print_outcome(found["outcome"], json)
+
+
+class Key:
+    """Manage callers' keys."""
+
+    def give(self, team, operator=None, operator_key=None, json=False):
+        """Create a key and print its secret, this once."""
+        body = {"team": str(team)}
+        found = client.call("POST", "/v1/keys", operator, operator_key, body=body)
+        if json:
+            client.show(found, True)
+            return
+        print(f"id   {found['id']}\nkey  {found['key']}")
+        _print_outcome(found["outcome"], False)
+
+    def withdraw(self, key_id, operator=None, operator_key=None, json=False):
+        """Withdraw a key; it ends requests that run on it."""
+        path = f"/v1/keys/{_quote(key_id)}"
+        found = client.call("DELETE", path, operator, operator_key)
+        _print_outcome(found["outcome"], json)
+
+    def list(self, team="", operator=None, operator_key=None, json=False):
+        """List keys by id, of one team if given."""
+        params = {"team": str(team)}
+        found = client.call("GET", "/v1/keys", operator, operator_key, params=params)
+        client.show(found["data"], json)
+
+
+class Job:
+    """Manage batch jobs."""
+
+    def list(self, team="", operator=None, operator_key=None, json=False):
+        """List unfinished jobs, or all jobs of one team."""
+        params = {"team": str(team)}
+        found = client.call("GET", "/v1/jobs", operator, operator_key, params=params)
+        client.show(found["data"], json)
+
+    def show(self, team, job_id, operator=None, operator_key=None, json=False):
+        """Show one job with its progress."""
+        path = f"/v1/jobs/{_quote(team)}/{_quote(job_id)}"
+        client.show(client.call("GET", path, operator, operator_key), json)
+
+    def cancel(self, team, job_id, operator=None, operator_key=None, json=False):
+        """Cancel one job."""
+        path = f"/v1/jobs/{_quote(team)}/{_quote(job_id)}/cancel"
+        client.show(client.call("POST", path, operator, operator_key), json)
+
+
+class Host:
+    """Show the entry hosts."""
+
+    def list(self, operator=None, operator_key=None, json=False):
+        """List the entry hosts with the configuration version in force on each."""
+        found = client.call("GET", "/v1/hosts", operator, operator_key)
+        client.show(found["data"], json)
+
+    def remove(self, host_id, operator=None, operator_key=None, json=False):
+        """Note that a host was destroyed; only true if it no longer runs."""
+        path = f"/v1/hosts/{_quote(host_id)}"
+        client.show(client.call("DELETE", path, operator, operator_key), json)
+
+
+class Server:
+    """Manage backend servers."""
+
+    def list(self, operator=None, operator_key=None, json=False):
+        """List the backend servers as the asked host sees them."""
+        found = client.call("GET", "/v1/servers", operator, operator_key)
+        client.show(found["data"], json)
+
+    def drain(self, address, operator=None, operator_key=None, json=False):
+        """Send no new work to a backend server."""
+        path = f"/v1/servers/{_quote(address)}/drain"
+        found = client.call("POST", path, operator, operator_key)
+        _print_outcome(found["outcome"], json)
+
+    def undrain(self, address, operator=None, operator_key=None, json=False):
+        """Send work to a backend server again."""
+        path = f"/v1/servers/{_quote(address)}/undrain"
+        found = client.call("POST", path, operator, operator_key)
+        _print_outcome(found["outcome"], json)
+
+
+class Service:
+    """Manage services."""
+
+    def list(self, operator=None, operator_key=None, json=False):
+        """List every service."""
+        found = client.call("GET", "/v1/services", operator, operator_key)
+        client.show(found["data"], json)
+
+    def put(
+        self,
+        name,
+        kind="model",
+        models="",
+        operator=None,
+        operator_key=None,
+        json=False,
+    ):
+        """Create or change a service of kind model or plain."""
+        names = models if isinstance(models, (list, tuple)) else str(models).split(",")
+        body = {"kind": kind, "models": [str(each) for each in names if each]}
+        path = f"/v1/services/{_quote(name)}"
+        found = client.call("PUT", path, operator, operator_key, body=body)
+        _print_outcome(found["outcome"], json)
+
+
+class Route:
+    """Manage the routes of plain services."""
+
+    def list(self, operator=None, operator_key=None, json=False):
+        """List every route."""
+        found = client.call("GET", "/v1/routes", operator, operator_key)
+        client.show(found["data"], json)
+
+    def put(
+        self,
+        path,
+        service,
+        open=False,
+        idempotent="GET,HEAD,OPTIONS",
+        operator=None,
+        operator_key=None,
+        json=False,
+    ):
+        """Create or change a route; ``idempotent`` lists methods that may repeat."""
+        listed = idempotent.split(",") if isinstance(idempotent, str) else idempotent
+        body = {"service": service, "open": open, "idempotent_methods": list(listed)}
+        target = f"/v1/routes/{urllib.parse.quote(path.lstrip('/'))}"
+        found = client.call("PUT", target, operator, operator_key, body=body)
+        _print_outcome(found["outcome"], json)
+
+
+def audit(after="", limit=100, operator=None, operator_key=None, json=False):
+    """List the audit trail of changes."""
+    params = {"after": after, "limit": limit}
+    found = client.call("GET", "/v1/audit", operator, operator_key, params=params)
+    client.show(found["data"], json)
+
+
+def status(operator=None, operator_key=None, json=False):
+    """Show the fleet at a glance."""
+    client.show(client.call("GET", "/v1/status", operator, operator_key), json)
--- a/turmerictally/config/keys.py
+++ b/turmerictally/config/keys.py
@@ -39,12 +39,23 @@
     text: str = attrs.field(repr=False)
 
 
+@attrs.frozen
+class Signal:
+    """Set an event in place of cancelling a scope."""
+
+    event: trio.Event
+
+    def cancel(self) -> None:
+        """Set the event."""
+        self.event.set()
+
+
 @attrs.define(eq=False)
 class Watch:
     """Hold one piece of work that runs on a key, and why it was ended."""
 
     identity: Identity
-    scope: trio.CancelScope
+    scope: trio.CancelScope | Signal
     ended: errors.Error | None = None
 
     def end(self, error: errors.Error) -> None:
@@ -100,6 +111,20 @@
         if scope.cancelled_caught and watch.ended is not None:
             raise watch.ended
 
+    @contextlib.contextmanager
+    def follow(
+        self, identity: Identity, withdrawn: trio.Event
+    ) -> collections.abc.Iterator[Watch]:
+        """Set an event, during the context, when the key stops working."""
+        watch = Watch(identity, Signal(withdrawn))
+        key_id = identity.key.id
+        self.watches.setdefault(key_id, set()).add(watch)
+        self._check(watch)
+        try:
+            yield watch
+        finally:
+            self._remove(watch)
+
     async def run(self) -> None:
         """End work whose team's staleness limit passes, until cancelled."""
         while True:
--- /dev/null
+++ b/turmerictally/frontend/__init__.py
@@ -0,0 +1,1 @@
+"""Answer callers over HTTP."""
--- /dev/null
+++ b/turmerictally/frontend/app.py
@@ -0,0 +1,153 @@
+"""Assemble the callers' HTTP application."""
+
+import json
+import logging
+import secrets
+
+import quart
+import quart_trio
+import trio
+import werkzeug.exceptions
+
+from turmerictally import errors, log
+from turmerictally.frontend import (
+    batches,
+    connection,
+    files,
+    models,
+    plain,
+    services,
+)
+
+logger = logging.getLogger(__name__)
+
+REQUEST_ID_HEADER = "x-request-id"
+MAX_REQUEST_ID_LENGTH = 64
+
+_HTTP_KINDS = {
+    400: errors.Kind.BAD_REQUEST,
+    404: errors.Kind.NOT_FOUND,
+    405: errors.Kind.METHOD_NOT_ALLOWED,
+    408: errors.Kind.BAD_REQUEST,
+    413: errors.Kind.BODY_TOO_LARGE,
+    414: errors.Kind.BAD_REQUEST,
+    415: errors.Kind.BAD_REQUEST,
+}
+
+
+def make_app(parts: services.Services) -> quart_trio.QuartTrio:
+    """Return the application that serves callers with the host's parts."""
+    app = quart_trio.QuartTrio("turmerictally")
+    app.request_class = connection.Request
+    app.asgi_http_class = connection.Connection
+    listen = parts.settings.listen
+    app.config["MAX_CONTENT_LENGTH"] = listen.max_body_bytes
+    app.config["MAX_UPLOAD_LENGTH"] = listen.max_upload_bytes
+    app.config["BODY_TIMEOUT"] = listen.body_timeout_s
+    app.config["RESPONSE_TIMEOUT"] = None
+    app.config["PROVIDE_AUTOMATIC_OPTIONS"] = False
+    app.extensions["services"] = parts
+    app.before_request(_start_request)
+    app.after_request(_finish_request)
+    app.register_error_handler(errors.Error, answer_error)
+    app.register_error_handler(werkzeug.exceptions.HTTPException, answer_http)
+    app.register_error_handler(Exception, answer_unexpected)
+    app.register_blueprint(_health)
+    app.register_blueprint(models.blueprint)
+    app.register_blueprint(files.blueprint)
+    app.register_blueprint(batches.blueprint)
+    app.register_blueprint(plain.blueprint)
+    return app
+
+
+_health = quart.Blueprint("health", __name__)
+
+
+@_health.get("/healthz")
+async def healthz() -> quart.Response:
+    """Tell that the process answers."""
+    return quart.Response("ok\n", content_type="text/plain")
+
+
+@_health.get("/readyz")
+async def readyz() -> quart.Response:
+    """Tell the balancer whether to send requests to this host."""
+    reason = services.current().readiness()
+    if reason is None:
+        return quart.Response("ready\n", content_type="text/plain")
+    return quart.Response(f"{reason}\n", status=503, content_type="text/plain")
+
+
+async def _start_request() -> None:
+    request_id = _request_id(quart.request.headers)
+    quart.g.request_id = request_id
+    log.request_id.set(request_id)
+    _refuse_ambiguous_framing(quart.request.headers)
+    running = services.current().running
+    limit = services.current().settings.listen.max_connections
+    if running.count >= limit:
+        raise errors.Error(errors.Kind.OVERLOADED, retry_after_s=1.0)
+
+
+async def _finish_request(response: quart.Response) -> quart.Response:
+    request_id = getattr(quart.g, "request_id", None)
+    if request_id:
+        response.headers[REQUEST_ID_HEADER] = request_id
+    return response
+
+
+def _request_id(headers) -> str:
+    given = headers.get(REQUEST_ID_HEADER, "")
+    usable = given.replace("-", "").replace("_", "").isalnum() and given.isascii()
+    if usable and len(given) <= MAX_REQUEST_ID_LENGTH:
+        return f"{given}.{secrets.token_hex(4)}"
+    return f"req-{secrets.token_hex(12)}"
+
+
+def _refuse_ambiguous_framing(headers) -> None:
+    lengths = headers.getlist("content-length")
+    codings = headers.getlist("transfer-encoding")
+    if len(lengths) > 1 or (lengths and codings):
+        raise errors.Error(errors.Kind.BAD_REQUEST, "The body's length is ambiguous.")
+    for name in ("authorization", "host", "idempotency-key"):
+        if len(headers.getlist(name)) > 1:
+            raise errors.Error(errors.Kind.BAD_REQUEST, f"Repeated header: {name}.")
+
+
+async def answer_error(error: errors.Error) -> quart.Response:
+    """Return the answer of the table for an error."""
+    body = json.dumps(error.body())
+    response = quart.Response(
+        body, status=error.status, content_type="application/json"
+    )
+    response.headers.update(error.headers())
+    return response
+
+
+async def answer_http(error: werkzeug.exceptions.HTTPException) -> quart.Response:
+    """Return the answer for an error of the HTTP library."""
+    kind = _HTTP_KINDS.get(error.code or 500, errors.Kind.BAD_REQUEST)
+    return await answer_error(errors.Error(kind))
+
+
+async def answer_unexpected(error: Exception) -> quart.Response:
+    """Return the answer for an unforeseen error, without its traceback."""
+    known = single_error(error)
+    if known is not None:
+        return await answer_error(known)
+    logger.error("Request failed unexpectedly.", exc_info=error)
+    return await answer_error(errors.Error(errors.Kind.INTERNAL))
+
+
+def single_error(error: BaseException) -> errors.Error | None:
+    """Return the one typed error inside an exception group, or None."""
+    if isinstance(error, errors.Error):
+        return error
+    if isinstance(error, BaseExceptionGroup):
+        found = [single_error(inner) for inner in error.exceptions]
+        typed = [inner for inner in found if inner is not None]
+        if len(typed) == len(found) and typed:
+            return typed[0]
+    if isinstance(error, trio.TooSlowError):
+        return errors.Error(errors.Kind.DEADLINE_EXCEEDED)
+    return None
--- /dev/null
+++ b/turmerictally/frontend/batches.py
@@ -0,0 +1,90 @@
+"""Serve the batch interface's jobs."""
+
+import quart
+
+from turmerictally import errors
+from turmerictally.batch import jobs, reading, views
+from turmerictally.frontend import auth, bodies, files, models, services
+
+blueprint = quart.Blueprint("batches", __name__)
+
+ENDPOINTS = (models.CHAT_PATH, models.COMPLETIONS_PATH)
+MAX_METADATA = 16
+
+
+@blueprint.post("/v1/batches")
+async def create() -> tuple[dict, int]:
+    """Accept a job."""
+    parts = services.current()
+    with auth.team_session() as identity:
+        value = await bodies.read_json()
+        request = _read_request(value)
+        job = await jobs.create(parts.batch, parts.settings, identity.contract, request)
+        parts.executor.notify()
+        found = await reading.progress(parts.batch, identity.team, job.id)
+        return views.batch(found), 200
+
+
+@blueprint.get("/v1/batches")
+async def list_batches() -> dict:
+    """List the team's jobs."""
+    kept = services.current().batch
+    with auth.team_session() as identity:
+        after, limit = files.page_arguments()
+        found = await jobs.page(kept, identity.team, after=after, limit=limit + 1)
+        shown = []
+        for job in found[:limit]:
+            progress = await reading.progress(kept, identity.team, job.id)
+            shown.append(views.batch(progress))
+        listed = files.page(shown, limit)
+        return listed | {"has_more": len(found) > limit}
+
+
+@blueprint.get("/v1/batches/<job_id>")
+async def show(job_id: str) -> dict:
+    """Describe one job."""
+    with auth.team_session() as identity:
+        kept = services.current().batch
+        return views.batch(await reading.progress(kept, identity.team, job_id))
+
+
+@blueprint.post("/v1/batches/<job_id>/cancel")
+async def cancel(job_id: str) -> dict:
+    """Cancel one job."""
+    parts = services.current()
+    with auth.team_session() as identity:
+        await parts.executor.cancel(parts.peers, identity.team, job_id)
+        found = await reading.progress(parts.batch, identity.team, job_id)
+        return views.batch(found)
+
+
+def _read_request(value: object) -> jobs.Request:
+    if not isinstance(value, dict):
+        raise bodies.bad("The body must be a JSON object.")
+    for name in ("input_file_id", "endpoint", "completion_window"):
+        if not isinstance(value.get(name), str):
+            raise bodies.bad(f"{name} must be a text.", name)
+    view = services.current().replica.view
+    endpoint = value["endpoint"]
+    if endpoint not in ENDPOINTS and endpoint not in view.routes:
+        raise bodies.bad("The endpoint is not served.", "endpoint")
+    return jobs.Request(
+        file=value["input_file_id"],
+        endpoint=endpoint,
+        window_s=views.window_s(value["completion_window"]),
+        metadata=_read_metadata(value.get("metadata") or {}),
+        idempotency_key=models.read_idempotency_key(),
+    )
+
+
+def _read_metadata(value: object) -> dict[str, str]:
+    texts = isinstance(value, dict) and all(
+        isinstance(name, str) and isinstance(text, str) for name, text in value.items()
+    )
+    if not texts or len(value) > MAX_METADATA:
+        raise errors.Error(
+            errors.Kind.BAD_REQUEST,
+            "metadata must map texts to texts.",
+            param="metadata",
+        )
+    return value
--- /dev/null
+++ b/turmerictally/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Answer operators over HTTP."""
--- /dev/null
+++ b/turmerictally/operators/fleet.py
@@ -0,0 +1,93 @@
+"""Show operators the hosts and backend servers of the fleet."""
+
+import attrs
+import quart
+
+from turmerictally import errors
+from turmerictally.config import model
+
+blueprint = quart.Blueprint("fleet", __name__)
+
+
+def _host():
+    return quart.current_app.extensions["host"]
+
+
+@blueprint.get("/v1/hosts")
+async def list_hosts() -> dict:
+    """List the entry hosts with their state and configuration version."""
+    configuration = _host().configuration
+    status = await configuration.operations.status()
+    members = configuration.members
+    rows = [_row(members.me, "live", status.versions)]
+    for member in sorted(members.by_id.values(), key=lambda m: m.id):
+        rows.append(_row(member, member.state.name.lower(), status.versions))
+    return {"version": status.version, "data": rows}
+
+
+@blueprint.delete("/v1/hosts/<host_id>")
+async def remove_host(host_id: str) -> dict:
+    """Note that a host no longer runs, so that changes do not wait for it."""
+    operations = _host().configuration.operations
+    removed = await operations.remove_host(quart.g.operator, host_id)
+    if not removed:
+        raise errors.Error(errors.Kind.NOT_FOUND, "No such host.")
+    return {"removed": host_id}
+
+
+@blueprint.get("/v1/servers")
+async def list_servers() -> dict:
+    """List the backend servers with their load as this host sees it."""
+    online = _host().online
+    now = online.poller.clock.monotonic()
+    rows = []
+    for server in sorted(online.servers.known.values(), key=lambda s: s.address):
+        rows.append(
+            {
+                "address": server.address,
+                "failure_domain": server.failure_domain,
+                "service": server.service,
+                "models": list(server.models),
+                "takes_work": online.servers.takes_work(server.address),
+                "healthy": online.router.health.allows(server.address, now),
+                "load": round(online.router.loads.ratio(server.address, now), 3),
+                "batch_owner": server.address in online.gate.owned(),
+            }
+        )
+    return {"data": rows}
+
+
+@blueprint.post("/v1/servers/<address>/drain")
+async def drain_server(address: str) -> dict:
+    """Send no new work to one backend server."""
+    return await _set_drained(address, True)
+
+
+@blueprint.post("/v1/servers/<address>/undrain")
+async def undrain_server(address: str) -> dict:
+    """Send work to one backend server again."""
+    return await _set_drained(address, False)
+
+
+async def _set_drained(address: str, drained: bool) -> dict:
+    operations = _host().configuration.operations
+    view = _host().configuration.replica.view
+    current = view.servers.get(address) or model.Server(address)
+    changed = attrs.evolve(current, drained=drained)
+    outcome = await operations.put(quart.g.operator, changed)
+    return {"outcome": _unstructure(outcome)}
+
+
+def _unstructure(value):
+    return model.converter.unstructure(value)
+
+
+def _row(member, state: str, versions: dict[str, int]) -> dict:
+    return {
+        "id": member.id,
+        "failure_domain": member.failure_domain,
+        "region": member.region,
+        "address": member.address,
+        "state": state,
+        "config_version": versions.get(member.id),
+    }
--- /dev/null
+++ b/turmerictally/operators/work.py
@@ -0,0 +1,78 @@
+"""Show operators jobs, status and decisions."""
+
+import quart
+
+from turmerictally.batch import jobs, reading, views
+
+blueprint = quart.Blueprint("work", __name__)
+
+MAX_JOBS = 1000
+
+
+def _host():
+    return quart.current_app.extensions["host"]
+
+
+@blueprint.get("/v1/jobs")
+async def list_jobs() -> dict:
+    """List unfinished jobs by deadline, or one team's jobs."""
+    host = _host()
+    team = quart.request.args.get("team", "")
+    if team:
+        found = await jobs.page(host.batch, team, limit=MAX_JOBS)
+        rows = [
+            {"id": j.id, "team": j.team, "state": j.state.value, "items": j.items}
+            | {"deadline": j.deadline}
+            for j in found
+        ]
+        return {"data": rows}
+    rows = []
+    async for ready in jobs.unfinished(host.batch):
+        rows.append(
+            {"id": ready.job, "team": ready.team, "state": "in_progress"}
+            | {"items": ready.items, "deadline": ready.deadline}
+        )
+        if len(rows) >= MAX_JOBS:
+            break
+    return {"data": rows}
+
+
+@blueprint.get("/v1/jobs/<team>/<job_id>")
+async def show_job(team: str, job_id: str) -> dict:
+    """Show one job with its progress."""
+    found = await reading.progress(_host().batch, team, job_id)
+    return views.batch(found) | {"team": team, "deadline": found.job.deadline}
+
+
+@blueprint.post("/v1/jobs/<team>/<job_id>/cancel")
+async def cancel_job(team: str, job_id: str) -> dict:
+    """Cancel one job."""
+    host = _host()
+    await host.executor.cancel(host.peers, team, job_id)
+    found = await reading.progress(host.batch, team, job_id)
+    return views.batch(found) | {"team": team}
+
+
+@blueprint.get("/v1/status")
+async def status() -> dict:
+    """Show the fleet at a glance, as this host sees it."""
+    host = _host()
+    replica = host.configuration.replica
+    members = host.configuration.members
+    return {
+        "host": host.settings.host_id,
+        "ready": host.readiness() or "ready",
+        "config_version": replica.view.version,
+        "config_age_s": replica.age(),
+        "hosts_live": 1 + len(members.live()),
+        "servers": len(host.online.servers.known),
+        "teams": len(replica.view.contracts),
+        "limit_slots_held": len(host.limits.leases.held),
+        "limits": _counters(host.limits.limiter.counters),
+        "batch": _counters(host.executor.tally),
+        "batch_yielded": host.online.gate.yielded_total,
+    }
+
+
+def _counters(value) -> dict:
+    return {name: getattr(value, name) for name in value.__slots__ if name[0] != "_"}
--- /dev/null
+++ b/turmerictally/tests/features/whole_path.feature
@@ -0,0 +1,68 @@
+Feature: A request, a batch job and a change go all the way
+  Real sockets, two failure domains, every host in one process.
+
+  Scenario: The published client of the interface works unchanged
+    Given a running deployment
+    Then the client lists the models
+    And the client gets a whole chat answer
+    And the client gets a whole streamed answer
+    And the client gets a plain completion
+    And an unknown model is refused as not run
+
+  Scenario: A batch job keeps every item's outcome
+    Given a running deployment
+    When the client runs a batch with a broken line and an unknown model
+    Then the job completes with 10 items done and 2 failed
+    And every item has exactly one outcome in the output and error files
+    And another team finds neither the job nor its files
+
+  Scenario: A withdrawn key stops for new requests, open connections and streams
+    Given a running deployment
+    And a stream and an idle connection of a fresh key
+    When the operator withdraws the key
+    Then the stream ends with an error event and without the end marker
+    And the idle connection's next request is refused as unauthenticated
+
+  Scenario: No backend server sees a caller's key
+    Given a running deployment
+    When the caller sends its key in every place a key may be sent
+    Then no server has received the key
+
+  Scenario: Bad input gets a clear answer and the host lives on
+    Given a running deployment
+    Then each bad request gets its status
+      | request            | status |
+      | broken json        | 400    |
+      | wrong types        | 400    |
+      | unknown model      | 404    |
+      | oversized body     | 413    |
+      | two lengths        | 400    |
+      | nested json        | 400    |
+      | no key             | 401    |
+      | unknown path       | 404    |
+      | bad multipart      | 400    |
+    And the host answers the next request
+
+  Scenario: A team's rate holds over both hosts together
+    Given a running deployment
+    When team blue sends 6 requests to each host at once
+    Then at most 3 are served and the others say when to come back
+
+  Scenario: A non-idempotent call resent to another host runs once
+    Given a running deployment
+    When a confirmation is sent to both hosts with one idempotency key
+    Then the service has executed it once and both answers are the same
+
+  Scenario: A planned stop cuts no request and leaves no connection open
+    Given a running deployment
+    And a stream and an idle connection of a fresh key
+    When every host is stopped
+    Then the stream ends whole
+    And the stop is complete
+
+  Scenario: Requests go on while the platform is down
+    Given a running deployment
+    When the platform is down
+    Then the client gets a whole chat answer
+    And a job and a change are refused as not run
+    And a job is accepted after the outage
--- a/turmerictally/tests/run.py
+++ b/turmerictally/tests/run.py
@@ -14,7 +14,8 @@
 def main(args: list[str]) -> int:
     """Run the features and return the exit status."""
     arguments = args or [str(FEATURES)]
-    config = configuration.Configuration(["--format=progress", *arguments])
+    options = ["--format=progress", "--logging-level=WARNING"]
+    config = configuration.Configuration([*options, *arguments])
     runner_util.reset_runtime()
     runner = behave_runner.Runner(config)
     broken = runner.run()
@@ -28,6 +29,7 @@
         print(f"known red: {scenario.name}")
     for scenario in new:
         print(f"failed: {scenario.name} ({scenario.location})")
+        _explain(scenario)
     if broken and not failed:
         print("failed: behave reported an error outside the scenarios")
         new.append(None)
@@ -38,6 +40,12 @@
     return 1 if new else 0
 
 
+def _explain(scenario) -> None:
+    for step in scenario.all_steps:
+        if step.error_message:
+            print(f"  {step.keyword} {step.name}\n{step.error_message}")
+
+
 def _known_red() -> set[str]:
     if not KNOWN_RED.exists():
         return set()
