Give the withdrawn stream more tokens than a busy machine can send

Cause: one of four runs failed: the stream of 400 tokens (about 2 s) had ended before the key was withdrawn on a busy machine. Change: the withdrawal's stream has 4000 tokens; the planned stop's keeps 400. Conclusion: the check is unchanged.

--- a/turmerictally/tests/features/steps/whole_path_steps.py
+++ b/turmerictally/tests/features/steps/whole_path_steps.py
@@ -121,8 +121,8 @@
     assert content.status_code == 404
 
 
-@behave.given("a stream and an idle connection of a fresh key")
-def stream_and_idle(context):
+@behave.given("a stream of {count:d} tokens and an idle connection of a fresh key")
+def stream_and_idle(context, count):
     operators = context.fleet.operators()
     given = operators.post("/v1/keys", json={"team": "red"}).json()
     context.key_id = given["id"]
@@ -131,7 +131,7 @@
     context.idle = httpx.Client(base_url=url, headers=headers, trust_env=False)
     assert context.idle.get("/v1/models").status_code == 200
     context.streaming = httpx.Client(base_url=url, headers=headers, timeout=60.0)
-    body = chat_body("long", stream=True, max_tokens=400)
+    body = chat_body("long", stream=True, max_tokens=count)
     request = context.streaming.build_request("POST", CHAT, json=body)
     context.stream = context.streaming.send(request, stream=True)
     context.chunks = context.stream.iter_text()
--- a/turmerictally/tests/features/whole_path.feature
+++ b/turmerictally/tests/features/whole_path.feature
@@ -18,7 +18,7 @@
 
   Scenario: A withdrawn key stops for new requests, open connections and streams
     Given a running deployment
-    And a stream and an idle connection of a fresh key
+    And a stream of 4000 tokens and an idle connection of a fresh key
     When the operator withdraws the key
     Then the stream ends with an error event and without the end marker
     And the idle connection's next request is refused as unauthenticated
@@ -55,7 +55,7 @@
 
   Scenario: A planned stop cuts no request and leaves no connection open
     Given a running deployment
-    And a stream and an idle connection of a fresh key
+    And a stream of 400 tokens and an idle connection of a fresh key
     When every host is stopped
     Then the stream ends whole
     And the stop is complete
