--- a/turmerictally/membership/detector.py
+++ b/turmerictally/membership/detector.py
@@ -111,7 +111,8 @@
         for _ in range(FAR_TARGETS):
             chosen.append(self._next(self.far, near=False))
         while len(chosen) <= count:
-            chosen.append(self._next(self.near, near=True))
+            near = self._next(self.near, near=True)
+            chosen.append(near or self._next(self.far, near=False))
         if self.round % DEAD_PING_ROUNDS == 0:
             chosen.append(self._pick_dead())
         unique = {m.id: m for m in chosen if m is not None}
--- a/turmerictally/membership/members.py
+++ b/turmerictally/membership/members.py
@@ -16,6 +16,12 @@
 
 # Times an update is passed on, as a multiple of log2 of the number of members.
 RETRANSMIT_FACTOR = 3
+# Time for the last probe, direct and indirect, before a death is claimed.
+LAST_PROBE_S = 2.5
+# A suspicion that another host raised lasts this much longer.
+HEARSAY_FACTOR = 2.5
+# Below every incarnation that a host claims for itself.
+LISTED_INCARNATION = 0
 
 
 class State(enum.IntEnum):
@@ -54,8 +60,9 @@
     """Hold one known host; instants are on the local monotonic clock.
 
     ``reachable`` is False while this host's own calls to the member fail, although
-    others may reach it. ``suspect_until`` ends a suspicion; ``dead_since`` starts
-    the time after which the member is forgotten.
+    others may reach it. ``suspect_until`` ends a suspicion; ``accused`` tells that
+    this host raised it and ``probed`` that it made its last probe. ``dead_since``
+    starts the time after which the member is forgotten.
     """
 
     claim: Claim
@@ -63,6 +70,8 @@
     reachable: bool = True
     listed: bool = False
     suspect_until: float = math.inf
+    accused: bool = False
+    probed: bool = False
     dead_since: float = math.inf
 
     @property
@@ -161,23 +170,31 @@
             return False
         if known is not None and claim.rank <= known.claim.rank:
             return False
+        listed_only = known is not None and _confirms_list(claim, known)
         self._store(claim, known)
-        self._spread(claim)
+        if not listed_only:
+            self._spread(claim)
         return True
 
     def suspect(self, member: Member) -> None:
         """Start to suspect a member that answered neither directly nor indirectly."""
         if member.state is State.LIVE:
             self.merge(attrs.evolve(member.claim, state=State.SUSPECT))
+            member.accused = True
+            member.suspect_until = self.clock.monotonic() + self.suspicion_s
         elif member.state is State.LEAVING:
             self.merge(attrs.evolve(member.claim, state=State.DEAD))
 
     def expire(self, forget_s: float) -> None:
-        """End suspicions whose time is up; forget those dead for ``forget_s``."""
+        """End suspicions whose time is up; forget those dead for ``forget_s``.
+
+        The host that raised a suspicion probes once more before it claims a death;
+        the others wait longer for that claim.
+        """
         now = self.clock.monotonic()
         for member in list(self.by_id.values()):
             if member.state is State.SUSPECT and now >= member.suspect_until:
-                self.merge(attrs.evolve(member.claim, state=State.DEAD))
+                self._end_suspicion(member)
             if now >= member.dead_since + forget_s and not member.listed:
                 self._forget(member)
 
@@ -242,6 +259,14 @@
                 chosen.append(member)
         return chosen[:count]
 
+    def _end_suspicion(self, member: Member) -> None:
+        if member.accused and not member.probed:
+            member.probed = True
+            member.suspect_until += LAST_PROBE_S
+            self.urgent.append(member.id)
+            return
+        self.merge(attrs.evolve(member.claim, state=State.DEAD))
+
     def _answer(self, claim: Claim) -> bool:
         """Refute a claim about this host, or one of an earlier start of it."""
         same = claim.instance == self.me.instance
@@ -268,7 +293,7 @@
             region=host.region,
             failure_domain=host.failure_domain,
             state=state,
-            incarnation=0,
+            incarnation=LISTED_INCARNATION,
         )
         self._store(claim, None)
         self.by_id[host.id].listed = True
@@ -282,7 +307,8 @@
         member.claim = claim
         self._index(claim, known, member)
         if claim.state is State.SUSPECT:
-            member.suspect_until = now + self.suspicion_s
+            member.suspect_until = now + HEARSAY_FACTOR * self.suspicion_s
+            member.accused = member.probed = False
         if claim.state is not State.DEAD:
             member.dead_since = math.inf
         elif before is not State.DEAD:
@@ -309,6 +335,13 @@
         self.rumours[claim.id] = Rumour(claim)
 
 
+def _confirms_list(claim: Claim, known: Member) -> bool:
+    """Tell whether a claim adds nothing to what the list told every host."""
+    listed = known.claim.incarnation == LISTED_INCARNATION
+    same = known.instance == claim.instance and known.state is claim.state
+    return listed and same
+
+
 def _starts_leaving(host: hosts.ListedHost, known: Member) -> bool:
     leaving = host.status is hosts.Status.LEAVING
     return leaving and known.state in (State.LIVE, State.SUSPECT)
--- a/turmerictally/tests/support/config_fleet.py
+++ b/turmerictally/tests/support/config_fleet.py
@@ -67,6 +67,7 @@
         self.hosts = {}
         self.starts = 0
         self.seeds = []
+        self.domains = DOMAINS
         self.changes = {"config": {}, "membership": {}} | changes
 
     def address(self, number):
@@ -87,7 +88,7 @@
 
     def start(self, number, rate=1.0, **flags):
         """Start or replace host ``number``; it gets ready in the background."""
-        domain = DOMAINS[number % len(DOMAINS)]
+        domain = self.domains[number % len(self.domains)]
         config = self.settings_of(number, domain)
         self.kill(f"h{number}")
         self.starts += 1
@@ -182,12 +183,13 @@
     return trio.run(function, *args, clock=clock)
 
 
-def run_fleet(scenario, count=4, seed=0, **changes):
+def run_fleet(scenario, count=4, seed=0, domains=DOMAINS, **changes):
     """Run ``scenario(fleet)`` on a settled fleet of ``count`` hosts."""
 
     async def main():
         async with trio.open_nursery() as nursery:
             fleet = Fleet(nursery, seed=seed, **changes)
+            fleet.domains = domains
             await fleet.start_all(count)
             result = await scenario(fleet)
             nursery.cancel_scope.cancel()
