Fuzz what comes from the platform, engines, settings and headers

Four broken inputs escaped as errors outside the closed lists: a report that is not UTF-8 and an infinite number in it, an event whose choices are no objects, and platform answers without their headers. Each now ends in the part's own error.

--- a/turmerictally/online/events.py
+++ b/turmerictally/online/events.py
@@ -10,6 +10,7 @@
 DONE = b"data: [DONE]\n\n"
 MAX_EVENT_BYTES = 1024 * 1024
 
+_MALFORMED = (AttributeError, KeyError, TypeError, ValueError, OverflowError)
 _END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -66,7 +67,11 @@
         if data == b"[DONE]":
             return self._end()
         chunk = self._parse(data)
-        if not self._advance(chunk):
+        try:
+            continues = self._advance(chunk)
+        except _MALFORMED as error:
+            raise CutError("malformed event") from error
+        if not continues:
             return None
         self.delivered = True
         return b"data: " + data + b"\n\n"
@@ -111,6 +116,8 @@
         return True
 
     def _continues(self, offset: int, count: int) -> bool:
+        if count < 1:
+            raise CutError("text without a token")
         if offset == self.next:
             return True
         if offset + count <= self.next:
--- a/turmerictally/platform/client.py
+++ b/turmerictally/platform/client.py
@@ -28,6 +28,16 @@
     httpx.UnsupportedProtocol,
 )
 
+_MALFORMED = (
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    AttributeError,
+    cattrs.BaseValidationError,
+)
+DEFAULT_RETRY_AFTER_S = 10.0
+
 
 class Channel:
     """Send requests to one service and classify what goes wrong."""
@@ -104,7 +114,7 @@
 def _structured(write: bool = False) -> collections.abc.Iterator[None]:
     try:
         yield
-    except (KeyError, TypeError, AttributeError, cattrs.BaseValidationError) as error:
+    except _MALFORMED as error:
         raise table.UnavailableError(
             "unexpected answer", maybe_applied=write
         ) from error
@@ -218,9 +228,10 @@
         response = await self.channel.request("HEAD", path, passed=(404,))
         if response.status_code == 404:
             return None
-        size = int(response.headers["content-length"])
-        etag = response.headers["etag"].strip('"')
-        return objects.ObjectInfo(key=key, size=size, etag=etag)
+        with _structured():
+            size = int(response.headers["content-length"])
+            etag = response.headers["etag"].strip('"')
+            return objects.ObjectInfo(key=key, size=size, etag=etag)
 
     async def delete(self, key: str) -> None:
         """Delete the object."""
@@ -290,7 +301,7 @@
         if response.status_code == 404:
             raise KeyError((name, version))
         if response.status_code == 429:
-            raise weights.ThrottledError(float(response.headers["retry-after"]))
+            raise weights.ThrottledError(_retry_after_s(response))
         body = read_json(response, write=True)
         with _structured(write=True):
             return cattrs.structure(body, weights.WeightsInfo)
@@ -326,6 +337,11 @@
             await client.aclose()
 
 
+def _retry_after_s(response: httpx.Response) -> float:
+    given = response.headers.get("retry-after", "")
+    return float(given) if given.isdecimal() else DEFAULT_RETRY_AFTER_S
+
+
 def _write_to_json(write: table.Write) -> dict:
     if isinstance(write, table.Delete):
         return {"delete": write.key}
--- a/turmerictally/routing/engines.py
+++ b/turmerictally/routing/engines.py
@@ -1,7 +1,5 @@
 """Speak the engines' control protocol: load, cache events, cancel and KV cache."""
 
-import json
-
 import attrs
 import httpx
 import trio
@@ -13,6 +11,7 @@
 CONTROL_TIMEOUT_S = 1.0
 # Longest age a load report may claim, in seconds.
 MAX_CLAIMED_AGE_S = 60.0
+_MALFORMED = (KeyError, TypeError, ValueError, OverflowError)
 
 
 class ControlError(Exception):
@@ -65,7 +64,7 @@
         answer = await self._call(address, "GET", "/engine/load")
         try:
             return self._load(answer)
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             raise ControlError("malformed load report") from error
 
     async def events(self, address: str, after: int) -> CacheEvents:
@@ -73,7 +72,7 @@
         answer = await self._call(address, "GET", f"/engine/events?after={after}")
         try:
             return CacheEvents(list(answer["events"]), int(answer["next"]))
-        except (KeyError, TypeError, ValueError) as error:
+        except _MALFORMED as error:
             raise ControlError("malformed events") from error
 
     async def cancel(self, address: str, request_id: str) -> None:
@@ -104,7 +103,7 @@
         except httpx.HTTPStatusError as error:
             lives = error.response.status_code < httpx.codes.INTERNAL_SERVER_ERROR
             raise ControlError("status", answered=lives) from error
-        except (httpx.HTTPError, trio.TooSlowError, json.JSONDecodeError) as error:
+        except (httpx.HTTPError, trio.TooSlowError, ValueError) as error:
             raise ControlError(type(error).__name__) from error
         if not isinstance(found, dict):
             raise ControlError("malformed answer")
