--- a/turmerictally/routing/headroom.py
+++ b/turmerictally/routing/headroom.py
@@ -17,7 +17,7 @@
 logger = logging.getLogger(__name__)
 
 # Seconds that room which another host asked for stays reserved.
-DEMAND_S = 1.0
+DEMAND_S = 0.5
 # Seconds without new batch work on a server after it yielded.
 HOLD_S = 0.25
 # Shortest time between two calls to the owner of one server, in seconds.
@@ -33,16 +33,23 @@
 
 @attrs.define(eq=False)
 class Slot:
-    """Hold room for one batch item; ``scope`` is cancelled when it must yield."""
+    """Hold room for one batch item.
+
+    When it must yield, ``scope`` is cancelled, or ``stop`` called if it is set.
+    """
 
     server: servers.Server
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     yielded: trio.Event = attrs.field(factory=trio.Event)
+    stop: collections.abc.Callable[[], None] | None = None
 
     def give_back(self) -> None:
         """Tell the item to stop."""
         self.yielded.set()
-        self.scope.cancel()
+        if self.stop is None:
+            self.scope.cancel()
+        else:
+            self.stop()
 
 
 @attrs.frozen
@@ -111,6 +118,7 @@
         self.yielded_total = 0
         self.stopping = False
         chooser.on_online.append(self.online_started)
+        chooser.loads.on_piggyback.append(self.heard)
         peers.handle(calls.Kind.YIELD, self.handle_yield)
 
     async def run(self) -> None:
@@ -148,13 +156,12 @@
     def allowed(self, address: str, now: float) -> int:
         """Return how many batch items the server may run beside online work."""
         loads = self.router.loads
-        limit = loads.limit(address)
-        usable = math.floor(limit * (1.0 - self.options.headroom_ratio))
+        usable = loads.limit(address) - self._reserve(address)
         online = max(0, loads.total(address, now) - loads.batch(address, now))
         owned = self.state.get(address)
         if owned is not None:
             online += owned.demand(now)
-        return max(0, usable - online)
+        return usable - online
 
     def free(self, model: str) -> int:
         """Return how many items of a model could start now."""
@@ -164,22 +171,27 @@
     @contextlib.asynccontextmanager
     async def slot(self, model: str) -> collections.abc.AsyncIterator[Slot]:
         """Wait for room, then hold it; leave the block soon after ``yielded``."""
-        taken = await self._take(model)
+        taken = await self._wait(model)
         try:
             yield taken
         finally:
-            self._release(taken)
+            self.release(taken)
 
     def online_started(self, address: str) -> None:
         """Make room for a request that this host sends."""
         if address in self.owned():
             self.enforce(address)
         elif self._is_tight(address):
-            self._queue_ask(address)
+            self.queue_ask(address)
 
     def enforce(self, address: str) -> int:
-        """Cancel the newest batch items above the allowed number; return how many."""
-        over = -self.room(address)
+        """Cancel the newest batch items when the headroom is half used.
+
+        Return how many were cancelled.
+        """
+        # Half of the headroom absorbs small swings of online load; cancelling for
+        # each of them would waste the work done so far.
+        over = -self.room(address) - self._reserve(address) // 2
         if over <= 0:
             return 0
         owned = self.state[address]
@@ -194,23 +206,30 @@
 
     def reported(self, address: str) -> None:
         """React to a new load report."""
+        self.heard(address)
+        self._notify()
+
+    def heard(self, address: str) -> None:
+        """React to a load that came with an answer."""
         if address in self.state:
             self.enforce(address)
-        self._notify()
 
     async def handle_yield(self, caller: calls.Caller, body: bytes) -> bytes:
         """Make room that another host asks for."""
         message = routing_pb2.Yield.FromString(body)
-        now = self.clock.monotonic()
-        if message.address not in self.owned():
-            return routing_pb2.YieldReply().SerializeToString()
-        owned = self.state.setdefault(message.address, Owned())
-        limit = self.router.loads.limit(message.address)
-        started = min(limit, message.started)
-        owned.demands[caller.host_id] = Demand(started, now + DEMAND_S)
-        cancelled = self.enforce(message.address)
+        cancelled = self.demanded(caller.host_id, message.address, message.started)
         return routing_pb2.YieldReply(cancelled=cancelled).SerializeToString()
 
+    def demanded(self, host_id: str, address: str, started: int) -> int:
+        """Reserve room another host announced; return how many items must stop."""
+        if address not in self.owned():
+            return 0
+        owned = self.state.setdefault(address, Owned())
+        started = min(self.router.loads.limit(address), started)
+        until = self.clock.monotonic() + DEMAND_S
+        owned.demands[host_id] = Demand(started, until)
+        return self.enforce(address)
+
     def give_all_back(self) -> None:
         """Stop batch work, as before a planned stop."""
         self.stopping = True
@@ -246,16 +265,17 @@
         usable = self.router.servers.takes_work(address)
         return usable and not held and self.router.health.allows(address, now)
 
-    async def _take(self, model: str) -> Slot:
+    async def _wait(self, model: str) -> Slot:
         await trio.lowlevel.checkpoint()
         while True:
-            taken = self._try_take(model)
+            taken = self.take(model)
             if taken is not None:
                 return taken
             changed = self.changed
             await changed.wait()
 
-    def _try_take(self, model: str) -> Slot | None:
+    def take(self, model: str) -> Slot | None:
+        """Hold room for one batch item, or return None; ``release`` must follow."""
         best = max(self._eligible(model), key=self.room, default=None)
         if best is None or self.room(best) <= 0:
             return None
@@ -264,7 +284,8 @@
         self.router.loads.started(best, self.clock.monotonic(), batch=True)
         return taken
 
-    def _release(self, taken: Slot) -> None:
+    def release(self, taken: Slot) -> None:
+        """Let go of a slot."""
         address = taken.server.address
         self.router.loads.ended(address, self.clock.monotonic(), batch=True)
         if address in self.state:
@@ -287,10 +308,15 @@
         if loads.fresh(loads.server(address).polled, now) is None:
             return True
         free = loads.limit(address) - loads.total(address, now)
-        reserve = loads.limit(address) * self.options.headroom_ratio
-        return loads.batch(address, now) > 0 and free < reserve
+        low = free < self._reserve(address)
+        return loads.batch(address, now) > 0 and low
+
+    def _reserve(self, address: str) -> int:
+        limit = self.router.loads.limit(address)
+        return math.ceil(limit * self.options.headroom_ratio)
 
-    def _queue_ask(self, address: str) -> None:
+    def queue_ask(self, address: str) -> None:
+        """Ask the owner of a server for room, in the background."""
         now = self.clock.monotonic()
         if now - self.asked.get(address, -1e9) < YIELD_INTERVAL_S:
             return
--- a/turmerictally/routing/load.py
+++ b/turmerictally/routing/load.py
@@ -1,12 +1,13 @@
 """Estimate servers' loads from lagging reports and this host's own requests."""
 
 import collections
+import collections.abc
 import math
 
 import attrs
 
 # Weight of a new observation in a moving average.
-SMOOTHING = 0.2
+SMOOTHING = 0.1
 # Age in seconds after which a latency observation no longer counts.
 LATENCY_MAX_AGE_S = 10.0
 # Bound of the factor by which a slow server's cost grows.
@@ -95,6 +96,7 @@
         self.capacity = capacity
         self.servers: dict[str, ServerLoad] = {}
         self.baseline_s: dict[str, float] = {}
+        self.on_piggyback: list[collections.abc.Callable[[str], None]] = []
 
     def server(self, address: str) -> ServerLoad:
         """Return the entry of a server."""
@@ -123,6 +125,8 @@
             return
         report = Report(running, waiting, max(1, capacity), now)
         self.server(address).take(report, polled=False)
+        for notify in self.on_piggyback:
+            notify(address)
 
     def total(self, address: str, now: float) -> int:
         """Return the estimated running and waiting requests of all hosts."""
--- a/turmerictally/routing/router.py
+++ b/turmerictally/routing/router.py
@@ -9,10 +9,9 @@
 from turmerictally import errors, settings
 from turmerictally.routing import affinity, health, load, servers, subset
 
-# Load ratio of the own failure domain above which other domains are weighed too.
-SPILL_LOAD = 0.85
-# Factor on the cost of a server in another failure domain.
-SPILL_PENALTY = 1.2
+# Cost, in parts of a capacity, by which a server in another failure domain must be
+# better than one in the own domain.
+SPILL_MARGIN = 0.05
 # Random draws before the whole subset is searched.
 DRAWS = 6
 # Seconds after which a subset follows the number of live hosts.
@@ -147,7 +146,7 @@
         home = subset.highest(wanted.prefix, current.own)
         for address in [*candidates, home]:
             if self._usable(address, exclude, now) and self._bounded(
-                address, wanted.name, current.own, now
+                address, wanted.name, (*current.own, *current.spill), now
             ):
                 return address
         return None
@@ -181,14 +180,14 @@
 
     def _by_load(self, wanted, current, exclude, now: float) -> str | None:
         own = self._two_choices(current.own, wanted.name, exclude, now)
-        if own is not None and self.loads.ratio(own, now) < SPILL_LOAD:
+        if own and self._cost(own, wanted.name, now) <= SPILL_MARGIN:
             return own
         other = self._two_choices(current.spill, wanted.name, exclude, now)
         if own is None or other is None:
             return own or other
         here = self._cost(own, wanted.name, now)
-        there = self._cost(other, wanted.name, now) * SPILL_PENALTY
-        return own if here <= there else other
+        there = self._cost(other, wanted.name, now)
+        return own if here <= there + SPILL_MARGIN else other
 
     def _two_choices(self, addresses, name, exclude, now: float) -> str | None:
         drawn: list[str] = []
--- a/turmerictally/routing/subset.py
+++ b/turmerictally/routing/subset.py
@@ -48,7 +48,7 @@
     others = [a for d, each in domains.items() if d != own_domain for a in each]
     cover = math.ceil(len(local) * COVERAGE / max(1, hosts))
     own = _top(host_id, service, local, max(size, cover))
-    room = size if not own else max(1, size // SPILL_DIVISOR)
+    room = max(size - len(own), size // SPILL_DIVISOR)
     return Subset(own=own, spill=_top(host_id, service, others, room))
 
 
