--- a/turmerictally/cli/commands.py
+++ b/turmerictally/cli/commands.py
@@ -9,7 +9,7 @@
 
 from turmerictally import demo as demo_module
 from turmerictally import host, log, settings
-from turmerictally.cli import client, verbs
+from turmerictally.cli import client, measure, verbs
 
 logger = logging.getLogger(__name__)
 
@@ -90,4 +90,5 @@
     "route": verbs.Route(),
     "audit": verbs.audit,
     "status": verbs.status,
+    "bench": measure.bench,
 }
