--- a/turmerictally/routing/headroom.py
+++ b/turmerictally/routing/headroom.py
@@ -16,8 +16,10 @@
 
 logger = logging.getLogger(__name__)
 
-# Seconds that room which another host asked for stays reserved.
-DEMAND_S = 0.5
+# Longest time in seconds that room which another host asked for stays reserved.
+DEMAND_S = 1.25
+# Time in seconds within which an announced request reaches its server.
+ARRIVAL_S = 0.01
 # Seconds without new batch work on a server after it yielded.
 HOLD_S = 0.25
 # Shortest time between two calls to the owner of one server, in seconds.
@@ -54,10 +56,15 @@
 
 @attrs.frozen
 class Demand:
-    """Hold the online requests one host announced, until a monotonic time."""
+    """Hold the online requests one host announced at a monotonic time."""
 
     started: int
-    until: float
+    at: float
+
+    def counts(self, now: float, sampled_at: float) -> bool:
+        """Return whether no report can include these requests yet."""
+        reported = sampled_at > self.at + ARRIVAL_S
+        return not reported and now < self.at + DEMAND_S
 
 
 @attrs.define
@@ -68,10 +75,10 @@
     demands: dict[str, Demand] = attrs.Factory(dict)
     hold_until: float = 0.0
 
-    def demand(self, now: float) -> int:
-        """Return the online requests that other hosts have announced."""
-        for host_id in [h for h, d in self.demands.items() if d.until <= now]:
-            del self.demands[host_id]
+    def demand(self, now: float, sampled_at: float) -> int:
+        """Return the announced online requests that the last report lacks."""
+        held = self.demands.items()
+        self.demands = {h: d for h, d in held if d.counts(now, sampled_at)}
         return sum(each.started for each in self.demands.values())
 
 
@@ -160,7 +167,7 @@
         online = max(0, loads.total(address, now) - loads.batch(address, now))
         owned = self.state.get(address)
         if owned is not None:
-            online += owned.demand(now)
+            online += owned.demand(now, loads.sampled_at(address))
         return usable - online
 
     def free(self, model: str) -> int:
@@ -226,8 +233,7 @@
             return 0
         owned = self.state.setdefault(address, Owned())
         started = min(self.router.loads.limit(address), started)
-        until = self.clock.monotonic() + DEMAND_S
-        owned.demands[host_id] = Demand(started, until)
+        owned.demands[host_id] = Demand(started, self.clock.monotonic())
         return self.enforce(address)
 
     def give_all_back(self) -> None:
--- a/turmerictally/routing/load.py
+++ b/turmerictally/routing/load.py
@@ -162,6 +162,11 @@
         """Return the estimated load in parts of the capacity."""
         return self.total(address, now) / self.limit(address)
 
+    def sampled_at(self, address: str) -> float:
+        """Return when the last report was sampled, in monotonic seconds."""
+        report = self.server(address).report
+        return report.sampled_at if report else -math.inf
+
     def online_ratio(self, address: str, now: float) -> float:
         """Return the estimated load without batch work."""
         online = self.total(address, now) - self.batch(address, now)
