--- a/turmerictally/cli/commands.py
+++ b/turmerictally/cli/commands.py
@@ -84,6 +84,7 @@
     "contract": verbs.Contract(),
     "key": verbs.Key(),
     "job": verbs.Job(),
+    "config": verbs.Config(),
     "host": verbs.Host(),
     "server": verbs.Server(),
     "service": verbs.Service(),
--- a/turmerictally/cli/verbs.py
+++ b/turmerictally/cli/verbs.py
@@ -1,5 +1,6 @@
 """Offer the operators' verbs; each talks to an entry host's operator listener."""
 
+import datetime
 import sys
 import urllib.parse
 
@@ -18,8 +19,18 @@
         f"version {outcome['version']} {outcome['status']}, in force on "
         f"{outcome['in_force']} of {outcome['hosts']} hosts"
     )
+    if not outcome["hosts_known"]:
+        print("not all hosts are known: the platform is down", file=sys.stderr)
     for pending in outcome["pending"]:
-        print(f"not confirmed: {pending}", file=sys.stderr)
+        print(_describe(pending), file=sys.stderr)
+
+
+def _describe(pending: dict) -> str:
+    until = datetime.datetime.fromtimestamp(pending["may_serve_until"], datetime.UTC)
+    return (
+        f"not confirmed: {pending['host_id']} in {pending['failure_domain']}, "
+        f"{pending['state']}, may serve without it until {until:%Y-%m-%dT%H:%M:%SZ}"
+    )
 
 
 class Contract:
@@ -111,6 +122,17 @@
         client.show(client.call("POST", path, operator, operator_key), json)
 
 
+class Config:
+    """Show how far configuration changes have come."""
+
+    def status(self, version=0, operator=None, operator_key=None, json=False):
+        """Ask every host whether a change is in force, by default the newest one."""
+        params = {"version": version}
+        path = "/v1/config/status"
+        found = client.call("GET", path, operator, operator_key, params=params)
+        _print_outcome(found["outcome"], json)
+
+
 class Host:
     """Show the entry hosts."""
 
--- a/turmerictally/config/operations.py
+++ b/turmerictally/config/operations.py
@@ -148,7 +148,8 @@
 
         Defaults to the newest change that this host knows.
         """
-        version = version or self.replica.view.version
+        newest = self.replica.view.version
+        version = min(version, newest) if version else newest
         return _outcome(await self.spread.deliver(version))
 
     async def remove_host(self, who: str, host_id: str) -> bool:
--- a/turmerictally/config/replica.py
+++ b/turmerictally/config/replica.py
@@ -62,15 +62,18 @@
 
     def apply(self, changes: collections.abc.Iterable[model.Change]) -> bool:
         """Apply what directly follows the view; return False at a gap."""
+        following = []
+        complete = True
         for change in changes:
-            if change.version <= self.view.version:
+            if change.version <= self.view.version + len(following):
                 continue
-            if change.version != self.view.version + 1:
-                return False
-            team = self._team(change)
-            self.recent.append(Known(change, self.clock.monotonic(), team))
-            self._move(self.view.apply(change))
-        return True
+            if change.version != self.view.version + len(following) + 1:
+                complete = False
+                break
+            following.append(change)
+        if following:
+            self._extend(following)
+        return complete
 
     def adopt(self, view: model.View) -> bool:
         """Take over a whole view if it is newer."""
@@ -147,6 +150,12 @@
             return None
         return [k.change for k in self.recent if k.change.version > version]
 
+    def _extend(self, changes: list[model.Change]) -> None:
+        now = self.clock.monotonic()
+        for change in changes:
+            self.recent.append(Known(change, now, self._team(change)))
+        self._move(self.view.apply(changes))
+
     def _team(self, change: model.Change) -> str:
         item = change.value or self.view.find(change.kind, change.name)
         return getattr(item, "team", "")
--- a/turmerictally/config/spread.py
+++ b/turmerictally/config/spread.py
@@ -27,8 +27,8 @@
 class Pending:
     """Name a host that has not confirmed a version.
 
-    ``may_serve_until`` is a local monotonic instant; after it the host has either
-    learned the version or refuses to serve.
+    ``may_serve_until`` is in Unix seconds by the reporting host's clock; after it
+    the host has either learned the version or refuses to serve.
     """
 
     host_id: str
@@ -307,7 +307,7 @@
             failure_domain=target.failure_domain,
             state="unknown" if member is None else member.state.name.lower(),
             version=round_.versions.get(target.host_id, 0),
-            may_serve_until=until,
+            may_serve_until=self.clock.wall() + until - self.clock.monotonic(),
         )
 
 
--- a/turmerictally/config/store.py
+++ b/turmerictally/config/store.py
@@ -16,7 +16,7 @@
 CHANGES = "config/changes/"
 HOSTS = "config/hosts/"
 SNAPSHOTS = "config/snapshots/"
-COMMIT_TIMEOUT_S = 2.0
+COMMIT_TIMEOUT_S = 5.0
 RETRY_MIN_S = 0.05
 SCAN_ROWS = 1000
 COMPACT_ROWS = 100
@@ -103,9 +103,7 @@
         if head.snapshot:
             data = await self.snapshots.get(snapshot_key(head.snapshot))
             view = model.view_from_bytes(data)
-        for change in await self.changes(view.version):
-            view = view.apply(change)
-        return view
+        return view.apply(await self.changes(view.version))
 
     async def commit(
         self, head: Head, change: model.Change, entry: audit.Entry
--- a/turmerictally/operators/app.py
+++ b/turmerictally/operators/app.py
@@ -147,6 +147,16 @@
     return await _put(model.Server, {"address": address})
 
 
+@blueprint.get("/v1/config/status")
+async def show_config_status() -> dict:
+    """Tell how far a change has come, by default the newest one."""
+    version = quart.request.args.get("version", "0")
+    if not version.isdigit():
+        raise bodies.bad("version must be a whole number.", "version")
+    outcome = await _operations().status(int(version))
+    return {"outcome": cattrs.unstructure(outcome)}
+
+
 @blueprint.get("/v1/audit")
 async def list_audit() -> dict:
     """List the audit trail."""
--- a/turmerictally/tests/features/config_bench.feature
+++ b/turmerictally/tests/features/config_bench.feature
@@ -7,3 +7,6 @@
     Then the chosen policy when cut off keeps its bounds
     And failing closed after 5 seconds refuses some wrongly
     And reporting at the commit serves a withdrawn key
+
+  Scenario: The configuration of 7,600 teams fits into a host
+    Then the view of every team keeps its bound of memory
--- a/turmerictally/tests/features/steps/config_bench_steps.py
+++ b/turmerictally/tests/features/steps/config_bench_steps.py
@@ -1,6 +1,7 @@
 from behave import then
 
-from turmerictally.bench import config_spread, cutoff
+from turmerictally.bench import config_spread, config_view, cutoff
+from turmerictally.tests.support import config_fleet
 
 
 @then("the spread of changes keeps its bounds")
@@ -23,3 +24,9 @@
 @then("reporting at the commit serves a withdrawn key")
 def then_never(context):
     assert context.report.rows[2]["broken"] > 0, context.report.text()
+
+
+@then("the view of every team keeps its bound of memory")
+def then_view(context):
+    report = config_fleet.run(config_view.run, (7600,))
+    assert report.ok, report.text()
