--- a/turmerictally/online/events.py
+++ b/turmerictally/online/events.py
@@ -31,7 +31,11 @@
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the data of each event that is now complete."""
-        *whole, self.rest = _END.split(self.rest + data)
+        data = self.rest + data
+        if b"\r" in data:
+            *whole, self.rest = _END.split(data)
+        else:
+            *whole, self.rest = data.split(b"\n\n")
         if len(self.rest) > MAX_EVENT_BYTES:
             raise CutError("event too large")
         found = [_data(event) for event in whole]
@@ -39,6 +43,8 @@
 
 
 def _data(event: bytes) -> bytes:
+    if b"\n" not in event and event.startswith(b"data:"):
+        return event[5:].strip()
     lines = [line for line in event.splitlines() if line.startswith(b"data:")]
     return b"\n".join(line[5:].strip() for line in lines)
 
--- a/turmerictally/routing/router.py
+++ b/turmerictally/routing/router.py
@@ -17,6 +17,7 @@
 # Seconds after which a subset follows the number of live hosts.
 REFRESH_S = 5.0
 RETRY_AFTER_S = 1.0
+MAX_HOMES = 4096
 
 
 @attrs.define
@@ -26,6 +27,17 @@
     subset: subset.Subset
     version: int
     refresh_at: float
+    homes: dict[str, str] = attrs.Factory(dict)
+
+    def home(self, prefix: str) -> str:
+        """Return the server that every host of the domain picks for a new prefix."""
+        found = self.homes.get(prefix)
+        if found is None:
+            if len(self.homes) >= MAX_HOMES:
+                self.homes.clear()
+            found = subset.highest(prefix, self.subset.own)
+            self.homes[prefix] = found
+        return found
 
 
 class Router:
@@ -116,7 +128,8 @@
             self.options.subset_size,
             self.count_hosts(),
         )
-        self.cache[name] = Cached(found, self.servers.version, now + REFRESH_S)
+        homes = cached.homes if cached and cached.subset == found else {}
+        self.cache[name] = Cached(found, self.servers.version, now + REFRESH_S, homes)
         return found
 
     def replaced(self, address: str) -> None:
@@ -143,8 +156,8 @@
             return None
         candidates = self.affinity.lookup(wanted.prefix)
         candidates = [a for a in candidates if a in current.own]
-        home = subset.highest(wanted.prefix, current.own)
-        for address in [*candidates, home]:
+        candidates.append(self.cache[wanted.name].home(wanted.prefix))
+        for address in candidates:
             if self._usable(address, exclude, now) and self._bounded(
                 address, wanted.name, (*current.own, *current.spill), now
             ):
