Confirm in the table what no push brought

While domains are cut off from each other but not from the platform, hosts had a change in force within a poll, yet it stayed pending until the limit, as their confirmations reached nobody. They now record the version in their registration. cut_off.feature, row 'no other domains', ten seconds later: pending before, accepted after.

--- a/turmerictally/config/spread.py
+++ b/turmerictally/config/spread.py
@@ -109,7 +109,8 @@
     """Push changes to all hosts, through one relay in each other failure domain.
 
     Whoever is not reached is tried directly, then through other hosts, until the
-    deadline. Behind it stand the digests in pings and the polling of the platform.
+    deadline. Behind it stand the digests in pings, the polling of the platform, and
+    versions that hosts recorded in the table as no push reached them.
     """
 
     def __init__(
@@ -136,9 +137,12 @@
 
         It returns sooner when every host has confirmed or is known to be dead.
         """
-        targets, complete = await self._targets()
+        self.sync.confirmed = max(self.sync.confirmed, version)
+        registered, complete = await self._registered()
+        targets = self._targets(registered)
         round_ = Round(version, targets, self.members)
         round_.take([self._confirmation()])
+        round_.take([_recorded(host) for host in registered])
         with trio.move_on_after(self.config.accept_timeout_s):
             await self._first_round(round_)
             await self._retry(round_)
@@ -147,6 +151,7 @@
     async def on_push(self, caller: calls.Caller, body: bytes) -> bytes:
         """Apply pushed changes, pass them on, and confirm for all reached."""
         push = wire.decode_push(body)
+        self.sync.confirmed = max(self.sync.confirmed, push.version)
         applied = self.replica.apply(push.changes)
         if not applied or self.replica.view.version < push.version:
             await self.sync.pull(push.sender)
@@ -163,20 +168,20 @@
         mine = attrs.evolve(mine, dependents=mine.dependents + tuple(extra))
         return wire.encode_confirmations([mine, *relayed])
 
-    async def _targets(self) -> tuple[dict[str, wire.Target], bool]:
-        complete = True
+    async def _registered(self) -> tuple[list[store.Host], bool]:
         try:
-            registered = await self.store.hosts()
+            return await self.store.hosts(), True
         except table.UnavailableError:
-            registered = []
-            complete = False
+            return [], False
+
+    def _targets(self, registered: list[store.Host]) -> dict[str, wire.Target]:
         targets = {host.id: wire.target(host) for host in registered}
         for member in self.members.by_id.values():
             if member.state is not members.State.DEAD:
                 one = _target(member)
                 targets.setdefault(member.id, one)
         targets.setdefault(self.me.host_id, self.me)
-        return targets, complete
+        return targets
 
     async def _first_round(self, round_: Round) -> None:
         groups: dict[str, list[wire.Target]] = {}
@@ -315,3 +320,7 @@
     return wire.Target(
         member.id, member.address, member.failure_domain, member.instance
     )
+
+
+def _recorded(host: store.Host) -> wire.Confirmation:
+    return wire.Confirmation(host.id, host.instance, host.version)
--- a/turmerictally/config/store.py
+++ b/turmerictally/config/store.py
@@ -37,12 +37,16 @@
 
 @attrs.frozen
 class Host:
-    """Register one host that serves on the configuration."""
+    """Register one host that serves on the configuration.
+
+    ``version`` is in force on it, as far as it told the table.
+    """
 
     id: str
     instance: str
     address: str
     failure_domain: str
+    version: int = 0
 
 
 def change_key(version: int) -> str:
@@ -193,6 +197,23 @@
         value = attrs.asdict(host)
         await self.rows.commit([], [table.Put(HOSTS + host.id, value)])
 
+    async def record(self, host: Host, version: int) -> bool:
+        """Note that a version is in force on a registered host.
+
+        Returns False when no start of the host is registered. Raises
+        ``table.ConflictError`` when the row changes at the same time.
+        """
+        row = await self.rows.get(HOSTS + host.id)
+        if row is None:
+            return False
+        if row.value["instance"] != host.instance:
+            logger.warning("Another start of host %s is registered.", host.id)
+            return True
+        value = attrs.asdict(attrs.evolve(host, version=version))
+        check = table.Check(row.key, row.version)
+        await self.rows.commit([check], [table.Put(row.key, value)])
+        return True
+
     async def deregister(self, host_id: str, instance: str = "") -> bool:
         """Remove a host that no longer serves, unless a newer instance took over.
 
--- a/turmerictally/config/sync.py
+++ b/turmerictally/config/sync.py
@@ -19,6 +19,8 @@
 CHANGES_PER_PULL = 200
 START_PEERS = 5
 START_RETRY_S = 1.0
+# Time for a push to arrive before a version is told to the table instead.
+RECORD_DELAY_S = 2.0
 # Pulls that one visit to a peer may take, changes and snapshot parts together.
 PULLS_PER_VISIT = 100
 
@@ -64,6 +66,7 @@
         self.seeds = seeds
         self.registered = False
         self.snapshot = 0
+        self.confirmed = 0
         self.dependents: dict[str, Dependent] = {}
         self.cached: tuple[int, bytes] = (0, b"")
         self.lock = trio.Lock()
@@ -78,11 +81,13 @@
                 await self.ask_peers()
             if self.replica.is_stale():
                 await trio.sleep(START_RETRY_S)
+        self.confirmed = self.replica.view.version
 
     async def run(self) -> None:
         """Poll the platform and follow hints from peers until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._follow_hints)
+            nursery.start_soon(self._record)
             while True:
                 await trio.sleep(self.poll_interval())
                 if not await self.poll() and not self.registered:
@@ -281,6 +286,20 @@
         ordered = near[:2] + live + seeds
         return list(dict.fromkeys(ordered))[:START_PEERS]
 
+    async def _record(self) -> None:
+        """Confirm in the table what no push brought, as when domains are cut off."""
+        while True:
+            await self.replica.changed(self.confirmed)
+            await trio.sleep(RECORD_DELAY_S * self.rng.uniform(0.75, 1.25))
+            version = self.replica.view.version
+            if version <= self.confirmed or not self.registered:
+                continue
+            try:
+                self.registered = await self.store.record(self.me, version)
+                self.confirmed = version
+            except (table.UnavailableError, table.ConflictError):
+                logger.info("Version %d is not recorded yet.", version)
+
     async def _follow_hints(self) -> None:
         async for address in self.hinted:
             await self.pull(address)
--- a/turmerictally/tests/features/cut_off.feature
+++ b/turmerictally/tests/features/cut_off.feature
@@ -15,7 +15,7 @@
       | platform slow                | accepted             | accepted             | accepted             | served              |
       | platform down for everyone   | platform_unavailable | platform_unavailable | platform_unavailable | configuration_stale |
       | no platform                  | accepted             | accepted             | platform_unavailable | served              |
-      | no other domains             | pending              | pending              | pending              | served              |
+      | no other domains             | pending              | accepted             | pending              | served              |
       | neither                      | pending              | pending              | platform_unavailable | configuration_stale |
       | neither, each host alone     | pending              | pending              | platform_unavailable | configuration_stale |
       | nothing comes in from others | pending              | accepted             | pending              | served              |
