--- a/turmerictally/cli/commands.py
+++ b/turmerictally/cli/commands.py
@@ -2,14 +2,13 @@
 
 import json
 import logging
-import signal
 import sys
 
 import trio
 
 from turmerictally import demo as demo_module
 from turmerictally import host, log, settings
-from turmerictally.cli import client, measure, verbs
+from turmerictally.cli import client, measure, signals, standin, verbs
 
 logger = logging.getLogger(__name__)
 
@@ -50,7 +49,7 @@
 async def _serve(config: settings.Settings) -> None:
     served = host.Host(config)
     async with trio.open_nursery() as nursery:
-        await nursery.start(stop_on_signal, served.stop)
+        await nursery.start(signals.stop_on_signal, served.stop)
         await served.run()
         nursery.cancel_scope.cancel()
 
@@ -58,7 +57,7 @@
 async def _demo(deployment: demo_module.Deployment) -> None:
     running = demo_module.Demo(deployment)
     async with trio.open_nursery() as nursery:
-        await nursery.start(stop_on_signal, running.stop)
+        await nursery.start(signals.stop_on_signal, running.stop)
         nursery.start_soon(running.run)
         await running.ready.wait()
         print(json.dumps(running.summary()), flush=True)
@@ -66,17 +65,6 @@
         nursery.cancel_scope.cancel()
 
 
-async def stop_on_signal(
-    stop, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-) -> None:
-    """Call ``stop`` on the first SIGTERM or SIGINT."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        task_status.started()
-        async for number in received:
-            logger.info("Received %s.", signal.Signals(number).name)
-            stop()
-
-
 VERBS = {
     "check": check,
     "serve": serve,
@@ -91,5 +79,6 @@
     "route": verbs.Route(),
     "audit": verbs.audit,
     "status": verbs.status,
+    "standin": standin.Standin(),
     "bench": measure.bench,
 }
--- a/turmerictally/standins/engine.py
+++ b/turmerictally/standins/engine.py
@@ -84,6 +84,7 @@
     max_tokens: int
     seed: int = 0
     is_batch: bool = False
+    ignore_eos: bool = False
     generated: list[str] = attrs.Factory(list)
     cached: int = 0
     imported: bool = False
@@ -271,6 +272,7 @@
             "model": sequence.model,
             "prompt": sequence.prompt,
             "max_tokens": sequence.max_tokens,
+            "ignore_eos": sequence.ignore_eos,
             "seed": sequence.seed,
             "is_batch": sequence.is_batch,
             "generated": sequence.generated,
@@ -342,6 +344,8 @@
     def _advance(self, sequence: Sequence) -> None:
         index = len(sequence.generated)
         natural = tokens.answer_length(sequence.key)
+        if sequence.ignore_eos:
+            natural = sequence.max_tokens + 1
         if index < min(natural, sequence.max_tokens):
             sequence.generated.append(tokens.answer_token(sequence.key, index))
             self.generated_tokens += 1
--- a/turmerictally/standins/engine_server.py
+++ b/turmerictally/standins/engine_server.py
@@ -226,6 +226,7 @@
         model=_model(target, body),
         prompt=_prompt(shape, body),
         max_tokens=_max_tokens(body),
+        ignore_eos=body.get("ignore_eos") is True,
         seed=int(body.get("seed") or 0),
         is_batch=headers.get("x-engine-class") == "batch",
         generated=generated,
--- a/turmerictally/tests/features/steps/whole_path_steps.py
+++ b/turmerictally/tests/features/steps/whole_path_steps.py
@@ -131,7 +131,7 @@
     context.idle = httpx.Client(base_url=url, headers=headers, trust_env=False)
     assert context.idle.get("/v1/models").status_code == 200
     context.streaming = httpx.Client(base_url=url, headers=headers, timeout=60.0)
-    body = chat_body("long", stream=True, max_tokens=count)
+    body = chat_body("long", stream=True, max_tokens=count, ignore_eos=True)
     request = context.streaming.build_request("POST", CHAT, json=body)
     context.stream = context.streaming.send(request, stream=True)
     context.chunks = context.stream.iter_text()
