Let yielded batch items go on from where they stopped

Cause: a yielded item was cancelled and started again from nothing. Change: items that ran for at least 0.5 s are stopped by a KV export; the next attempt imports the cache or sends the tokens as a prefix. Conclusion: the tokens generated for a yielded item are those of one run (routing.feature); the gain in batch throughput is not measured.

--- a/turmerictally/batch/sender.py
+++ b/turmerictally/batch/sender.py
@@ -5,13 +5,12 @@
 import json
 
 import attrs
-import trio
 
 from turmerictally import clock as clocks
 from turmerictally import errors
 from turmerictally.batch import capacity, files
 from turmerictally.config import model
-from turmerictally.online import forward, headers, messages, pipeline
+from turmerictally.online import forward, items, messages, pipeline
 from turmerictally.routing import headroom, servers
 
 PLAIN = ""  # the model of items for plain services
@@ -62,6 +61,17 @@
     clock: clocks.Clock
     item_timeout_s: float
     sent: int = 0
+    model_items: items.Items = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        path = self.pipeline
+        self.model_items = items.Items(
+            path.forwarder,
+            path.engines,
+            path.router.loads,
+            self.clock,
+            path.cancel_engine,
+        )
 
     async def send(self, item: files.Item, slot: capacity.Slot) -> capacity.ItemResult:
         """Send an item; raises ``errors.Error`` with a true ``ran``."""
@@ -70,35 +80,22 @@
         if slot.backend is None:
             answer = await self.pipeline.run(request)
         else:
-            answer = await self._send_to(request, slot.backend)
+            answer = await self._send_to(item, request, slot.backend)
         return capacity.ItemResult(answer.status, _decode(answer.body))
 
     async def _send_to(
-        self, request: messages.Request, server: servers.Server
+        self, item: files.Item, request: messages.Request, server: servers.Server
     ) -> messages.Answer:
-        forwarder = self.pipeline.forwarder
-        attempt = forward.Attempt(request, server, request.request_id)
+        key = f"{id(item)}/{item.index}/{item.custom_id}"
         try:
-            opened = await forwarder.open(attempt)
-            self._take_load(opened)
-            answer = await forwarder.finish(opened)
+            answer = await self.model_items.send(request, server, key)
         except forward.AttemptError as error:
             raise self._failure(error) from error
-        except trio.Cancelled:
-            self.pipeline.cancel_engine(server, attempt.id)
-            raise
         if answer.status in pipeline.RETRY_STATUSES:
             detail = f"Status {answer.status}."
             raise errors.Error(errors.Kind.BACKEND_SERVER_ERROR, detail)
         return answer
 
-    def _take_load(self, opened: forward.Opened) -> None:
-        text = opened.response.headers.get(headers.LOAD)
-        if text:
-            address = opened.attempt.server.address
-            loads = self.pipeline.router.loads
-            loads.piggybacked(address, text, self.clock.monotonic())
-
     def _failure(self, error: forward.AttemptError) -> errors.Error:
         ran = errors.Ran.MAY_HAVE_RUN if error.sent else errors.Ran.NOT_RUN
         return errors.Error(error.kind, f"{error.reason}.", ran=ran)
--- a/turmerictally/routing/engines.py
+++ b/turmerictally/routing/engines.py
@@ -46,6 +46,14 @@
     last: int
 
 
+@attrs.frozen
+class Export:
+    """Hold a stopped request's KV cache, opaque, and the tokens it produced."""
+
+    kv: str
+    tokens: list[str]
+
+
 class Engines:
     """Call engines through a pool that requests never wait for."""
 
@@ -79,11 +87,14 @@
         """Cancel a request; cancelling an ended one succeeds."""
         await self._call(address, "POST", "/engine/cancel", request_id=request_id)
 
-    async def export_kv(self, address: str, request_id: str) -> str:
-        """Return a running request's KV cache as an opaque text."""
+    async def export_kv(self, address: str, request_id: str) -> Export:
+        """Stop a request and return its KV cache and tokens."""
         path = "/engine/kv/export"
         answer = await self._call(address, "POST", path, request_id=request_id)
-        return str(answer.get("kv", ""))
+        tokens = answer.get("tokens")
+        if not isinstance(tokens, list):
+            raise ControlError("malformed export")
+        return Export(str(answer.get("kv", "")), [str(token) for token in tokens])
 
     async def import_kv(self, address: str, request_id: str, kv: str) -> None:
         """Hand an exported KV cache to another server."""
--- a/turmerictally/tests/features/routing.feature
+++ b/turmerictally/tests/features/routing.feature
@@ -36,3 +36,9 @@
     Then batch in flight falls below the room that online leaves at once
     And batch fills the idle capacity again within a second
     But without yielding online requests wait behind batch
+
+  Scenario: A yielded batch item goes on from where it stopped
+    When a batch item yields after some tokens and runs again on another server
+    Then its answer is the one it would have had, with no token generated twice
+    And it is so too when the other server cannot import the KV cache
+    But an item that had just begun is cancelled without an export
--- a/turmerictally/tests/features/steps/routing_steps.py
+++ b/turmerictally/tests/features/steps/routing_steps.py
@@ -2,14 +2,16 @@
 
 import collections
 import contextlib
+import json
 import random
 
 import behave
 import trio
 
 from turmerictally import errors
+from turmerictally.online import items
 from turmerictally.platform import hosts
-from turmerictally.routing import affinity, headroom, router, servers, subset
+from turmerictally.routing import affinity, engines, headroom, router, servers, subset
 from turmerictally.tests.support import online
 
 A, B = "10.0.0.1:8000", "10.0.0.2:8000"
@@ -446,3 +448,80 @@
         naive["first"],
         context.found["first"],
     )
+
+
+def yield_item(imports=True, after=0.8):
+    """Return the answer of an item that yielded, one run whole, and the tokens."""
+    found = {}
+
+    async def main(fleet):
+        one = await fleet.add_engine(A, step_s=0.2)
+        other = await fleet.add_engine(B, step_s=0.2)
+        host = await fleet.add_host("h0")
+        path = host.pipeline
+        sending = items.Items(
+            path.forwarder,
+            path.engines,
+            path.router.loads,
+            fleet.clock,
+            path.cancel_engine,
+        )
+        if not imports:
+            path.engines.import_kv = refuse
+        known = host.router.servers.known
+        with trio.move_on_after(after):
+            await sending.send(item("i1"), known[A], "key")
+        found["kept"] = len(sending.kept)
+        await trio.sleep(0.2)
+        found["running"] = len(one.running) + len(one.waiting)
+        answer = await sending.send(item("i2"), known[B], "key")
+        found["tokens"] = one.generated_tokens + other.generated_tokens
+        found["answer"] = content(answer)
+        found["whole"] = content(await sending.send(item("i3"), known[A], "other"))
+        found["bytes"] = sending.kept_bytes
+
+    online.run(main)
+    return found
+
+
+def item(request_id):
+    work = online.messages.WorkClass.BATCH
+    return online.chat(request_id, tokens=60, prompt="item 4", stream=False, work=work)
+
+
+def content(answer):
+    return json.loads(answer.body)["choices"][0]["message"]["content"]
+
+
+async def refuse(address, request_id, kv):
+    await trio.lowlevel.checkpoint()
+    raise engines.ControlError("refused")
+
+
+@behave.when("a batch item yields after some tokens and runs again on another server")
+def item_yields(context):
+    context.found = yield_item()
+
+
+@behave.then("its answer is the one it would have had, with no token generated twice")
+def same_answer(context):
+    check_resumed(context.found)
+
+
+@behave.then("it is so too when the other server cannot import the KV cache")
+def without_import(context):
+    check_resumed(yield_item(imports=False))
+
+
+def check_resumed(found):
+    assert found["kept"] == 1 and found["running"] == 0, found
+    assert found["answer"] == found["whole"], found
+    assert found["tokens"] == len(found["whole"].split()), found
+    assert found["bytes"] == 0
+
+
+@behave.then("an item that had just begun is cancelled without an export")
+def just_begun(context):
+    found = yield_item(after=0.45)
+    assert found["kept"] == 0 and found["running"] == 0, found
+    assert found["tokens"] > len(found["whole"].split()), found
