--- a/turmerictally/limits/account.py
+++ b/turmerictally/limits/account.py
@@ -10,6 +10,8 @@
 
 DEMAND_TAU_S = 1.0  # time constant of the demand estimate
 FOUND_RATIO = 0.5  # of the expected tokens; fewer mean that other hosts take them
+CONSECUTIVE_S = 1.0  # after a refusal, in which the next one is consecutive
+CONTENDED_HOLD_S = 0.2  # of refusals, from which on a team is above its limits
 GATHER_PER_S = 2.0
 GATHER_BURST = 4
 MIN_UNUSED = 1 / 32
@@ -96,6 +98,14 @@
         self.demand_at = now
         self.used_at = now
 
+    def was_refused(self, now: float) -> bool:
+        """Tell whether a refusal now would be consecutive to another."""
+        return now < self.refuse_until + CONSECUTIVE_S
+
+    def is_contended(self, now: float) -> bool:
+        """Tell whether the team counts as above its limits."""
+        return self.was_refused(now) and self.hold_s >= CONTENDED_HOLD_S
+
     def may_gather(self, now: float) -> bool:
         """Tell whether many homes may be asked for fractions of tokens again.
 
--- a/turmerictally/limits/bucket.py
+++ b/turmerictally/limits/bucket.py
@@ -91,10 +91,10 @@
         self._accrue(now)
         return grant.expires
 
-    def clips_within(self, seconds: float) -> bool:
-        """Tell whether accrual would be cut within this time by outstanding grants."""
-        room = self.burst - self.level - self.outstanding
-        return room < self.rate * seconds
+    def clipped(self, seconds: float) -> float:
+        """Return the accrual of this time that outstanding grants would cut off."""
+        room = max(0.0, self.burst - self.level - self.outstanding)
+        return min(self.outstanding, max(0.0, self.rate * seconds - room))
 
     def _accrue(self, now: float) -> None:
         elapsed = max(0.0, now - self.updated)
--- a/turmerictally/limits/home.py
+++ b/turmerictally/limits/home.py
@@ -12,6 +12,7 @@
 
 PREFETCH_RATIO = 0.5  # of what is left after the need, so that others find some
 MIN_GRANT = 1e-6  # tokens
+MAX_CLIPPED = 0.1  # tokens that may be lost rather than settled by a message
 
 
 @attrs.frozen(cache_hash=True)
@@ -124,7 +125,7 @@
             ):
                 part.amount = kept.grant(grant_id, wanted, now, expires)
         part.left = kept.level
-        if kept.clips_within(reply.ttl_s):
+        if kept.clipped(reply.ttl_s) > MAX_CLIPPED:
             reply.settle_early = True
         return part.amount
 
--- a/turmerictally/limits/limiter.py
+++ b/turmerictally/limits/limiter.py
@@ -10,33 +10,22 @@
 from turmerictally import errors, settings
 from turmerictally.config import model
 from turmerictally.limits import account as accounts
-from turmerictally.limits import bucket, home, layout, leases
+from turmerictally.limits import home, layout, leases, planner
 from turmerictally.peers import calls, limits_pb2
 
 logger = logging.getLogger(__name__)
 
-MAX_ROUNDS = 4  # rounds of asks for one request
-MIN_ASK = 1e-3  # tokens
-BACKOFF_MAX_S = 8.0
+MAX_ROUNDS = 8  # rounds of asks for one request
+REFUSED_ROUNDS = 2  # soon after a refusal
 HOLD_MAX_S = 1.0
-CONTENDED_S = 1.0  # after a refusal, in which the next one counts as consecutive
-CONTENDED_HOLD_S = 0.2  # from which on a team counts as above its limits
 CONTENDED_SETTLE_S = 1.0
-NEAR_BONUS = 0.25  # of a full bucket, by which a home in the own domain is preferred
+SHORT_TTL_TIMEOUTS = 2.5  # a grant without prefetch lives for so many timeouts
 IDLE_RATIO = 0.25  # of a grant's lifetime, after which its rest goes back
 FORGET_ACCOUNT_S = 60.0
 PRUNE_S = 10.0
 UNKNOWN_RETRY_S = 1.0
 
 
-@attrs.define
-class Backoff:
-    """Skip a host that does not answer; ``until`` is on the local clock."""
-
-    until: float
-    delay_s: float
-
-
 @attrs.define
 class Counters:
     """Count decisions and messages since the start."""
@@ -67,11 +56,11 @@
         self.options = options
         self.accounts: dict[str, accounts.Account] = {}
         self.outbox: dict[str, list[limits_pb2.Settlement]] = {}
-        self.backoffs: dict[str, Backoff] = {}
         self.counters = Counters()
         self.last_ask_id = 0
         self.prune_at = -math.inf
         self.hurry = trio.Event()
+        self.planner = planner.Planner(held, clock, options)
         peers.handle(calls.Kind.LIMIT_GRANT, home_slots.answer_ask)
         peers.handle(calls.Kind.LIMIT_RETURN, home_slots.answer_return)
 
@@ -147,7 +136,9 @@
 
     async def _admit_alone(self, account: accounts.Account, cost: float) -> None:
         failures = 0
-        for _ in range(MAX_ROUNDS):
+        now = self.clock.monotonic()
+        rounds = REFUSED_ROUNDS if account.was_refused(now) else MAX_ROUNDS
+        for _ in range(rounds):
             if self._spend(account, cost):
                 account.hold_s /= 2
                 return
@@ -177,20 +168,26 @@
         """Return the refusal and refuse cheaply until tokens may be there."""
         now = self.clock.monotonic()
         rate = self.home.rate(account.contract)
-        if not rate and not self._reachable(account, now):
+        if not rate and not self.planner.reachable(account, now):
             return self._unavailable()
-        estimates = self._choices(account, cost, now)
+        estimates = self.planner.choices(account, cost, now)
         rate += sum(estimate.rate(now) for estimate in estimates)
         known = account.cached_level(now) + self.home.level(account.contract)
         known += sum(estimate.available(now) for estimate in estimates)
         wait = (cost - known) / rate if rate > 0 else UNKNOWN_RETRY_S
-        hold = 2 * account.hold_s if self._was_refused(account) else 0.0
+        hold = 2 * account.hold_s if account.was_refused(now) else 0.0
         account.hold_s = min(max(self.options.refusal_hold_s, hold), HOLD_MAX_S)
         account.refuse_until = now + max(wait, account.hold_s)
-        if not self._is_contended(account):
-            self.hurry.set()
+        if not account.is_contended(now):
+            self._return_soon(account, now)
         return self._rate_limited(account.refuse_until - now)
 
+    def _return_soon(self, account: accounts.Account, now: float) -> None:
+        """Return what was gathered in vain before it expires."""
+        for grant in account.cached:
+            grant.idle_at = now
+        self.hurry.set()
+
     def _rate_limited(self, wait: float) -> errors.Error:
         self.counters.refused += 1
         # The homes count spent grants until their settlements arrive.
@@ -213,8 +210,9 @@
         now = self.clock.monotonic()
         have = account.cached_level(now) + self.home.level(account.contract)
         short = max(account.waiting, cost) - have
-        plan = self._plan(account, cost - have, short, width)
-        least = cost - have if self._is_contended(account) and len(plan) == 1 else 0.0
+        plan = self.planner.plan(account, cost - have, short, width)
+        asked = [estimate for wanted in plan.values() for estimate, _ in wanted]
+        least = cost - have if len(asked) == 1 else 0.0
         results: list[bool] = []
         async with trio.open_nursery() as nursery:
             for address, wanted in plan.items():
@@ -222,83 +220,6 @@
                 nursery.start_soon(self._ask, account, address, ask, results)
         return results
 
-    def _plan(
-        self, account: accounts.Account, least: float, short: float, width: int
-    ) -> dict[str, list[tuple[accounts.Estimate, float]]]:
-        """Choose whom to ask for how much, own failure domain first.
-
-        Returns nothing when the homes together cannot have the ``least`` needed.
-        """
-        now = self.clock.monotonic()
-        estimates = self._choices(account, least, now)
-        if width > 1:  # some homes failed, so all others are worth asking
-            estimates = self._reachable(account, now)
-        if sum(e.available(now) for e in estimates) + bucket.EPSILON < least:
-            return {}
-        plan: dict[str, list[tuple[accounts.Estimate, float]]] = {}
-        missing = short
-        for estimate in estimates:
-            if missing <= bucket.EPSILON and width <= 0:
-                break
-            available = estimate.available(now)
-            if available < MIN_ASK:
-                continue
-            wanted = missing if missing > bucket.EPSILON else short
-            part = min(max(wanted, MIN_ASK), available)
-            address = self.leases.holder(estimate.slot)
-            plan.setdefault(address, []).append((estimate, part))
-            missing -= part
-            width -= 1
-        if len(plan) > math.ceil(short) + 1 and not account.may_gather(now):
-            return {}
-        return plan
-
-    def _choices(
-        self, account: accounts.Account, cost: float, now: float
-    ) -> list[accounts.Estimate]:
-        """Return the homes worth asking, best first.
-
-        For a team above its limits these are the fewest whose burst covers the
-        cost: it is not worth many asks for fractions of a token.
-        """
-        estimates = self._reachable(account, now)
-        estimates.sort(key=lambda estimate: self._rank(estimate, now))
-        if self._is_contended(account):
-            return _fewest(estimates, cost)
-        return estimates
-
-    def _is_contended(self, account: accounts.Account) -> bool:
-        return self._was_refused(account) and account.hold_s >= CONTENDED_HOLD_S
-
-    def _was_refused(self, account: accounts.Account) -> bool:
-        return self.clock.monotonic() < account.refuse_until + CONTENDED_S
-
-    def _rank(self, estimate: accounts.Estimate, now: float) -> tuple:
-        available = estimate.available(now)
-        score = available / max(1.0, estimate.part.burst)
-        if estimate.slot.domain == self.leases.domain:
-            score += NEAR_BONUS
-        return available < 1.0, -score
-
-    def _reachable(
-        self, account: accounts.Account, now: float
-    ) -> list[accounts.Estimate]:
-        """Return the homes that other hosts hold and that answer."""
-        return [
-            estimate
-            for slot, estimate in account.estimates.items()
-            if self.leases.usable(slot, now) is None
-            and estimate.skip_until <= now
-            and self._answers(slot, now)
-        ]
-
-    def _answers(self, slot: layout.Slot, now: float) -> bool:
-        address = self.leases.holder(slot)
-        if not address or address == self.leases.me.address:
-            return False
-        backoff = self.backoffs.get(address)
-        return backoff is None or backoff.until <= now
-
     async def _ask(
         self,
         account: accounts.Account,
@@ -324,10 +245,10 @@
             if not answered:
                 self._give_up(account, address, ask)
         if not answered:
-            self._back_off(address, sent)
+            self.planner.back_off(address, sent)
             results.append(False)
             return
-        self.backoffs.pop(address, None)
+        self.planner.answered(address)
         results.append(self._accept(account, address, ask, reply, sent))
 
     def _write_ask(
@@ -339,12 +260,13 @@
     ) -> limits_pb2.Ask:
         self.last_ask_id += 1
         self._queue_settlements(account, self.clock.monotonic())
+        prefetch = self._prefetch(account)
         ask = limits_pb2.Ask(
             ask_id=self.last_ask_id,
             team=account.contract.team,
             need=sum(part for _, part in wanted),
-            prefetch=self._prefetch(account),
-            ttl_s=self.options.grant_ttl_s,
+            prefetch=prefetch,
+            ttl_s=self.options.grant_ttl_s if prefetch else self._short_ttl(),
             least=least,
             settlements=self.outbox.pop(address, []),
         )
@@ -360,6 +282,11 @@
         expected = account.demand * self.options.prefetch_s
         return expected if expected >= 1.0 else 0.0
 
+    def _short_ttl(self) -> float:
+        """Return the lifetime of tokens that are spent when they arrive."""
+        short = SHORT_TTL_TIMEOUTS * self.options.grant_timeout_s
+        return min(short, self.options.grant_ttl_s)
+
     def _accept(
         self,
         account: accounts.Account,
@@ -433,17 +360,9 @@
                 )
             )
 
-    def _back_off(self, address: str, now: float) -> None:
-        known = self.backoffs.get(address)
-        delay = min(known.delay_s * 2, BACKOFF_MAX_S) if known else self._first_delay()
-        self.backoffs[address] = Backoff(now + delay, delay)
-
-    def _first_delay(self) -> float:
-        return self.options.backoff_s
-
     def _queue_settlements(self, account: accounts.Account, now: float) -> None:
         """Queue the settlements that are due; a busy team's mostly ride on asks."""
-        if self._is_contended(account):
+        if account.is_contended(now):
             account.settle_at = now + CONTENDED_SETTLE_S
         for grant in account.take_finished(now):
             slot = limits_pb2.Slot(domain=grant.slot.domain, index=grant.slot.index)
@@ -486,15 +405,3 @@
         for team, account in list(self.accounts.items()):
             if account.used_at < idle and not account.cached and not account.waiting:
                 del self.accounts[team]
-
-
-def _fewest(estimates: list[accounts.Estimate], cost: float) -> list[accounts.Estimate]:
-    """Return the first estimates whose burst covers the cost."""
-    covered = 0.0
-    chosen = []
-    for estimate in estimates:
-        if covered >= cost:
-            break
-        chosen.append(estimate)
-        covered += estimate.part.burst
-    return chosen
--- a/turmerictally/tests/features/limits.feature
+++ b/turmerictally/tests/features/limits.feature
@@ -60,6 +60,18 @@
     Then each failure domain admits its own half of the team's rate
     And the limits checker finds no excess
 
+  Scenario Outline: Limits with <case> for longer than a lease
+    When the limits run with <case> for longer than a lease
+    Then the limits admit <first> of the rate at first and <later> after the lease
+
+    Examples:
+      | case                                 | first | later |
+      | a slow platform                      | 1.0   | 1.0   |
+      | a domain cut off from the platform   | 1.0   | 0.75  |
+      | a domain cut off from the others     | 0.25  | 0.25  |
+      | a domain cut off from both           | 0.25  | 0.0   |
+      | a host alone                         | own   | 0.0   |
+
   Scenario: A dead host's share is lost until its lease ends or an operator frees it
     When a host that holds limit slots dies
     Then the team's admitted rate falls by the dead host's share alone
--- a/turmerictally/tests/features/steps/limits_steps.py
+++ b/turmerictally/tests/features/steps/limits_steps.py
@@ -278,6 +278,46 @@
     )
 
 
+def cut_off(fleet, case):
+    """Bring a case about and return the hosts that are sent requests."""
+    if case == "a slow platform":
+        fleet.table.faults.delay_s = 1.5
+        return list(fleet.hosts)
+    cut = [h for h, host in fleet.hosts.items() if host.domain == "a"]
+    if case == "a host alone":
+        cut = [limits_mechanisms.holder(fleet)]
+    if case != "a domain cut off from the platform":
+        fleet.net.separate(cut, [h for h in fleet.hosts if h not in cut])
+    if case != "a domain cut off from the others":
+        for host in cut:
+            fleet.hosts[host].store.cut = True
+    return cut
+
+
+@behave.when("the limits run with {case} for longer than a lease")
+def run_cut_off(context, case):
+    async def body(fleet):
+        hosts = cut_off(fleet, case)
+        homes = set(fleet.fleet.homes(TEAM))
+        own = homes & fleet.hosts[hosts[0]].leases.held.keys()
+        context.own = len(own) / len(homes)
+        context.first = await admitted_in(fleet, 8.0, hosts=pick(hosts))
+        await trio.sleep(50.0)
+        context.later = await admitted_in(fleet, 8.0, hosts=pick(hosts))
+
+    simulate(context, body, share_lease_s=40.0, renew_s=5.0)
+
+
+@behave.then(
+    "the limits admit {first} of the rate at first and {later} after the lease"
+)
+def admitted_when_cut_off(context, first, later):
+    wanted = context.own if first == "own" else float(first)
+    for rate, part in ((context.first, wanted), (context.later, float(later))):
+        assert 0.9 * part <= rate / TEAM.rate <= 1.05 * part, (rate, part)
+    assert context.limits.excess() == 0.0
+
+
 @behave.when("a host that holds limit slots dies")
 def holder_dies(context):
     async def body(fleet):
--- a/turmerictally/tests/support/limits_mechanisms.py
+++ b/turmerictally/tests/support/limits_mechanisms.py
@@ -94,12 +94,12 @@
 
 
 async def lose_and_repeat(fleet):
-    host = others(fleet)[0]
-    await burst(fleet, host, 17)
+    await burst(fleet, others(fleet)[0], 12)
     fleet.net.lose_reply = 1.0
     fleet.net.duplicate = 1.0
-    await burst(fleet, host, 4)
-    await trio.sleep(1.0)
+    for host in others(fleet) * 2:
+        await burst(fleet, host, 4)
+        await trio.sleep(1.0)
     fleet.net.lose_reply = 0.0
     await trio.sleep(3.0)
     await burst_everywhere(fleet)
