Prove a rolling restart and the loss of batch hosts over real sockets

Cause: no test restarted or killed whole hosts under load. Change: the demo replaces and kills hosts; two scenarios with a balancer that follows readyz, and with a batch job whose hosts are killed.

--- a/turmerictally/demo.py
+++ b/turmerictally/demo.py
@@ -100,14 +100,31 @@
             "keys": self.keys,
         }
 
+    async def replace_host(self, index: int) -> None:
+        """Stop one host as planned and start it again."""
+        old = self.hosts[index]
+        old.stop()
+        await old.stopped.wait()
+        config = attrs.evolve(old.settings, listen=self._listen(old.settings))
+        self.hosts[index] = await self._start_host(config)
+        await self.hosts[index].wait_until_ready()
+
+    async def kill_workers(self) -> list[int]:
+        """Kill the hosts that run batch items; return their indices."""
+        working = [i for i, each in enumerate(self.hosts) if each.executor.works]
+        for index in working:
+            self.hosts[index].kill()
+        return working
+
     async def run(self) -> None:
         """Start everything, wait for the stop, and drain the hosts."""
         async with trio.open_nursery() as nursery:
-            url = await nursery.start(
+            self.nursery = nursery
+            self.url = await nursery.start(
                 serving.serve, platform_server.app(self.platform), ANY_PORT
             )
             await self._start_servers(nursery)
-            await self._start_hosts(nursery, url)
+            await self._start_hosts()
             self.ready.set()
             await self.stop_requested.wait()
             await self._stop_hosts()
@@ -155,11 +172,10 @@
             )
         )
 
-    async def _start_hosts(self, nursery: trio.Nursery, url: str) -> None:
+    async def _start_hosts(self) -> None:
         for domain in self.deployment.domains:
             for number in range(domain.hosts):
-                config = self._settings(domain.name, number, url)
-                started = await nursery.start(host.Host(config).run)
+                started = await self._start_host(self._settings(domain.name, number))
                 self.hosts.append(started)
                 if len(self.hosts) == 1:
                     await self._configure(started)
@@ -168,13 +184,16 @@
         while not all(each.limits.leases.knows_holders for each in self.hosts):
             await trio.sleep(host.READY_POLL_S)
 
-    def _settings(self, domain: str, number: int, url: str) -> settings.Settings:
+    async def _start_host(self, config: settings.Settings) -> host.Host:
+        return await self.nursery.start(host.Host(config).run)
+
+    def _settings(self, domain: str, number: int) -> settings.Settings:
         given = dict(self.deployment.host)
         given["host_id"] = f"{domain}-{number + 1}"
         given["region"] = self.deployment.region
         given["failure_domain"] = domain
         given["peer_secret"] = self.peer_secret
-        given["platform"] = given.get("platform", {}) | {"url": url}
+        given["platform"] = given.get("platform", {}) | {"url": self.url}
         given["listen"] = given.get("listen", {}) | {
             "callers": ANY_PORT,
             "operators": ANY_PORT,
@@ -185,6 +204,11 @@
         given["operator_key_hashes"] = {OPERATOR: model.digest(self.operator_key)}
         return settings.build(given)
 
+    def _listen(self, config: settings.Settings) -> settings.Listen:
+        return attrs.evolve(
+            config.listen, callers=ANY_PORT, operators=ANY_PORT, peers=ANY_PORT
+        )
+
     async def _configure(self, first: host.Host) -> None:
         await first.wait_until_ready()
         deployment = self.deployment
--- a/turmerictally/host.py
+++ b/turmerictally/host.py
@@ -38,6 +38,7 @@
         self.stop_requested = trio.Event()
         self.stopping = False
         self.stopped = trio.Event()
+        self.scope = trio.CancelScope()
         self.listeners: list[listener.Listener] = []
         self.entry_url = ""
         self.operator_url = ""
@@ -46,6 +47,10 @@
         """Begin a planned stop."""
         self.stop_requested.set()
 
+    def kill(self) -> None:
+        """End at once, as when the host is lost."""
+        self.scope.cancel()
+
     async def run(
         self, task_status: trio.TaskStatus["Host"] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -55,6 +60,7 @@
                 client.connect(self.settings.platform)
             )
             async with trio.open_nursery() as nursery:
+                self.scope = nursery.cancel_scope
                 await self._start(nursery, platform)
                 task_status.started(self)
                 await self.stop_requested.wait()
--- a/turmerictally/tests/support/deployment.py
+++ b/turmerictally/tests/support/deployment.py
@@ -3,7 +3,6 @@
 import contextlib
 import threading
 
-import attrs
 import httpx
 import openai
 import trio
@@ -44,14 +43,6 @@
     )
 
 
-@attrs.define
-class Running:
-    """Hold one host and the scope that kills it."""
-
-    host: object
-    scope: trio.CancelScope
-
-
 class Fleet:
     """Run a demo deployment in a thread of its own."""
 
@@ -88,6 +79,11 @@
         self.thread.join(HANG_GUARD_S)
         return not self.thread.is_alive()
 
+    def balanced(self, first):
+        """Return the entry hosts' addresses now, from one of them on."""
+        urls = [each.entry_url for each in self.demo.hosts]
+        return urls[first % len(urls) :] + urls[: first % len(urls)]
+
     def key(self, team="red"):
         """Return a team's key."""
         return self.summary["keys"][team]
