Wait for the configuration before batch work; show forecasts to operators

Cause: a host that had not learned the configuration failed every item as an unknown model; callers' reads used up the worker's budget and could delay the poll for cancellations; neighbours in the watch were hosts of one failure domain; nobody ran the collector; the operators' list had no forecast.

Change: no claims before a configuration; unknown models and routes are tried again after the time of a configuration change, without a place meanwhile; only the worker's calls are metered; workers are named in random order; the host runs the collector; the list of jobs shows the expected finish and lateness.

--- a/turmerictally/batch/cancel.py
+++ b/turmerictally/batch/cancel.py
@@ -34,7 +34,6 @@
         now = kept.clock.wall()
         changed = attrs.evolve(stored.job, state=state, cancelled_at=now)
         notice = {"job": job_id, "key": changed.key}
-        kept.writes.charge()
         try:
             await kept.table.commit(
                 [table.Check(changed.key, stored.version)],
@@ -126,8 +125,9 @@
 
     async def look(self, stop_job: collections.abc.Callable[[str], None]) -> None:
         """Stop cancelled jobs on this host and finish those that stopped."""
+        self.kept.reads.charge()
         try:
-            rows = await self.kept.scan(records.CANCELS, limit=PAGE)
+            rows = await self.kept.table.scan(records.CANCELS, limit=PAGE)
         except table.UnavailableError:
             return
         for row in rows:
--- a/turmerictally/batch/context.py
+++ b/turmerictally/batch/context.py
@@ -22,6 +22,25 @@
     pending_bytes: int = 0
 
 
+@attrs.define(eq=False)
+class Turn:
+    """Hold one of the host's places for running items, except between tries."""
+
+    limiter: trio.CapacityLimiter
+    taken: bool = False
+
+    async def take(self) -> None:
+        """Wait for a place."""
+        await self.limiter.acquire_on_behalf_of(self)
+        self.taken = True
+
+    def give(self) -> None:
+        """Give the place back, if it is taken."""
+        if self.taken:
+            self.limiter.release_on_behalf_of(self)
+        self.taken = False
+
+
 @attrs.define
 class Context:
     """Share a worker's means among its ranges."""
--- a/turmerictally/batch/executor.py
+++ b/turmerictally/batch/executor.py
@@ -1,6 +1,7 @@
 """Run batch work on one host: claim ranges, keep the lease, watch other hosts."""
 
 import collections.abc
+import hashlib
 import logging
 import random
 
@@ -94,7 +95,7 @@
 
     async def _run_session(self) -> None:
         self.sessions += 1
-        worker = f"{self.host_id}.{self.instance}.{self.sessions}"
+        worker = _name_worker(self.host_id, self.instance, self.sessions)
         batch = self.given.batch
         self.held = lease.Lease(self.kept, worker, self.address, batch.lease_s)
         limiter = trio.CapacityLimiter(batch.max_concurrent_items)
@@ -237,6 +238,8 @@
         return room and waiting < batch.max_concurrent_items
 
     def _any_free(self) -> bool:
+        if not self.view().version:
+            return False  # items of every model would fail as unknown
         services = self.view().services.values()
         names = [name for service in services for name in service.models]
         return not names or any(self.gate.free(name) > 0 for name in names)
@@ -283,3 +286,13 @@
             await self.chooser.finish_if_done(stored)
         except table.UnavailableError as error:
             logger.info("A finished range was not followed up: %s.", error)
+
+
+def _name_worker(host_id: str, instance: str, session: int) -> str:
+    """Return a name whose order is random, so that neighbours fail apart.
+
+    Hosts of one failure domain often have similar ids; workers that watch each
+    other should not be lost together.
+    """
+    name = f"{host_id}.{instance}.{session}"
+    return f"{hashlib.sha256(name.encode()).hexdigest()[:8]}.{name}"
--- a/turmerictally/batch/files.py
+++ b/turmerictally/batch/files.py
@@ -202,7 +202,6 @@
 
 async def _put(kept: store.Store, file_id: str, data) -> None:
     key = f"{records.UPLOADS}{file_id}"
-    kept.writes.charge()
     try:
         await kept.objects.put(key, data, if_absent=True)
     except table.UnavailableError as error:
@@ -219,7 +218,6 @@
         table.Put(expiry, {"row": key, "object": record.object_key}),
     ]
     for attempt in range(store.CALLER_ATTEMPTS):
-        kept.writes.charge()
         try:
             await kept.table.commit([], writes)
             return
--- a/turmerictally/batch/jobs.py
+++ b/turmerictally/batch/jobs.py
@@ -175,7 +175,6 @@
     kept: store.Store, contract: model.Contract, job: records.Job
 ) -> records.Job | None:
     """Write the job, or return the one that is there already."""
-    kept.reads.charge(2)
     row = await kept.table.get(job.key)
     if row is not None:
         return _same(records.load(records.Job, row.value), job.fingerprint)
@@ -187,7 +186,6 @@
         kind = errors.Kind.RATE_LIMITED
         raise errors.Error(kind, message, retry_after_s=60.0)
     version = active.version if active else table.ABSENT
-    kept.writes.charge()
     await kept.table.commit(
         [table.Check(job.key, table.ABSENT), table.Check(active_key, version)],
         [
--- a/turmerictally/batch/ranges.py
+++ b/turmerictally/batch/ranges.py
@@ -174,7 +174,8 @@
         await kept.table.commit(checks, writes)
     except table.ConflictError:
         return []
-    logger.warning("Worker %s lapsed; %d ranges were opened.", worker, len(opened))
+    level = logging.WARNING if opened else logging.DEBUG
+    logger.log(level, "Worker %s lapsed; %d ranges were opened.", worker, len(opened))
     return opened
 
 
--- a/turmerictally/batch/store.py
+++ b/turmerictally/batch/store.py
@@ -55,7 +55,11 @@
 
 @attrs.define
 class Store:
-    """Bundle the table service and the object store with this host's budgets."""
+    """Bundle the table service and the object store with the worker's budgets.
+
+    Calls for callers are not metered here, so that a caller who reads many results
+    does not hold up the worker.
+    """
 
     table: table.Table
     objects: objects.Objects
@@ -119,7 +123,6 @@
     async def read_for_caller(self, call: Call) -> typing.Any:
         """Retry a read a few times, then refuse with ``PLATFORM_UNAVAILABLE``."""
         for attempt in range(CALLER_ATTEMPTS):
-            self.reads.charge()
             try:
                 return await call()
             except table.UnavailableError as error:
--- a/turmerictally/batch/work.py
+++ b/turmerictally/batch/work.py
@@ -15,6 +15,7 @@
 CHECK_S = 0.25  # pause before a held-up item looks again, in seconds
 WAIT_MIN_S = 0.5  # first pause after a refusal, in seconds
 WAIT_MAX_S = 30.0
+UNKNOWN_WAIT_S = 4.0  # two waits outlast the time of a configuration change
 IDLE_RANGE_S = 90.0  # a range whose items cannot start so long is given back
 MARK_ITEMS = 32  # items on non-idempotent routes whose start is recorded at once
 
@@ -38,12 +39,13 @@
     errors.Kind.BAD_REQUEST,
     errors.Kind.BODY_TOO_LARGE,
     errors.Kind.FORBIDDEN,
-    errors.Kind.NOT_FOUND,
     errors.Kind.METHOD_NOT_ALLOWED,
-    errors.Kind.UNKNOWN_MODEL,
     errors.Kind.OUTCOME_UNKNOWN,
 }
 
+# Refusals that a configuration change on its way to this host may lift.
+UNKNOWN = {errors.Kind.NOT_FOUND, errors.Kind.UNKNOWN_MODEL}
+
 
 @attrs.define
 class Work:
@@ -132,10 +134,10 @@
 
     async def _start(self, nursery: trio.Nursery, item: files.Item) -> None:
         await self._wait_until_allowed()
-        token = object()
-        await self.context.limiter.acquire_on_behalf_of(token)
+        turn = context.Turn(self.context.limiter)
+        await turn.take()
         self.unstarted -= 1
-        nursery.start_soon(self._run_item, item, token)
+        nursery.start_soon(self._run_item, item, turn)
 
     async def _start_guarded(self, nursery, items: list[files.Item]) -> None:
         """Record that items start, then send each at most once."""
@@ -143,11 +145,11 @@
         for item in items:
             await self._start(nursery, item)
 
-    async def _run_item(self, item: files.Item, token: object) -> None:
+    async def _run_item(self, item: files.Item, turn: context.Turn) -> None:
         try:
-            result = await self._finish(item)
+            result = await self._finish(item, turn)
         finally:
-            self.context.limiter.release_on_behalf_of(token)
+            turn.give()
         self._keep(result)
 
     async def _run_alone(self) -> None:
@@ -165,9 +167,11 @@
             await self._outside(self._commit, offset)
             if not self.context.idempotent(item):
                 await self._outside(self._mark_started, [item])
-            self._keep(await self._finish(item))
+            turn = context.Turn(self.context.limiter)
+            await turn.take()
+            await self._run_item(item, turn)
 
-    async def _finish(self, item: files.Item) -> ranges.Result:
+    async def _finish(self, item: files.Item, turn: context.Turn) -> ranges.Result:
         """Try an item until it has its final outcome."""
         tries = 0
         waits = 0
@@ -181,7 +185,9 @@
                     return self._failure(item, error, tries)
                 self.context.tally.retried += 1
                 waits += 1
-                await self._wait(waits, error.retry_after_s)
+                turn.give()
+                await self._wait(waits, error)
+                await turn.take()
                 continue
             if answer is not None:
                 return self._answered(item, answer)
@@ -370,8 +376,9 @@
             await trio.sleep(CHECK_S)
         await trio.lowlevel.checkpoint()
 
-    async def _wait(self, waits: int, at_least: float | None) -> None:
+    async def _wait(self, waits: int, error: errors.Error) -> None:
         most = min(WAIT_MAX_S, WAIT_MIN_S * 2 ** min(waits, 10))
         pause = self.context.rng.uniform(0.0, most)
-        await trio.sleep(max(pause, min(at_least or 0.0, WAIT_MAX_S)))
+        least = UNKNOWN_WAIT_S if error.kind in UNKNOWN else error.retry_after_s or 0.0
+        await trio.sleep(max(pause, min(least, WAIT_MAX_S)))
         await self._wait_until_allowed()
--- a/turmerictally/host.py
+++ b/turmerictally/host.py
@@ -10,7 +10,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally import listener, settings
-from turmerictally.batch import executor, sender, store
+from turmerictally.batch import collector, executor, sender, store
 from turmerictally.config import assembly
 from turmerictally.frontend import app as frontend
 from turmerictally.frontend import services
@@ -81,6 +81,7 @@
         nursery.start_soon(self.limits.run)
         await nursery.start(self.online.run)
         nursery.start_soon(self.executor.run)
+        nursery.start_soon(self.collector.run)
         nursery.start_soon(self._register, hosts.Status.LIVE)
         await self._start_listeners(nursery)
         logger.info("Host %s serves at %s.", self.settings.host_id, self.entry_url)
@@ -154,8 +155,10 @@
             idempotent=lambda item: sender.is_idempotent(self._view(), item),
             rng=self.rng,
         )
-        self.peers.handle(calls.Kind.JOB_CANCEL, self._cancel_job)
-        self.peers.handle(calls.Kind.JOB_READY, self._job_ready)
+        self.executor.serve(self.peers)
+        self.collector = collector.Collector(
+            self.executor.kept, config.batch, config.host_id
+        )
 
     def _store(self, lane: budget.Lane) -> store.Store:
         return store.build(
@@ -169,14 +172,6 @@
     def _view(self):
         return self.configuration.replica.view
 
-    async def _cancel_job(self, caller: calls.Caller, body: bytes) -> bytes:
-        self.executor.stop_job(body.decode())
-        return b""
-
-    async def _job_ready(self, caller: calls.Caller, body: bytes) -> bytes:
-        self.executor.notify()
-        return b""
-
     async def _start_listeners(self, nursery: trio.Nursery) -> None:
         config = self.settings
         limits = listener.Limits(config.listen.idle_timeout_s, config.stop.drain_s)
--- a/turmerictally/operators/work.py
+++ b/turmerictally/operators/work.py
@@ -26,15 +26,23 @@
             for j in found
         ]
         return {"data": rows}
-    rows = []
-    async for ready in jobs.unfinished(host.batch):
-        rows.append(
-            {"id": ready.job, "team": ready.team, "state": "in_progress"}
-            | {"items": ready.items, "deadline": ready.deadline}
-        )
-        if len(rows) >= MAX_JOBS:
-            break
-    return {"data": rows}
+    rate = host.executor.chooser.fleet_rate()
+    found = await reading.overview(host.batch, rate, limit=MAX_JOBS)
+    return {"data": [_describe(outlook) for outlook in found]}
+
+
+def _describe(outlook: reading.Outlook) -> dict:
+    ready = outlook.ready
+    return {
+        "id": ready.job,
+        "team": ready.team,
+        "state": "in_progress",
+        "items": ready.items,
+        "done": outlook.done,
+        "deadline": ready.deadline,
+        "expected_finish": outlook.forecast.finish,
+        "late_s": outlook.forecast.late_s,
+    }
 
 
 @blueprint.get("/v1/jobs/<team>/<job_id>")
--- a/turmerictally/tests/features/batch.feature
+++ b/turmerictally/tests/features/batch.feature
@@ -55,6 +55,10 @@
     Then no batch item starts later than 5 seconds after it
     And the batch results so far stay readable
 
+  Scenario: A job is cancelled only once a host that is cut off has stopped
+    When a batch job is cancelled while one of its holders is cut off from everything
+    Then the batch job shows cancelling until that holder has stopped
+
   Scenario: A cancellation survives the host that took it
     When the host that took a batch cancellation is lost at once
     Then the batch job still becomes cancelled
@@ -67,6 +71,10 @@
     When a batch job holds items that are refused, broken or name no model
     Then these batch items fail with their reasons and all others complete
 
+  Scenario: A host without a configuration runs no batch items
+    When one host has not learned the configuration and one learns a model late
+    Then no batch item fails as unknown
+
   Scenario: Items that may not be repeated run at most once
     When batch items on a non-idempotent route meet lost hosts
     Then each such batch item was sent at most once
--- a/turmerictally/tests/features/steps/batch_steps.py
+++ b/turmerictally/tests/features/steps/batch_steps.py
@@ -16,6 +16,7 @@
     records,
 )
 from turmerictally.bench import batch
+from turmerictally.config import model
 from turmerictally.tests.support import batch_fleet as fleet
 
 FENCING = (records.RANGES, records.WORKERS)
@@ -406,6 +407,36 @@
     assert not context.faults, context.faults
 
 
+@when("a batch job is cancelled while one of its holders is cut off from everything")
+def _(context):
+    async def body(nursery):
+        made = started(nursery, given=fleet.make_settings(range_items=100))
+        job = await made.accept(fleet.items(600))
+        await trio.sleep(3.0)
+        lost = next(host for host in made.hosts[1:] if host.executor.works)
+        lost.cut = True
+        others = [host.name for host in made.hosts if host is not lost]
+        made.network.separate([lost.name], others)
+        at = trio.current_time()
+        await made.hosts[0].executor.cancel(made.hosts[0].peers, fleet.TEAM, job.id)
+        progress = await made.follow(job.id)
+        ended = trio.current_time()
+        await trio.sleep(60.0)
+        starts = [start for start, name, _ in made.sends if name == lost.name]
+        return progress, max(starts), at, ended, made.faults
+
+    context.progress, context.last, context.at, context.ended, context.faults = (
+        fleet.run(body)
+    )
+
+
+@then("the batch job shows cancelling until that holder has stopped")
+def _(context):
+    assert context.progress.job.state is records.JobState.CANCELLED
+    assert context.at < context.last < context.ended, (context.last, context.ended)
+    assert not context.faults, context.faults
+
+
 @when("the host that took a batch cancellation is lost at once")
 def _(context):
     async def body(nursery):
@@ -472,6 +503,28 @@
     assert not made.sends_of("nameless") and not made.faults
 
 
+@when("one host has not learned the configuration and one learns a model late")
+def _(context):
+    async def body(nursery):
+        made = fleet.Fleet(nursery)
+        made.hosts[0].view = model.View()
+        made.hosts[1].view = model.View(version=1)
+        made.start()
+        job = await made.accept(fleet.items(100))
+        await trio.sleep(4.0)
+        made.hosts[1].view = made.hosts[2].view
+        return await made.follow(job.id), made
+
+    context.progress, context.fleet = fleet.run(body)
+
+
+@then("no batch item fails as unknown")
+def _(context):
+    assert context.progress.counts == records.Counts(100, 100, 0)
+    assert not context.fleet.faults
+    assert "h0" not in {name for _, name, _ in context.fleet.sends}
+
+
 def lose_hosts():
     async def body(nursery):
         made = started(nursery)
--- a/turmerictally/tests/support/batch_fleet.py
+++ b/turmerictally/tests/support/batch_fleet.py
@@ -108,7 +108,8 @@
 
     @contextlib.asynccontextmanager
     async def slot(self, name):
-        if name not in ("m", ""):
+        services = self.host.view.services.values()
+        if name and not any(name in service.models for service in services):
             raise errors.Error(errors.Kind.UNKNOWN_MODEL)
         token = object()
         await self.limiter.acquire_on_behalf_of(token)
@@ -134,6 +135,7 @@
         self.fleet = fleet
         self.name = name
         self.cut = False
+        self.view = model.View(version=1, services=SERVICES)
         self.calls = 0
         self.plan = {}
         self.resumed = None
@@ -158,7 +160,7 @@
             given=self.given,
             gate=self.gate,
             send=self.send,
-            view=lambda: model.View(services=SERVICES),
+            view=lambda: self.view,
             hosts=lambda: len(shared.hosts),
             idempotent=lambda item: item.url != "/side",
             rng=self.rng,
