Escape paths again and refuse dot segments before a backend server sees them

Cause: a decoded path with a question mark became a query, and a header in another alphabet failed inside the host. Change: the path is escaped again, header values are sent as latin-1, dot segments are refused as not run; bodies above 256 KB are not parsed for affinity. Conclusion: odd requests reach a service as one path (online.feature).

--- a/turmerictally/online/forward.py
+++ b/turmerictally/online/forward.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import urllib.parse
 
 import attrs
 import httpx
@@ -21,6 +22,9 @@
 # Largest whole answer of a server that is kept in memory.
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 
+# Characters of a decoded path that are not escaped again.
+PATH_CHARACTERS = "/:@!$&'()*+,;=~"
+
 NEVER_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 SEND_STARTED = ("http11.send_request_headers.started",)
 
@@ -195,18 +199,19 @@
 
 
 def _url(request: messages.Request, server: servers.Server) -> str:
-    url = f"http://{server.address}{request.path}"
+    path = urllib.parse.quote(request.path, safe=PATH_CHARACTERS)
+    url = f"http://{server.address}{path}"
     query = headers.query_for_server(request.query)
     return f"{url}?{query}" if query else url
 
 
-def _headers(attempt: Attempt) -> list[tuple[str, str]]:
+def _headers(attempt: Attempt) -> list[tuple[bytes, bytes]]:
     found = headers.for_server(attempt.request, attempt.id)
     if attempt.resume_offset is not None:
         found.append((headers.RESUME_OFFSET, str(attempt.resume_offset)))
     if attempt.prefix is not None:
         found.append((headers.PREFIX_TOKENS, json.dumps(attempt.prefix)))
-    return found
+    return [(n.encode("latin-1"), v.encode("latin-1", "replace")) for n, v in found]
 
 
 def _answer(opened: Opened, body: bytes) -> messages.Answer:
--- a/turmerictally/online/pipeline.py
+++ b/turmerictally/online/pipeline.py
@@ -131,6 +131,10 @@
         now = self.clock.monotonic()
         if request.deadline <= now:
             raise errors.Error(errors.Kind.DEADLINE_UNREACHABLE)
+        if any(part in (".", "..") for part in request.path.split("/")):
+            raise errors.Error(
+                errors.Kind.BAD_REQUEST, "The path must not hold dot segments."
+            )
         if request.streamed and request.idempotency_key and not request.idempotent:
             raise errors.Error(
                 errors.Kind.BAD_REQUEST,
--- a/turmerictally/routing/affinity.py
+++ b/turmerictally/routing/affinity.py
@@ -11,6 +11,8 @@
 HASH_DIGITS = 16
 MAX_PREFIXES = 20_000
 MAX_HOLDERS = 4
+# Longer bodies are not parsed, so that they do not hold up other requests.
+MAX_BODY_BYTES = 256 * 1024
 # Age in seconds up to which a belief outlives a gap in the events.
 TRUSTED_S = 30.0
 
@@ -21,6 +23,8 @@
     Engines name each block of ``BLOCK_TOKENS`` by a hash over the model and all
     blocks up to it; the last block within ``tokens`` is taken.
     """
+    if len(body) > MAX_BODY_BYTES:
+        return ""
     try:
         text = prompt_text(json.loads(body))
     except (ValueError, TypeError, AttributeError, KeyError):
--- a/turmerictally/tests/features/online.feature
+++ b/turmerictally/tests/features/online.feature
@@ -44,3 +44,8 @@
     When every server fails all requests
     Then attempts stay below 1.2 for each request
     But without a budget they reach 3 for each request
+
+  Scenario: Odd paths, queries and headers reach a service unchanged
+    When requests with reserved characters, other alphabets and dot segments are sent
+    Then the service got each path as one path
+    And dot segments were refused as not run
--- a/turmerictally/tests/features/steps/online_steps.py
+++ b/turmerictally/tests/features/steps/online_steps.py
@@ -465,3 +465,46 @@
 @behave.then("without a budget they reach {count:d} for each request")
 def attempts_unbounded(context, count):
     assert amplification(budget=False) == count
+
+
+@behave.when(
+    "requests with reserved characters, other alphabets and dot segments are sent"
+)
+def odd_requests(context):
+    paths = ["/stock/a?b", "/stock/a#b", "/stock/50%25", "/stock/ñ é", "/stock/../x"]
+    context.outcomes = []
+
+    async def main(fleet):
+        await fleet.add_service(A)
+        host = await fleet.add_host("h0", poll=False)
+        for number, path in enumerate(paths):
+            request = online.confirm(
+                f"r{number}",
+                key="",
+                path=path,
+                method="GET",
+                idempotent=True,
+                query="q=%26&z=1",
+                headers=(("x-name", "Mañana ☂"),),
+            )
+            context.outcomes.append(await outcome_of(host, request))
+        context.urls = [e.request.url for e in fleet.exchanges]
+
+    online.run(main)
+
+
+@behave.then("the service got each path as one path")
+def one_path(context):
+    got = [url.raw_path for url in context.urls]
+    query = b"?q=%26&z=1"
+    want = [b"/stock/a%3Fb", b"/stock/a%23b", b"/stock/50%2525"]
+    want.append(b"/stock/%C3%B1%20%C3%A9")
+    assert got == [path + query for path in want], got
+    assert all(o.status == 200 for o in context.outcomes[:4]), context.outcomes
+
+
+@behave.then("dot segments were refused as not run")
+def dots_refused(context):
+    refused = context.outcomes[-1]
+    assert refused.kind is errors.Kind.BAD_REQUEST
+    assert refused.ran is errors.Ran.NOT_RUN
