Store claims' ends before a planned stop; no batch on servers without a report

Cause: an answer that the platform had not taken yet was lost by a planned stop, and a batch owner filled a server up to a guessed capacity before its first report. Change: the stop waits up to 5 s for claims to be stored; batch needs a fresh report; circuits of servers that left are forgotten. Conclusion: a resend after a planned stop gets the stored answer (idempotency.feature).

--- a/turmerictally/online/assembly.py
+++ b/turmerictally/online/assembly.py
@@ -15,6 +15,9 @@
 from turmerictally.platform import budget, guard
 from turmerictally.routing import engines, headroom, polling, router, servers
 
+# Time in seconds for a stopping host to store the ends of claimed requests.
+CLAIMS_TIMEOUT_S = 5.0
+
 
 @attrs.define
 class Online:
@@ -46,8 +49,10 @@
                 await self.engines.aclose()
 
     async def stop(self) -> None:
-        """Hand the batch work back."""
+        """Hand the batch work back and store what is known of claimed requests."""
         self.gate.give_all_back()
+        with trio.move_on_after(CLAIMS_TIMEOUT_S):
+            await self.claims.drain()
 
 
 def build(
--- a/turmerictally/online/idempotency.py
+++ b/turmerictally/online/idempotency.py
@@ -134,6 +134,11 @@
         claim.not_run = ran is errors.Ran.NOT_RUN
         await self._settle(claim)
 
+    async def drain(self) -> None:
+        """Wait until every claim's end is stored, as before a planned stop."""
+        while self.held:
+            await trio.sleep(MIN_PAUSE_S)
+
     async def handle_query(self, caller: calls.Caller, body: bytes) -> bytes:
         """Tell another host the state of a claim held here."""
         query = routing_pb2.IdempotencyQuery.FromString(body)
--- a/turmerictally/routing/headroom.py
+++ b/turmerictally/routing/headroom.py
@@ -268,7 +268,10 @@
         if self.stopping or server is None or model not in server.models:
             return False
         held = address in self.state and self.state[address].hold_until > now
-        usable = self.router.servers.takes_work(address)
+        loads = self.router.loads
+        # Without a report nobody knows how much room the server has.
+        known = loads.fresh(loads.server(address).polled, now) is not None
+        usable = known and self.router.servers.takes_work(address)
         return usable and not held and self.router.health.allows(address, now)
 
     async def _wait(self, model: str) -> Slot:
--- a/turmerictally/routing/polling.py
+++ b/turmerictally/routing/polling.py
@@ -86,6 +86,7 @@
         self.router.loads.retain(known)
         for gone in self.polls.keys() - known:
             del self.polls[gone]
+            self.router.health.forget(gone)
         self.listed.set()
 
     async def poll(self, address: str) -> None:
--- a/turmerictally/tests/features/idempotency.feature
+++ b/turmerictally/tests/features/idempotency.feature
@@ -18,6 +18,10 @@
     Then the first is refused as not run and did not run
     And the second is answered and stored once the platform is back
 
+  Scenario: A planned stop stores the answers that the platform did not take yet
+    When a host drains its claims while the platform comes back
+    Then another host replays the answer after the stop
+
   Scenario: An abandoned claim can be taken over by another host
     When a claim's answer is lost, the platform goes down and the caller moves on
     Then another host runs the confirmation once
--- a/turmerictally/tests/features/steps/idempotency_steps.py
+++ b/turmerictally/tests/features/steps/idempotency_steps.py
@@ -153,6 +153,32 @@
     assert context.count == 1
 
 
+@behave.when("a host drains its claims while the platform comes back")
+def drains(context):
+    async def main(fleet, service, hosts, found):
+        service.faults.answer_delay_s = 0.5
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(attempt, hosts[0], online.confirm(), found)
+            await trio.sleep(0.2)
+            fleet.platform.table.faults.down = True
+        with trio.move_on_after(0.5):
+            await hosts[0].claims.drain()
+        context.held = len(hosts[0].claims.held)
+        fleet.platform.table.faults.down = False
+        await hosts[0].claims.drain()
+        fleet.kill("h0")
+        await attempt(hosts[1], online.confirm(), found)
+
+    context.found, context.count = outcomes(main)
+
+
+@behave.then("another host replays the answer after the stop")
+def replayed_after_stop(context):
+    assert context.held == 1
+    assert [answer.replayed for answer in context.found] == [False, True]
+    assert context.count == 1
+
+
 @behave.when("a claim's answer is lost, the platform goes down and the caller moves on")
 def abandoned_claim(context):
     async def main(fleet, service, hosts, found):
