Wire measurements, explain and certificate reload into the host

Nothing fed the measurements yet, and a listener read its certificate once. Count requests, refusals, retries and decisions on the online path, serve /metrics, /v1/explain and /v1/measures to operators, and let listeners follow their files. A request counts as offered to its team's limit once it was admitted, not when its timer starts; the metrics test admits its requests accordingly.

--- a/turmerictally/batch/sender.py
+++ b/turmerictally/batch/sender.py
@@ -60,6 +60,7 @@
     view: collections.abc.Callable[[], model.View]
     clock: clocks.Clock
     item_timeout_s: float
+    took: collections.abc.Callable[[float], None] = lambda seconds: None
     sent: int = 0
     model_items: items.Items = attrs.field(init=False)
 
@@ -76,11 +77,13 @@
     async def send(self, item: files.Item, slot: capacity.Slot) -> capacity.ItemResult:
         """Send an item; raises ``errors.Error`` with a true ``ran``."""
         self.sent += 1
+        started_at = self.clock.monotonic()
         request = self._request(item)
         if slot.backend is None:
             answer = await self.pipeline.run(request)
         else:
             answer = await self._send_to(item, request, slot.backend)
+        self.took(self.clock.monotonic() - started_at)
         return capacity.ItemResult(answer.status, _decode(answer.body))
 
     async def _send_to(
--- a/turmerictally/cli/commands.py
+++ b/turmerictally/cli/commands.py
@@ -80,5 +80,7 @@
     "audit": verbs.audit,
     "status": verbs.status,
     "standin": standin.Standin(),
+    "measures": verbs.measures,
+    "explain": verbs.explain,
     "bench": measure.bench,
 }
--- a/turmerictally/cli/verbs.py
+++ b/turmerictally/cli/verbs.py
@@ -226,6 +226,18 @@
     client.show(found["data"], json)
 
 
+def explain(id, operator=None, operator_key=None, json=False):
+    """Tell what was decided for a request or job, and why."""
+    path = f"/v1/explain/{_quote(id)}"
+    found = client.call("GET", path, operator, operator_key)
+    client.show(found["data"], json)
+
+
+def measures(operator=None, operator_key=None, json=False):
+    """Show latency over the fleet, the worst-served team and wrongful refusals."""
+    client.show(client.call("GET", "/v1/measures", operator, operator_key), json)
+
+
 def status(operator=None, operator_key=None, json=False):
     """Show the fleet at a glance."""
     client.show(client.call("GET", "/v1/status", operator, operator_key), json)
--- a/turmerictally/frontend/app.py
+++ b/turmerictally/frontend/app.py
@@ -81,6 +81,7 @@
 async def _start_request() -> None:
     request_id = _request_id(quart.request.headers)
     quart.g.request_id = request_id
+    quart.g.started_at = services.current().clock.monotonic()
     log.request_id.set(request_id)
     _refuse_ambiguous_framing(quart.request.headers)
     running = services.current().running
@@ -116,6 +117,7 @@
 
 async def answer_error(error: errors.Error) -> quart.Response:
     """Return the answer of the table for an error."""
+    _count(error)
     body = json.dumps(error.body())
     response = quart.Response(
         body, status=error.status, content_type="application/json"
@@ -124,6 +126,22 @@
     return response
 
 
+def _count(error: errors.Error) -> None:
+    """Count an error towards callers and record it for its request."""
+    parts = quart.current_app.extensions.get("services")
+    request_id = quart.g.get("request_id")
+    if parts is None or request_id is None:
+        return
+    parts.metrics.refuse(quart.g.get("team", ""), error.kind)
+    parts.metrics.decisions.record(
+        request_id,
+        "refused",
+        kind=error.kind.value,
+        ran=error.ran.value,
+        detail=error.detail,
+    )
+
+
 async def answer_http(error: werkzeug.exceptions.HTTPException) -> quart.Response:
     """Return the answer for an error of the HTTP library."""
     kind = _HTTP_KINDS.get(error.code or 500, errors.Kind.BAD_REQUEST)
--- a/turmerictally/frontend/auth.py
+++ b/turmerictally/frontend/auth.py
@@ -10,6 +10,8 @@
 from turmerictally import errors
 from turmerictally.config import keys, model
 from turmerictally.frontend import services
+from turmerictally.metrics import host as metrics_host
+from turmerictally.metrics import latency
 
 BEARER = "bearer "
 
@@ -19,6 +21,7 @@
     """Hold who runs a request; ``withdrawn`` is set when the key stops working."""
 
     identity: keys.Identity | None
+    timer: metrics_host.Timer
     withdrawn: trio.Event = attrs.Factory(trio.Event)
     stack: contextlib.ExitStack = attrs.Factory(contextlib.ExitStack)
 
@@ -48,8 +51,12 @@
 
 def open_session(identity: keys.Identity | None) -> Session:
     """Return a session that the caller of this function must close."""
-    session = Session(identity)
     parts = services.current()
+    team = identity.team if identity else ""
+    quart.g.team = team
+    started_at = quart.g.started_at
+    timer = parts.metrics.start(team, latency.Work.ONLINE, started_at)
+    session = Session(identity, timer)
     session.stack.enter_context(parts.running)
     if identity is not None:
         session.stack.enter_context(parts.keyring.follow(identity, session.withdrawn))
--- a/turmerictally/frontend/models.py
+++ b/turmerictally/frontend/models.py
@@ -7,7 +7,7 @@
 from turmerictally import errors
 from turmerictally.config import model
 from turmerictally.frontend import auth, bodies, services
-from turmerictally.online import messages
+from turmerictally.online import events, messages
 
 blueprint = quart.Blueprint("models", __name__)
 
@@ -79,6 +79,7 @@
     session = auth.open_session(identity)
     try:
         await parts.limiter.admit(identity.contract, deadline=deadline)
+        parts.metrics.admit(identity.team)
         answer = await parts.pipeline.run(
             messages.Request(
                 request_id=quart.g.request_id,
@@ -134,6 +135,7 @@
         response = quart.Response(_relay(answer, session), status=answer.status)
     else:
         session.close()
+        session.timer.finish()
         response = quart.Response(answer.body, status=answer.status)
         if answer.replayed:
             response.headers["x-turmerictally-replayed"] = "true"
@@ -148,12 +150,18 @@
 async def _relay(
     answer: messages.StreamAnswer, session: auth.Session
 ) -> collections.abc.AsyncIterator[bytes]:
+    error = errors.Error(errors.Kind.CANCELLED)
     try:
+        chunk = b""
         async for chunk in answer:
+            session.timer.token()
             yield chunk
+        is_whole = chunk.endswith(events.DONE)
+        error = None if is_whole else errors.Error(errors.Kind.ANSWER_INCOMPLETE)
     finally:
         answer.cancel()
         session.close()
+        session.timer.finish(error)
 
 
 def _describe(name: str) -> dict:
--- a/turmerictally/frontend/services.py
+++ b/turmerictally/frontend/services.py
@@ -8,6 +8,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally import settings as settings_module
+from turmerictally.metrics import host as metrics_host
 
 
 @attrs.define
@@ -38,6 +39,7 @@
     executor: typing.Any
     peers: typing.Any
     readiness: collections.abc.Callable[[], str | None]
+    metrics: metrics_host.Metrics
     running: Running = attrs.Factory(Running)
 
 
--- a/turmerictally/host.py
+++ b/turmerictally/host.py
@@ -15,8 +15,10 @@
 from turmerictally.frontend import app as frontend
 from turmerictally.frontend import services
 from turmerictally.limits import assembly as limits_assembly
+from turmerictally.metrics import host as metrics_host
 from turmerictally.online import assembly as online_assembly
 from turmerictally.operators import app as operators
+from turmerictally.operators import insight
 from turmerictally.peers import calls, handshake, transport
 from turmerictally.platform import budget, client, guard, hosts, table
 
@@ -39,6 +41,7 @@
         self.stopping = False
         self.stopped = trio.Event()
         self.scope = trio.CancelScope()
+        self.metrics = metrics_host.Metrics(config.metrics, self.clock)
         self.listeners: list[listener.Listener] = []
         self.entry_url = ""
         self.operator_url = ""
@@ -130,14 +133,20 @@
             self.peers,
             self.clock,
             self.rng,
+            record=self.metrics.observe,
         )
         self._build_batch()
+        insight.register(self.peers, self.metrics)
 
     def _build_batch(self) -> None:
         config = self.settings
         self.batch = self._store(budget.Lane.ONLINE)
         sending = sender.Sender(
-            self.online.pipeline, self._view, self.clock, config.online.deadline_s
+            self.online.pipeline,
+            self._view,
+            self.clock,
+            config.online.deadline_s,
+            self.metrics.item_took,
         )
         gate = sender.Gate(
             self.online.gate, self._view, config.batch.max_concurrent_items
@@ -174,7 +183,11 @@
 
     async def _start_listeners(self, nursery: trio.Nursery) -> None:
         config = self.settings
-        limits = listener.Limits(config.listen.idle_timeout_s, config.stop.drain_s)
+        limits = listener.Limits(
+            config.listen.idle_timeout_s,
+            config.stop.drain_s,
+            certificate_reload_s=config.tls.reload_s,
+        )
         callers = listener.Listener(
             frontend.make_app(self._services()),
             config.listen.callers,
@@ -203,6 +216,7 @@
             executor=self.executor,
             peers=self.peers,
             readiness=self.readiness,
+            metrics=self.metrics,
         )
 
     def readiness(self) -> str | None:
--- a/turmerictally/listener.py
+++ b/turmerictally/listener.py
@@ -4,11 +4,10 @@
 import typing
 
 import attrs
-import hypercorn.config
 import hypercorn.trio
 import trio
 
-from turmerictally import settings
+from turmerictally import settings, tls
 
 logger = logging.getLogger(__name__)
 
@@ -20,6 +19,7 @@
     idle_timeout_s: float = 75.0
     drain_s: float = 60.0
     max_header_bytes: int = 64 * 1024
+    certificate_reload_s: float = 30.0
 
 
 @attrs.frozen
@@ -72,31 +72,34 @@
     async def _serve(
         self, task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        await hypercorn.trio.serve(
-            Whole(self.app),
-            self._config(),
-            shutdown_trigger=self.stopping.wait,
-            task_status=task_status,
-            mode="asgi",
-        )
+        config = self._config()
+        async with trio.open_nursery() as nursery:
+            if config.certificate is not None:
+                nursery.start_soon(config.certificate.run)
+            await hypercorn.trio.serve(
+                Whole(self.app),
+                config,
+                shutdown_trigger=self.stopping.wait,
+                task_status=task_status,
+                mode="asgi",
+            )
+            nursery.cancel_scope.cancel()
 
     def stop(self) -> None:
         """Accept no new connections and let running requests end."""
         self.stopping.set()
 
-    def _config(self) -> hypercorn.config.Config:
-        config = hypercorn.config.Config()
+    def _config(self) -> tls.Config:
+        config = tls.Config()
         config.bind = [self.address]
         config.accesslog = None
         config.errorlog = logging.getLogger("turmerictally.listener")
         config.include_server_header = False
-        config.alpn_protocols = ["http/1.1"]
         config.keep_alive_timeout = self.limits.idle_timeout_s
         config.graceful_timeout = self.limits.drain_s
         config.shutdown_timeout = self.limits.drain_s
         config.h11_max_incomplete_size = self.limits.max_header_bytes
         config.backlog = 1024
-        if self.tls.certificate:
-            config.certfile = self.tls.certificate
-            config.keyfile = self.tls.key
+        reload_s = self.limits.certificate_reload_s
+        config.certificate = tls.certificate(self.tls, reload_s)
         return config
--- a/turmerictally/metrics/exposition.py
+++ b/turmerictally/metrics/exposition.py
@@ -49,6 +49,7 @@
     platform: guard.Guard | None = None
     peers: traffic.Traffic | None = None
     control_cpu_s: collections.abc.Callable[[], float] | None = None
+    batch: collections.abc.Callable[[], dict[str, int]] | None = None
 
 
 @attrs.frozen
@@ -99,6 +100,9 @@
         yield from _control(sources.peers)
     if sources.control_cpu_s is not None:
         yield _counter("control_cpu_seconds", [], [((), sources.control_cpu_s())])
+    if sources.batch is not None:
+        values = [((event,), n) for event, n in sources.batch().items()]
+        yield _counter("batch_events", ["event"], values)
 
 
 def _latency(histograms: latency.Histograms) -> Family:
@@ -154,9 +158,6 @@
     yield _counter("refusals", ["kind"], refused)
     retries = [((reason,), n) for reason, n in metrics.retries.items()]
     yield _counter("retries", ["reason"], retries)
-    items = [((outcome,), n) for outcome, n in metrics.batch_items.items()]
-    yield _counter("batch_items", ["outcome"], items)
-    yield _counter("yields", [], [((), metrics.yields)])
     yield _counter("cut_answers", [], [((), metrics.cut_answers)])
 
 
--- a/turmerictally/metrics/host.py
+++ b/turmerictally/metrics/host.py
@@ -35,14 +35,18 @@
         self.requests: collections.Counter[Request] = collections.Counter()
         self.refused: collections.Counter[errors.Kind] = collections.Counter()
         self.retries: collections.Counter[str] = collections.Counter()
-        self.yields = 0
         self.cut_answers = 0
-        self.batch_items: collections.Counter[str] = collections.Counter()
 
-    def start(self, team: str, work: latency.Work) -> "Timer":
-        """Begin timing one admitted request."""
-        self.refusals.count(team, refused=False)
-        return Timer(self, team, work)
+    def start(
+        self, team: str, work: latency.Work, started_at: float | None = None
+    ) -> "Timer":
+        """Begin timing one request, at a monotonic instant in the past if given."""
+        return Timer(self, team, work, started_at)
+
+    def admit(self, team: str) -> None:
+        """Count one request that its team's limit let in."""
+        if team:
+            self.refusals.count(team, refused=False)
 
     def refuse(self, team: str, kind: errors.Kind) -> None:
         """Count one refusal; ``team`` is empty when no key was valid."""
@@ -50,19 +54,36 @@
         if team and kind in _LIMIT_KINDS:
             self.refusals.count(team, refused=True)
 
-    def retry(self, reason: str) -> None:
-        """Count one retry; reasons must be few."""
-        self.retries[reason] += 1
+    def item_took(self, seconds: float) -> None:
+        """Record the time of one batch item's whole answer."""
+        self.latencies.record(
+            latency.Measure.WHOLE_ANSWER, latency.Work.BATCH, latency.OTHER, seconds
+        )
+
+    def observe(self, request_id: str, event: str, **fields: object) -> None:
+        """Record a decision of the online path and count what it means."""
+        self.decisions.record(request_id, event, **fields)
+        if event == "attempt" and fields.get("number", 1) != 1:
+            self.retries["attempt"] += 1
+        elif event == "stream_cut":
+            self.retries["stream"] += 1
 
 
 class Timer:
     """Time one request: its first token, gaps between tokens and whole answer."""
 
-    def __init__(self, metrics: Metrics, team: str, work: latency.Work) -> None:
+    def __init__(
+        self,
+        metrics: Metrics,
+        team: str,
+        work: latency.Work,
+        started_at: float | None = None,
+    ) -> None:
         self.metrics = metrics
         self.team = team
         self.work = work
-        self.started_at = metrics.clock.monotonic()
+        now = metrics.clock.monotonic()
+        self.started_at = now if started_at is None else started_at
         self.last_at: float | None = None
         self.tokens = 0
 
--- a/turmerictally/operators/app.py
+++ b/turmerictally/operators/app.py
@@ -12,7 +12,7 @@
 from turmerictally.config import model
 from turmerictally.frontend import app as frontend
 from turmerictally.frontend import bodies
-from turmerictally.operators import auth, fleet, work
+from turmerictally.operators import auth, fleet, insight, work
 
 logger = logging.getLogger(__name__)
 
@@ -33,6 +33,7 @@
     app.register_blueprint(blueprint)
     app.register_blueprint(fleet.blueprint)
     app.register_blueprint(work.blueprint)
+    app.register_blueprint(insight.blueprint)
     return app
 
 
--- a/turmerictally/peers/calls.py
+++ b/turmerictally/peers/calls.py
@@ -24,6 +24,7 @@
     JOB_READY = 51  # batch: a job was accepted
     STATUS = 60  # operators: a host's status, metrics and versions
     EXPLAIN = 61  # operators: decisions recorded for one id
+    MEASURES = 62  # operators: histograms and refusals by team
 
 
 @attrs.frozen
--- /dev/null
+++ b/turmerictally/tests/features/steps/insight_steps.py
@@ -0,0 +1,97 @@
+"""Steps for what operators see."""
+
+import json
+
+import behave
+import httpx
+import prometheus_client.parser
+
+from turmerictally.tests.support import deployment
+
+CHAT = "/v1/chat/completions"
+BODY = {
+    "model": deployment.MODEL,
+    "messages": [{"role": "user", "content": "explain"}],
+    "max_tokens": 8,
+}
+
+
+def post(fleet, number, body, key):
+    headers = {"authorization": f"Bearer {key}", "x-request-id": f"n{number}"}
+    url = fleet.summary["entry"][number % 2] + CHAT
+    return httpx.post(url, json=body, headers=headers, timeout=60, trust_env=False)
+
+
+def operator(fleet, host, path, key=None):
+    url = fleet.demo.hosts[host].operator_url
+    headers = {"authorization": f"Bearer {key or fleet.summary['operator_key']}"}
+    return httpx.get(url + path, headers=headers, timeout=60, trust_env=False)
+
+
+@behave.when("callers send good, streamed and refused requests to both hosts")
+def send(context):
+    red, blue = context.fleet.key("red"), context.fleet.key("blue")
+    context.ids = []
+    for number in range(6):
+        body = BODY | {"stream": number % 3 == 0}
+        answer = post(context.fleet, number, body, red)
+        assert answer.status_code == 200, answer.text
+        context.ids.append(answer.headers["x-request-id"])
+    statuses = [post(context.fleet, n, BODY, blue).status_code for n in range(8)]
+    context.refused = statuses.count(429)
+    assert context.refused > 0
+    assert post(context.fleet, 0, BODY, "no-such-key").status_code == 401
+
+
+@behave.then("any host explains a request that another one ran")
+def explained(context):
+    for host in (0, 1):
+        for request_id in context.ids:
+            answer = operator(context.fleet, host, f"/v1/explain/{request_id}")
+            events = [row["event"] for row in answer.json()["data"]]
+            assert events[:2] == ["placed", "attempt"], events
+            server = answer.json()["data"][1]["fields"]["server"]
+            assert server.startswith("127.0.0.1:")
+
+
+@behave.then("an unknown id is answered as not found")
+def unknown(context):
+    assert operator(context.fleet, 0, "/v1/explain/none").status_code == 404
+
+
+@behave.then("the scraped text counts requests, refusals and platform calls")
+def counted(context):
+    totals = {}
+    for host in (0, 1):
+        text = operator(context.fleet, host, "/metrics").text
+        for family in prometheus_client.parser.text_string_to_metric_families(text):
+            for sample in family.samples:
+                key = (sample.name, *sorted(sample.labels.values()))
+                totals[key] = totals.get(key, 0) + sample.value
+    prefix = "turmerictally_"
+    assert totals[f"{prefix}refusals_total", "rate_limited"] == context.refused
+    assert totals[f"{prefix}refusals_total", "unauthenticated"] == 1
+    served = 6 + 8 - context.refused
+    assert totals[f"{prefix}requests_total", "online", "whole"] == served
+    assert totals[f"{prefix}latency_seconds_count", "first_token", "online"] == 2
+    assert any(key[0] == f"{prefix}platform_calls_total" for key in totals)
+    assert any(key[0] == f"{prefix}control_bytes_total" for key in totals)
+
+
+@behave.then("the measures merge both hosts and hold no key")
+def measured(context):
+    answer = operator(context.fleet, 1, "/v1/measures")
+    found = answer.json()
+    assert found["hosts_answered"] == 2
+    whole = found["latency"]["online whole_answer"]
+    assert whole["count"] == 14 - context.refused and whole["p50"] > 0
+    text = json.dumps(found) + operator(context.fleet, 0, "/metrics").text
+    for key in context.fleet.summary["keys"].values():
+        assert key not in text
+
+
+@behave.then("a caller's key does not open the operators' pages")
+def closed(context):
+    key = context.fleet.key("red")
+    for path in ("/metrics", "/v1/measures", "/v1/explain/x"):
+        assert operator(context.fleet, 0, path, key).status_code == 401
--- a/turmerictally/tests/features/steps/metrics_steps.py
+++ b/turmerictally/tests/features/steps/metrics_steps.py
@@ -125,16 +125,18 @@
     for team, wait in (("good", 0.1), ("bad", 1.5)):
         for _ in range(30):
             timer = context.metrics.start(team, ONLINE)
+            context.metrics.admit(team)
             context.clock.now += wait
             for _ in range(10):
                 timer.token()
                 context.clock.now += 0.02
             timer.finish()
             context.clock.now += 1
+    context.metrics.admit("good")
     cut = context.metrics.start("good", ONLINE)
     cut.finish(errors.Error(errors.Kind.ANSWER_INCOMPLETE))
     context.metrics.refuse("good", errors.Kind.RATE_LIMITED)
-    context.metrics.retry('connect "x"\n')
+    context.metrics.observe("r", "attempt", number=2)
     context.guard = guard.Guard(built.platform, now=context.clock)
     context.guard.counts[guard.CallCount("table", "control", "answered")] = 3
     context.traffic = traffic.Traffic()
@@ -144,7 +146,11 @@
 @behave.then("the text holds each of them and parses as published")
 def scraped(context):
     sources = exposition.Sources(
-        context.metrics, context.guard, context.traffic, lambda: 1.25
+        context.metrics,
+        context.guard,
+        context.traffic,
+        lambda: 1.25,
+        lambda: {"yielded": 4},
     )
     text = trio.run(exposition.text, sources).decode()
     families = prometheus_client.parser.text_string_to_metric_families(text)
@@ -155,6 +161,8 @@
     }
     prefix = "turmerictally_"
     assert found[f"{prefix}cut_answers_total",] == 1
+    assert found[f"{prefix}batch_events_total", "yielded"] == 4
+    assert found[f"{prefix}retries_total", "attempt"] == 1
     assert found[f"{prefix}refusals_total", "rate_limited"] == 1
     assert found[f"{prefix}control_bytes_total", "ping", "sent"] == 80
     assert found[f"{prefix}control_cpu_seconds_total",] == 1.25
--- a/turmerictally/tls.py
+++ b/turmerictally/tls.py
@@ -11,7 +11,7 @@
 
 logger = logging.getLogger(__name__)
 
-ALPN_PROTOCOLS = ["h2", "http/1.1"]
+ALPN_PROTOCOLS = ["http/1.1"]
 
 
 class Certificate:
