Explain batch jobs and write down what explain shows

explain knew requests only. Record claims, ends, stops and lapsed leases of a job's ranges under the job's id.

--- a/turmerictally/batch/executor.py
+++ b/turmerictally/batch/executor.py
@@ -23,6 +23,7 @@
     work,
 )
 from turmerictally.config import model
+from turmerictally.online import messages
 from turmerictally.peers import calls
 from turmerictally.platform import table
 
@@ -55,6 +56,7 @@
     hosts: collections.abc.Callable[[], int]
     idempotent: collections.abc.Callable[[files.Item], bool]
     rng: random.Random
+    record: collections.abc.Callable[..., None] = messages.ignore
     chooser: choice.Choice = attrs.field(init=False)
     cancels: cancel.Poll = attrs.field(init=False)
     held: lease.Lease | None = None
@@ -130,6 +132,7 @@
                     break
         for running in self.works.values():
             self.tally.wasted += len(running.pending)
+            self._record(running, "lease_lapsed")
         scope.cancel()
 
     async def _watch(self) -> None:
@@ -209,6 +212,7 @@
         """Stop a cancelled job's ranges on this host."""
         for running in list(self.works.values()):
             if running.job.id == job_id:
+                self._record(running, "stopped")
                 running.stop()
 
     async def _claim(self, nursery: trio.Nursery) -> None:
@@ -262,6 +266,7 @@
         file = self.chooser.file(claimed.stored.job)
         running = work.Work(self.shared, claimed, file)
         self.works[claimed.key] = running
+        self._record(running, "claimed", suspect=claimed.suspect)
         nursery.start_soon(self._work, running)
         return True
 
@@ -274,12 +279,19 @@
             logger.exception("Range %s failed.", running.claim.key)
             await trio.sleep(IDLE_MAX_S)
             await running.abandon()
+        state = running.claim.range.state.value
+        self._record(running, "range_ended", state=state)
         self.works.pop(running.claim.key, None)
         self.chooser.learn(open_items, self.clock.monotonic() - started)
         if running.claim.range.state is records.RangeState.DONE:
             await self._finish(running.claim.stored)
         self.wake.set()
 
+    def _record(self, running: work.Work, event: str, **fields: object) -> None:
+        """Record a decision about a range under its job's id."""
+        key = running.claim.key
+        self.record(running.job.id, event, range=key, host=self.host_id, **fields)
+
     async def _finish(self, stored: jobs.Stored) -> None:
         """Complete the job if this was its last range."""
         try:
--- a/turmerictally/host.py
+++ b/turmerictally/host.py
@@ -163,6 +163,7 @@
             hosts=lambda: 1 + len(self.configuration.members.live()),
             idempotent=lambda item: sender.is_idempotent(self._view(), item),
             rng=self.rng,
+            record=self.metrics.decisions.record,
         )
         self.executor.serve(self.peers)
         self.collector = collector.Collector(
--- a/turmerictally/tests/features/steps/insight_steps.py
+++ b/turmerictally/tests/features/steps/insight_steps.py
@@ -1,6 +1,7 @@
 """Steps for what operators see."""
 
 import json
+import time
 
 import behave
 import httpx
@@ -8,6 +9,7 @@
 
 from turmerictally.tests.support import deployment
 
+POLLS = 600
 CHAT = "/v1/chat/completions"
 BODY = {
     "model": deployment.MODEL,
@@ -54,6 +56,26 @@
             assert server.startswith("127.0.0.1:")
 
 
+@behave.then("a finished job is explained with its range and host")
+def job_explained(context):
+    client = context.fleet.client()
+    item = {"custom_id": "c", "method": "POST", "url": CHAT, "body": BODY}
+    data = json.dumps(item).encode()
+    file = client.files.create(file=("items.jsonl", data), purpose="batch")
+    job = client.batches.create(
+        input_file_id=file.id, endpoint=CHAT, completion_window="24h"
+    )
+    for _ in range(POLLS):
+        if client.batches.retrieve(job.id).status == "completed":
+            break
+        time.sleep(0.1)
+    for host in (0, 1):
+        rows = operator(context.fleet, host, f"/v1/explain/{job.id}").json()["data"]
+        assert [row["event"] for row in rows] == ["claimed", "range_ended"], rows
+        assert rows[1]["fields"]["state"] == "done", rows
+        assert rows[0]["fields"]["host"] == rows[1]["fields"]["host"]
+
+
 @behave.then("an unknown id is answered as not found")
 def unknown(context):
     assert operator(context.fleet, 0, "/v1/explain/none").status_code == 404
