Take orders from operators and carry them out on every host

Cause: the orders package was not reachable: no host ran it, no operator could give an order. Change: hosts run the orders, the operators' listener and `order` verbs take them, accepted and refused orders are audited once each. The test runner cuts long failure texts.

--- a/turmerictally/cli/commands.py
+++ b/turmerictally/cli/commands.py
@@ -75,6 +75,7 @@
     "config": verbs.Config(),
     "host": verbs.Host(),
     "server": verbs.Server(),
+    "order": verbs.Order(),
     "service": verbs.Service(),
     "route": verbs.Route(),
     "audit": verbs.audit,
--- a/turmerictally/cli/verbs.py
+++ b/turmerictally/cli/verbs.py
@@ -1,6 +1,7 @@
 """Offer the operators' verbs; each talks to an entry host's operator listener."""
 
 import datetime
+import secrets
 import sys
 import urllib.parse
 
@@ -168,6 +169,48 @@
         _print_outcome(found["outcome"], json)
 
 
+class Order:
+    """Give orders to engines; an order's id makes repeating it harmless."""
+
+    def load(
+        self,
+        server,
+        name,
+        version,
+        id=None,
+        operator=None,
+        operator_key=None,
+        json=False,
+    ):
+        """Load a version of a model or adapter on a backend server."""
+        body = {"action": "load", "server": server, "name": str(name)}
+        body["version"] = str(version)
+        _submit(body, id, operator, operator_key, json)
+
+    def unload(
+        self, server, name, id=None, operator=None, operator_key=None, json=False
+    ):
+        """Unload a model; refused on the last server that offers it."""
+        body = {"action": "unload", "server": server, "name": str(name)}
+        _submit(body, id, operator, operator_key, json)
+
+    def role(self, server, name, id=None, operator=None, operator_key=None, json=False):
+        """Change the role of a backend server."""
+        body = {"action": "role", "server": server, "name": str(name)}
+        _submit(body, id, operator, operator_key, json)
+
+    def show(self, server, operator=None, operator_key=None, json=False):
+        """Show the pending and the ended orders of a backend server."""
+        path = f"/v1/orders/{_quote(server)}"
+        client.show(client.call("GET", path, operator, operator_key), json)
+
+
+def _submit(body, order_id, operator, operator_key, json) -> None:
+    body["id"] = str(order_id) if order_id else f"order-{secrets.token_hex(6)}"
+    found = client.call("POST", "/v1/orders", operator, operator_key, body=body)
+    client.show(found, json)
+
+
 class Service:
     """Manage services."""
 
--- a/turmerictally/host.py
+++ b/turmerictally/host.py
@@ -19,6 +19,7 @@
 from turmerictally.online import assembly as online_assembly
 from turmerictally.operators import app as operators
 from turmerictally.operators import insight
+from turmerictally.orders import assembly as orders_assembly
 from turmerictally.peers import calls, handshake, transport
 from turmerictally.platform import budget, client, guard, hosts, table
 
@@ -84,6 +85,7 @@
         nursery.start_soon(self.limits.run)
         await nursery.start(self.online.run)
         nursery.start_soon(self.executor.run)
+        nursery.start_soon(self.orders.run)
         nursery.start_soon(self.collector.run)
         nursery.start_soon(self._register, hosts.Status.LIVE)
         await self._start_listeners(nursery)
@@ -135,6 +137,16 @@
             self.rng,
             record=self.metrics.observe,
         )
+        self.orders = orders_assembly.build(
+            config,
+            self.instance,
+            platform,
+            members,
+            replica,
+            self.online.servers,
+            self.configuration.trail,
+            self.clock,
+        )
         self._build_batch()
         insight.register(self.peers, self.metrics)
 
--- a/turmerictally/operators/app.py
+++ b/turmerictally/operators/app.py
@@ -12,7 +12,7 @@
 from turmerictally.config import model
 from turmerictally.frontend import app as frontend
 from turmerictally.frontend import bodies
-from turmerictally.operators import auth, fleet, insight, work
+from turmerictally.operators import auth, fleet, insight, orders, work
 
 logger = logging.getLogger(__name__)
 
@@ -34,6 +34,7 @@
     app.register_blueprint(fleet.blueprint)
     app.register_blueprint(work.blueprint)
     app.register_blueprint(insight.blueprint)
+    app.register_blueprint(orders.blueprint)
     return app
 
 
--- a/turmerictally/tests/features/steps/whole_path_steps.py
+++ b/turmerictally/tests/features/steps/whole_path_steps.py
@@ -9,6 +9,7 @@
 import httpx
 import openai
 
+from turmerictally.platform import weights
 from turmerictally.tests.support import deployment
 
 CHAT = "/v1/chat/completions"
@@ -335,3 +336,49 @@
             assert error.body["code"] == "platform_unavailable", error
             time.sleep(0.1)
     raise AssertionError("still refused after the outage")
+
+
+def _order(context, server, action, name, version=""):
+    body = {"id": f"{action}-{server}-{name}", "server": server, "action": action}
+    body |= {"name": name, "version": version}
+    operators = context.fleet.operators()
+    assert operators.post("/v1/orders", json=body).status_code == 200
+    for _ in range(POLLS):
+        ended = operators.post("/v1/orders", json=body).json()["ended"]
+        if ended is not None:
+            return ended["outcome"]
+        time.sleep(0.05)
+    raise AssertionError("the order did not end")
+
+
+@behave.when("the operator orders one load and then every unload")
+def order_load_and_unloads(context):
+    listed = context.fleet.operators().get("/v1/servers").json()["data"]
+    engines = [row["address"] for row in listed if row["models"]]
+    assert len(engines) == 2
+    info = weights.WeightsInfo("extra", "2", 1)
+    context.fleet.demo.platform.weights.stored[("extra", "2")] = info
+    context.loaded = _order(context, engines[0], "load", "extra", "2")
+    model = deployment.MODEL
+    context.unloads = [_order(context, each, "unload", model) for each in engines]
+
+
+@behave.then("the engine has loaded the model and one engine still offers the other")
+def order_outcomes(context):
+    assert context.loaded == "applied", context.loaded
+    assert sorted(context.unloads) == ["applied", "refused"], context.unloads
+    models = [each.models for each in context.fleet.demo.engines]
+    assert sum(1 for found in models if found.get("extra") == "2") == 1, models
+    assert sum(1 for found in models if deployment.MODEL in found) == 1, models
+
+
+@behave.then("the audit trail names the operator of each order")
+def order_audit(context):
+    for _ in range(POLLS):
+        found = context.fleet.operators().get("/v1/audit?limit=200").json()["data"]
+        orders = [e for e in found if "order" in (e["after"] or {})]
+        if len(orders) == 3:
+            break
+        time.sleep(0.05)
+    assert {entry["who"] for entry in orders} == {"demo"}, orders
+    assert len(orders) == 3, orders
--- a/turmerictally/tests/features/whole_path.feature
+++ b/turmerictally/tests/features/whole_path.feature
@@ -66,3 +66,9 @@
     Then the client gets a whole chat answer
     And a job and a change are refused as not run
     And a job is accepted after the outage
+
+  Scenario: An order reaches its engine and the last server of a model stays
+    Given a running deployment
+    When the operator orders one load and then every unload
+    Then the engine has loaded the model and one engine still offers the other
+    And the audit trail names the operator of each order
--- a/turmerictally/tests/run.py
+++ b/turmerictally/tests/run.py
@@ -8,6 +8,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 FEATURES = pathlib.Path(__file__).parent / "features"
+MAX_MESSAGE = 3000  # characters of one failure
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 
 
@@ -43,7 +44,8 @@
 def _explain(scenario) -> None:
     for step in scenario.all_steps:
         if step.error_message:
-            print(f"  {step.keyword} {step.name}\n{step.error_message}")
+            message = step.error_message[:MAX_MESSAGE]
+            print(f"  {step.keyword} {step.name}\n{message}")
 
 
 def _known_red() -> set[str]:
--- a/turmerictally/tests/support/deployment.py
+++ b/turmerictally/tests/support/deployment.py
@@ -37,6 +37,7 @@
             "stop": {"announce_s": 0.05, "drain_s": 10.0},
             "batch": {"lease_s": 1.5, "claim_poll_s": 0.1, "part_s": 0.5},
             "platform": {"timeout_s": 1.0, "backoff_max_s": 0.5},
+            "orders": {"poll_s": 0.2, "lease_s": 5.0, "send_timeout_s": 0.5},
             "listen": {"max_body_bytes": 100_000},
         }
         | host,
