Spread batch starts over 0.8 s and take in the host list by its changes

Cause: all batch items started in one instant and their prompts held up the engine's next step; every read of the host list rebuilt all groups. Change: starts on a server are paced; only changed servers are regrouped.

--- a/turmerictally/routing/headroom.py
+++ b/turmerictally/routing/headroom.py
@@ -26,7 +26,9 @@
 YIELD_INTERVAL_S = 0.02
 YIELD_TIMEOUT_S = 0.25
 # Seconds between two looks for room that opened without an event.
-WAKE_S = 0.1
+WAKE_S = 0.05
+# Seconds in which batch work fills an idle server.
+RAMP_S = 0.8
 # Seconds between two checks of who owns which servers.
 OWNERSHIP_S = 0.25
 
@@ -74,6 +76,7 @@
     slots: list[Slot] = attrs.Factory(list)
     demands: dict[str, Demand] = attrs.Factory(dict)
     hold_until: float = 0.0
+    next_start: float = 0.0
 
     def demand(self, now: float, sampled_at: float) -> int:
         """Return the announced online requests that the last report lacks."""
@@ -267,7 +270,8 @@
         server = self.router.servers.known.get(address)
         if self.stopping or server is None or model not in server.models:
             return False
-        held = address in self.state and self.state[address].hold_until > now
+        owned = self.state.get(address)
+        held = owned is not None and max(owned.hold_until, owned.next_start) > now
         loads = self.router.loads
         # Without a report nobody knows how much room the server has.
         known = loads.fresh(loads.server(address).polled, now) is not None
@@ -289,10 +293,19 @@
         if best is None or self.room(best) <= 0:
             return None
         taken = Slot(self.router.servers.known[best])
+        self._pace(best)
         self.state[best].slots.append(taken)
         self.router.loads.started(best, self.clock.monotonic(), batch=True)
         return taken
 
+    def _pace(self, address: str) -> None:
+        """Spread starts, because each prompt delays the engine's next step."""
+        now = self.clock.monotonic()
+        owned = self.state[address]
+        usable = self.router.loads.limit(address) - self._reserve(address)
+        earliest = max(owned.next_start, now - WAKE_S)
+        owned.next_start = earliest + RAMP_S / max(1, usable)
+
     def release(self, taken: Slot) -> None:
         """Let go of a slot."""
         address = taken.server.address
--- a/turmerictally/routing/servers.py
+++ b/turmerictally/routing/servers.py
@@ -1,6 +1,5 @@
 """Know the backend servers, from the host list, the configuration and reports."""
 
-import collections
 import logging
 
 import attrs
@@ -60,21 +59,62 @@
         self.listed_leaving: set[str] = set()
         self.drained: frozenset[str] = frozenset()
         self.evidence: dict[str, Evidence] = {}
-        self.groups: dict[str, dict[str, list[str]]] = {}
+        self.listed: dict[str, hosts.ListedHost] = {}
+        self.groups: dict[str, dict[str, dict[str, None]]] = {}
 
     def update(self, listed: list[hosts.ListedHost]) -> None:
-        """Replace the list; a stale list never revives a leaving instance."""
-        known = {host.address: _server(host) for host in listed}
-        leaving = {h.address for h in listed if h.status is hosts.Status.LEAVING}
-        for address in self.known.keys() - known.keys():
-            self.evidence.pop(address, None)
-        for server in known.values():
-            self._confirm(server)
-        self.listed_leaving = leaving
-        if known != self.known:
-            self.known = known
-            self.groups = _group(known)
+        """Replace the list; a stale list never revives a leaving instance.
+
+        Work grows with the number of changed servers, beside one comparison of each.
+        """
+        current = {host.address: host for host in listed}
+        before = self.listed
+        changed = [a for a, host in current.items() if before.get(a) != host]
+        gone = before.keys() - current.keys()
+        self.listed = current
+        for address in [*gone, *changed]:
+            self._replace(address, current.get(address))
+        if gone or changed:
             self.version += 1
+        for address in self.evidence.keys() & current.keys():
+            self._confirm(self.known[address])
+
+    def _replace(self, address: str, host: hosts.ListedHost | None) -> None:
+        old = self.known.pop(address, None)
+        if old is not None:
+            self._leave_groups(old)
+        self.listed_leaving.discard(address)
+        if host is None:
+            self.evidence.pop(address, None)
+            return
+        if host.status is hosts.Status.LEAVING:
+            self.listed_leaving.add(address)
+        server = _server(host)
+        seen = self.evidence.get(address)
+        relisted = old is not None and old.instance != server.instance
+        if seen is not None and relisted and seen.instance != server.instance:
+            self.evidence[address] = Evidence(instance=server.instance)
+        self.known[address] = server
+        self._join_groups(server)
+
+    def _join_groups(self, server: Server) -> None:
+        for name in _names(server):
+            domains = self.groups.setdefault(name, {})
+            domains.setdefault(server.failure_domain, {})[server.address] = None
+
+    def _leave_groups(self, server: Server) -> None:
+        for name in _names(server):
+            domains = self.groups[name]
+            del domains[server.failure_domain][server.address]
+            if not domains[server.failure_domain]:
+                del domains[server.failure_domain]
+            if not domains:
+                del self.groups[name]
+
+    def _confirm(self, server: Server) -> None:
+        seen = self.evidence[server.address]
+        if seen.instance == server.instance:
+            seen.hold_until = 0.0
 
     def set_view(self, view: model.View) -> None:
         """Take the drained servers from a configuration."""
@@ -112,18 +152,8 @@
 
     def domains(self, name: str) -> dict[str, list[str]]:
         """Return addresses by failure domain for a ``Wanted.name``."""
-        return self.groups.get(name, {})
-
-    def _confirm(self, server: Server) -> None:
-        seen = self.evidence.get(server.address)
-        if seen is None:
-            return
-        before = self.known.get(server.address)
-        relisted = before is not None and before.instance != server.instance
-        if seen.instance == server.instance:
-            seen.hold_until = 0.0
-        elif relisted:
-            self.evidence[server.address] = Evidence(instance=server.instance)
+        domains = self.groups.get(name, {})
+        return {domain: list(found) for domain, found in domains.items()}
 
 
 def _server(host: hosts.ListedHost) -> Server:
@@ -137,10 +167,6 @@
     )
 
 
-def _group(known: dict[str, Server]) -> dict[str, dict[str, list[str]]]:
-    groups: dict = collections.defaultdict(lambda: collections.defaultdict(list))
-    for server in known.values():
-        for name in ("", *server.models):
-            wanted = Wanted(server.service, name)
-            groups[wanted.name][server.failure_domain].append(server.address)
-    return {name: dict(domains) for name, domains in groups.items()}
+def _names(server: Server) -> list[str]:
+    models = ("", *server.models)
+    return [Wanted(server.service, name).name for name in dict.fromkeys(models)]
