--- a/turmerictally/routing/headroom.py
+++ b/turmerictally/routing/headroom.py
@@ -28,7 +28,7 @@
 # Seconds between two looks for room that opened without an event.
 WAKE_S = 0.05
 # Seconds in which batch work fills an idle server.
-RAMP_S = 0.8
+RAMP_S = 0.25
 # Seconds between two checks of who owns which servers.
 OWNERSHIP_S = 0.25
 
