Let operators order engines and free a dead host's slots

Cause: orders had no way in, a removed host kept its limit slots, and a host that lost an answer of the table waited out its own lease before it went on with an order.

Change: operators' listener takes and shows orders, with the audit trail; removing a host frees its slots; a holder goes on with its own lease at once.

Conclusion: orders go all the way from operator to engine.

--- a/turmerictally/operators/fleet.py
+++ b/turmerictally/operators/fleet.py
@@ -32,7 +32,8 @@
     removed = await operations.remove_host(quart.g.operator, host_id)
     if not removed:
         raise errors.Error(errors.Kind.NOT_FOUND, "No such host.")
-    return {"removed": host_id}
+    freed = await _host().limits.leases.release_dead(host_id)
+    return {"removed": host_id, "limit_slots_freed": freed}
 
 
 @blueprint.get("/v1/servers")
--- a/turmerictally/orders/assembly.py
+++ b/turmerictally/orders/assembly.py
@@ -1,7 +1,5 @@
 """Put the orders' parts of one host together."""
 
-import collections.abc
-
 import attrs
 import httpx
 import trio
@@ -12,7 +10,7 @@
 from turmerictally.config import model as configuration
 from turmerictally.membership import members
 from turmerictally.orders import engines, executor, guards, model, sheet
-from turmerictally.platform import guard, hosts, table
+from turmerictally.platform import guard, table
 from turmerictally.routing import servers
 
 RETRY_AFTER_S = 5.0
@@ -120,25 +118,6 @@
     return Orders(config.host_id, platform.table, carrying, client, trail, clock)
 
 
-def _working(
-    listed: servers.Servers,
-) -> collections.abc.Callable[[], list[hosts.ListedHost]]:
-    """Return a list of the backend servers that take work."""
-
-    def working() -> list[hosts.ListedHost]:
-        return [
-            hosts.ListedHost(
-                id=server.address,
-                instance=server.instance,
-                role=hosts.Role.BACKEND_SERVER,
-                address=server.address,
-                region=server.region,
-                failure_domain=server.failure_domain,
-                service=server.service,
-                models=server.models,
-            )
-            for server in listed.known.values()
-            if listed.takes_work(server.address)
-        ]
-
-    return working
+def _working(listed: servers.Servers) -> guards.Servers:
+    """Return a list of the addresses of the backend servers that take work."""
+    return lambda: [each for each in listed.known if listed.takes_work(each)]
--- a/turmerictally/orders/executor.py
+++ b/turmerictally/orders/executor.py
@@ -113,7 +113,8 @@
         unchanged = self._unchanged_for(found, now)
         if found.pending is None or now < self.not_before.get(server, now):
             return None
-        if found.holder and unchanged < self._takeover_wait():
+        is_mine = found.holder == self.holder  # its earlier work here has ended
+        if found.holder and not is_mine and unchanged < self._takeover_wait():
             return None
         if not found.holder and unchanged < self._turn(server) * self.options.poll_s:
             return None
--- a/turmerictally/orders/guards.py
+++ b/turmerictally/orders/guards.py
@@ -5,11 +5,11 @@
 import attrs
 
 from turmerictally.orders import engines, model, sheet
-from turmerictally.platform import hosts, table
+from turmerictally.platform import table
 
 STATE_TIMEOUT_S = 2.0
 
-Servers = collections.abc.Callable[[], collections.abc.Iterable[hosts.ListedHost]]
+Servers = collections.abc.Callable[[], collections.abc.Iterable[str]]
 
 
 class LastServerError(Exception):
@@ -20,7 +20,7 @@
 class LastServerGuard:
     """Allow one removal of a model at a time, and only beside a serving server.
 
-    ``servers`` lists the backend servers that take work.
+    ``servers`` lists the addresses of the backend servers that take work.
     """
 
     store: table.Table
@@ -49,10 +49,8 @@
 
     async def _is_served_elsewhere(self, order: model.Order, name: str) -> bool:
         """Ask engines themselves, as the list lags."""
-        for listed in self.servers():
-            if listed.address == order.server or listed.status is hosts.Status.LEAVING:
-                continue
-            if await self._serves(listed.address, name):
+        for address in self.servers():
+            if address != order.server and await self._serves(address, name):
                 return True
         return False
 
--- a/turmerictally/tests/features/orders.feature
+++ b/turmerictally/tests/features/orders.feature
@@ -55,3 +55,9 @@
   Scenario: Orders are sent as engines expect them
     When an order is sent to the engine stand-in over HTTP
     Then the stand-in follows it and refuses an older fence
+
+  Scenario: An operator's order goes all the way
+    Given a running deployment
+    When the operator orders a role for a server that checks fences
+    Then the order is applied and in the audit trail under the operator's name
+    And an order with a wrong action is refused as a bad request
--- a/turmerictally/tests/features/steps/orders_steps.py
+++ b/turmerictally/tests/features/steps/orders_steps.py
@@ -1,6 +1,7 @@
 """Steps for the orders feature."""
 
 import contextlib
+import time
 from unittest import mock
 
 import behave
@@ -17,6 +18,8 @@
 from turmerictally.tests.support import orders_fleet
 
 SCHEDULES = 40
+POLLS = 400
+POLL_S = 0.05
 
 
 async def submit_for(fleet, results, *arguments, **options):
@@ -330,3 +333,35 @@
     state, refusal = context.http_order
     assert state.models["adapter"] == "7" and state.last_order_id == "x"
     assert state.fence == refusal.fence == 5
+
+
+@behave.when("the operator orders a role for a server that checks fences")
+def order_role(context):
+    http = context.fleet.operators()
+    server = http.get("/v1/servers").json()["data"][0]["address"]
+    context.orders_path = f"/v1/servers/{server}/orders"
+    http.put(f"/v1/servers/{server}", json={"checks_fencing": True})
+    order = {"id": "r1", "action": "role", "name": "decode"}
+    given = http.post(context.orders_path, json=order)
+    assert given.status_code == 200, given.text
+    for _ in range(POLLS):
+        context.orders_shown = http.get(context.orders_path).json()
+        if context.orders_shown["data"]:
+            break
+        time.sleep(POLL_S)
+
+
+@behave.then("the order is applied and in the audit trail under the operator's name")
+def order_all_the_way(context):
+    (ended,) = context.orders_shown["data"]
+    assert ended["order_id"] == "r1" and ended["outcome"] == "applied", ended
+    trail = context.fleet.operators().get("/v1/audit").json()["data"]
+    found = [entry for entry in trail if entry["change_id"] == "r1"]
+    assert len(found) == 1 and found[0]["who"], trail
+
+
+@behave.then("an order with a wrong action is refused as a bad request")
+def wrong_action(context):
+    order = {"id": "r2", "action": "explode", "name": "x"}
+    given = context.fleet.operators().post(context.orders_path, json=order)
+    assert given.status_code == 400, given.text
--- a/turmerictally/tests/support/orders_fleet.py
+++ b/turmerictally/tests/support/orders_fleet.py
@@ -10,7 +10,6 @@
 from turmerictally import settings
 from turmerictally.config import model as configuration
 from turmerictally.orders import engines, executor, guards, model, sheet
-from turmerictally.platform import hosts
 from turmerictally.standins import memory
 from turmerictally.tests.support import limits_fleet
 
@@ -102,10 +101,7 @@
     starts: int = 0
 
     def servers(self):
-        for address in self.engines.engines:
-            yield hosts.ListedHost(
-                address, "i", hosts.Role.BACKEND_SERVER, address, "r", "a"
-            )
+        return list(self.engines.engines)
 
     def live(self):
         return list(self.hosts)
