--- a/turmerictally/limits/home.py
+++ b/turmerictally/limits/home.py
@@ -61,9 +61,12 @@
     def rate(self, contract: model.Contract) -> float:
         """Return the part of the team's rate that accrues here, in tokens a second."""
         now = self.clock.monotonic()
-        slots = self.leases.fleet.homes(contract)
-        mine = [slot for slot in slots if self.leases.usable(slot, now) is not None]
-        return sum(self.leases.fleet.part(contract, slot).rate for slot in mine)
+        parts = layout.divide(self.leases.fleet, contract)
+        return sum(
+            part.rate
+            for slot, part in parts.items()
+            if self.leases.usable(slot, now) is not None
+        )
 
     async def answer_ask(self, caller: calls.Caller, body: bytes) -> bytes:
         """Handle ``LIMIT_GRANT``."""
@@ -79,7 +82,7 @@
 
     def _buckets(self, contract: model.Contract, now: float) -> list[bucket.Bucket]:
         found = []
-        for slot in self.leases.fleet.homes(contract):
+        for slot in layout.divide(self.leases.fleet, contract):
             mine = self.leases.usable(slot, now)
             if mine is not None:
                 kept = mine.bucket_of(contract, self.leases.fleet, now)
--- a/turmerictally/limits/layout.py
+++ b/turmerictally/limits/layout.py
@@ -59,17 +59,11 @@
         A burst below the number of home slots uses fewer of them, so that a token
         is never split among hosts.
         """
-        ranked = rank_homes(self, contract.team)
-        return ranked[: max(1, min(len(ranked), contract.burst))]
+        return tuple(divide(self, contract))
 
     def part(self, contract: model.Contract, slot: Slot) -> Part:
         """Return the slot's part of the contract; the parts sum to the contract."""
-        homes = self.homes(contract)
-        if slot not in homes:
-            return NO_PART
-        whole, rest = divmod(contract.burst, len(homes))
-        extra = 1 if homes.index(slot) < rest else 0
-        return Part(contract.rate / len(homes), float(whole + extra))
+        return divide(self, contract).get(slot, NO_PART)
 
     def to_row(self) -> dict:
         """Return the layout as a JSON-compatible mapping."""
@@ -80,6 +74,18 @@
         }
 
 
+@functools.lru_cache(maxsize=HOMES_CACHE_SIZE)
+def divide(fleet: Layout, contract: model.Contract) -> dict[Slot, Part]:
+    """Return the part of each home slot, in the order of the homes."""
+    ranked = rank_homes(fleet, contract.team)
+    homes = ranked[: max(1, min(len(ranked), contract.burst))]
+    whole, rest = divmod(contract.burst, len(homes))
+    return {
+        slot: Part(contract.rate / len(homes), float(whole + (place < rest)))
+        for place, slot in enumerate(homes)
+    }
+
+
 @functools.lru_cache(maxsize=HOMES_CACHE_SIZE)
 def rank_homes(layout: Layout, team: str) -> tuple[Slot, ...]:
     """Return the team's possible home slots, alternating among failure domains."""
--- a/turmerictally/orders/engines.py
+++ b/turmerictally/orders/engines.py
@@ -7,6 +7,7 @@
 
 from turmerictally.orders import model
 
+HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 
 
@@ -18,6 +19,10 @@
         super().__init__(f"the engine has seen fence {fence}")
 
 
+class NotAnEngineError(Exception):
+    """Report that a server takes no orders."""
+
+
 class UnansweredError(Exception):
     """Report that no answer came; the order may have been or may be applied."""
 
@@ -26,7 +31,10 @@
     """Give orders to engines."""
 
     async def state(self, server: str, timeout_s: float) -> model.EngineState:
-        """Return the engine's state, or raise ``UnansweredError``."""
+        """Return the engine's state.
+
+        Raises ``UnansweredError``, or ``NotAnEngineError`` from a plain service.
+        """
 
     async def send(self, order: model.Order, fence: int, timeout_s: float) -> None:
         """Send an order once.
@@ -47,6 +55,8 @@
         url = f"http://{server}/engine/state"
         try:
             answer = await self.client.get(url, timeout=timeout_s)
+            if answer.status_code == HTTP_NOT_FOUND:
+                raise NotAnEngineError
             answer.raise_for_status()
             body = answer.json()
             return model.EngineState(
--- a/turmerictally/orders/executor.py
+++ b/turmerictally/orders/executor.py
@@ -148,6 +148,12 @@
 
     async def _carry_out(self, lease: Lease) -> None:
         """Bring the engine to the ordered state and record the outcome."""
+        try:
+            await self._try_sends(lease)
+        except engines.NotAnEngineError:
+            await self._finish(lease, model.Outcome.REFUSED, "The server is no engine.")
+
+    async def _try_sends(self, lease: Lease) -> None:
         for _ in range(MAX_SENDS):
             order = lease.sheet.pending
             state = await self._read_state(order)
--- a/turmerictally/orders/guards.py
+++ b/turmerictally/orders/guards.py
@@ -57,6 +57,6 @@
     async def _serves(self, address: str, name: str) -> bool:
         try:
             state = await self.engines.state(address, STATE_TIMEOUT_S)
-        except engines.UnansweredError:
+        except (engines.UnansweredError, engines.NotAnEngineError):
             return False
         return name in state.models
--- a/turmerictally/tests/features/orders.feature
+++ b/turmerictally/tests/features/orders.feature
@@ -60,4 +60,5 @@
     Given a running deployment
     When the operator orders a role for a server that checks fences
     Then the order is applied and in the audit trail under the operator's name
+    And an order to a plain service is refused
     And an order with a wrong action is refused as a bad request
--- a/turmerictally/tests/features/steps/orders_steps.py
+++ b/turmerictally/tests/features/steps/orders_steps.py
@@ -338,17 +338,27 @@
 @behave.when("the operator orders a role for a server that checks fences")
 def order_role(context):
     http = context.fleet.operators()
-    server = http.get("/v1/servers").json()["data"][0]["address"]
+    listed = http.get("/v1/servers").json()["data"]
+    server = next(each["address"] for each in listed if each["models"])
+    plain = next(each["address"] for each in listed if not each["models"])
     context.orders_path = f"/v1/servers/{server}/orders"
     http.put(f"/v1/servers/{server}", json={"checks_fencing": True})
     order = {"id": "r1", "action": "role", "name": "decode"}
     given = http.post(context.orders_path, json=order)
     assert given.status_code == 200, given.text
+    http.post(f"/v1/servers/{plain}/orders", json=order)
+    context.orders_shown = wait_for_end(http, context.orders_path)
+    context.plain_shown = wait_for_end(http, f"/v1/servers/{plain}/orders")
+
+
+def wait_for_end(http, path):
+    """Poll until the order of a server has ended."""
     for _ in range(POLLS):
-        context.orders_shown = http.get(context.orders_path).json()
-        if context.orders_shown["data"]:
+        shown = http.get(path).json()
+        if shown["data"]:
             break
         time.sleep(POLL_S)
+    return shown
 
 
 @behave.then("the order is applied and in the audit trail under the operator's name")
@@ -357,7 +367,13 @@
     assert ended["order_id"] == "r1" and ended["outcome"] == "applied", ended
     trail = context.fleet.operators().get("/v1/audit").json()["data"]
     found = [entry for entry in trail if entry["change_id"] == "r1"]
-    assert len(found) == 1 and found[0]["who"], trail
+    assert len(found) == 2 and all(entry["who"] for entry in found), trail
+
+
+@behave.then("an order to a plain service is refused")
+def plain_refused(context):
+    (ended,) = context.plain_shown["data"]
+    assert ended["outcome"] == "refused", ended
 
 
 @behave.then("an order with a wrong action is refused as a bad request")
