--- a/turmerictally/online/idempotency.py
+++ b/turmerictally/online/idempotency.py
@@ -1,6 +1,5 @@
 """Run a non-idempotent request at most once, whichever hosts its resends reach."""
 
-import base64
 import collections.abc
 import contextlib
 import hashlib
@@ -14,44 +13,23 @@
 
 from turmerictally import clock as clocks
 from turmerictally import errors, settings
-from turmerictally.online import headers, messages
+from turmerictally.online import messages, rows
 from turmerictally.peers import calls, routing_pb2
 from turmerictally.platform import objects, table
 
 logger = logging.getLogger(__name__)
 
-ROWS = "idempotency/"
 CLAIM_TIMEOUT_S = 3.0
 STORE_TIMEOUT_S = 1.0
 ASK_TIMEOUT_S = 0.5
 MIN_PAUSE_S = 0.05
 MAX_PAUSE_S = 5.0
-RETRY_AFTER_S = 1.0
 # Answers held in memory while the platform cannot store them.
 MAX_HELD_BYTES = 16 * 1024 * 1024
 MAX_UNSTORED = 2048
 SWEEP_S = 60.0
 SWEEP_ROWS = 200
 
-IN_PROGRESS = "in_progress"
-DONE = "done"
-UNKNOWN = "unknown"
-
-
-@attrs.define(eq=False)
-class Claim:
-    """Hold the exclusive right to send one request."""
-
-    row: str
-    id: str
-    team: str
-    digest: str
-    expires: float
-    finished: bool = False
-    not_run: bool = False
-    maybe_written: bool = False
-    answer: messages.Answer | None = None
-
 
 Alive = collections.abc.Callable[[str, str], bool]
 AddressOf = collections.abc.Callable[[str], str | None]
@@ -89,10 +67,10 @@
         self.rng = rng
         self.is_alive = is_alive
         self.address_of = address_of
-        self.held: dict[str, Claim] = {}
+        self.held: dict[str, rows.Claim] = {}
         self.held_bytes = 0
-        self.work, self.queue = trio.open_memory_channel[Claim](MAX_UNSTORED)
-        self.cursor = ROWS
+        self.work, self.queue = trio.open_memory_channel[rows.Claim](MAX_UNSTORED)
+        self.cursor = rows.PREFIX
         peers.handle(calls.Kind.IDEMPOTENCY, self.handle_query)
 
     async def run(self) -> None:
@@ -102,7 +80,7 @@
             async for claim in self.queue:
                 await self._settle_until_stored(claim)
 
-    async def begin(self, request: messages.Request) -> Claim | messages.Answer:
+    async def begin(self, request: messages.Request) -> rows.Claim | messages.Answer:
         """Claim a request, or return the stored answer of its first run.
 
         Raises ``errors.Error``; ``PLATFORM_UNAVAILABLE`` means that this attempt was
@@ -121,14 +99,14 @@
             self._abandon(claim)
             raise
 
-    async def finish(self, claim: Claim, answer: messages.Answer) -> None:
+    async def finish(self, claim: rows.Claim, answer: messages.Answer) -> None:
         """Store the answer; a failed write goes on in the background."""
         claim.answer = answer
         claim.finished = True
         self.held_bytes += len(answer.body)
         await self._settle(claim)
 
-    async def fail(self, claim: Claim, ran: errors.Ran) -> None:
+    async def fail(self, claim: rows.Claim, ran: errors.Ran) -> None:
         """End a claim without an answer: release it, or mark it unknown."""
         claim.finished = True
         claim.not_run = ran is errors.Ran.NOT_RUN
@@ -151,34 +129,36 @@
             state.state = routing_pb2.IdempotencyState.NOT_RUN
         elif claim.answer is not None:
             state.state = routing_pb2.IdempotencyState.ANSWERED
-            state.answer = json.dumps(_encode(claim.answer)).encode()
+            state.answer = json.dumps(rows.encode(claim.answer)).encode()
         return state.SerializeToString()
 
-    def _claim(self, request: messages.Request) -> Claim:
+    def _claim(self, request: messages.Request) -> rows.Claim:
         key = hashlib.sha256(request.idempotency_key.encode()).hexdigest()
         expires = self.clock.wall() + self.options.idempotency_ttl_s
-        return Claim(
-            row=f"{ROWS}{request.team}/{key}",
+        return rows.Claim(
+            row=f"{rows.PREFIX}{request.team}/{key}",
             id=uuid.UUID(int=self.rng.getrandbits(128)).hex,
             team=request.team,
-            digest=digest(request),
+            digest=rows.digest(request),
             expires=expires,
         )
 
-    def _resend(self, mine: Claim, claim: Claim) -> messages.Answer:
+    def _resend(self, mine: rows.Claim, claim: rows.Claim) -> messages.Answer:
         """Answer a resend from what this host still holds."""
         if mine.digest != claim.digest:
             raise errors.Error(errors.Kind.IDEMPOTENCY_MISMATCH)
         if mine.answer is not None:
-            _check_team(claim)
+            rows.check_team(claim)
             return attrs.evolve(mine.answer, replayed=True)
         if not mine.finished:
-            raise _in_progress()
+            raise rows.in_progress()
         if mine.not_run:
-            raise _unavailable()
+            raise rows.unavailable()
         raise errors.Error(errors.Kind.OUTCOME_UNKNOWN)
 
-    async def _acquire(self, claim: Claim, deadline: float) -> Claim | messages.Answer:
+    async def _acquire(
+        self, claim: rows.Claim, deadline: float
+    ) -> rows.Claim | messages.Answer:
         version = table.ABSENT
         while True:
             try:
@@ -198,8 +178,8 @@
             return found
 
     async def _resolve(
-        self, claim: Claim, deadline: float
-    ) -> Claim | messages.Answer | int:
+        self, claim: rows.Claim, deadline: float
+    ) -> rows.Claim | messages.Answer | int:
         """Decide about an existing row; return a version that may be taken over."""
         row = await self._read(claim.row, deadline)
         if row is None:
@@ -208,30 +188,32 @@
         if value["claim"] == claim.id:
             return claim
         claim.maybe_written = False
-        if value["expires"] <= self.clock.wall() and value["state"] != IN_PROGRESS:
+        if value["expires"] <= self.clock.wall() and value["state"] != rows.IN_PROGRESS:
             return row.version
         if value["digest"] != claim.digest:
             raise errors.Error(errors.Kind.IDEMPOTENCY_MISMATCH)
-        if value["state"] == DONE:
-            _check_team(claim)
+        if value["state"] == rows.DONE:
+            rows.check_team(claim)
             return await self._replay(value, deadline)
-        if value["state"] == UNKNOWN:
+        if value["state"] == rows.UNKNOWN:
             raise errors.Error(errors.Kind.OUTCOME_UNKNOWN)
         return await self._ask_holder(claim, row)
 
-    async def _ask_holder(self, claim: Claim, row: table.Row) -> messages.Answer | int:
+    async def _ask_holder(
+        self, claim: rows.Claim, row: table.Row
+    ) -> messages.Answer | int:
         value = row.value
         state = await self._query(value["host"], row.key, value["claim"])
         if state is not None:
             if state.state == routing_pb2.IdempotencyState.NOT_RUN:
                 return row.version
             if state.state == routing_pb2.IdempotencyState.ANSWERED:
-                _check_team(claim)
-                return _decode(json.loads(state.answer))
+                rows.check_team(claim)
+                return rows.decode(json.loads(state.answer))
             if state.state == routing_pb2.IdempotencyState.RUNNING:
-                raise _in_progress()
+                raise rows.in_progress()
         if state is None and self.is_alive(value["host"], value["instance"]):
-            raise _in_progress()
+            raise rows.in_progress()
         await self._mark_unknown(row)
         raise errors.Error(errors.Kind.OUTCOME_UNKNOWN)
 
@@ -253,13 +235,13 @@
         return routing_pb2.IdempotencyState.FromString(reply)
 
     async def _mark_unknown(self, row: table.Row) -> None:
-        value = {**row.value, "state": UNKNOWN}
+        value = {**row.value, "state": rows.UNKNOWN}
         checks = [table.Check(row.key, row.version)]
         try:
             await self._bounded(self.table.commit(checks, [table.Put(row.key, value)]))
         except table.ConflictError:
             # The holder stored its answer in the meantime; the resend will find it.
-            raise _in_progress() from None
+            raise rows.in_progress() from None
         except table.UnavailableError:
             logger.debug("A claim could not be marked unknown.")
 
@@ -268,7 +250,7 @@
         if stored is None:
             data = await self._read_object(value["object"], deadline)
             stored = json.loads(data)
-        return _decode(stored)
+        return rows.decode(stored)
 
     async def _read_object(self, key: str, deadline: float) -> bytes:
         while True:
@@ -289,7 +271,7 @@
     async def _pause(self, deadline: float) -> None:
         pause = MIN_PAUSE_S * self.rng.uniform(0.5, 1.5)
         if self.clock.monotonic() + pause >= deadline:
-            raise _unavailable()
+            raise rows.unavailable()
         await trio.sleep(pause)
 
     async def _bounded(self, call: collections.abc.Awaitable):
@@ -297,12 +279,12 @@
             return await call
         raise table.UnavailableError("timeout", maybe_applied=True)
 
-    async def _write(self, claim: Claim, version: int, value: dict) -> None:
+    async def _write(self, claim: rows.Claim, version: int, value: dict) -> None:
         claim.maybe_written = True
         checks = [table.Check(claim.row, version)]
         await self.table.commit(checks, [table.Put(claim.row, value)])
 
-    def _abandon(self, claim: Claim) -> None:
+    def _abandon(self, claim: rows.Claim) -> None:
         """Give a claim up before anything was sent; its row may still be written."""
         claim.finished = True
         claim.not_run = True
@@ -311,7 +293,7 @@
         else:
             self._forget(claim)
 
-    async def _settle(self, claim: Claim) -> None:
+    async def _settle(self, claim: rows.Claim) -> None:
         try:
             with trio.CancelScope(shield=True):
                 await self._bounded(self._store(claim))
@@ -320,7 +302,7 @@
             return
         self._forget(claim)
 
-    def _settle_later(self, claim: Claim) -> None:
+    def _settle_later(self, claim: rows.Claim) -> None:
         if self.held_bytes > MAX_HELD_BYTES and claim.answer is not None:
             self.held_bytes -= len(claim.answer.body)
             claim.answer = None
@@ -330,7 +312,7 @@
             logger.warning("Too many claims wait for the platform; one is left.")
             self._forget(claim)
 
-    async def _settle_until_stored(self, claim: Claim) -> None:
+    async def _settle_until_stored(self, claim: rows.Claim) -> None:
         pause = MIN_PAUSE_S
         while True:
             try:
@@ -341,7 +323,7 @@
                 await trio.sleep(pause * self.rng.uniform(0.5, 1.5))
                 pause = min(MAX_PAUSE_S, pause * 2)
 
-    async def _store(self, claim: Claim) -> None:
+    async def _store(self, claim: rows.Claim) -> None:
         """Write the claim's end, unless the row belongs to another claim."""
         row = await self.table.get(claim.row)
         if row is None or row.value["claim"] != claim.id:
@@ -354,14 +336,14 @@
             # Another host marked the row unknown, or an earlier write had effect.
             raise table.UnavailableError("row changed") from None
 
-    async def _end(self, claim: Claim, row: table.Row) -> table.Write:
+    async def _end(self, claim: rows.Claim, row: table.Row) -> table.Write:
         if claim.not_run:
             return table.Delete(claim.row)
-        value = {**row.value, "state": UNKNOWN}
+        value = {**row.value, "state": rows.UNKNOWN}
         if claim.answer is None:
             return table.Put(claim.row, value)
-        value["state"] = DONE
-        encoded = _encode(claim.answer)
+        value["state"] = rows.DONE
+        encoded = rows.encode(claim.answer)
         if len(claim.answer.body) <= self.options.idempotency_max_answer_bytes:
             value["answer"] = encoded
         else:
@@ -369,7 +351,7 @@
             await self.objects.put(value["object"], json.dumps(encoded).encode())
         return table.Put(claim.row, value)
 
-    def _forget(self, claim: Claim) -> None:
+    def _forget(self, claim: rows.Claim) -> None:
         if self.held.get(claim.row) is claim:
             del self.held[claim.row]
             if claim.answer is not None:
@@ -383,9 +365,9 @@
 
     async def sweep(self) -> None:
         """Delete expired rows among the next few, and move on."""
-        rows = await self.table.scan(ROWS, after=self.cursor, limit=SWEEP_ROWS)
-        self.cursor = rows[-1].key if len(rows) == SWEEP_ROWS else ROWS
-        for row in rows:
+        found = await self.table.scan(rows.PREFIX, after=self.cursor, limit=SWEEP_ROWS)
+        self.cursor = found[-1].key if len(found) == SWEEP_ROWS else rows.PREFIX
+        for row in found:
             if row.value["expires"] > self.clock.wall():
                 continue
             if "object" in row.value:
@@ -394,63 +376,12 @@
             await self.table.commit([check], [table.Delete(row.key)])
 
 
-def digest(request: messages.Request) -> str:
-    """Return the digest by which a resend is recognised as the same request."""
-    query = headers.query_for_server(request.query)
-    parts = [request.method, request.path, query, request.service]
-    text = "\0".join(parts).encode() + b"\0" + request.body
-    return hashlib.sha256(text).hexdigest()
-
-
-def _fresh(claim: Claim, holder: Claims) -> dict:
+def _fresh(claim: rows.Claim, holder: Claims) -> dict:
     return {
-        "state": IN_PROGRESS,
+        "state": rows.IN_PROGRESS,
         "claim": claim.id,
         "host": holder.host_id,
         "instance": holder.instance,
         "digest": claim.digest,
         "expires": claim.expires,
     }
-
-
-def _in_progress() -> errors.Error:
-    return errors.Error(
-        errors.Kind.IDEMPOTENCY_IN_PROGRESS, retry_after_s=RETRY_AFTER_S
-    )
-
-
-def _unavailable() -> errors.Error:
-    return errors.Error(
-        errors.Kind.PLATFORM_UNAVAILABLE,
-        "This attempt was not sent.",
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
-def _check_team(claim: Claim) -> None:
-    """Refuse to replay an answer on open routes, where callers are not known."""
-    if not claim.team:
-        raise errors.Error(
-            errors.Kind.CONFLICT,
-            "The request ran before; its answer is kept for teams only.",
-            ran=errors.Ran.DONE,
-        )
-
-
-def _encode(answer: messages.Answer) -> dict:
-    return {
-        "status": answer.status,
-        "headers": [list(header) for header in answer.headers],
-        "body": base64.b64encode(answer.body).decode(),
-        "server": answer.server,
-    }
-
-
-def _decode(stored: dict) -> messages.Answer:
-    return messages.Answer(
-        status=stored["status"],
-        headers=tuple((name, value) for name, value in stored["headers"]),
-        body=base64.b64decode(stored["body"]),
-        server=stored["server"],
-        replayed=True,
-    )
--- /dev/null
+++ b/turmerictally/online/rows.py
@@ -0,0 +1,85 @@
+"""Define the rows and refusals of idempotency claims."""
+
+import base64
+import hashlib
+
+import attrs
+
+from turmerictally import errors
+from turmerictally.online import headers, messages
+
+PREFIX = "idempotency/"
+IN_PROGRESS = "in_progress"
+DONE = "done"
+UNKNOWN = "unknown"
+RETRY_AFTER_S = 1.0
+
+
+@attrs.define(eq=False)
+class Claim:
+    """Hold the exclusive right to send one request."""
+
+    row: str
+    id: str
+    team: str
+    digest: str
+    expires: float
+    finished: bool = False
+    not_run: bool = False
+    maybe_written: bool = False
+    answer: messages.Answer | None = None
+
+
+def digest(request: messages.Request) -> str:
+    """Return the digest by which a resend is recognised as the same request."""
+    query = headers.query_for_server(request.query)
+    parts = [request.method, request.path, query, request.service]
+    text = "\0".join(parts).encode() + b"\0" + request.body
+    return hashlib.sha256(text).hexdigest()
+
+
+def in_progress() -> errors.Error:
+    """Return the refusal of a resend while the first request runs."""
+    return errors.Error(
+        errors.Kind.IDEMPOTENCY_IN_PROGRESS, retry_after_s=RETRY_AFTER_S
+    )
+
+
+def unavailable() -> errors.Error:
+    """Return the refusal of an attempt that could not be claimed."""
+    return errors.Error(
+        errors.Kind.PLATFORM_UNAVAILABLE,
+        "This attempt was not sent.",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def check_team(claim: Claim) -> None:
+    """Refuse to replay an answer on open routes, where callers are not known."""
+    if not claim.team:
+        raise errors.Error(
+            errors.Kind.CONFLICT,
+            "The request ran before; its answer is kept for teams only.",
+            ran=errors.Ran.DONE,
+        )
+
+
+def encode(answer: messages.Answer) -> dict:
+    """Return an answer as a JSON-compatible mapping."""
+    return {
+        "status": answer.status,
+        "headers": [list(header) for header in answer.headers],
+        "body": base64.b64encode(answer.body).decode(),
+        "server": answer.server,
+    }
+
+
+def decode(stored: dict) -> messages.Answer:
+    """Return the answer that ``encode`` wrote, marked as replayed."""
+    return messages.Answer(
+        status=stored["status"],
+        headers=tuple((name, value) for name, value in stored["headers"]),
+        body=base64.b64decode(stored["body"]),
+        server=stored["server"],
+        replayed=True,
+    )
