--- a/turmerictally/membership/detector.py
+++ b/turmerictally/membership/detector.py
@@ -22,6 +22,10 @@
 INDIRECT_FACTOR = 3
 LEAVE_TARGETS = 3
 
+# Bytes of one listed host, and the bytes a second one host may spend on the list.
+LISTED_BYTES = 160
+LIST_BYTES_PER_S = 1000.0
+
 
 class Versions(typing.Protocol):
     """Tell and hear configuration versions along with pings."""
@@ -260,7 +264,16 @@
                 self.members.observe_list(listed)
             except table.UnavailableError:
                 logger.debug("The host list cannot be read.")
-            await trio.sleep(self._jitter(self.config.list_poll_s))
+            await trio.sleep(self._jitter(self.list_interval()))
+
+    def list_interval(self) -> float:
+        """Return the seconds between two reads of the platform's list.
+
+        It grows with the fleet, so that the list's bytes stay bounded; pings and what
+        they carry tell of changes in between.
+        """
+        size = (1 + len(self.members.by_id)) * LISTED_BYTES
+        return max(self.config.list_poll_s, size / LIST_BYTES_PER_S)
 
     async def _ping_seeds(self) -> None:
         """Ping the seed addresses for as long as no member is known."""
--- a/turmerictally/tests/features/membership.feature
+++ b/turmerictally/tests/features/membership.feature
@@ -34,3 +34,6 @@
   Scenario: The cost of a host does not grow with the fleet
     Then the membership benchmark keeps its bounds at 13 and 40 hosts
     And pinging every member does not keep them
+
+  Scenario: Reading the platform's list stays bounded as the fleet grows
+    Then a host reads the list each 5 s among 13 hosts and at most 1,000 B/s among 400
--- a/turmerictally/tests/features/steps/membership_steps.py
+++ b/turmerictally/tests/features/steps/membership_steps.py
@@ -1,11 +1,22 @@
+import types
+
 import attrs
 import trio
 from behave import given, then, when
 
+from turmerictally import settings
 from turmerictally.bench import membership
-from turmerictally.membership import members
+from turmerictally.membership import detector, members
 from turmerictally.tests.support import config_fleet
 
+MINIMAL = {
+    "host_id": "h",
+    "region": "r",
+    "failure_domain": "d",
+    "peer_secret": "s",
+    "platform": {"url": "http://127.0.0.1:1"},
+}
+
 
 def states(fleet, host_id):
     found = set()
@@ -212,3 +223,15 @@
         return await membership.run((13, 25), 4.0, all_to_all=True)
 
     assert not config_fleet.run(main).ok
+
+
+@then("a host reads the list each 5 s among 13 hosts and at most 1,000 B/s among 400")
+def then_list_bounded(context):
+    options = settings.build(MINIMAL).membership
+    intervals = {}
+    for count in (13, 400):
+        known = types.SimpleNamespace(by_id=dict.fromkeys(range(count - 1)))
+        read = types.SimpleNamespace(members=known, config=options)
+        intervals[count] = detector.Detector.list_interval(read)
+    assert intervals[13] == options.list_poll_s, intervals
+    assert 400 * detector.LISTED_BYTES / intervals[400] <= 1000.0, intervals
