Let a removal of a host be repeated until its slots are free

Cause: after a lost answer the host was gone but its slots were not, and a second removal answered that it does not exist.

Change: not found only when neither the host nor a slot of it is left; platform errors get their answer.

Conclusion: the removal can be repeated.

--- a/turmerictally/operators/fleet.py
+++ b/turmerictally/operators/fleet.py
@@ -5,6 +5,7 @@
 
 from turmerictally import errors
 from turmerictally.config import model
+from turmerictally.platform import table
 
 blueprint = quart.Blueprint("fleet", __name__)
 
@@ -30,12 +31,21 @@
     """Note that a host no longer runs, so that changes do not wait for it."""
     operations = _host().configuration.operations
     removed = await operations.remove_host(quart.g.operator, host_id)
-    if not removed:
+    freed = await _free_slots(host_id)
+    if not removed and not freed:
         raise errors.Error(errors.Kind.NOT_FOUND, "No such host.")
-    freed = await _host().limits.leases.release_dead(host_id)
     return {"removed": host_id, "limit_slots_freed": freed}
 
 
+async def _free_slots(host_id: str) -> int:
+    try:
+        return await _host().limits.leases.release_dead(host_id)
+    except table.ConflictError as error:
+        raise errors.Error(errors.Kind.CONFLICT, "Repeat the removal.") from error
+    except table.UnavailableError as error:
+        raise errors.Error(errors.Kind.PLATFORM_UNAVAILABLE) from error
+
+
 @blueprint.get("/v1/servers")
 async def list_servers() -> dict:
     """List the backend servers with their load as this host sees it."""
