--- a/turmerictally/limits/leases.py
+++ b/turmerictally/limits/leases.py
@@ -19,6 +19,7 @@
 SCAN_PER_HOST_S = 0.5  # table reads stay at two a second for the whole fleet
 SCAN_MIN_S = 2.0
 RETRY_S = 1.0
+STOP_TRIES = 3
 
 Contracts = collections.abc.Callable[[str], model.Contract | None]
 
@@ -130,9 +131,19 @@
         return released or claimed
 
     async def stop(self) -> None:
-        """Release every slot with its levels, for a planned stop."""
+        """Release every slot with its levels, for a planned stop.
+
+        A renewal under way when the stop begins may change the rows meanwhile.
+        """
         self.stopping = True
-        await self._release(list(self.held))
+        leaving, self.held = self.held, {}
+        for _ in range(STOP_TRIES):
+            try:
+                await self._hand_back(leaving)
+                return
+            except table.ConflictError:
+                await self._scan()
+                leaving = self._still_mine(leaving)
 
     async def release_dead(self, host_id: str) -> int:
         """Free the slots of a host that an operator has declared dead.
@@ -266,10 +277,23 @@
         return True
 
     async def _release(self, slots: list[layout.Slot]) -> None:
+        await self._hand_back({slot: self.held.pop(slot) for slot in slots})
+
+    def _still_mine(
+        self, leaving: dict[layout.Slot, held.Held]
+    ) -> dict[layout.Slot, held.Held]:
+        found = {}
+        for slot, mine in leaving.items():
+            row = self.rows[slot]
+            if self._is_mine(row) and row.epoch == mine.epoch:
+                mine.version = row.version
+                found[slot] = mine
+        return found
+
+    async def _hand_back(self, leaving: dict[layout.Slot, held.Held]) -> None:
         now = self.clock.monotonic()
         checks, writes = [], []
-        for slot in slots:
-            mine = self.held.pop(slot)
+        for slot, mine in leaving.items():
             if now >= mine.usable_until:
                 continue
             start = mine.release(self.contracts, self.fleet, now)
--- a/turmerictally/tests/features/limits.feature
+++ b/turmerictally/tests/features/limits.feature
@@ -49,6 +49,10 @@
     When hosts join and stop while the limits run
     Then every failure domain's limit slots are spread evenly after each change
 
+  Scenario: A stop frees its limit slots although a renewal has just changed them
+    When a host stops while the answer of its slots' renewal is on the way
+    Then none of the stopped host's limit slots is still held in the table
+
   Scenario: Limits outlive a platform outage shorter than the lease
     When the platform is down for half of a limits lease
     Then the limits admit the team's rate during the outage
--- a/turmerictally/tests/features/steps/limits_steps.py
+++ b/turmerictally/tests/features/steps/limits_steps.py
@@ -9,6 +9,7 @@
 from turmerictally.bench import limits as limits_bench
 from turmerictally.config import model
 from turmerictally.limits import layout
+from turmerictally.platform import table
 from turmerictally.tests.support import (
     limits_fleet,
     limits_mechanisms,
@@ -211,6 +212,24 @@
     assert context.spreads == [[10, 11, 11], [8, 8, 8, 8], [16, 16]], context.spreads
 
 
+@behave.when("a host stops while the answer of its slots' renewal is on the way")
+def stop_during_renewal(context):
+    async def body(fleet):
+        for row in list(fleet.table.rows.values()):
+            if row.value.get("host") == "h0":
+                await fleet.table.commit([], [table.Put(row.key, row.value)])
+        await fleet.stop("h0")
+        rows = fleet.table.rows.values()
+        context.left = [r.key for r in rows if r.value.get("host") == "h0"]
+
+    simulate(context, body)
+
+
+@behave.then("none of the stopped host's limit slots is still held in the table")
+def none_left(context):
+    assert context.left == [], context.left
+
+
 async def admitted_in(fleet, seconds, hosts=on_all):
     """Return how many requests are admitted per second of steady excess load."""
     await send(fleet, "team", 2 * TEAM.rate, hosts, 5.0)
