Name the team of batch items; print check's faults on standard output

Cause: items on plain routes ran under an empty team, so that all teams shared one place in the fair queue; `check` wrote its result to standard error. Change: the item's team goes with the request; `check` prints its faults on standard output, `serve` refuses on standard error in the same words.

--- a/turmerictally/batch/sender.py
+++ b/turmerictally/batch/sender.py
@@ -111,7 +111,7 @@
             raise errors.Error(errors.Kind.NOT_FOUND, "No route serves the item's url.")
         return messages.Request(
             request_id=f"item-{self.sent}-{item.index}-{id(item):x}",
-            team="",
+            team=item.team,
             contract=None,
             service=service.name if service else route.service,
             method=item.method,
--- a/turmerictally/cli/commands.py
+++ b/turmerictally/cli/commands.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import sys
+import typing
 
 import trio
 
@@ -15,13 +16,13 @@
 
 def check(path: str) -> None:
     """Validate a settings file and print every fault."""
-    read_settings(path)
+    read_settings(path, sys.stdout)
     print(f"{path}: valid")
 
 
 def serve(path: str) -> None:
     """Run one entry host from a settings file."""
-    config = read_settings(path)
+    config = read_settings(path, sys.stderr)
     log.setup(config.log.level, config.log.json)
     trio.run(_serve, config)
 
@@ -36,13 +37,13 @@
     trio.run(_demo, deployment)
 
 
-def read_settings(path: str) -> settings.Settings:
+def read_settings(path: str, output: typing.TextIO) -> settings.Settings:
     """Return the settings of a file, or print its faults and exit."""
     try:
         return settings.load(str(path))
     except settings.SettingsError as error:
         for fault in error.faults:
-            print(fault, file=sys.stderr)
+            print(fault, file=output)
         sys.exit(client.EXIT_INVALID)
 
 
