Wait for a job's last decision before it is compared

Cause: insight.feature failed once in a run beside seven others: the job's end was readable before its host had recorded range_ended. Change: the step reads until both records are there; what it compares is as before. Conclusion: the order of the two is allowed; no promise covers it.

--- a/turmerictally/tests/features/steps/insight_steps.py
+++ b/turmerictally/tests/features/steps/insight_steps.py
@@ -70,12 +70,22 @@
             break
         time.sleep(0.1)
     for host in (0, 1):
-        rows = operator(context.fleet, host, f"/v1/explain/{job.id}").json()["data"]
+        rows = _explained(context.fleet, host, job.id, 2)
         assert [row["event"] for row in rows] == ["claimed", "range_ended"], rows
         assert rows[1]["fields"]["state"] == "done", rows
         assert rows[0]["fields"]["host"] == rows[1]["fields"]["host"]
 
 
+def _explained(fleet, host, found_id, count):
+    """Return the records; the job's end is readable just before the last one."""
+    for _ in range(POLLS):
+        rows = operator(fleet, host, f"/v1/explain/{found_id}").json()["data"]
+        if len(rows) >= count:
+            break
+        time.sleep(0.05)
+    return rows
+
+
 @behave.then("an unknown id is answered as not found")
 def unknown(context):
     assert operator(context.fleet, 0, "/v1/explain/none").status_code == 404
