--- a/turmerictally/demo.py
+++ b/turmerictally/demo.py
@@ -11,7 +11,7 @@
 import trio
 import yaml
 
-from turmerictally import host, settings
+from turmerictally import checks, host, settings
 from turmerictally.config import model
 from turmerictally.platform import hosts, weights
 from turmerictally.standins import engine, engine_server, memory, service, serving
@@ -56,7 +56,7 @@
     try:
         given = yaml.safe_load(source.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
-        fault = settings.Fault(str(path), f"expected a readable YAML file: {error}")
+        fault = checks.Fault(str(path), f"expected a readable YAML file: {error}")
         raise settings.SettingsError([fault]) from error
     converter = cattrs.Converter(forbid_extra_keys=True)
     try:
@@ -66,9 +66,9 @@
         raise settings.SettingsError(faults) from error
 
 
-def _fault(text: str) -> settings.Fault:
+def _fault(text: str) -> checks.Fault:
     expected, _, path = text.partition(" @ ")
-    return settings.Fault(path.removeprefix("$.") or "(top level)", expected)
+    return checks.Fault(path.removeprefix("$.") or "(top level)", expected)
 
 
 class Demo:
--- a/turmerictally/settings.py
+++ b/turmerictally/settings.py
@@ -4,7 +4,6 @@
 in seconds; sizes end in ``_bytes``.
 """
 
-import ipaddress
 import pathlib
 import typing
 
@@ -12,6 +11,8 @@
 import cattrs
 import yaml
 
+from turmerictally import checks
+
 REQUIRED = None  # default of a key that must be given
 
 DEFAULTS: dict[str, typing.Any] = {
@@ -341,21 +342,10 @@
     stop: Stop
 
 
-@attrs.frozen
-class Fault:
-    """Describe one fault of a settings file: where it is and what was expected."""
-
-    path: str
-    expected: str
-
-    def __str__(self) -> str:
-        return f"{self.path}: {self.expected}"
-
-
 class SettingsError(Exception):
     """Report every fault found in a settings file."""
 
-    def __init__(self, faults: list[Fault]) -> None:
+    def __init__(self, faults: list[checks.Fault]) -> None:
         self.faults = faults
         super().__init__("\n".join(str(fault) for fault in faults))
 
@@ -367,11 +357,11 @@
         given = yaml.safe_load(text)
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(
-            [Fault(path, f"expected a readable file: {error}")]
+            [checks.Fault(path, f"expected a readable file: {error}")]
         ) from error
     except yaml.YAMLError as error:
         raise SettingsError(
-            [Fault(path, f"expected YAML: {_one_line(error)}")]
+            [checks.Fault(path, f"expected YAML: {_one_line(error)}")]
         ) from error
     return build(given if given is not None else {})
 
@@ -379,25 +369,27 @@
 def build(given: typing.Any) -> Settings:
     """Merge given values over the defaults and check the result."""
     if not isinstance(given, dict):
-        raise SettingsError([Fault("(top level)", "expected a mapping")])
-    faults: list[Fault] = []
+        raise SettingsError([checks.Fault("(top level)", "expected a mapping")])
+    faults: list[checks.Fault] = []
     merged = _merge(DEFAULTS, given, "", faults)
     if not faults:
-        faults.extend(_check_ranges(merged))
+        faults.extend(checks.check(merged))
     if faults:
         raise SettingsError(sorted(faults, key=lambda fault: fault.path))
     return cattrs.structure(merged, Settings)
 
 
-def _merge(defaults: dict, given: dict, prefix: str, faults: list[Fault]) -> dict:
+def _merge(
+    defaults: dict, given: dict, prefix: str, faults: list[checks.Fault]
+) -> dict:
     merged = {}
     for key in given.keys() - defaults.keys():
-        faults.append(Fault(f"{prefix}{key}", "unknown key"))
+        faults.append(checks.Fault(f"{prefix}{key}", "unknown key"))
     for key, default in defaults.items():
         path = f"{prefix}{key}"
         if key not in given:
             if default is REQUIRED:
-                faults.append(Fault(path, "required, but missing"))
+                faults.append(checks.Fault(path, "required, but missing"))
             merged[key] = default
         else:
             merged[key] = _merge_value(default, given[key], path, faults)
@@ -405,11 +397,11 @@
 
 
 def _merge_value(
-    default: typing.Any, value: typing.Any, path: str, faults: list[Fault]
+    default: typing.Any, value: typing.Any, path: str, faults: list[checks.Fault]
 ) -> typing.Any:
     if isinstance(default, dict) and default:
         if not isinstance(value, dict):
-            faults.append(Fault(path, "expected a mapping"))
+            faults.append(checks.Fault(path, "expected a mapping"))
             return default
         return _merge(default, value, f"{path}.", faults)
     expected = str if default is REQUIRED else type(default)
@@ -419,80 +411,9 @@
         names = {str: "a non-empty text" if default is REQUIRED else "a text"}
         names |= {int: "a whole number", float: "a number", bool: "true or false"}
         names |= {dict: "a mapping", list: "a list"}
-        faults.append(Fault(path, f"expected {names[expected]}"))
+        faults.append(checks.Fault(path, f"expected {names[expected]}"))
     return value
 
 
-def _check_ranges(merged: dict) -> list[Fault]:
-    faults = []
-    for name in ("callers", "operators", "peers"):
-        fault = _check_address(merged["listen"][name])
-        if fault:
-            faults.append(Fault(f"listen.{name}", fault))
-    for section, values in merged.items():
-        if isinstance(values, dict):
-            faults.extend(_check_numbers(section, values))
-    if merged["log"]["level"] not in ("DEBUG", "INFO", "WARNING", "ERROR"):
-        faults.append(Fault("log.level", "expected DEBUG, INFO, WARNING or ERROR"))
-    faults.extend(_check_operator_keys(merged["operator_key_hashes"]))
-    faults.extend(_check_seeds(merged["membership"]["seeds"]))
-    faults.extend(_check_tls(merged["tls"]))
-    return faults
-
-
-def _check_numbers(section: str, values: dict) -> list[Fault]:
-    faults = []
-    for key, value in values.items():
-        path = f"{section}.{key}"
-        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
-        if is_number and key.endswith("_ratio") and not 0 <= value <= 1:
-            faults.append(Fault(path, "expected a ratio from 0 to 1"))
-        elif is_number and not 0 < value < float("inf"):
-            faults.append(Fault(path, "expected a number above 0"))
-    return faults
-
-
-def _check_operator_keys(hashes: dict) -> list[Fault]:
-    faults = []
-    for name, digest in hashes.items():
-        if not isinstance(digest, str) or len(digest) != 64:
-            path = f"operator_key_hashes.{name}"
-            faults.append(Fault(path, "expected a SHA-256 digest of 64 hex digits"))
-    return faults
-
-
-def _check_seeds(seeds: list) -> list[Fault]:
-    expected = "expected a list of IP:PORT"
-    bad = [s for s in seeds if not isinstance(s, str) or _check_address(s)]
-    return [Fault("membership.seeds", expected)] if bad else []
-
-
-def _check_tls(listeners: dict) -> list[Fault]:
-    faults = []
-    for name in ("callers", "operators", "peers"):
-        files = listeners[name]
-        needed = ("key", "authority") if name == "peers" else ("key",)
-        for key in needed:
-            if files["certificate"] and not files[key]:
-                expected = "required when a certificate is given"
-                faults.append(Fault(f"tls.{name}.{key}", expected))
-        if any(files.values()) and not files["certificate"]:
-            expected = "required when a key or an authority is given"
-            faults.append(Fault(f"tls.{name}.certificate", expected))
-    return faults
-
-
-def _check_address(value: str) -> str | None:
-    expected = "expected IP:PORT with a port from 0 to 65535"
-    host, separator, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        return expected
-    if not separator or not port.isdigit() or int(port) > 65535:
-        return expected
-    return None
-
-
 def _one_line(error: Exception) -> str:
     return " ".join(str(error).split())
--- a/turmerictally/tests/features/settings.feature
+++ b/turmerictally/tests/features/settings.feature
@@ -23,6 +23,18 @@
       surprise: unknown key
       """
 
+  Scenario: The fleet's failure domains must hold the host's own
+    Given the minimal settings
+    And these settings over them
+      """
+      limits: {failure_domains: [luzon-b]}
+      """
+    When the settings are checked
+    Then the faults are
+      """
+      limits.failure_domains: expected a list of names with the own one, luzon-a
+      """
+
   Scenario: The settings page lists every key with its default
     Then docs/settings.md has a row for each key and default
 
