--- a/turmerictally/tests/features/steps/batch_steps.py
+++ b/turmerictally/tests/features/steps/batch_steps.py
@@ -1,9 +1,9 @@
 from unittest import mock
 
+import behave
 import hypothesis
 import hypothesis.strategies as st
 import trio
-from behave import then, when
 
 from turmerictally import errors
 from turmerictally.batch import (
@@ -28,7 +28,7 @@
     return made
 
 
-@when("a batch file with bad lines 2, 4 and 7 is uploaded in small chunks")
+@behave.when("a batch file with bad lines 2, 4 and 7 is uploaded in small chunks")
 def _(context):
     lines = fleet.items(8)
     lines[1] = "{oops"
@@ -45,18 +45,18 @@
     context.file, context.progress, context.faults = fleet.run(body)
 
 
-@then("exactly these batch lines are reported by number")
+@behave.then("exactly these batch lines are reported by number")
 def _(context):
     assert [bad.line for bad in context.file.bad] == [2, 4, 7], context.file.bad
 
 
-@then("the other batch items complete and the counts add up")
+@behave.then("the other batch items complete and the counts add up")
 def _(context):
     assert context.progress.counts == records.Counts(8, 5, 3), context.progress
     assert not context.faults, context.faults
 
 
-@when("a batch job is accepted for one team")
+@behave.when("a batch job is accepted for one team")
 def _(context):
     async def body(nursery):
         made = fleet.Fleet(nursery)
@@ -76,7 +76,7 @@
     context.kinds = fleet.run(body)
 
 
-@then("another team finds neither the batch file nor the job")
+@behave.then("another team finds neither the batch file nor the job")
 def _(context):
     assert context.kinds == [errors.Kind.NOT_FOUND] * 3, context.kinds
 
@@ -112,30 +112,30 @@
     return fleet.run(body, seed)
 
 
-@when("a batch job is sent at three hosts at once while answers are lost")
+@behave.when("a batch job is sent at three hosts at once while answers are lost")
 def _(context):
     context.resent = [resend("key", seed) for seed in range(10)]
 
 
-@then("every accepted answer names one batch job")
+@behave.then("every accepted answer names one batch job")
 def _(context):
     for answers, rows, active in context.resent:
         assert answers and len(set(answers)) == 1, answers
         assert len(rows) == 1 and active == 1, (rows, active)
 
 
-@when("a batch job without a key is sent twice")
+@behave.when("a batch job without a key is sent twice")
 def _(context):
     context.resent = [resend("", 0)]
 
 
-@then("the check for one batch job fails")
+@behave.then("the check for one batch job fails")
 def _(context):
     answers, rows, _ = context.resent[0]
     assert len(set(answers)) > 1 and len(rows) > 1
 
 
-@when("a batch job is sent during an outage")
+@behave.when("a batch job is sent during an outage")
 def _(context):
     async def body(nursery):
         made = fleet.Fleet(nursery)
@@ -153,14 +153,14 @@
     context.refusal, context.unchanged = fleet.run(body)
 
 
-@then("the batch refusal says not run and no row was written")
+@behave.then("the batch refusal says not run and no row was written")
 def _(context):
     assert context.refusal.kind is errors.Kind.PLATFORM_UNAVAILABLE
     assert context.refusal.ran is errors.Ran.NOT_RUN
     assert context.unchanged
 
 
-@when("the host that took a batch job is lost right after its answer")
+@behave.when("the host that took a batch job is lost right after its answer")
 def _(context):
     async def body(nursery):
         made = fleet.Fleet(nursery)
@@ -172,7 +172,7 @@
     context.progress, context.faults = fleet.run(body)
 
 
-@then("the batch job completes on other hosts")
+@behave.then("the batch job completes on other hosts")
 def _(context):
     assert context.progress.counts == records.Counts(30, 30, 0)
     assert not context.faults, context.faults
@@ -245,7 +245,7 @@
             made.faults.append("an item ran twice that may run once")
 
 
-@then("25 random schedules of batch faults break no promise")
+@behave.then("25 random schedules of batch faults break no promise")
 def _(context):
     @hypothesis.settings(max_examples=25, deadline=None, derandomize=True)
     @hypothesis.given(st.integers(0, 1000), st.lists(STEP, min_size=1, max_size=5))
@@ -275,7 +275,9 @@
     return made.faults
 
 
-@then("a crash, pause or lost answer at each batch platform call breaks no promise")
+@behave.then(
+    "a crash, pause or lost answer at each batch platform call breaks no promise"
+)
 def _(context):
     for call in range(1, CALLS + 1):
         for step in STEPS:
@@ -283,7 +285,7 @@
             assert not faults, (call, step, faults)
 
 
-@then("random schedules of batch faults without fencing break a promise")
+@behave.then("random schedules of batch faults without fencing break a promise")
 def _(context):
     def check(seed, steps):
         async def body(nursery):
@@ -318,22 +320,22 @@
     return [fault for seed in range(3) for fault in fleet.run(body, seed)]
 
 
-@when("a batch holder is paused past its lease and then commits")
+@behave.when("a batch holder is paused past its lease and then commits")
 def _(context):
     context.faults = pause_holder(())
 
 
-@when("a batch holder is paused past its lease and then commits without fencing")
+@behave.when("a batch holder is paused past its lease and then commits without fencing")
 def _(context):
     context.faults = pause_holder(FENCING)
 
 
-@then("no broken batch promise is seen")
+@behave.then("no broken batch promise is seen")
 def _(context):
     assert not context.faults, context.faults
 
 
-@then("a broken batch promise is seen")
+@behave.then("a broken batch promise is seen")
 def _(context):
     assert any("result" in fault for fault in context.faults), context.faults
 
@@ -359,27 +361,29 @@
     return fleet.run(body)
 
 
-@when("a batch job is cancelled at the moment it completes")
+@behave.when("a batch job is cancelled at the moment it completes")
 def _(context):
     context.states = race_cancel(())
 
 
-@when("a batch job is cancelled at the moment it completes without conditional writes")
+@behave.when(
+    "a batch job is cancelled at the moment it completes without conditional writes"
+)
 def _(context):
     context.states = race_cancel((records.JOBS, records.ACTIVE))
 
 
-@then("the batch job's final state never changes")
+@behave.then("the batch job's final state never changes")
 def _(context):
     assert context.states == {records.JobState.CANCELLED}, context.states
 
 
-@then("the batch job's final state changes")
+@behave.then("the batch job's final state changes")
 def _(context):
     assert len(context.states) == 2, context.states
 
 
-@when("a running batch job is cancelled while peer calls are lost")
+@behave.when("a running batch job is cancelled while peer calls are lost")
 def _(context):
     async def body(nursery):
         made = started(nursery)
@@ -395,19 +399,21 @@
     context.progress, context.last_start, context.faults = fleet.run(body)
 
 
-@then("no batch item starts later than 5 seconds after it")
+@behave.then("no batch item starts later than 5 seconds after it")
 def _(context):
     assert context.last_start <= 5.0, context.last_start
     assert context.progress.job.state is records.JobState.CANCELLED
 
 
-@then("the batch results so far stay readable")
+@behave.then("the batch results so far stay readable")
 def _(context):
     assert 0 < context.progress.counts.completed < 300, context.progress.counts
     assert not context.faults, context.faults
 
 
-@when("a batch job is cancelled while one of its holders is cut off from everything")
+@behave.when(
+    "a batch job is cancelled while one of its holders is cut off from everything"
+)
 def _(context):
     async def body(nursery):
         made = started(nursery, given=fleet.make_settings(range_items=100))
@@ -430,14 +436,14 @@
     )
 
 
-@then("the batch job shows cancelling until that holder has stopped")
+@behave.then("the batch job shows cancelling until that holder has stopped")
 def _(context):
     assert context.progress.job.state is records.JobState.CANCELLED
     assert context.at < context.last < context.ended, (context.last, context.ended)
     assert not context.faults, context.faults
 
 
-@when("the host that took a batch cancellation is lost at once")
+@behave.when("the host that took a batch cancellation is lost at once")
 def _(context):
     async def body(nursery):
         made = started(nursery)
@@ -450,13 +456,13 @@
     context.progress, context.faults = fleet.run(body)
 
 
-@then("the batch job still becomes cancelled")
+@behave.then("the batch job still becomes cancelled")
 def _(context):
     assert context.progress.job.state is records.JobState.CANCELLED
     assert not context.faults, context.faults
 
 
-@when("a batch job holds an item that kills its host")
+@behave.when("a batch job holds an item that kills its host")
 def _(context):
     async def body(nursery):
         made = started(nursery)
@@ -468,7 +474,7 @@
     context.progress, context.fleet = fleet.run(body)
 
 
-@then("only that batch item fails and all others complete")
+@behave.then("only that batch item fails and all others complete")
 def _(context):
     assert context.progress.counts == records.Counts(30, 29, 1)
     assert not context.fleet.faults, context.fleet.faults
@@ -478,7 +484,7 @@
     assert b"worker_lost" in context.fleet.lines["poison"]
 
 
-@when("a batch job holds items that are refused, broken or name no model")
+@behave.when("a batch job holds items that are refused, broken or name no model")
 def _(context):
     async def body(nursery):
         made = started(nursery)
@@ -492,7 +498,7 @@
     context.progress, context.fleet = fleet.run(body)
 
 
-@then("these batch items fail with their reasons and all others complete")
+@behave.then("these batch items fail with their reasons and all others complete")
 def _(context):
     made = context.fleet
     assert context.progress.counts == records.Counts(30, 27, 3)
@@ -503,7 +509,7 @@
     assert not made.sends_of("nameless") and not made.faults
 
 
-@when("one host has not learned the configuration and one learns a model late")
+@behave.when("one host has not learned the configuration and one learns a model late")
 def _(context):
     async def body(nursery):
         made = fleet.Fleet(nursery)
@@ -518,7 +524,7 @@
     context.progress, context.fleet = fleet.run(body)
 
 
-@then("no batch item fails as unknown")
+@behave.then("no batch item fails as unknown")
 def _(context):
     assert context.progress.counts == records.Counts(100, 100, 0)
     assert not context.fleet.faults
@@ -539,7 +545,7 @@
     return fleet.run(body)
 
 
-@when("batch items on a non-idempotent route meet lost hosts")
+@behave.when("batch items on a non-idempotent route meet lost hosts")
 def _(context):
     context.progress, context.fleet = lose_hosts()
 
@@ -548,19 +554,21 @@
     await trio.lowlevel.checkpoint()
 
 
-@when("batch items on a non-idempotent route meet lost hosts without start records")
+@behave.when(
+    "batch items on a non-idempotent route meet lost hosts without start records"
+)
 def _(context):
     with mock.patch.object(ranges.Claim, "mark_started", mark_nothing):
         context.progress, context.fleet = lose_hosts()
 
 
-@then("a batch item that may run once was sent twice")
+@behave.then("a batch item that may run once was sent twice")
 def _(context):
     sent = [custom_id for _, _, custom_id in context.fleet.sends]
     assert len(sent) > len(set(sent))
 
 
-@when("a host with batch ranges is stopped as planned")
+@behave.when("a host with batch ranges is stopped as planned")
 def _(context):
     async def body(nursery):
         made = started(nursery, given=fleet.make_settings(lease_s=1000.0))
@@ -573,13 +581,13 @@
     context.progress, context.fleet = fleet.run(body)
 
 
-@then("the batch job goes on without waiting for its lease")
+@behave.then("the batch job goes on without waiting for its lease")
 def _(context):
     assert context.progress.counts == records.Counts(200, 200, 0)
     assert not context.fleet.faults, context.fleet.faults
 
 
-@when("the host that holds a batch range finds no capacity")
+@behave.when("the host that holds a batch range finds no capacity")
 def _(context):
     async def body(nursery):
         made = fleet.Fleet(nursery, hosts=2)
@@ -597,19 +605,19 @@
     context.progress, context.fleet = fleet.run(body)
 
 
-@then("another host completes the batch job")
+@behave.then("another host completes the batch job")
 def _(context):
     assert context.progress.counts == records.Counts(10, 10, 0)
     assert {name for _, name, _ in context.fleet.sends} == {"h1"}
 
 
-@then("each such batch item was sent at most once")
+@behave.then("each such batch item was sent at most once")
 def _(context):
     sent = [custom_id for _, _, custom_id in context.fleet.sends]
     assert sent and len(sent) == len(set(sent))
 
 
-@then("batch items in doubt end as may have run")
+@behave.then("batch items in doubt end as may have run")
 def _(context):
     counts = context.progress.counts
     assert counts.failed > 0 and counts.completed > 0, counts
@@ -618,7 +626,7 @@
     assert len(failed) == counts.failed and not context.fleet.faults
 
 
-@when("capacity for batch items comes free on a host without ranges")
+@behave.when("capacity for batch items comes free on a host without ranges")
 def _(context):
     async def body(nursery):
         made = fleet.Fleet(nursery, hosts=1)
@@ -636,12 +644,12 @@
     context.delay = fleet.run(body)
 
 
-@then("a batch item starts within one second")
+@behave.then("a batch item starts within one second")
 def _(context):
     assert context.delay <= 1.0, context.delay
 
 
-@when("batch slots are yielded again and again")
+@behave.when("batch slots are yielded again and again")
 def _(context):
     async def body(nursery):
         made = started(nursery)
@@ -660,14 +668,14 @@
     context.progress, context.faults, context.yielded = fleet.run(body)
 
 
-@then("every batch item completes")
+@behave.then("every batch item completes")
 def _(context):
     assert context.yielded > 60, context.yielded
     assert context.progress.counts == records.Counts(60, 60, 0)
     assert not context.faults, context.faults
 
 
-@when("the platform is down for 60 seconds during a batch job")
+@behave.when("the platform is down for 60 seconds during a batch job")
 def _(context):
     async def body(nursery):
         given = fleet.make_settings(max_pending_results_bytes=2000, range_items=50)
@@ -692,25 +700,25 @@
     context.progress, context.fleet, context.level, context.written = fleet.run(body)
 
 
-@then("the batch results held in memory stay bounded")
+@behave.then("the batch results held in memory stay bounded")
 def _(context):
     in_flight = context.fleet.given.batch.max_concurrent_items
     assert context.level <= 2000 + in_flight * 300, context.level
 
 
-@then("the batch job completes without repeating finished items")
+@behave.then("the batch job completes without repeating finished items")
 def _(context):
     assert context.progress.counts == records.Counts(400, 400, 0)
     assert not context.fleet.faults, context.fleet.faults
     assert len(context.fleet.sends) <= 400 * 1.05, len(context.fleet.sends)
 
 
-@then("the batch writes after the outage stay within the budget")
+@behave.then("the batch writes after the outage stay within the budget")
 def _(context):
     assert context.written <= 3 * 20 * 10, context.written
 
 
-@when("a batch job's retention ends")
+@behave.when("a batch job's retention ends")
 def _(context):
     async def body(nursery):
         made = started(nursery, given=fleet.make_settings(retention_s=8000.0))
@@ -732,7 +740,7 @@
     context.kind, context.fleet = fleet.run(body)
 
 
-@then("its results are refused as expired and deleted")
+@behave.then("its results are refused as expired and deleted")
 def _(context):
     assert context.kind is errors.Kind.RESULT_EXPIRED
     assert not context.fleet.platform.objects.stored
@@ -740,17 +748,17 @@
     assert set(left) <= {"active-jobs", "batch-collector", "batch-workers"}, left
 
 
-@when("the batch benchmark runs")
+@behave.when("the batch benchmark runs")
 def _(context):
     context.report = batch.main()
 
 
-@then("every bound of the batch benchmark holds")
+@behave.then("every bound of the batch benchmark holds")
 def _(context):
     assert context.report.ok, context.report.text()
 
 
-@when("a batch job is larger than the fleet can complete in its window")
+@behave.when("a batch job is larger than the fleet can complete in its window")
 def _(context):
     async def body(nursery):
         made = started(nursery)
@@ -765,7 +773,7 @@
     context.forecast, context.now = fleet.run(body)
 
 
-@then("the batch forecast shows it late long before its deadline")
+@behave.then("the batch forecast shows it late long before its deadline")
 def _(context):
     assert context.forecast.late_s > 0
     assert context.now < context.forecast.deadline - 40.0
--- a/turmerictally/tests/features/steps/configuration_steps.py
+++ b/turmerictally/tests/features/steps/configuration_steps.py
@@ -2,10 +2,10 @@
 import random
 
 import attrs
+import behave
 import hypothesis
 import hypothesis.strategies as st
 import trio
-from behave import given, then, when
 
 from turmerictally import clock as clocks
 from turmerictally import errors
@@ -39,19 +39,23 @@
     return results
 
 
-@given("a configured fleet of {count:d} hosts")
+@behave.given("a configured fleet of {count:d} hosts")
 def given_fleet(context, count):
     context.count = count
     context.changes = {}
 
 
-@given("a configured fleet of {count:d} hosts that takes a snapshot every 10 changes")
+@behave.given(
+    "a configured fleet of {count:d} hosts that takes a snapshot every 10 changes"
+)
 def given_snapshots(context, count):
     context.count = count
     context.changes = {"snapshot_every": 10}
 
 
-@when("an operator creates a contract, gives a key and withdraws it, on three hosts")
+@behave.when(
+    "an operator creates a contract, gives a key and withdraws it, on three hosts"
+)
 def when_three_changes(context):
     async def scenario(fleet):
         ops = [fleet.hosts[name].parts.operations for name in ("h0", "h5", "h10")]
@@ -75,7 +79,9 @@
     config_fleet.run_fleet(scenario, context.count, config=context.changes)
 
 
-@then("each of the three changes was accepted on 13 of 13 hosts within 6 seconds")
+@behave.then(
+    "each of the three changes was accepted on 13 of 13 hosts within 6 seconds"
+)
 def then_accepted(context):
     for outcome in context.outcomes:
         assert outcome.status is operations.Status.ACCEPTED, outcome
@@ -83,7 +89,7 @@
     assert max(context.took) < 6, context.took
 
 
-@then("the audit trail names who, before and after, and holds no key digest")
+@behave.then("the audit trail names who, before and after, and holds no key digest")
 def then_audited(context):
     entries = context.entries
     assert [entry.who for entry in entries] == ["ann", "bo", "cy", "dee"]
@@ -99,7 +105,7 @@
     )
 
 
-@when("two operators change one contract at once, and two change different ones")
+@behave.when("two operators change one contract at once, and two change different ones")
 def when_race(context):
     async def scenario(fleet):
         one, two = (fleet.hosts[name].parts.operations for name in ("h0", "h1"))
@@ -115,7 +121,7 @@
     config_fleet.run_fleet(scenario, context.count, config=context.changes)
 
 
-@then("the one contract has one winner and one conflict")
+@behave.then("the one contract has one winner and one conflict")
 def then_one_winner(context):
     won = [r for r in context.same if isinstance(r, operations.Outcome)]
     lost = [r for r in context.same if isinstance(r, errors.Error)]
@@ -123,7 +129,7 @@
     assert lost[0].kind is errors.Kind.CONFLICT
 
 
-@then("both different contracts are changed")
+@behave.then("both different contracts are changed")
 def then_both(context):
     assert all(isinstance(r, operations.Outcome) for r in context.apart), context.apart
 
@@ -133,7 +139,7 @@
         pass
 
 
-@then("a commit without version checks makes both racers win")
+@behave.then("a commit without version checks makes both racers win")
 def then_unchecked(context):
     async def main():
         rows, clock = UncheckedTable(), clocks.VirtualClock()
@@ -160,7 +166,7 @@
     )  # fmt: skip
 
 
-@when("40 changes are made while one answer in three is lost")
+@behave.when("40 changes are made while one answer in three is lost")
 def when_lost_answers(context):
     async def main():
         context.answers, context.history = await lose_answers(store.Store)
@@ -204,14 +210,16 @@
     ]
 
 
-@then("every answer agrees with the history")
+@behave.then("every answer agrees with the history")
 def then_agree(context):
     assert not disagreements(context.answers, context.history)
     done = [ran for ran in context.answers.values() if ran is errors.Ran.DONE]
     assert len(done) == 40, context.answers
 
 
-@then("a commit that takes a lost answer for a refusal disagrees with the history")
+@behave.then(
+    "a commit that takes a lost answer for a refusal disagrees with the history"
+)
 def then_hasty(context):
     async def main():
         return await lose_answers(HastyStore)
@@ -249,7 +257,7 @@
     return config_fleet.run(main)
 
 
-@then("a replica fed late, repeated and old answers never goes back")
+@behave.then("a replica fed late, repeated and old answers never goes back")
 def then_never_back(context):
     @hypothesis.given(st.integers(0, 10**6))
     def check(seed):
@@ -258,12 +266,12 @@
     check()
 
 
-@then("a replica without its version check goes back")
+@behave.then("a replica without its version check goes back")
 def then_back(context):
     assert any(feed(ForgetfulReplica, seed) for seed in range(5))
 
 
-@when("60 changes are made and old ones are compacted")
+@behave.when("60 changes are made and old ones are compacted")
 def when_compacted(context):
     async def scenario(fleet):
         ops = fleet.hosts["h0"].parts.operations
@@ -290,13 +298,13 @@
     config_fleet.run_fleet(scenario, context.count, config=context.changes)
 
 
-@then("a new host holds the same configuration")
+@behave.then("a new host holds the same configuration")
 def then_same(context):
     assert context.old.version == 60
     assert context.new == context.old
 
 
-@then("a new host holds the same configuration while the platform is down")
+@behave.then("a new host holds the same configuration while the platform is down")
 def then_same_cut(context):
     assert context.cut == context.old
 
@@ -327,7 +335,7 @@
         return trio.current_time() - began
 
 
-@when("a change is made while every push is lost")
+@behave.when("a change is made while every push is lost")
 def when_pushes_lost(context):
     async def scenario(fleet):
         return await lose_pushes(fleet, mute=False)
@@ -335,12 +343,12 @@
     context.took = config_fleet.run_fleet(scenario, context.count)
 
 
-@then("the change is in force on all hosts within 10 seconds")
+@behave.then("the change is in force on all hosts within 10 seconds")
 def then_anti_entropy(context):
     assert context.took < 10, context.took
 
 
-@then("without pushes and digests in pings it is not")
+@behave.then("without pushes and digests in pings it is not")
 def then_mute(context):
     async def scenario(fleet):
         return await lose_pushes(fleet, mute=True)
@@ -348,7 +356,7 @@
     assert config_fleet.run_fleet(scenario, context.count) > 10
 
 
-@then("no schedule breaks the configuration's promises")
+@behave.then("no schedule breaks the configuration's promises")
 def then_promises(context):
     @hypothesis.settings(max_examples=30, deadline=None)
     @hypothesis.given(config_schedule.schedules(), st.integers(0, 1000))
@@ -359,21 +367,21 @@
     check()
 
 
-@then("accepting a change at its commit breaks them")
+@behave.then("accepting a change at its commit breaks them")
 def then_commit_only(context):
     broken = config_schedule.play(config_schedule.CUT, 0, config_schedule.at_commit)
     assert any("accepted" in fault for fault in broken), broken
     assert not config_schedule.play(config_schedule.CUT, 0)
 
 
-@then("serving without a staleness limit breaks them")
+@behave.then("serving without a staleness limit breaks them")
 def then_no_limit(context):
     unlimited = config_schedule.without_limit
     broken = config_schedule.play(config_schedule.CUT, 0, unlimited)
     assert any("accepted" in fault for fault in broken), broken
 
 
-@then("not waiting for hosts that started from a cut-off peer breaks them")
+@behave.then("not waiting for hosts that started from a cut-off peer breaks them")
 def then_no_dependents(context):
     schedule = config_schedule.DEPENDENT
     broken = config_schedule.play(schedule, 0, config_schedule.without_dependents)
--- a/turmerictally/tests/features/steps/cut_off_steps.py
+++ b/turmerictally/tests/features/steps/cut_off_steps.py
@@ -1,5 +1,5 @@
+import behave
 import trio
-from behave import given, then
 
 from turmerictally import errors
 from turmerictally.config import model
@@ -53,7 +53,7 @@
     return "served"
 
 
-@given("8 hosts in 4 domains, of which luzon-b meets: {cut}")
+@behave.given("8 hosts in 4 domains, of which luzon-b meets: {cut}")
 def given_cut(context, cut):
     async def scenario(fleet):
         ops = fleet.hosts["h0"].parts.operations
@@ -85,37 +85,37 @@
     return fleet.hosts.values()
 
 
-@then("a change made elsewhere is {result} within the acceptance time-out")
+@behave.then("a change made elsewhere is {result} within the acceptance time-out")
 def then_elsewhere(context, result):
     assert context.elsewhere == result, context.elsewhere
 
 
-@then("ten seconds later it is {result}")
+@behave.then("ten seconds later it is {result}")
 def then_elsewhere_later(context, result):
     assert context.later == result, context.later
 
 
-@then("a change made in luzon-b is {result}")
+@behave.then("a change made in luzon-b is {result}")
 def then_there(context, result):
     assert context.there == result, context.there
 
 
-@then("within the staleness limit luzon-b serves keys")
+@behave.then("within the staleness limit luzon-b serves keys")
 def then_soon(context):
     assert context.soon == {"served"}, context.soon
 
 
-@then("after the staleness limit luzon-b answers {result}")
+@behave.then("after the staleness limit luzon-b answers {result}")
 def then_late(context, result):
     assert context.late == {result}, context.late
 
 
-@then("after healing every host serves on the newest version")
+@behave.then("after healing every host serves on the newest version")
 def then_healed(context):
     assert context.healed == {(0, True)}, context.healed
 
 
-@then("it takes the highest version among its peers and serves")
+@behave.then("it takes the highest version among its peers and serves")
 def then_highest(context):
     async def scenario(fleet):
         ops = fleet.hosts["h0"].parts.operations
@@ -137,7 +137,7 @@
     assert config_fleet.run_fleet(scenario, 5)[1:] == (2, True)
 
 
-@then("alone it is not ready")
+@behave.then("alone it is not ready")
 def then_alone(context):
     async def scenario(fleet):
         fleet.platform.table.faults.down = fleet.platform.hosts.faults.down = True
--- a/turmerictally/tests/features/steps/keys_steps.py
+++ b/turmerictally/tests/features/steps/keys_steps.py
@@ -1,6 +1,6 @@
 import attrs
+import behave
 import trio
-from behave import given, then, when
 
 from turmerictally import errors
 from turmerictally.config import model, operations
@@ -38,12 +38,12 @@
     return None
 
 
-@given("each of {count:d} hosts runs a stream and a queued request on one key")
+@behave.given("each of {count:d} hosts runs a stream and a queued request on one key")
 def given_streams(context, count):
     context.count = count
 
 
-@when("the key is withdrawn on one host")
+@behave.when("the key is withdrawn on one host")
 def when_withdrawn(context):
     context.result = config_fleet.run_fleet(withdraw, context.count)
 
@@ -64,7 +64,7 @@
     return at, ends, refusals
 
 
-@then("every stream and queued request ends as withdrawn within 5 seconds")
+@behave.then("every stream and queued request ends as withdrawn within 5 seconds")
 def then_ended(context):
     at, ends, _ = context.result
     assert len(ends) == 2 * context.count, len(ends)
@@ -72,12 +72,12 @@
     assert max(when_ - at for _, when_, _ in ends) < 5
 
 
-@then("every host refuses the key from then on")
+@behave.then("every host refuses the key from then on")
 def then_refused(context):
     assert context.result[2] == {errors.Kind.UNAUTHENTICATED}, context.result[2]
 
 
-@then("without the watch the streams go on")
+@behave.then("without the watch the streams go on")
 def then_unwatched(context):
     async def scenario(fleet):
         return await withdraw(fleet, watched=False)
@@ -85,7 +85,7 @@
     assert not config_fleet.run_fleet(scenario, context.count)[1]
 
 
-@when("one host is cut off and the key is withdrawn")
+@behave.when("one host is cut off and the key is withdrawn")
 def when_cut_off(context):
     async def scenario(fleet):
         ends = []
@@ -113,7 +113,7 @@
     return refusal(host, secret.text)
 
 
-@then("the cut-off host serves the key until the team's limit and no longer")
+@behave.then("the cut-off host serves the key until the team's limit and no longer")
 def then_limit(context):
     _, served, _, ends = context.result
     stale = errors.Kind.CONFIGURATION_STALE
@@ -121,7 +121,7 @@
     assert [kind for host_id, _, kind in ends if host_id == "h1"] == [stale, stale]
 
 
-@then("the withdrawal is accepted after that and not before")
+@behave.then("the withdrawal is accepted after that and not before")
 def then_late_acceptance(context):
     first, _, later, _ = context.result
     assert first.status is operations.Status.PENDING
@@ -129,7 +129,7 @@
     assert later.status is operations.Status.ACCEPTED, later
 
 
-@then("removing a contract that has keys is a conflict")
+@behave.then("removing a contract that has keys is a conflict")
 def then_no_orphans(context):
     async def scenario(fleet):
         ops = fleet.hosts["h0"].parts.operations
--- a/turmerictally/tests/features/steps/membership_steps.py
+++ b/turmerictally/tests/features/steps/membership_steps.py
@@ -1,8 +1,8 @@
 import types
 
 import attrs
+import behave
 import trio
-from behave import given, then, when
 
 from turmerictally import settings
 from turmerictally.bench import membership
@@ -55,12 +55,12 @@
         known.merge = noted
 
 
-@given("{count:d} hosts that know each other")
+@behave.given("{count:d} hosts that know each other")
 def given_members(context, count):
     context.run = lambda scenario: config_fleet.run_fleet(scenario, count)
 
 
-@when("one host crashes")
+@behave.when("one host crashes")
 def when_crash(context):
     async def scenario(fleet):
         old = fleet.hosts["h7"].parts.members.me
@@ -83,17 +83,17 @@
     context.run(scenario)
 
 
-@then("every other host holds it dead within 8 seconds")
+@behave.then("every other host holds it dead within 8 seconds")
 def then_dead(context):
     assert context.death_s < 8, context.death_s
 
 
-@then("it returns at its address under a new instance within 10 seconds")
+@behave.then("it returns at its address under a new instance within 10 seconds")
 def then_back(context):
     assert context.return_s < 10, context.return_s
 
 
-@then("a late claim about its earlier start changes nothing")
+@behave.then("a late claim about its earlier start changes nothing")
 def then_still(context):
     assert context.still == {"LIVE"}, context.still
 
@@ -111,17 +111,17 @@
     return claims.held
 
 
-@when("one host no longer gets what its own domain sends")
+@behave.when("one host no longer gets what its own domain sends")
 def when_one_way(context):
     context.held = context.run(one_way)
 
 
-@then("nobody suspects it or holds it dead")
+@behave.then("nobody suspects it or holds it dead")
 def then_nobody(context):
     assert not context.held, context.held
 
 
-@then("without indirect pings it is suspected")
+@behave.then("without indirect pings it is suspected")
 def then_direct_only(context):
     async def scenario(fleet):
         return await one_way(fleet, indirect=False)
@@ -139,17 +139,17 @@
     return claims.held
 
 
-@when("one message in ten is lost for 150 seconds")
+@behave.when("one message in ten is lost for 150 seconds")
 def when_lossy(context):
     context.held = context.run(lossy)
 
 
-@then("no live host was held dead")
+@behave.then("no live host was held dead")
 def then_none_dead(context):
     assert not context.held, context.held
 
 
-@then("without refutation of suspicions some were")
+@behave.then("without refutation of suspicions some were")
 def then_some_dead(context):
     async def scenario(fleet):
         return await lossy(fleet, refute=False)
@@ -157,7 +157,7 @@
     assert context.run(scenario)
 
 
-@when("one domain is cut off for 40 seconds while the list is down")
+@behave.when("one domain is cut off for 40 seconds while the list is down")
 def when_partition(context):
     async def scenario(fleet):
         fleet.platform.hosts.faults.down = True
@@ -177,17 +177,17 @@
     context.run(scenario)
 
 
-@then("both sides hold each other dead")
+@behave.then("both sides hold each other dead")
 def then_sides(context):
     assert context.sides == [{"DEAD"}, {"DEAD"}], context.sides
 
 
-@then("after it heals everyone knows everyone again")
+@behave.then("after it heals everyone knows everyone again")
 def then_heals(context):
     assert context.heal_s < 30, context.heal_s
 
 
-@when("one host leaves")
+@behave.when("one host leaves")
 def when_leaves(context):
     async def scenario(fleet):
         host = fleet.hosts["h5"]
@@ -201,23 +201,23 @@
     context.run(scenario)
 
 
-@then("it is not live anywhere within 3 seconds")
+@behave.then("it is not live anywhere within 3 seconds")
 def then_left(context):
     assert context.leave_s < 3, context.leave_s
 
 
-@then("it is forgotten later")
+@behave.then("it is forgotten later")
 def then_forgotten(context):
     assert context.forget_s < 90, context.forget_s
 
 
-@then("the membership benchmark keeps its bounds at 13 and 40 hosts")
+@behave.then("the membership benchmark keeps its bounds at 13 and 40 hosts")
 def then_bench(context):
     report = config_fleet.run(membership.run, (13, 40), 12.0)
     assert report.ok, report.text()
 
 
-@then("pinging every member does not keep them")
+@behave.then("pinging every member does not keep them")
 def then_all_to_all(context):
     async def main():
         return await membership.run((13, 25), 4.0, all_to_all=True)
@@ -225,7 +225,9 @@
     assert not config_fleet.run(main).ok
 
 
-@then("a host reads the list each 5 s among 13 hosts and at most 1,000 B/s among 400")
+@behave.then(
+    "a host reads the list each 5 s among 13 hosts and at most 1,000 B/s among 400"
+)
 def then_list_bounded(context):
     options = settings.build(MINIMAL).membership
     intervals = {}
