--- a/turmerictally/batch/cancel.py
+++ b/turmerictally/batch/cancel.py
@@ -9,7 +9,7 @@
 from turmerictally import errors, settings
 from turmerictally.batch import choice, jobs, records, store
 from turmerictally.peers import calls
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/batch/choice.py
+++ b/turmerictally/batch/choice.py
@@ -8,7 +8,7 @@
 
 from turmerictally import settings
 from turmerictally.batch import jobs, lease, policy, ranges, records, store
-from turmerictally.platform import table
+from turmerictally.store import table
 
 PAGE = 100  # jobs read from each place of the ready list
 TRIED = 4  # jobs whose ranges are read in one look
--- a/turmerictally/batch/collector.py
+++ b/turmerictally/batch/collector.py
@@ -7,7 +7,7 @@
 
 from turmerictally import settings
 from turmerictally.batch import lease, records, store
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/batch/executor.py
+++ b/turmerictally/batch/executor.py
@@ -25,7 +25,7 @@
 from turmerictally.config import model
 from turmerictally.online import messages
 from turmerictally.peers import calls
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/batch/files.py
+++ b/turmerictally/batch/files.py
@@ -9,7 +9,7 @@
 
 from turmerictally import errors, settings
 from turmerictally.batch import records, store
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/batch/jobs.py
+++ b/turmerictally/batch/jobs.py
@@ -11,7 +11,7 @@
 from turmerictally import errors, settings
 from turmerictally.batch import files, records, store
 from turmerictally.config import model
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/batch/lease.py
+++ b/turmerictally/batch/lease.py
@@ -11,7 +11,7 @@
 
 from turmerictally import clock
 from turmerictally.batch import records, store
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/batch/ranges.py
+++ b/turmerictally/batch/ranges.py
@@ -6,7 +6,7 @@
 import attrs
 
 from turmerictally.batch import files, jobs, lease, records, store
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/batch/store.py
+++ b/turmerictally/batch/store.py
@@ -9,7 +9,7 @@
 import trio
 
 from turmerictally import clock, errors, settings
-from turmerictally.platform import objects, table
+from turmerictally.store import objects, table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/bench/fleet.py
+++ b/turmerictally/bench/fleet.py
@@ -7,8 +7,8 @@
 from turmerictally import settings
 from turmerictally.bench import simulated
 from turmerictally.online import queue
-from turmerictally.platform import hosts
 from turmerictally.routing import headroom, load, router, servers
+from turmerictally.store import hosts
 
 POLL_S = 0.5
 DOMAINS = ("a", "b", "c", "d")
--- a/turmerictally/bench/limits.py
+++ b/turmerictally/bench/limits.py
@@ -17,8 +17,8 @@
 
 from turmerictally.bench import report
 from turmerictally.config import model
-from turmerictally.platform import table
 from turmerictally.standins import memory
+from turmerictally.store import table
 from turmerictally.tests.support import limits_fleet, network
 
 NAME = "limits"
--- a/turmerictally/bench/membership.py
+++ b/turmerictally/bench/membership.py
@@ -22,8 +22,8 @@
 from turmerictally.bench import report as reports
 from turmerictally.membership import detector, members
 from turmerictally.peers import calls
-from turmerictally.platform import hosts
 from turmerictally.standins import memory
+from turmerictally.store import hosts
 
 NAME = "membership"
 SUMMARY = (
--- a/turmerictally/bench/platform.py
+++ b/turmerictally/bench/platform.py
@@ -14,8 +14,8 @@
 
 from turmerictally import settings
 from turmerictally.bench import report
-from turmerictally.platform import guard, table
 from turmerictally.standins import memory
+from turmerictally.store import guard, table
 
 NAME = "platform"
 SUMMARY = (
--- a/turmerictally/checks.py
+++ b/turmerictally/checks.py
@@ -20,12 +20,10 @@
     """Return the faults of settings whose keys and types are right."""
     faults = []
     for name in ("callers", "operators", "peers"):
-        fault = _check_address(merged["listen"][name])
+        fault = check_address(merged["listen"][name])
         if fault:
             faults.append(Fault(f"listen.{name}", fault))
-    for section, values in merged.items():
-        if isinstance(values, dict):
-            faults.extend(_check_numbers(section, values))
+    faults.extend(check_numbers(merged))
     if merged["log"]["level"] not in ("DEBUG", "INFO", "WARNING", "ERROR"):
         faults.append(Fault("log.level", "expected DEBUG, INFO, WARNING or ERROR"))
     faults.extend(_check_operator_keys(merged["operator_key_hashes"]))
@@ -35,6 +33,15 @@
     return faults
 
 
+def check_numbers(merged: dict) -> list[Fault]:
+    """Return the faults of numbers that are out of their range."""
+    faults = []
+    for section, values in merged.items():
+        if isinstance(values, dict):
+            faults.extend(_check_numbers(section, values))
+    return faults
+
+
 def _check_numbers(section: str, values: dict) -> list[Fault]:
     faults = []
     for key, value in values.items():
@@ -58,7 +65,7 @@
 
 def _check_seeds(seeds: list) -> list[Fault]:
     expected = "expected a list of IP:PORT"
-    bad = [s for s in seeds if not isinstance(s, str) or _check_address(s)]
+    bad = [s for s in seeds if not isinstance(s, str) or check_address(s)]
     return [Fault("membership.seeds", expected)] if bad else []
 
 
@@ -87,7 +94,8 @@
     return faults
 
 
-def _check_address(value: str) -> str | None:
+def check_address(value: str) -> str | None:
+    """Return what is wrong with an ``ip:port``, or None."""
     expected = "expected IP:PORT with a port from 0 to 65535"
     host, separator, port = value.rpartition(":")
     try:
--- a/turmerictally/cli/commands.py
+++ b/turmerictally/cli/commands.py
@@ -10,6 +10,7 @@
 from turmerictally import demo as demo_module
 from turmerictally import host, log, settings
 from turmerictally.cli import client, measure, signals, standin, verbs
+from turmerictally.platform import deployment
 
 logger = logging.getLogger(__name__)
 
@@ -69,6 +70,7 @@
 VERBS = {
     "check": check,
     "serve": serve,
+    "entry": deployment.main,
     "demo": demo,
     "contract": verbs.Contract(),
     "key": verbs.Key(),
--- a/turmerictally/cli/standin.py
+++ b/turmerictally/cli/standin.py
@@ -10,10 +10,10 @@
 
 from turmerictally import log, settings
 from turmerictally.cli import signals
-from turmerictally.platform import client, hosts, table
 from turmerictally.standins import engine, engine_server, memory, serving
 from turmerictally.standins import server as platform_server
 from turmerictally.standins import service as plain_service
+from turmerictally.store import client, hosts, table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/config/assembly.py
+++ b/turmerictally/config/assembly.py
@@ -10,7 +10,7 @@
 from turmerictally.config import audit, keys, operations, replica, spread, store, sync
 from turmerictally.membership import detector, members
 from turmerictally.peers import calls
-from turmerictally.platform import hosts, objects, table
+from turmerictally.store import hosts, objects, table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/config/audit.py
+++ b/turmerictally/config/audit.py
@@ -10,7 +10,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.config import model
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/config/operations.py
+++ b/turmerictally/config/operations.py
@@ -11,7 +11,7 @@
 from turmerictally import clock as clocks
 from turmerictally import errors
 from turmerictally.config import audit, keys, model, rules, spread, store, sync
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/config/spread.py
+++ b/turmerictally/config/spread.py
@@ -12,7 +12,7 @@
 from turmerictally.config import replica, store, sync, wire
 from turmerictally.membership import members
 from turmerictally.peers import calls
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/config/store.py
+++ b/turmerictally/config/store.py
@@ -8,7 +8,7 @@
 from turmerictally import clock as clocks
 from turmerictally import errors
 from turmerictally.config import audit, model
-from turmerictally.platform import objects, table
+from turmerictally.store import objects, table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/config/sync.py
+++ b/turmerictally/config/sync.py
@@ -11,7 +11,7 @@
 from turmerictally.config import model, replica, store, wire
 from turmerictally.membership import members
 from turmerictally.peers import calls
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/demo.py
+++ b/turmerictally/demo.py
@@ -13,9 +13,9 @@
 
 from turmerictally import checks, host, settings
 from turmerictally.config import model
-from turmerictally.platform import hosts, weights
 from turmerictally.standins import engine, engine_server, memory, service, serving
 from turmerictally.standins import server as platform_server
+from turmerictally.store import hosts, weights
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/turmerictally/entry/desk.py
@@ -0,0 +1,358 @@
+"""Handle callers' requests: key, route, quota, then the servers or a batch job."""
+
+import collections.abc
+import random
+
+import attrs
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally.entry import (
+    allowance,
+    batchcalls,
+    front,
+    jobs,
+    messages,
+    model,
+    registry,
+    relay,
+    watch,
+    worker,
+)
+from turmerictally.entry import trace as traces
+from turmerictally.metrics import latency
+from turmerictally.store import rows
+
+CALL_TIMEOUT_S = 4.0  # of a call on a batch job whose caller names no time
+RETRY_S = 0.15  # between tries of a transaction whose fate is unknown
+# How long a store that refuses a new job is asked again; the latency objective of a
+# submission is about as long.
+SUBMIT_TRIES_S = 0.6
+STORE_RETRY_AFTER_S = 0.5  # to callers, when the store does not answer
+QUOTA_RETRY_AFTER_S = 2.0  # when a team's waiting tokens leave no room for a job
+MAX_ITEMS = 200  # of one job
+MAX_ID = 120  # characters of a job's id, which is part of row keys
+# A followed copy older than this is not trusted to know the newest results.
+FRESH_S = 2.5
+ANSWER_MARGIN_S = 0.05  # to send an answer before its deadline
+
+
+@attrs.define(eq=False)
+class Desk:
+    """Answer each request on the callers' address."""
+
+    configured: registry.Configured
+    allowances: allowance.Allowances
+    relay: relay.Relay
+    worker: worker.Worker
+    states: watch.Watch
+    jobs: jobs.Jobs
+    wire: messages.Wire
+    clock: clocks.Clock
+    trace: traces.Trace
+    latencies: latency.Latencies
+    config_age_s: collections.abc.Callable[[], float]
+    rng: random.Random
+
+    async def handle(self, exchange: front.Exchange) -> None:
+        """Answer one request."""
+        ask = self.wire.read_ask(exchange.method, exchange.target, exchange.headers)
+        try:
+            outcome, route, team = await self._handle(exchange, ask)
+        except trio.Cancelled:
+            self.trace.emit(
+                "caller_left",
+                ask.request_id,
+                after_s=round(self.clock.monotonic() - exchange.arrived, 3),
+                outcome="left",
+            )
+            raise
+        took = self.clock.monotonic() - exchange.arrived
+        self.trace.emit(
+            "answered",
+            ask.request_id,
+            team=team,
+            route=route,
+            status=exchange.status,
+            took_s=round(took, 3),
+            config=self._version(),
+            config_age_s=round(self.config_age_s(), 2),
+            outcome=outcome,
+        )
+        if route:
+            self.latencies.record(
+                latency.Measure.WHOLE_ANSWER, latency.Work.ONLINE, team, took
+            )
+
+    def _version(self) -> int | None:
+        return self.configured.current.version if self.configured.current else None
+
+    async def _handle(
+        self, exchange: front.Exchange, ask: messages.Ask
+    ) -> tuple[str, str, str]:
+        view = self.configured.current
+        if view is None:
+            await exchange.refuse(
+                relay.Refusal.UNAVAILABLE, "no configuration yet", STORE_RETRY_AFTER_S
+            )
+            return "no configuration", "", ""
+        call = self.wire.read_call(ask)
+        route = None if call else view.route(ask.hostname, ask.path)
+        if call is None and route is None:
+            await exchange.refuse(relay.Refusal.NOT_FOUND, "no such route")
+            return "no route", "", ""
+        team = view.team_of(ask.key)
+        needed = bool(view.teams) and not (route and route.public)
+        if needed and team is None:
+            await exchange.refuse(relay.Refusal.UNAUTHENTICATED, "unknown key")
+            return "unknown key", route.name if route else "", ""
+        name = team.name if team else ""
+        if call is not None:
+            return await self._call(exchange, ask, call, name), "", name
+        if route.kind is model.Kind.BATCH:
+            return await self._submit(exchange, ask, route, name), route.name, name
+        return await self._online(exchange, ask, route, name), route.name, name
+
+    async def _online(
+        self,
+        exchange: front.Exchange,
+        ask: messages.Ask,
+        route: model.Route,
+        team: str,
+    ) -> str:
+        wait = self.allowances.admit(team)
+        if wait is not None:
+            await exchange.refuse(relay.Refusal.OVER_QUOTA, "over quota", wait)
+            return f"over quota, share {self.allowances.share:.2f}"
+        given = route.timeout_s if ask.wait_s is None else ask.wait_s
+        deadline = exchange.arrived + min(given, route.timeout_s) - ANSWER_MARGIN_S
+        job = relay.Job(ask, exchange.body, route, team, deadline, exchange)
+        outcome = await self.relay.run(job)
+        if not job.runs:
+            self.allowances.give_back(team)
+        return outcome
+
+    async def _submit(
+        self,
+        exchange: front.Exchange,
+        ask: messages.Ask,
+        route: model.Route,
+        team: str,
+    ) -> str:
+        try:
+            items = self.wire.read_items(exchange.body)
+        except ValueError as error:
+            await exchange.refuse(relay.Refusal.BAD_REQUEST, str(error))
+            return "unreadable"
+        job = ask.request_id
+        bad_id = not 0 < len(job) <= MAX_ID or "/" in job
+        if bad_id or not 0 < len(items) <= MAX_ITEMS or exchange.method != b"POST":
+            await exchange.refuse(relay.Refusal.BAD_REQUEST, "not a batch job")
+            return "unreadable"
+        if job in self._states_of(job):
+            await exchange.reply_json(202, {"id": job})
+            return "accepted before"
+        tokens = sum(item.tokens for item in items)
+        waiting = self._waiting_tokens(team, route)
+        if route.max_waiting_tokens and waiting + tokens > route.max_waiting_tokens:
+            await exchange.refuse(
+                relay.Refusal.OVER_QUOTA, "too much waits", QUOTA_RETRY_AFTER_S
+            )
+            return f"{waiting} tokens wait, {tokens} more asked"
+        if not self.states.now_s:
+            await exchange.refuse(
+                relay.Refusal.UNAVAILABLE, "store unknown", STORE_RETRY_AFTER_S
+            )
+            return "store unknown"
+        state = jobs.State(
+            job=job,
+            team=team,
+            route=route.name,
+            hostname=ask.hostname,
+            path=route.prefix,
+            owner=self.worker.host_id,
+            instance=self.worker.instance,
+            total=len(items),
+            listed=0,
+            tokens=tokens,
+            pieces=0,
+            created_s=self.states.store_now_s(),
+            completion_s=route.completion_s,
+            retention_s=route.retention_s,
+        )
+        given = route.timeout_s if ask.wait_s is None else ask.wait_s
+        deadline = exchange.arrived + min(given, route.timeout_s) - ANSWER_MARGIN_S
+        return await self._create(exchange, state, items, deadline)
+
+    async def _create(
+        self,
+        exchange: front.Exchange,
+        state: jobs.State,
+        items: list[jobs.Item],
+        deadline: float,
+    ) -> str:
+        """Write a job; while its fate is unknown, no refusal would be true."""
+        maybe_there = False
+        reason = "deadline"
+        with trio.move_on_after(max(0.0, deadline - self.clock.monotonic())):
+            while True:
+                try:
+                    await self._write(state, items)
+                    await exchange.reply_json(202, {"id": state.job})
+                    return "accepted"
+                except rows.ConflictError:
+                    await exchange.reply_json(202, {"id": state.job})
+                    return "accepted before"
+                except rows.UnavailableError as error:
+                    maybe_there = maybe_there or error.maybe_applied
+                    reason = str(error)
+                spent = self.clock.monotonic() - exchange.arrived
+                if not maybe_there and spent > SUBMIT_TRIES_S:
+                    break
+                await trio.sleep(RETRY_S)
+        if maybe_there:
+            await exchange.refuse(relay.Refusal.DEADLINE, "store did not answer")
+            return f"unknown: {reason}"
+        await exchange.refuse(
+            relay.Refusal.UNAVAILABLE, "store not reached", STORE_RETRY_AFTER_S
+        )
+        return f"refused: {reason}"
+
+    async def _write(self, state: jobs.State, items: list[jobs.Item]) -> None:
+        done = await self.jobs.create(state, items)
+        pieces = len(jobs.item_puts(state.job, items))
+        kept = jobs.Kept(attrs.evolve(state, pieces=pieces), done.version)
+        self.worker.own(kept, items, set())
+
+    def _states_of(self, job: str) -> dict[str, jobs.Kept]:
+        """Return a job's state as followed, under its name, if it is known."""
+        row = self.states.known.get(jobs.state_address(job))
+        kept = jobs.decode(row) if row is not None else None
+        return {job: kept} if kept is not None else {}
+
+    def _waiting_tokens(self, team: str, route: model.Route) -> int:
+        total = 0
+        for row in self.states.known.values():
+            kept = jobs.decode(row)
+            if kept is None or kept.state.team != team or not kept.state.open:
+                continue
+            if (kept.state.hostname, kept.state.path) == (route.hostname, route.prefix):
+                total += kept.state.tokens
+        return total
+
+    async def _call(
+        self,
+        exchange: front.Exchange,
+        ask: messages.Ask,
+        call: batchcalls.Call,
+        team: str,
+    ) -> str:
+        left = (ask.wait_s or CALL_TIMEOUT_S) - ANSWER_MARGIN_S
+        reason = "deadline"
+        deadline = exchange.arrived + left
+        with trio.move_on_after(max(0.0, deadline - self.clock.monotonic())):
+            try:
+                return await self._answer_call(exchange, call, team, deadline)
+            except rows.UnavailableError as error:
+                reason = str(error)
+        await exchange.refuse(
+            relay.Refusal.UNAVAILABLE, "job cannot be read now", STORE_RETRY_AFTER_S
+        )
+        return f"store not reached: {reason}"
+
+    async def _answer_call(
+        self,
+        exchange: front.Exchange,
+        call: batchcalls.Call,
+        team: str,
+        deadline: float,
+    ) -> str:
+        kept = await self._find(call.job)
+        if kept is None or kept.state.team != team:
+            await exchange.refuse(relay.Refusal.NOT_FOUND, "no such job")
+            return "no such job"
+        if isinstance(call, batchcalls.ReadResults):
+            return await self._read_results(exchange, call, kept, deadline)
+        if isinstance(call, batchcalls.ReadItem):
+            return await self._read_item(exchange, call, kept)
+        return await self._cancel(exchange, kept)
+
+    async def _find(self, job: str) -> jobs.Kept | None:
+        """Return a job's state, or None when there surely is no such job."""
+        known = self._states_of(job).get(job)
+        if known is not None and self.states.age_s() < FRESH_S:
+            return known
+        newest = self.states.version
+        try:
+            kept, page = await self.jobs.state(job)
+        except rows.UnavailableError:
+            if known is not None:
+                return known
+            raise
+        if kept is None and known is not None:
+            return known
+        if kept is None and page.version < newest:
+            raise rows.UnavailableError("the store answers from an earlier moment")
+        return kept
+
+    async def _read_results(
+        self,
+        exchange: front.Exchange,
+        call: batchcalls.ReadResults,
+        kept: jobs.Kept,
+        deadline: float,
+    ) -> str:
+        now = self.clock.monotonic()
+        until = min(now + call.wait_s, deadline - 3 * ANSWER_MARGIN_S)
+        while kept.state.listed <= call.after and kept.state.open:
+            left = until - self.clock.monotonic()
+            if left <= 0:
+                break
+            await self.states.wait_for_change(left)
+            kept = self._states_of(call.job).get(call.job, kept)
+        found = []
+        if kept.state.listed > call.after:
+            found = await self.jobs.results(call.job, call.after)
+            if not found:
+                raise rows.UnavailableError("the store answers from an earlier moment")
+        await exchange.reply_json(
+            200, self.wire.write_results(kept.state.total, call.after, found)
+        )
+        return f"{len(found)} results after {call.after}"
+
+    async def _read_item(
+        self, exchange: front.Exchange, call: batchcalls.ReadItem, kept: jobs.Kept
+    ) -> str:
+        if kept.state.cancelled:
+            await exchange.refuse(relay.Refusal.NOT_FOUND, "job was cancelled")
+            return "cancelled"
+        owned = self.worker.owned.get(call.job)
+        if owned is not None and call.item in owned.tasks:
+            await exchange.reply(200, owned.tasks[call.item].item.body)
+            return "body from memory"
+        for item in await self.jobs.items(kept.state):
+            if item.id == call.item:
+                await exchange.reply(200, item.body)
+                return "body from the store"
+        await exchange.refuse(relay.Refusal.NOT_FOUND, "no such item")
+        return "no such item"
+
+    async def _cancel(self, exchange: front.Exchange, kept: jobs.Kept) -> str:
+        while not kept.state.cancelled:
+            ended = attrs.evolve(kept.state, cancelled=True)
+            try:
+                kept = await self.jobs.change(kept, ended)
+            except rows.ConflictError as error:
+                found = [jobs.decode(row) for row in error.found if row.value]
+                if not found or found[0] is None:
+                    raise rows.UnavailableError("job cannot be read") from error
+                kept = found[0]
+            except rows.UnavailableError as error:
+                if not error.maybe_applied:
+                    raise
+                # Asked again, the store tells whether it was done.
+                await trio.sleep(RETRY_S)
+            else:
+                self.worker.publish(kept)
+        await exchange.reply_json(200, {"id": kept.state.job})
+        return "cancelled"
--- /dev/null
+++ b/turmerictally/entry/host.py
@@ -0,0 +1,342 @@
+"""Put an entry host on a shared row store together and run it."""
+
+import contextlib
+import json
+import random
+import secrets
+import typing
+
+import attrs
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally.entry import (
+    allowance,
+    desk,
+    front,
+    gossip,
+    inflight,
+    jobs,
+    messages,
+    model,
+    peers,
+    pool,
+    registry,
+    relay,
+    settings,
+    watch,
+    worker,
+)
+from turmerictally.entry import metrics as measurements
+from turmerictally.entry import trace as traces
+from turmerictally.metrics import latency
+from turmerictally.store import rows
+
+MAX_TEAM_HISTOGRAMS = 20  # the busiest teams' own; the rest share one
+JOBS_INTERVAL_S = 0.25  # between reads of job changes, so that they come together
+HOUSEKEEPING_S = 0.25
+# Time kept back from the grace period for the last writes of a stop.
+LAST_WRITES_S = 1.2
+# Silence of an idle connection after which a stopping host closes it.
+STOP_POLL_S = 0.05
+
+
+@attrs.frozen
+class Names:
+    """Name the platform's tables and how their rows are read."""
+
+    configuration_table: str
+    servers_table: str
+    read_configuration: model.ReadConfiguration
+    read_server: model.ReadServer
+
+
+class Host:
+    """Run one entry host; ``stop`` drains it."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        names: Names,
+        store: rows.RowStore,
+        wire: messages.Wire,
+        clock: clocks.Clock | None = None,
+        rng: random.Random | None = None,
+        descriptor: int = 1,
+    ) -> None:
+        self.settings = config
+        self.instance = secrets.token_hex(6)
+        self.clock = clock or clocks.Clock()
+        self.rng = rng or random.Random()
+        self.store = store
+        self.trace = traces.Trace(config.host_id, descriptor)
+        self.stop_requested = trio.Event()
+        self.stopping = False
+        self.latencies = latency.Latencies(MAX_TEAM_HISTOGRAMS, self.clock)
+        self._build_knowledge(names)
+        self._build_path(wire)
+        self._build_listeners()
+
+    def _build_knowledge(self, names: Names) -> None:
+        config, clock, trace = self.settings, self.clock, self.trace
+        self.configured = registry.Configured(names.read_configuration, trace)
+        self.registry = registry.Registry(names.read_server, clock, trace)
+        self.hosts = gossip.Hosts(config.host_id, self.instance, clock, trace)
+        self.allowances = allowance.Allowances(clock)
+
+        def follow(name: str, on_change: watch.OnChange, **more: typing.Any):
+            return watch.Watch(
+                self.store,
+                name,
+                more.pop("parts", ("",)),
+                on_change,
+                clock,
+                trace,
+                self.rng,
+                **more,
+            )
+
+        self.configuration_watch = follow(
+            names.configuration_table, self._on_configuration
+        )
+        self.servers_watch = follow(names.servers_table, self._on_servers)
+        self.hosts_watch = follow(gossip.TABLE, self.hosts.update)
+        self.states_watch = follow(
+            jobs.STATES,
+            self._on_states,
+            parts=jobs.SHARD_NAMES,
+            min_interval_s=JOBS_INTERVAL_S,
+        )
+        self.watches = {
+            w.name: w
+            for w in (
+                self.configuration_watch,
+                self.servers_watch,
+                self.hosts_watch,
+                self.states_watch,
+            )
+        }
+        self.gossip = gossip.Gossip(
+            self.hosts, config.listen.peers, self._digest, self._on_digest
+        )
+
+    def _build_path(self, wire: messages.Wire) -> None:
+        config, clock, trace = self.settings, self.clock, self.trace
+        self.pool = pool.Pool(clock)
+        self.inflight = inflight.InFlight(self.registry, self.hosts, clock)
+        self.jobs = jobs.Jobs(self.store)
+        self.worker = worker.Worker(
+            host_id=config.host_id,
+            instance=self.instance,
+            jobs=self.jobs,
+            states=self.states_watch,
+            configured=self.configured,
+            hosts=self.hosts,
+            inflight=self.inflight,
+            pool=self.pool,
+            wire=wire,
+            clock=clock,
+            trace=trace,
+            rng=self.rng,
+        )
+        self.relay = relay.Relay(
+            inflight=self.inflight,
+            pool=self.pool,
+            wire=wire,
+            clock=clock,
+            trace=trace,
+            domain=config.failure_domain,
+            rng=self.rng,
+            crowded=self._crowded,
+        )
+        self.desk = desk.Desk(
+            configured=self.configured,
+            allowances=self.allowances,
+            relay=self.relay,
+            worker=self.worker,
+            states=self.states_watch,
+            jobs=self.jobs,
+            wire=wire,
+            clock=clock,
+            trace=trace,
+            latencies=self.latencies,
+            config_age_s=self.configuration_watch.age_s,
+            rng=self.rng,
+        )
+
+    def _build_listeners(self) -> None:
+        listen = self.settings.listen
+
+        def make(address: str, handle: front.Handler) -> front.Front:
+            return front.Front(
+                address, handle, self._limits, self.clock, listen.max_connections
+            )
+
+        self.callers = make(listen.callers, self.desk.handle)
+        self.health = make(listen.health, self._health)
+        self.copies = peers.Copies(
+            self.watches, self.hosts, self.pool, self.clock, self.trace, self.rng
+        )
+        self.peer_front = make(listen.peers, self.copies.serve)
+        self.metrics_front = make(listen.metrics, self._metrics)
+
+    async def run(self) -> None:
+        """Serve until stopped."""
+        self.trace.emit(
+            "started",
+            host=self.settings.host_id,
+            instance=self.instance,
+            domain=self.settings.failure_domain,
+            callers=self.settings.listen.callers,
+        )
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.trace.run)
+                await self._start(nursery)
+                await self.stop_requested.wait()
+                await self._drain()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.trace.emit("stopped", host=self.settings.host_id)
+            self.trace.flush()
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        for each in (self.peer_front, self.metrics_front, self.callers, self.health):
+            await nursery.start(each.run)
+        await nursery.start(self.gossip.run)
+        for each in self.watches.values():
+            nursery.start_soon(each.run)
+        nursery.start_soon(self._register)
+        nursery.start_soon(self._keep_house)
+        nursery.start_soon(self.copies.run)
+        nursery.start_soon(self.worker.run)
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self.stop_requested.set()
+
+    def not_ready(self) -> str | None:
+        """Return why this host should get no connections, or None."""
+        if self.stopping:
+            return "stopping"
+        if self.configured.current is None:
+            return "no configuration"
+        if not self.registry.servers:
+            return "no servers"
+        return None
+
+    async def _health(self, exchange: front.Exchange) -> None:
+        reason = self.not_ready()
+        await exchange.reply_json(503 if reason else 200, {"reason": reason})
+
+    async def _metrics(self, exchange: front.Exchange) -> None:
+        body = measurements.text(self)
+        kind = (b"Content-Type", measurements.CONTENT_TYPE.encode())
+        await exchange.reply(200, body, [kind])
+
+    def _limits(self) -> model.CallerLimits:
+        view = self.configured.current
+        return view.limits if view else model.CallerLimits()
+
+    def _on_configuration(self, changed: list[rows.Row]) -> None:
+        self.configured.update(changed)
+        if self.configured.current is not None:
+            self.allowances.configure(self.configured.current.teams)
+
+    def _on_servers(self, changed: list[rows.Row]) -> None:
+        lapses = self.servers_watch.regained_at + registry.LAPSE_S
+        self.registry.disturbed(lapses)
+        if self.servers_watch.lost:
+            self.registry.disturbed(self.clock.monotonic() + registry.LAPSE_S)
+        before = {s.address for s in self.registry.servers.values()}
+        self.registry.update(changed)
+        after = {s.address for s in self.registry.servers.values()}
+        for address in before - after:
+            self.pool.forget(address)
+
+    def _on_states(self, changed: list[rows.Row]) -> None:
+        self.worker.adopt(changed)
+
+    def _on_digest(self, digest: gossip.Digest) -> None:
+        self.allowances.observe(digest.host, digest.instance, digest.spent)
+        self.worker.give_way()
+
+    def _crowded(self, server: str) -> None:
+        """Let batch items leave a server that got more than its slots."""
+        self.worker.give_way()
+        self.gossip.nudge()
+
+    def _digest(self, sequence: int) -> gossip.Digest:
+        self.allowances.set_group(*self.hosts.counted())
+        return gossip.Digest(
+            host=self.settings.host_id,
+            instance=self.instance,
+            sequence=sequence,
+            online={k: v for k, v in self.inflight.online.items() if v},
+            batch={k: v for k, v in self.inflight.batch.items() if v},
+            waiting=len(self.worker.waiting()),
+            spent=self.allowances.spent(),
+            ages={
+                name: (each.version, round(min(each.age_s(), 1e6), 2))
+                for name, each in self.watches.items()
+            },
+            store_age_s=round(
+                min(1e6, self.clock.monotonic() - self.states_watch.store_at), 2
+            ),
+            stopping=self.stopping,
+        )
+
+    async def _register(self) -> None:
+        """Renew this host's row."""
+        where = rows.Address(gossip.TABLE, "", self.settings.host_id)
+        renewals = 0
+        while not self.stopping:
+            value = {
+                "instance": self.instance,
+                "address": self.settings.listen.peers,
+                "renewals": renewals,
+            }
+            try:
+                await self.store.transact({}, {where: json.dumps(value).encode()})
+                renewals += 1
+                pause = gossip.RENEW_S
+            except rows.UnavailableError as error:
+                self.trace.emit("host_not_renewed", reason=str(error))
+                pause = watch.MAX_RETRY_S
+            await trio.sleep(pause * self.rng.uniform(0.8, 1.2))
+
+    async def _keep_house(self) -> None:
+        while True:
+            await trio.sleep(HOUSEKEEPING_S)
+            self.registry.expire()
+            self.pool.sweep()
+            for name in [n for n, count in self.inflight.online.items() if not count]:
+                if name not in self.registry.servers:
+                    del self.inflight.online[name]
+                    self.inflight.circuits.forget(name)
+
+    async def _drain(self) -> None:
+        """Stop in order: the balancer first, then batch, then what still runs."""
+        given = self.settings.stop
+        begun = self.clock.monotonic()
+        self.stopping = True
+        self.trace.emit("stopping", busy=self.callers.busy, open=self.callers.open)
+        self.callers.stop()
+        end = begun + given.grace_s - LAST_WRITES_S
+        with trio.move_on_at(end):
+            await self.worker.release()
+        with trio.move_on_at(max(begun + given.unready_s, trio.current_time())):
+            await trio.sleep_forever()
+        self.callers.close_idle()
+        with trio.move_on_at(end):
+            while self.callers.busy or self.callers.open:
+                self.callers.close_idle()
+                await trio.sleep(STOP_POLL_S)
+        with trio.move_on_after(LAST_WRITES_S / 2):
+            await self._deregister()
+
+    async def _deregister(self) -> None:
+        where = rows.Address(gossip.TABLE, "", self.settings.host_id)
+        with contextlib.suppress(rows.UnavailableError):
+            # Otherwise the row ages until the others leave it out.
+            await self.store.transact({}, {where: None})
--- /dev/null
+++ b/turmerictally/entry/jobs.py
@@ -0,0 +1,210 @@
+"""Keep batch jobs in the row store: their items, results and owner."""
+
+import base64
+import json
+import zlib
+
+import attrs
+import cattrs
+
+from turmerictally.store import rows
+
+STATES = "jobs"  # one small row a job, followed by every host
+ITEMS = "items"  # a job's items, written once
+RESULTS = "results"  # a job's results by position, written once
+SHARDS = 8  # parts; one takes 200 transactions a second, each of 5 ms
+PIECE_BYTES = 60_000  # of one row, below the store's 65,536
+MAX_TRANSACTION_BYTES = 900_000  # below the store's 1 MB with its names
+MAX_TRANSACTION_ROWS = 90  # below the store's 100
+READ_ROWS = 100  # of results in one read
+MAX_READ_BYTES = 900_000  # of results told to a caller at once
+
+
+@attrs.frozen
+class Item:
+    """Hold one item: a request to run and the tokens it may take."""
+
+    id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes = attrs.field(repr=False)
+    tokens: int
+
+
+@attrs.frozen
+class Result:
+    """Hold the end of an item; ``text`` is all its events' data, by lines."""
+
+    id: str
+    succeeded: bool
+    text: str = attrs.field(repr=False)
+
+
+@attrs.frozen
+class State:
+    """Hold what every host knows of a job.
+
+    ``created_s`` is on the store's clock. ``listed`` counts the results, and
+    ``tokens`` the tokens of the items without one. ``pieces`` is the number of rows
+    of the items. An empty ``owner`` is nobody.
+    """
+
+    job: str
+    team: str
+    route: str
+    hostname: str
+    path: str
+    owner: str
+    instance: str
+    total: int
+    listed: int
+    tokens: int
+    pieces: int
+    created_s: float
+    completion_s: float
+    retention_s: float
+    cancelled: bool = False
+
+    @property
+    def open(self) -> bool:
+        """Return whether items are still to be run."""
+        return self.listed < self.total and not self.cancelled
+
+    def encode(self) -> bytes:
+        """Return the row's value."""
+        return json.dumps(attrs.asdict(self), separators=(",", ":")).encode()
+
+
+@attrs.frozen
+class Kept:
+    """Hold a state and the version of its row."""
+
+    state: State
+    version: int
+
+
+def decode(row: rows.Row) -> Kept | None:
+    """Return a job's state, or None when the row is not readable."""
+    try:
+        return Kept(cattrs.structure(json.loads(row.value), State), row.version)
+    except (ValueError, TypeError, cattrs.BaseValidationError):
+        return None
+
+
+def shard(job: str) -> str:
+    """Return the part of a job's rows."""
+    return str(zlib.crc32(job.encode()) % SHARDS)
+
+
+SHARD_NAMES = tuple(str(number) for number in range(SHARDS))
+
+
+def state_address(job: str) -> rows.Address:
+    """Return where a job's state is kept."""
+    return rows.Address(STATES, shard(job), job)
+
+
+def split(data: bytes) -> list[bytes]:
+    """Return compressed pieces that fit into rows."""
+    packed = zlib.compress(data, 6)
+    return [packed[i : i + PIECE_BYTES] for i in range(0, len(packed), PIECE_BYTES)]
+
+
+def join(pieces: list[bytes]) -> bytes:
+    """Return what ``split`` was given."""
+    return zlib.decompress(b"".join(pieces))
+
+
+def item_puts(job: str, items: list[Item]) -> dict[rows.Address, bytes]:
+    """Return the rows of a job's items."""
+    listed = [
+        [i.id, i.path, i.headers, base64.b64encode(i.body).decode(), i.tokens]
+        for i in items
+    ]
+    part = shard(job)
+    return {
+        rows.Address(ITEMS, part, f"{job}/{number:04d}"): piece
+        for number, piece in enumerate(split(json.dumps(listed).encode()))
+    }
+
+
+def result_puts(job: str, position: int, result: Result) -> dict[rows.Address, bytes]:
+    """Return the rows of one result."""
+    data = json.dumps([result.id, result.succeeded, result.text]).encode()
+    part = shard(job)
+    return {
+        rows.Address(RESULTS, part, f"{job}/{position:06d}/{number:02d}"): piece
+        for number, piece in enumerate(split(data))
+    }
+
+
+@attrs.define(eq=False)
+class Jobs:
+    """Read and write jobs."""
+
+    store: rows.RowStore
+
+    async def create(self, state: State, items: list[Item]) -> rows.Commit:
+        """Write a new job; raises ``rows.ConflictError`` when it is there."""
+        puts = dict(item_puts(state.job, items))
+        where = state_address(state.job)
+        puts[where] = attrs.evolve(state, pieces=len(puts)).encode()
+        return await self.store.transact({where: 0}, puts)
+
+    async def change(
+        self, kept: Kept, state: State, puts: dict[rows.Address, bytes] | None = None
+    ) -> Kept:
+        """Replace a state, with more rows; raises ``rows.ConflictError``."""
+        where = state_address(state.job)
+        done = await self.store.transact(
+            {where: kept.version}, {**(puts or {}), where: state.encode()}
+        )
+        return Kept(state, done.version)
+
+    async def state(self, job: str) -> tuple[Kept | None, rows.Page]:
+        """Return a job's state as the store has it now, and the page it came in."""
+        page = await self.store.read(
+            STATES, shard(job), start=job, end=job + "\0", limit=1
+        )
+        for row in page.rows:
+            return decode(row), page
+        return None, page
+
+    async def items(self, state: State) -> list[Item]:
+        """Return a job's items."""
+        page = await self.store.read(
+            ITEMS, shard(state.job), start=f"{state.job}/", end=f"{state.job}0"
+        )
+        pieces = [row.value for row in page.rows]
+        if len(pieces) != state.pieces:
+            raise rows.UnavailableError("items are not all there")
+        return [
+            Item(key, path, headers, base64.b64decode(body), tokens)
+            for key, path, headers, body, tokens in json.loads(join(pieces))
+        ]
+
+    async def results(self, job: str, after: int) -> list[Result]:
+        """Return results from a position on, at most ``MAX_READ_BYTES`` of them."""
+        found: list[Result] = []
+        start = f"{job}/{after:06d}/"
+        size = 0
+        while True:
+            page = await self.store.read(
+                RESULTS, shard(job), start=start, end=f"{job}0", limit=READ_ROWS
+            )
+            groups: dict[int, list[bytes]] = {}
+            for row in page.rows:
+                position = int(row.address.key.split("/")[1])
+                groups.setdefault(position, []).append(row.value)
+            if page.more and len(groups) > 1:
+                groups.popitem()  # its last pieces may be on the next page
+            for position in sorted(groups):
+                key, succeeded, text = json.loads(join(groups[position]))
+                size += len(text)
+                if found and size > MAX_READ_BYTES:
+                    return found
+                found.append(Result(key, succeeded, text))
+                after = position + 1
+            if not page.more or not groups:
+                return found
+            start = f"{job}/{after:06d}/"
--- /dev/null
+++ b/turmerictally/entry/messages.py
@@ -0,0 +1,96 @@
+"""Define requests and answers as they pass through an entry host."""
+
+import typing
+
+import attrs
+
+from turmerictally.entry import batchcalls, jobs
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@attrs.frozen
+class Ask:
+    """Hold what a caller's request says, decoded.
+
+    ``wait_s`` is how long the caller will wait, ``resume_after`` the last event it
+    has. ``prompt_parts`` names the prompt's parts in order, the shared ones first.
+    """
+
+    method: bytes
+    target: bytes
+    hostname: str
+    request_id: str
+    headers: Headers = attrs.field(repr=False)
+    key: str = attrs.field(default="", repr=False)
+    wait_s: float | None = None
+    resume_after: int | None = None
+    prompt_parts: tuple[str, ...] = ()
+    poll_wait_s: float = 0.0
+
+    @property
+    def path(self) -> str:
+        """Return the path without its query."""
+        return self.target.decode("latin-1").partition("?")[0]
+
+    @property
+    def query(self) -> str:
+        """Return the query string."""
+        return self.target.decode("latin-1").partition("?")[2]
+
+
+@attrs.frozen
+class Onward:
+    """State what an entry host tells a backend server beside the caller's headers."""
+
+    instance: str
+    wait_s: float
+    team: str = ""
+    resume_after: int | None = None
+
+
+@attrs.frozen
+class Head:
+    """Hold the head of a backend server's answer, decoded.
+
+    ``signed`` tells that the server's own signature is on it, ``not_run`` that the
+    server states that it did not run the request.
+    """
+
+    status: int
+    headers: Headers = attrs.field(repr=False)
+    request_id: str = ""
+    signed: bool = False
+    not_run: bool = False
+    events: bool = False
+    idle_s: float | None = None
+
+
+class Wire(typing.Protocol):
+    """Translate requests, answers and batch calls from and to wire names."""
+
+    def read_ask(self, method: bytes, target: bytes, headers: Headers) -> Ask:
+        """Decode a caller's request."""
+
+    def onward(self, ask: Ask, onward: Onward, length: int) -> Headers:
+        """Return the headers for a backend server."""
+
+    def read_head(self, status: int, headers: Headers) -> Head:
+        """Decode the head of a server's answer."""
+
+    def to_caller(self, head: Head) -> Headers:
+        """Return the headers of a server's answer for the caller."""
+
+    def item(self, item: jobs.Item, hostname: str) -> Ask:
+        """Return the request of a batch item."""
+
+    def read_call(self, ask: Ask) -> batchcalls.Call | None:
+        """Return the call on a batch job that a request makes, or None."""
+
+    def read_items(self, body: bytes) -> list[jobs.Item]:
+        """Return the items of a submission; raises ``ValueError``."""
+
+    def write_results(
+        self, total: int, after: int, results: list[jobs.Result]
+    ) -> dict[str, typing.Any]:
+        """Return the body that lists results."""
--- /dev/null
+++ b/turmerictally/entry/peers.py
@@ -0,0 +1,102 @@
+"""Give and take copies of followed tables among hosts, past a silent store."""
+
+import random
+
+import attrs
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally.entry import front, gossip, pool, watch
+from turmerictally.entry import trace as traces
+
+PATH = "/copies/"
+TICK_S = 0.25
+STALE_S = 2.2  # a followed table that is older than its poll allows
+FRESHER_S = 0.5  # how much fresher a peer's copy must be to be worth a call
+TIMEOUT_S = 1.0
+AGE_HEADER = b"age-ms"
+
+
+@attrs.define(eq=False)
+class Copies:
+    """Serve this host's copies, and fetch those of a peer that is in touch."""
+
+    watches: dict[str, watch.Watch]
+    hosts: gossip.Hosts
+    pool: pool.Pool
+    clock: clocks.Clock
+    trace: traces.Trace
+    rng: random.Random
+
+    async def serve(self, exchange: front.Exchange) -> None:
+        """Answer a peer that asks for a table."""
+        name = exchange.target.decode("latin-1").removeprefix(PATH)
+        found = self.watches.get(name)
+        if found is None or not found.complete:
+            await exchange.reply(404)
+            return
+        age_ms = max(0, round(found.age_s() * 1000))
+        await exchange.reply(200, found.encode(), [(AGE_HEADER, b"%d" % age_ms)])
+
+    async def run(self) -> None:
+        """Fetch tables that the store does not tell of."""
+        while True:
+            await trio.sleep(TICK_S)
+            for name, each in self.watches.items():
+                if each.age_s() > STALE_S:
+                    await self._fetch(name, each)
+
+    async def _fetch(self, name: str, own: watch.Watch) -> None:
+        """Ask the freshest peer."""
+        best = None
+        for digest in self.hosts.audible():
+            version, age_s = digest.ages.get(name, (0, float("inf")))
+            heard_at = self.hosts.peers[digest.host].heard_at
+            age_s += self.clock.monotonic() - heard_at
+            if age_s + FRESHER_S < own.age_s() and (best is None or age_s < best[0]):
+                best = (age_s, digest.host, version)
+        if best is None:
+            return
+        age_s, host, version = best
+        if version <= own.version and own.complete:
+            # Nothing has changed as of then.
+            own.fresh_at = max(own.fresh_at, self.clock.monotonic() - age_s)
+            return
+        listed = self.hosts.listed.get(host)
+        if listed is None:
+            return
+        try:
+            with trio.fail_after(TIMEOUT_S):
+                data, age_s = await self._get(listed.address, name)
+        except (pool.ConnectError, pool.BrokenError, trio.TooSlowError) as error:
+            self.trace.emit(
+                "copy_not_fetched", table=name, host=host, reason=repr(error)
+            )
+            return
+        own.adopt(data, age_s)
+        own.complete = own.complete or own.version > 0
+        self.trace.emit(
+            "copy_fetched",
+            table=name,
+            host=host,
+            version=own.version,
+            age_s=round(age_s, 2),
+        )
+
+    async def _get(self, address: str, name: str) -> tuple[bytes, float]:
+        connection = await self.pool.acquire(address, fresh=True)
+        try:
+            headers = [(b"Host", address.encode())]
+            await connection.request(
+                b"GET", PATH.encode() + name.encode(), headers, b""
+            )
+            head = await connection.head()
+            if head.status_code != 200:
+                raise pool.BrokenError(f"answer {head.status_code}")
+            age_ms = int(dict(head.headers).get(AGE_HEADER, b"0"))
+            parts = []
+            while (data := await connection.data()) is not None:
+                parts.append(data)
+            return b"".join(parts), age_ms / 1000
+        finally:
+            connection.close()
--- /dev/null
+++ b/turmerictally/entry/pool.py
@@ -0,0 +1,217 @@
+"""Keep connections to backend servers and parse what comes back on them."""
+
+import collections
+import contextlib
+import select
+import socket
+
+import attrs
+import h11
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally.entry import messages
+
+CONNECT_TIMEOUT_S = 0.4  # a hundred times the longest way between failure domains
+READ_BYTES = 64 * 1024
+MAX_IDLE_PER_SERVER = 16  # twice a server's slots
+IDLE_S = 4.0  # when the server names no time of its own
+IDLE_MARGIN_S = 0.7  # closed this much before the server would
+USER_TIMEOUT_MS = 3000  # unacknowledged data ends a connection; TCP waits minutes
+MAX_HEAD_BYTES = 64 * 1024
+MAX_SKIPPED_BYTES = 1024 * 1024  # of an answer that belongs to another request
+ANY_HOST = [(b"Host", b"-")]
+
+
+class ConnectError(Exception):
+    """Report that no connection was made, so that nothing was sent."""
+
+
+class BrokenError(Exception):
+    """Report an answer that is not whole or no answer; the request may have run."""
+
+
+@attrs.define(eq=False)
+class Connection:
+    """Hold one connection to a backend server.
+
+    ``idle_deadline`` is the monotonic time at which it may no longer be used.
+    """
+
+    address: str
+    stream: trio.SocketStream
+    parser: h11.Connection
+    clock: clocks.Clock
+    used: int = 0
+    idle_deadline: float = float("inf")
+    framed: bool = False
+
+    async def request(
+        self, method: bytes, target: bytes, headers: messages.Headers, body: bytes
+    ) -> None:
+        """Send a whole request; raises ``BrokenError``."""
+        try:
+            data = self.parser.send(
+                h11.Request(method=method, target=target, headers=headers)
+            )
+            if body:
+                data += self.parser.send(h11.Data(data=body))
+            data += self.parser.send(h11.EndOfMessage()) or b""
+        except h11.LocalProtocolError as error:
+            raise BrokenError(f"request cannot be sent: {error}") from error
+        self.used += 1
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The server may have answered before it read all of it.
+            return
+
+    async def head(self) -> h11.Response:
+        """Return the head of the answer; raises ``BrokenError``."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Response):
+                names = {name for name, _ in event.headers}
+                self.framed = bool(names & {b"content-length", b"transfer-encoding"})
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise BrokenError("no answer")
+
+    async def data(self) -> bytes | None:
+        """Return the next bytes of the body, or None at its end."""
+        while True:
+            event = await self._next()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+            raise BrokenError("answer cut off")
+
+    async def _next(self):
+        while True:
+            try:
+                event = self.parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BrokenError(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self.stream.receive_some(READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise BrokenError("connection reset") from error
+            try:
+                self.parser.receive_data(data)
+            except h11.RemoteProtocolError as error:
+                raise BrokenError(str(error)) from error
+
+    def reusable(self) -> bool:
+        """Return whether another request may be sent here."""
+        if self.parser.their_state is not h11.DONE:
+            return False
+        if self.parser.our_state is not h11.DONE:
+            return False
+        trailing, closed = self.parser.trailing_data
+        return not trailing and not closed
+
+    def quiet(self) -> bool:
+        """Return whether an idle connection is still open with nothing to read."""
+        if self.clock.monotonic() >= self.idle_deadline:
+            return False
+        # Anything to read is the connection's end or bytes of no request.
+        poll = select.poll()
+        poll.register(self.stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    async def skip_answer(self) -> None:
+        """Pass over an answer to another request; raises ``BrokenError``."""
+        skipped = 0
+        while (data := await self.data()) is not None:
+            skipped += len(data)
+            if skipped > MAX_SKIPPED_BYTES:
+                raise BrokenError("another request's answer is too long")
+        trailing, closed = self.parser.trailing_data
+        if closed or self.parser.their_state is not h11.DONE:
+            raise BrokenError("connection closed after another request's answer")
+        self.parser = _parser()
+        # The request lies with the server already; these bytes are not sent.
+        self.parser.send(h11.Request(method=b"GET", target=b"/", headers=ANY_HOST))
+        self.parser.send(h11.EndOfMessage())
+        if trailing:
+            self.parser.receive_data(trailing)
+
+    def close(self) -> None:
+        """Close at once."""
+        self.stream.socket.close()
+
+
+class Pool:
+    """Reuse idle connections, the latest used first."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        self.idle: dict[str, list[Connection]] = collections.defaultdict(list)
+        self.opened = 0
+
+    async def acquire(self, address: str, *, fresh: bool = False) -> Connection:
+        """Return a connection; raises ``ConnectError``."""
+        kept = self.idle.get(address, [])
+        while kept and not fresh:
+            connection = kept.pop()
+            if connection.quiet():
+                return connection
+            connection.close()
+        return await self._open(address)
+
+    async def _open(self, address: str) -> Connection:
+        host, _, port = address.rpartition(":")
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                await sock.connect((host, int(port)))
+        except (OSError, trio.TooSlowError) as error:
+            sock.close()
+            raise ConnectError(str(error) or "timeout") from error
+        except BaseException:
+            sock.close()
+            raise
+        self.opened += 1
+        return Connection(address, trio.SocketStream(sock), _parser(), self.clock)
+
+    def release(self, connection: Connection, idle_s: float | None) -> None:
+        """Keep a connection after a whole answer, or close it."""
+        kept = self.idle[connection.address]
+        if not connection.reusable() or len(kept) >= MAX_IDLE_PER_SERVER:
+            connection.close()
+            return
+        wait = IDLE_S if idle_s is None else min(IDLE_S, idle_s - IDLE_MARGIN_S)
+        if wait <= 0:
+            connection.close()
+            return
+        connection.parser.start_next_cycle()
+        connection.idle_deadline = self.clock.monotonic() + wait
+        kept.append(connection)
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to a server that is gone."""
+        for connection in self.idle.pop(address, []):
+            with contextlib.suppress(OSError):
+                connection.close()
+
+    def sweep(self) -> None:
+        """Close idle connections whose time is over."""
+        now = self.clock.monotonic()
+        for address, kept in list(self.idle.items()):
+            for connection in kept:
+                if now >= connection.idle_deadline:
+                    connection.close()
+            self.idle[address] = [c for c in kept if now < c.idle_deadline]
+            if not self.idle[address]:
+                del self.idle[address]
+
+
+def _parser() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- /dev/null
+++ b/turmerictally/entry/registry.py
@@ -0,0 +1,118 @@
+"""Know the configuration and the backend servers from followed tables."""
+
+import attrs
+
+from turmerictally import clock as clocks
+from turmerictally.entry import model
+from turmerictally.entry import trace as traces
+from turmerictally.store import rows
+
+# Registrations that lapsed during an outage are back this long after it, at most.
+LAPSE_S = 2.2
+
+
+@attrs.define(eq=False)
+class Configured:
+    """Hold the newest configuration seen; it never goes back to an older one."""
+
+    read: model.ReadConfiguration
+    trace: traces.Trace
+    current: model.Configuration | None = None
+
+    def update(self, changed: list[rows.Row]) -> None:
+        """Take changed rows of the configuration's table."""
+        for row in changed:
+            if row.value is None:
+                continue
+            found = self.read(row.value)
+            before = self.current.version if self.current else None
+            if found is None:
+                self.trace.emit("configuration_unreadable", version=before)
+            elif before is None or found.version > before:
+                self.current = found
+                self.trace.emit(
+                    "configuration",
+                    version=found.version,
+                    before=before,
+                    routes=len(found.routes),
+                    teams=len(found.teams),
+                )
+
+
+@attrs.define(eq=False)
+class Registry:
+    """Hold the registered servers.
+
+    ``lapses_until`` is the monotonic time until which a missing registration may be
+    the store's outage; the server is kept as ``lapsed`` until then.
+    """
+
+    read: model.ReadServer
+    clock: clocks.Clock
+    trace: traces.Trace
+    servers: dict[str, model.Server] = attrs.Factory(dict)
+    lapsed: dict[str, float] = attrs.Factory(dict)
+    disturbed_until: float = float("-inf")
+
+    def update(self, changed: list[rows.Row]) -> None:
+        """Take changed rows of the servers' table."""
+        for row in changed:
+            name = row.address.key
+            found = None if row.value is None else self.read(name, row.value)
+            if found is None:
+                self._remove(name)
+                continue
+            self.lapsed.pop(name, None)
+            before = self.servers.get(name)
+            self.servers[name] = found
+            if before is None or _differs(before, found):
+                self.trace.emit(
+                    "server",
+                    server=name,
+                    address=found.address,
+                    draining=found.draining,
+                    born_ms=found.born_ms,
+                )
+
+    def disturbed(self, until: float) -> None:
+        """Note that the store may have dropped registrations of live servers."""
+        self.disturbed_until = max(self.disturbed_until, until)
+
+    def expire(self) -> None:
+        """Drop servers whose registration did not come back after an outage."""
+        now = self.clock.monotonic()
+        for name, until in list(self.lapsed.items()):
+            if now >= max(until, self.disturbed_until):
+                del self.lapsed[name]
+                if self.servers.pop(name, None) is not None:
+                    self.trace.emit("server_gone", server=name, lapsed=True)
+
+    def usable(self, service: str) -> list[model.Server]:
+        """Return the servers of a service that take new requests."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.service == service and not server.draining
+        ]
+
+    def _remove(self, name: str) -> None:
+        server = self.servers.get(name)
+        if server is None:
+            return
+        now = self.clock.monotonic()
+        if now < self.disturbed_until and not server.draining:
+            if name not in self.lapsed:
+                self.lapsed[name] = now + LAPSE_S
+                self.trace.emit("server_lapsed", server=name)
+            return
+        del self.servers[name]
+        self.lapsed.pop(name, None)
+        self.trace.emit("server_gone", server=name, lapsed=False)
+
+
+def _differs(before: model.Server, after: model.Server) -> bool:
+    return (before.draining, before.born_ms, before.address) != (
+        after.draining,
+        after.born_ms,
+        after.address,
+    )
--- /dev/null
+++ b/turmerictally/entry/relay.py
@@ -0,0 +1,363 @@
+"""Carry one caller's request to backend servers and the answer back."""
+
+import collections.abc
+import contextlib
+import enum
+import random
+import typing
+
+import attrs
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally.entry import balance, events, inflight, messages, model, pool
+from turmerictally.entry import trace as traces
+
+# Taken off the time handed to a server, for the way there and back.
+DEADLINE_MARGIN_S = 0.02
+# Less time than this is too short for a server to begin an answer.
+MIN_SEND_S = 0.05
+# Silence before a stream that may be resumed goes on elsewhere: callers leave after
+# two seconds, so half of that leaves the next server as much.
+MIN_SILENCE_S = 0.9
+SILENCE_OBJECTIVES = 2.5  # in latency objectives, for the first event
+SILENCE_GAPS = 3.0  # in longest on-time pauses, between two events
+MAX_SENDS = 4  # of one request, counting servers that stated not to have run it
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024  # of an answer that is no stream
+# When to come back after a refusal: about half of a request's usual service time,
+# spread so that callers do not return together.
+RETRY_AFTER_S = (0.15, 0.45)
+
+
+class Refusal(enum.Enum):
+    """Name the answers that an entry host gives by itself."""
+
+    NOT_FOUND = 404
+    UNAUTHENTICATED = 401
+    BAD_REQUEST = 400
+    TOO_LARGE = 413
+    HEADERS_TOO_LARGE = 431
+    TIMEOUT = 408
+    OVER_QUOTA = 429
+    UNAVAILABLE = 503
+    BROKEN = 502
+    DEADLINE = 504
+
+
+class Answer(typing.Protocol):
+    """Write one answer to a caller."""
+
+    started: bool
+
+    async def start(
+        self, status: int, headers: messages.Headers, length: int | None
+    ) -> None:
+        """Send the head; without a length the body is sent in chunks."""
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    async def finish(self) -> None:
+        """End a whole answer."""
+
+    def abort(self) -> None:
+        """End an answer that is not whole, so that the caller sees it."""
+
+    async def refuse(
+        self, refusal: Refusal, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        """Send an answer of the entry host's own."""
+
+
+class Result(enum.Enum):
+    """Name how one attempt ended."""
+
+    DONE = "done"
+    NOT_RUN = "not run"
+    UNSENT = "unsent"
+    FAILED = "failed"
+    BROKEN = "broken"
+
+
+@attrs.define(eq=False)
+class Job:
+    """Hold one request on its way; ``deadline`` is monotonic seconds."""
+
+    ask: messages.Ask
+    body: bytes = attrs.field(repr=False)
+    route: model.Route
+    team: str
+    deadline: float
+    answer: Answer
+    tried: set[str] = attrs.Factory(set)
+    sends: int = 0
+    runs: int = 0
+    last_event: int | None = None
+    head: messages.Head | None = None
+    failure: tuple[messages.Head, bytes] | None = None
+    reason: str = ""
+
+
+@attrs.define(eq=False)
+class Relay:
+    """Send requests to backend servers, again where that is allowed."""
+
+    inflight: inflight.InFlight
+    pool: pool.Pool
+    wire: messages.Wire
+    clock: clocks.Clock
+    trace: traces.Trace
+    domain: str
+    rng: random.Random
+    crowded: collections.abc.Callable[[str], None]
+
+    async def run(self, job: Job) -> str:
+        """Answer one request; return the outcome for logs and metrics."""
+        left = job.deadline - self.clock.monotonic()
+        with trio.move_on_after(max(0.0, left)):
+            return await self._attempts(job)
+        job.reason = job.reason or "deadline"
+        return await self._give_up(job, at_deadline=True)
+
+    async def _attempts(self, job: Job) -> str:
+        job.last_event = job.ask.resume_after
+        while True:
+            server = self._place(job)
+            if server is None:
+                return await self._give_up(job)
+            result = await self._attempt(job, server)
+            if result is Result.DONE:
+                return "done"
+            job.tried.add(server.instance)
+            if not self._may_go_on(job, result):
+                return await self._give_up(job)
+
+    def _place(self, job: Job) -> model.Server | None:
+        if job.deadline - self.clock.monotonic() < MIN_SEND_S:
+            job.reason = job.reason or "too little time"
+            return None
+        service = choose_service(job.route, self.rng)
+        loads = self.inflight.loads(service, but=frozenset(job.tried))
+        chosen = balance.choose(
+            loads,
+            domain=self.domain,
+            prompt_parts=job.ask.prompt_parts,
+            rng=self.rng,
+        )
+        if chosen is None:
+            job.reason = "servers full" if loads else "no server"
+            return None
+        server = self.inflight.registry.servers[chosen.name]
+        self.trace.emit(
+            "placed",
+            job.ask.request_id,
+            server=server.instance,
+            online=chosen.online,
+            batch=chosen.batch,
+            of=len(loads),
+            sends=job.sends,
+        )
+        if chosen.total + 1 > chosen.slots:
+            self.crowded(server.instance)
+        return server
+
+    def _may_go_on(self, job: Job, result: Result) -> bool:
+        if job.sends >= MAX_SENDS:
+            return False
+        if result in (Result.NOT_RUN, Result.UNSENT):
+            return True
+        return job.route.repeatable and job.runs < job.route.max_attempts
+
+    async def _attempt(self, job: Job, server: model.Server) -> Result:
+        name = server.instance
+        health = self.inflight.circuits
+        started = self.clock.monotonic()
+        job.sends += 1
+        health.started(name, started)
+        self.inflight.online[name] += 1
+        try:
+            result = await self._exchange(job, server)
+        finally:
+            self.inflight.online[name] -= 1
+        now = self.clock.monotonic()
+        if result in (Result.BROKEN, Result.UNSENT):
+            health.failed(name, now, refused=result is Result.UNSENT)
+        elif result in (Result.DONE, Result.NOT_RUN):
+            health.succeeded(name)
+        if result is not Result.DONE:
+            self.trace.emit(
+                "attempt_failed",
+                job.ask.request_id,
+                server=name,
+                after_s=round(now - started, 3),
+                last_event=job.last_event,
+                reason=job.reason,
+                outcome=result.value,
+            )
+        return result
+
+    async def _exchange(self, job: Job, server: model.Server) -> Result:
+        try:
+            connection = await self.pool.acquire(server.address)
+        except pool.ConnectError as error:
+            job.reason = f"not connected: {error}"
+            return Result.UNSENT
+        kept = False
+        job.runs += 1
+        try:
+            result, head = await self._converse(job, server, connection)
+            if connection.reusable():
+                self.pool.release(connection, head.idle_s)
+                kept = True
+        except (pool.BrokenError, events.SequenceError, trio.TooSlowError) as error:
+            job.reason = str(error) or "silent"
+            return Result.BROKEN
+        finally:
+            if not kept:
+                connection.close()
+        if result is Result.NOT_RUN:
+            job.runs -= 1
+        return result
+
+    async def _converse(
+        self, job: Job, server: model.Server, connection: pool.Connection
+    ) -> tuple[Result, messages.Head]:
+        left = job.deadline - self.clock.monotonic() - DEADLINE_MARGIN_S
+        resumed = job.last_event if job.last_event != job.ask.resume_after else None
+        onward = messages.Onward(server.instance, left, job.team, resumed)
+        headers = self.wire.onward(job.ask, onward, len(job.body))
+        with self._silence(job, first=True):
+            await connection.request(job.ask.method, job.ask.target, headers, job.body)
+            head = await read_head(self.wire, connection, job.ask.request_id)
+        if head.not_run:
+            await drain(connection)
+            job.reason = f"server answered {head.status}"
+            return Result.NOT_RUN, head
+        if head.status >= 300 or not head.events:
+            return await self._whole(job, connection, head)
+        if not head.signed:
+            raise pool.BrokenError("answer without the server's signature")
+        await self._stream(job, connection, head)
+        return Result.DONE, head
+
+    async def _whole(
+        self, job: Job, connection: pool.Connection, head: messages.Head
+    ) -> tuple[Result, messages.Head]:
+        """Pass on an answer that is no stream, once all of it is here."""
+        body = await drain(connection)
+        if head.status < 300 and not head.signed:
+            raise pool.BrokenError("answer without the server's signature")
+        if head.status >= 500 and not head.signed:
+            raise pool.BrokenError(f"answer {head.status} without a signature")
+        if head.status >= 500 and (job.route.repeatable or job.answer.started):
+            job.failure = (head, body)
+            job.reason = f"server answered {head.status}"
+            return Result.FAILED, head
+        if job.answer.started:
+            raise pool.BrokenError("resumed stream is no stream")
+        await job.answer.start(head.status, self.wire.to_caller(head), len(body))
+        await job.answer.send(body)
+        await job.answer.finish()
+        return Result.DONE, head
+
+    async def _stream(
+        self, job: Job, connection: pool.Connection, head: messages.Head
+    ) -> None:
+        splitter = events.Splitter(job.last_event)
+        while True:
+            with self._silence(job, first=not job.answer.started):
+                data = await connection.data()
+            if data is None:
+                break
+            found = splitter.feed(data)
+            if not found:
+                continue
+            if not job.answer.started:
+                await job.answer.start(head.status, self.wire.to_caller(head), None)
+            await job.answer.send(b"".join(event.raw for event in found))
+            job.last_event = splitter.last
+        if splitter.rest:
+            raise pool.BrokenError("stream ended within an event")
+        if not job.answer.started:
+            await job.answer.start(head.status, self.wire.to_caller(head), None)
+        await job.answer.finish()
+
+    def _silence(
+        self, job: Job, *, first: bool
+    ) -> contextlib.AbstractContextManager[typing.Any]:
+        """Bound a server's silence where another server may go on."""
+        if not job.route.repeatable or job.runs >= job.route.max_attempts:
+            return contextlib.nullcontext()
+        usual = (
+            job.route.objective_s * SILENCE_OBJECTIVES
+            if first
+            else job.route.max_gap_s * SILENCE_GAPS
+        )
+        return trio.fail_after(max(MIN_SILENCE_S, usual))
+
+    async def _give_up(self, job: Job, *, at_deadline: bool = False) -> str:
+        answer = job.answer
+        outcome = "broken off" if answer.started else "refused"
+        if answer.started:
+            answer.abort()
+        elif job.failure is not None:
+            head, body = job.failure
+            outcome = "server error"
+            await answer.start(head.status, self.wire.to_caller(head), len(body))
+            await answer.send(body)
+            await answer.finish()
+        elif job.runs and at_deadline:
+            await answer.refuse(Refusal.DEADLINE, job.reason)
+        elif job.runs:
+            await answer.refuse(Refusal.BROKEN, job.reason)
+        else:
+            wait = self.rng.uniform(*RETRY_AFTER_S)
+            await answer.refuse(Refusal.UNAVAILABLE, job.reason, wait)
+        self.trace.emit(
+            "given_up",
+            job.ask.request_id,
+            reason=job.reason,
+            sends=job.sends,
+            may_have_run=job.runs,
+            last_event=job.last_event,
+            outcome=outcome,
+        )
+        return outcome
+
+
+def choose_service(route: model.Route, rng: random.Random) -> str:
+    """Return a service by the route's weights."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    weights = [target.weight for target in route.targets]
+    if not any(weights):
+        return route.targets[0].service
+    return rng.choices(route.targets, weights)[0].service
+
+
+async def read_head(
+    wire: messages.Wire, connection: pool.Connection, request_id: str
+) -> messages.Head:
+    """Return the head of this request's answer, passing over another's."""
+    while True:
+        response = await connection.head()
+        head = wire.read_head(response.status_code, response.headers.raw_items())
+        if head.request_id == request_id:
+            return head
+        if not head.request_id:
+            if head.not_run:
+                return head
+            raise pool.BrokenError(f"answer {head.status} without a request id")
+        await connection.skip_answer()
+
+
+async def drain(connection: pool.Connection) -> bytes:
+    """Return the rest of an answer; raises ``BrokenError``."""
+    parts = []
+    size = 0
+    while (data := await connection.data()) is not None:
+        parts.append(data)
+        size += len(data)
+        if size > MAX_BUFFERED_BYTES:
+            raise pool.BrokenError("answer too long")
+    return b"".join(parts)
--- /dev/null
+++ b/turmerictally/entry/settings.py
@@ -0,0 +1,82 @@
+"""Read and check the settings of an entry host on a shared row store."""
+
+import typing
+
+import attrs
+
+from turmerictally import checks, settings
+
+DEFAULTS: dict[str, typing.Any] = {
+    "host_id": settings.REQUIRED,
+    "failure_domain": settings.REQUIRED,
+    "listen": {
+        "callers": settings.REQUIRED,
+        "health": settings.REQUIRED,
+        "peers": settings.REQUIRED,
+        "metrics": settings.REQUIRED,
+        "max_connections": 4000,
+    },
+    "store": {"url": settings.REQUIRED, "timeout_s": 1.0},
+    "stop": {"grace_s": 8.0, "unready_s": 2.6},
+}
+
+
+@attrs.frozen
+class Listen:
+    """Hold the listeners' addresses (``ip:port``) and the most open connections."""
+
+    callers: str
+    health: str
+    peers: str
+    metrics: str
+    max_connections: int
+
+
+@attrs.frozen
+class Store:
+    """Hold where the row store is and how long a call may take."""
+
+    url: str
+    timeout_s: float
+
+
+@attrs.frozen
+class Stop:
+    """Hold the times of a planned stop.
+
+    ``unready_s`` lets the balancer notice before new connections are refused, and
+    ``grace_s`` is when the process is killed.
+    """
+
+    grace_s: float
+    unready_s: float
+
+
+@attrs.frozen
+class Settings:
+    """Hold every setting of one entry host."""
+
+    host_id: str
+    failure_domain: str
+    listen: Listen
+    store: Store
+    stop: Stop
+
+
+def load(path: str) -> Settings:
+    """Read a YAML settings file, raising ``settings.SettingsError``."""
+    return settings.load(path, DEFAULTS, Settings, check)
+
+
+def check(merged: dict) -> list[checks.Fault]:
+    """Return the faults of settings whose keys and types are right."""
+    faults = checks.check_numbers(merged)
+    for name in ("callers", "health", "peers", "metrics"):
+        fault = checks.check_address(merged["listen"][name])
+        if fault:
+            faults.append(checks.Fault(f"listen.{name}", fault))
+    if merged["stop"]["unready_s"] >= merged["stop"]["grace_s"]:
+        faults.append(checks.Fault("stop.unready_s", "expected less than grace_s"))
+    if not merged["store"]["url"].startswith(("http://", "https://")):
+        faults.append(checks.Fault("store.url", "expected an HTTP URL"))
+    return faults
--- /dev/null
+++ b/turmerictally/entry/worker.py
@@ -0,0 +1,532 @@
+"""Run the items of the batch jobs that this host owns, in free slots only."""
+
+import contextlib
+import hashlib
+import random
+
+import attrs
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally.entry import (
+    balance,
+    events,
+    gossip,
+    inflight,
+    jobs,
+    messages,
+    model,
+    pool,
+    registry,
+    relay,
+    watch,
+)
+from turmerictally.entry import trace as traces
+from turmerictally.store import rows
+
+TICK_S = 0.1  # between looks for free slots; as often as the hosts tell theirs
+ITEM_TIMEOUT_S = 30.0  # several times the longest item on a slow server
+SILENCE_S = 2.5  # without an event; an item may go on elsewhere
+RETRY_S = 0.3  # pause of an item whose server refused or broke off
+FAILED_RETRY_S = 0.8  # pause after a server's error, so that causes can pass
+SAVE_DELAY_S = 0.06  # results that end close together share a transaction
+SAVE_RETRY_S = 0.4
+TAKEOVER_TICK_S = 0.4
+RANK_DELAY_S = 0.8  # between the hosts that may take a job over
+# A host whose row was not renewed for this long and that is not heard is taken for
+# dead: two renewals missed.
+DEAD_AFTER_S = 5.0
+# An owner that cannot reach the store cannot list results; others take its jobs.
+STORELESS_S = 4.0
+
+
+@attrs.define(eq=False)
+class Task:
+    """Hold one item's progress; ``not_before`` is monotonic seconds."""
+
+    item: jobs.Item
+    order: int
+    parts: list[bytes] = attrs.Factory(list)
+    last_event: int | None = None
+    errors: int = 0
+    not_before: float = 0.0
+    server: str = ""
+    scope: trio.CancelScope | None = None
+    refused_by: set[str] = attrs.Factory(set)
+
+    @property
+    def running(self) -> bool:
+        """Return whether a server works on it."""
+        return self.scope is not None
+
+
+@attrs.define(eq=False)
+class Owned:
+    """Hold a job that this host runs."""
+
+    kept: jobs.Kept
+    tasks: dict[str, Task]
+    unsaved: list[jobs.Result] = attrs.Factory(list)
+    saving: bool = False
+    dropped: bool = False
+
+
+@attrs.define(eq=False)
+class Worker:
+    """Run owned jobs, save their results, and take over jobs without an owner."""
+
+    host_id: str
+    instance: str
+    jobs: jobs.Jobs
+    states: watch.Watch
+    configured: registry.Configured
+    hosts: gossip.Hosts
+    inflight: inflight.InFlight
+    pool: pool.Pool
+    wire: messages.Wire
+    clock: clocks.Clock
+    trace: traces.Trace
+    rng: random.Random
+    owned: dict[str, Owned] = attrs.Factory(dict)
+    stopping: bool = False
+    orphaned_at: dict[str, float] = attrs.Factory(dict)
+    nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            nursery.start_soon(self._take_over)
+            while True:
+                if not self.stopping:
+                    self._start_items()
+                    self.give_way()
+                await trio.sleep(TICK_S * self.rng.uniform(0.8, 1.2))
+
+    def own(self, kept: jobs.Kept, items: list[jobs.Item], listed: set[str]) -> None:
+        """Begin to run a job whose row names this host."""
+        tasks = {
+            item.id: Task(item, order)
+            for order, item in enumerate(items)
+            if item.id not in listed
+        }
+        self.owned[kept.state.job] = Owned(kept, tasks)
+        self.publish(kept)
+
+    def publish(self, kept: jobs.Kept) -> None:
+        """Take an own change into the followed copy at once."""
+        where = jobs.state_address(kept.state.job)
+        self.states.apply([rows.Row(where, kept.state.encode(), kept.version)], 0)
+
+    def waiting(self) -> list[tuple[Owned, Task]]:
+        """Return the items to run now, those due first in front."""
+        now = self.clock.monotonic()
+        found = [
+            (owned, task)
+            for owned in self.owned.values()
+            if owned.kept.state.open and not owned.dropped
+            for task in owned.tasks.values()
+            if not task.running and task.not_before <= now
+        ]
+        found.sort(
+            key=lambda pair: (
+                pair[0].kept.state.created_s + pair[0].kept.state.completion_s,
+                pair[1].last_event is None,
+                pair[1].order,
+            )
+        )
+        return found
+
+    def adopt(self, changed: list[rows.Row]) -> None:
+        """Take other hosts' changes to owned jobs: an end, or another owner."""
+        for row in changed:
+            owned = self.owned.get(row.address.key)
+            if owned is None or row.version <= owned.kept.version:
+                continue
+            kept = None if row.value is None else jobs.decode(row)
+            if not owned.saving:
+                self._take_state(owned, kept)
+            elif kept is not None and kept.state.cancelled:
+                self._stop(owned)
+
+    def give_way(self) -> None:
+        """Stop own items on servers that are over their slots."""
+        for name in [name for name, count in self.inflight.batch.items() if count]:
+            load = self.inflight.load(name)
+            count = balance.batch_stops(load, self.rng) if load else 0
+            if count:
+                self._stop_on(name, count)
+
+    async def release(self) -> None:
+        """Stop all items and give the jobs up, for a planned stop."""
+        self.stopping = True
+        for owned in self.owned.values():
+            self._stop(owned)
+        for owned in list(self.owned.values()):
+            await self._release(owned)
+
+    async def _release(self, owned: Owned) -> None:
+        while owned.saving:
+            await trio.sleep(0.02)
+        state = owned.kept.state
+        if owned.dropped or not state.open:
+            return
+        free = attrs.evolve(state, owner="", instance="")
+        try:
+            await self.jobs.change(owned.kept, free)
+        except (rows.ConflictError, rows.UnavailableError) as error:
+            # The others find this host gone and take the job over a little later.
+            self.trace.emit("job_not_released", job=state.job, reason=str(error))
+            return
+        self.trace.emit("job_released", job=state.job, listed=state.listed)
+
+    def _stop(self, owned: Owned) -> None:
+        for task in owned.tasks.values():
+            if task.scope is not None:
+                task.scope.cancel()
+
+    def _stop_on(self, server: str, count: int) -> None:
+        running = [
+            task
+            for owned in self.owned.values()
+            for task in owned.tasks.values()
+            if task.server == server and task.scope is not None
+            if not task.scope.cancel_called
+        ]
+        running.sort(key=lambda task: len(task.parts))
+        for task in running[:count]:
+            self.trace.emit(
+                "item_gives_way",
+                task.item.id,
+                server=server,
+                last_event=task.last_event,
+            )
+            task.scope.cancel()
+
+    def _start_items(self) -> None:
+        waiting = self.waiting()
+        if not waiting or self.configured.current is None:
+            return
+        groups: dict[str, list[tuple[Owned, Task]]] = {}
+        for owned, task in waiting:
+            service = self._service(owned, task)
+            if service is not None:
+                groups.setdefault(service, []).append((owned, task))
+        elsewhere = sum(digest.waiting for digest in self.hosts.current())
+        for service, pairs in groups.items():
+            loads = self.inflight.loads(service)
+            starts = balance.batch_starts(
+                loads,
+                waiting=len(pairs),
+                waiting_elsewhere=elsewhere,
+                rng=self.rng,
+            )
+            for (owned, task), name in zip(pairs, starts, strict=False):
+                self._start(owned, task, name)
+
+    def _start(self, owned: Owned, task: Task, name: str) -> None:
+        server = self.inflight.registry.servers[name]
+        task.scope = trio.CancelScope()
+        task.server = name
+        self.inflight.batch[name] += 1
+        self.trace.emit(
+            "item_placed",
+            task.item.id,
+            job=owned.kept.state.job,
+            server=name,
+            last_event=task.last_event,
+            errors=task.errors,
+        )
+        self.nursery.start_soon(self._run_item, owned, task, server)
+
+    def _service(self, owned: Owned, task: Task) -> str | None:
+        """Return the service that runs an item, or end it when there is none."""
+        state = owned.kept.state
+        route = self.configured.current.route(state.hostname, task.item.path)
+        if route is None or route.kind is not model.Kind.BATCH:
+            self._end(owned, task, False, "route ended")
+            return None
+        if self.states.store_now_s() >= state.created_s + state.retention_s:
+            self._end(owned, task, False, "retention is over")
+            return None
+        return relay.choose_service(route, self.rng)
+
+    async def _run_item(self, owned: Owned, task: Task, server: model.Server) -> None:
+        name = server.instance
+        outcome = "gave way"
+        health = self.inflight.circuits
+        try:
+            with task.scope, trio.move_on_after(ITEM_TIMEOUT_S):
+                outcome = await self._exchange(owned, task, server)
+        finally:
+            self.inflight.batch[name] -= 1
+            task.scope = None
+            task.server = ""
+        now = self.clock.monotonic()
+        if outcome == "done":
+            health.succeeded(name)
+            text = b"\n".join(task.parts).decode("utf-8", "replace")
+            self._end(owned, task, True, "done", text)
+            return
+        if outcome == "error" and self._is_hopeless(owned, task):
+            self._end(owned, task, False, f"{task.errors} errors")
+            return
+        if outcome == "impossible":
+            self._end(owned, task, False, "impossible")
+            return
+        if outcome.startswith("broken"):
+            health.failed(name, now, refused=outcome == "broken: not connected")
+        if outcome != "gave way":
+            pause = FAILED_RETRY_S if outcome == "error" else RETRY_S
+            task.not_before = now + pause * self.rng.uniform(0.7, 1.3)
+        self.trace.emit(
+            "item_not_done",
+            task.item.id,
+            job=owned.kept.state.job,
+            server=name,
+            last_event=task.last_event,
+            errors=task.errors,
+            outcome=outcome,
+        )
+
+    def _is_hopeless(self, owned: Owned, task: Task) -> bool:
+        view = self.configured.current
+        route = view.route(owned.kept.state.hostname, task.item.path)
+        return route is not None and task.errors >= route.max_attempts
+
+    async def _exchange(self, owned: Owned, task: Task, server: model.Server) -> str:
+        try:
+            connection = await self.pool.acquire(server.address)
+        except pool.ConnectError:
+            return "broken: not connected"
+        kept = False
+        try:
+            with trio.fail_after(SILENCE_S) as silence:
+                outcome, head = await self._converse(
+                    owned, task, server, connection, silence
+                )
+            if connection.reusable():
+                self.pool.release(connection, head.idle_s)
+                kept = True
+            return outcome
+        except (pool.BrokenError, events.SequenceError) as error:
+            return f"broken: {error}"
+        except trio.TooSlowError:
+            return "broken: silent"
+        finally:
+            if not kept:
+                connection.close()
+
+    async def _converse(
+        self,
+        owned: Owned,
+        task: Task,
+        server: model.Server,
+        connection: pool.Connection,
+        silence: trio.CancelScope,
+    ) -> tuple[str, messages.Head]:
+        state = owned.kept.state
+        ask = self.wire.item(task.item, state.hostname)
+        onward = messages.Onward(
+            server.instance, ITEM_TIMEOUT_S, state.team, task.last_event
+        )
+        headers = self.wire.onward(ask, onward, len(task.item.body))
+        await connection.request(ask.method, ask.target, headers, task.item.body)
+        head = await relay.read_head(self.wire, connection, ask.request_id)
+        if head.status != 200 or head.not_run:
+            await relay.drain(connection)
+            if head.not_run:
+                return "not run", head
+            if not head.signed:
+                return "broken: no signature", head
+            if head.status == 422:
+                return "impossible", head
+            if head.status == 500:
+                task.errors += 1
+                return "error", head
+            return f"answered {head.status}", head
+        if not head.signed or not head.events:
+            raise pool.BrokenError("answer is no signed stream")
+        splitter = events.Splitter(task.last_event)
+        while (data := await connection.data()) is not None:
+            silence.deadline = trio.current_time() + SILENCE_S
+            for event in splitter.feed(data):
+                if event.id is None:
+                    raise events.SequenceError("event without an id")
+                task.parts.append(event.data())
+                task.last_event = event.id
+        if splitter.rest:
+            raise pool.BrokenError("stream ended within an event")
+        return "done", head
+
+    def _end(
+        self, owned: Owned, task: Task, succeeded: bool, reason: str, text: str = ""
+    ) -> None:
+        if owned.dropped or owned.tasks.pop(task.item.id, None) is None:
+            return
+        self.trace.emit(
+            "item_ended",
+            task.item.id,
+            job=owned.kept.state.job,
+            reason=reason,
+            events=len(task.parts),
+            outcome="succeeded" if succeeded else "given up",
+        )
+        owned.unsaved.append(jobs.Result(task.item.id, succeeded, text))
+        if not owned.saving:
+            owned.saving = True
+            self.nursery.start_soon(self._save, owned)
+
+    async def _save(self, owned: Owned) -> None:
+        """Write results until none waits; a result's position never changes."""
+        try:
+            await trio.sleep(SAVE_DELAY_S)
+            while owned.unsaved and not owned.dropped:
+                await self._save_some(owned)
+        finally:
+            owned.saving = False
+
+    async def _save_some(self, owned: Owned) -> None:
+        base = owned.kept.state.listed
+        puts, count = _fitting(owned.kept.state.job, base, owned.unsaved)
+        target = base + count
+        while not owned.dropped:
+            state = owned.kept.state
+            if state.listed == target:
+                break
+            # Items that a server has finished wait no more, saved or not.
+            left = sum(task.item.tokens for task in owned.tasks.values())
+            wanted = attrs.evolve(state, listed=target, tokens=left)
+            try:
+                self._take_state(
+                    owned, await self.jobs.change(owned.kept, wanted, puts)
+                )
+            except rows.ConflictError as error:
+                found = [jobs.decode(row) for row in error.found if row.value]
+                self._take_state(owned, found[0] if found else None)
+            except rows.UnavailableError as error:
+                self.trace.emit(
+                    "results_not_saved",
+                    job=state.job,
+                    results=count,
+                    maybe_applied=error.maybe_applied,
+                    reason=str(error),
+                )
+                await trio.sleep(SAVE_RETRY_S * self.rng.uniform(0.5, 1.5))
+        if not owned.dropped:
+            del owned.unsaved[:count]
+            self.publish(owned.kept)
+
+    def _take_state(self, owned: Owned, kept: jobs.Kept | None) -> None:
+        state = None if kept is None else kept.state
+        mine = state is not None and (state.owner, state.instance) == (
+            self.host_id,
+            self.instance,
+        )
+        if mine:
+            if kept.version > owned.kept.version:
+                owned.kept = kept
+            if state.cancelled or state.listed >= state.total:
+                self._stop(owned)
+                if state.cancelled:
+                    owned.unsaved.clear()
+                    owned.dropped = True
+                    self.trace.emit("job_cancelled", job=state.job)
+                self.owned.pop(state.job, None)
+            return
+        owned.dropped = True
+        self._stop(owned)
+        self.owned.pop(owned.kept.state.job, None)
+        self.trace.emit(
+            "job_lost",
+            job=owned.kept.state.job,
+            owner=None if state is None else state.owner,
+        )
+
+    async def _take_over(self) -> None:
+        while True:
+            await trio.sleep(TAKEOVER_TICK_S * self.rng.uniform(0.8, 1.2))
+            if self.stopping or self.states.lost or not self.states.complete:
+                continue
+            for kept in self.orphans():
+                await self._take(kept)
+
+    def orphans(self) -> list[jobs.Kept]:
+        """Return jobs without a live owner whose turn to be taken here has come."""
+        now = self.clock.monotonic()
+        found = []
+        seen = set()
+        for row in list(self.states.known.values()):
+            kept = jobs.decode(row)
+            if kept is None or not kept.state.open or kept.state.job in self.owned:
+                continue
+            if self._owner_lives(kept.state, now):
+                continue
+            job = kept.state.job
+            seen.add(job)
+            since = self.orphaned_at.setdefault(job, now)
+            if now >= since + self._rank(job) * RANK_DELAY_S:
+                found.append(kept)
+        for job in self.orphaned_at.keys() - seen:
+            del self.orphaned_at[job]
+        return found
+
+    def _owner_lives(self, state: jobs.State, now: float) -> bool:
+        listed = self.hosts.listed.get(state.owner)
+        if not state.owner or state.owner == self.host_id:
+            return False
+        if listed is None or listed.instance != state.instance:
+            return self.hosts.is_heard(state.owner, state.instance)
+        peer = self.hosts.peers.get(state.owner)
+        if peer is not None and self.hosts.is_heard(state.owner, state.instance):
+            return peer.digest.store_age_s < STORELESS_S
+        return now - listed.seen_at < DEAD_AFTER_S
+
+    def _rank(self, job: str) -> int:
+        """Return how many other live hosts come before this one for a job."""
+        names = [digest.host for digest in self.hosts.audible()]
+
+        def weight(name: str) -> bytes:
+            return hashlib.blake2b(f"{job}/{name}".encode()).digest()
+
+        own = weight(self.host_id)
+        return sum(weight(name) > own for name in names)
+
+    async def _take(self, kept: jobs.Kept) -> None:
+        before = kept.state
+        mine = attrs.evolve(before, owner=self.host_id, instance=self.instance)
+        try:
+            taken = await self.jobs.change(kept, mine)
+            items = await self.jobs.items(mine)
+            results = await self.jobs.results(mine.job, 0) if mine.listed else []
+            while len(results) < mine.listed:
+                results += await self.jobs.results(mine.job, len(results))
+        except (rows.ConflictError, rows.UnavailableError) as error:
+            self.trace.emit("job_not_taken", job=before.job, reason=str(error))
+            return
+        self.own(taken, items, {result.id for result in results})
+        self.trace.emit(
+            "job_taken",
+            job=before.job,
+            owner_before=before.owner,
+            listed=before.listed,
+            outcome=f"{len(items) - len(results)} items left",
+        )
+        with contextlib.suppress(KeyError):
+            del self.orphaned_at[before.job]
+
+
+def _fitting(
+    job: str, base: int, results: list[jobs.Result]
+) -> tuple[dict[rows.Address, bytes], int]:
+    """Return the rows of as many results as one transaction takes, and how many."""
+    puts: dict[rows.Address, bytes] = {}
+    size = 0
+    for number, result in enumerate(results):
+        more = jobs.result_puts(job, base + number, result)
+        size += sum(map(len, more.values())) * 4 // 3
+        too_much = size > jobs.MAX_TRANSACTION_BYTES
+        if puts and (too_much or len(puts) + len(more) > jobs.MAX_TRANSACTION_ROWS):
+            return puts, number
+        puts |= more
+    return puts, len(results)
--- a/turmerictally/host.py
+++ b/turmerictally/host.py
@@ -21,7 +21,7 @@
 from turmerictally.operators import insight
 from turmerictally.orders import assembly as orders_assembly
 from turmerictally.peers import calls, handshake, transport
-from turmerictally.platform import budget, client, guard, hosts, table
+from turmerictally.store import budget, client, guard, hosts, table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/limits/assembly.py
+++ b/turmerictally/limits/assembly.py
@@ -9,7 +9,7 @@
 from turmerictally.limits import home, layout, leases, limiter, rows
 from turmerictally.membership import members
 from turmerictally.peers import calls
-from turmerictally.platform import table
+from turmerictally.store import table
 
 
 @attrs.frozen
--- a/turmerictally/limits/leases.py
+++ b/turmerictally/limits/leases.py
@@ -12,7 +12,7 @@
 from turmerictally import errors, settings
 from turmerictally.config import model
 from turmerictally.limits import held, layout, rows
-from turmerictally.platform import table
+from turmerictally.store import table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/limits/rows.py
+++ b/turmerictally/limits/rows.py
@@ -3,7 +3,7 @@
 import attrs
 
 from turmerictally.limits import layout
-from turmerictally.platform import table
+from turmerictally.store import table
 
 MAX_LEVELS = 500  # teams whose levels one row carries
 
--- a/turmerictally/membership/detector.py
+++ b/turmerictally/membership/detector.py
@@ -10,7 +10,7 @@
 from turmerictally import errors, settings
 from turmerictally.membership import members, wire
 from turmerictally.peers import calls
-from turmerictally.platform import hosts, table
+from turmerictally.store import hosts, table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/membership/members.py
+++ b/turmerictally/membership/members.py
@@ -10,7 +10,7 @@
 import trio
 
 from turmerictally import clock as clocks
-from turmerictally.platform import hosts
+from turmerictally.store import hosts
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/metrics/exposition.py
+++ b/turmerictally/metrics/exposition.py
@@ -14,7 +14,7 @@
 
 from turmerictally.metrics import host, latency
 from turmerictally.peers import calls, traffic
-from turmerictally.platform import guard
+from turmerictally.store import guard
 
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 PREFIX = "turmerictally"
@@ -90,7 +90,7 @@
     sources: Sources, summaries: list[Summary]
 ) -> collections.abc.Iterator[Family]:
     metrics = sources.metrics
-    yield _latency(metrics.latencies.histograms)
+    yield latency_family(metrics.latencies.histograms)
     yield _team_latency(summaries)
     yield from _counters(metrics)
     yield _counter("process_cpu_seconds", [], [((), time.process_time())])
@@ -105,7 +105,8 @@
         yield _counter("batch_events", ["event"], values)
 
 
-def _latency(histograms: latency.Histograms) -> Family:
+def latency_family(histograms: latency.Histograms) -> Family:
+    """Return the latencies over all teams."""
     family = prometheus_client.core.HistogramMetricFamily(
         f"{PREFIX}_latency_seconds",
         "Latency over all teams.",
--- a/turmerictally/online/assembly.py
+++ b/turmerictally/online/assembly.py
@@ -12,8 +12,8 @@
 from turmerictally.membership import members
 from turmerictally.online import forward, idempotency, messages, pipeline
 from turmerictally.peers import calls
-from turmerictally.platform import budget, guard
 from turmerictally.routing import engines, headroom, polling, router, servers
+from turmerictally.store import budget, guard
 
 # Time in seconds for a stopping host to store the ends of claimed requests.
 CLAIMS_TIMEOUT_S = 5.0
--- a/turmerictally/online/idempotency.py
+++ b/turmerictally/online/idempotency.py
@@ -15,7 +15,7 @@
 from turmerictally import errors, settings
 from turmerictally.online import messages, rows
 from turmerictally.peers import calls, routing_pb2
-from turmerictally.platform import objects, table
+from turmerictally.store import objects, table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/operators/fleet.py
+++ b/turmerictally/operators/fleet.py
@@ -5,7 +5,7 @@
 
 from turmerictally import errors
 from turmerictally.config import model
-from turmerictally.platform import table
+from turmerictally.store import table
 
 blueprint = quart.Blueprint("fleet", __name__)
 
--- a/turmerictally/orders/assembly.py
+++ b/turmerictally/orders/assembly.py
@@ -10,8 +10,8 @@
 from turmerictally.config import model as configuration
 from turmerictally.membership import members
 from turmerictally.orders import engines, executor, guards, model, sheet
-from turmerictally.platform import guard, table
 from turmerictally.routing import servers
+from turmerictally.store import guard, table
 
 RETRY_AFTER_S = 5.0
 CLOSE_TIMEOUT_S = 1.0
--- a/turmerictally/orders/executor.py
+++ b/turmerictally/orders/executor.py
@@ -11,7 +11,7 @@
 from turmerictally import settings
 from turmerictally.config import model as configuration
 from turmerictally.orders import engines, guards, model, sheet
-from turmerictally.platform import table, weights
+from turmerictally.store import table, weights
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/orders/guards.py
+++ b/turmerictally/orders/guards.py
@@ -5,7 +5,7 @@
 import attrs
 
 from turmerictally.orders import engines, model, sheet
-from turmerictally.platform import table
+from turmerictally.store import table
 
 STATE_TIMEOUT_S = 2.0
 
--- a/turmerictally/orders/sheet.py
+++ b/turmerictally/orders/sheet.py
@@ -5,7 +5,7 @@
 
 from turmerictally import errors
 from turmerictally.orders import model
-from turmerictally.platform import table
+from turmerictally.store import table
 
 SERVERS_PREFIX = "orders/servers/"
 PENDING_PREFIX = "orders/pending/"
--- a/turmerictally/platform/__init__.py
+++ b/turmerictally/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Talk to the platform: table service, object store, host list, weight store."""
+"""Translate the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/turmerictally/platform/deployment.py
@@ -0,0 +1,57 @@
+"""Build an entry host for the users' platform."""
+
+import os
+import sys
+
+import trio
+
+from turmerictally import log, settings
+from turmerictally.cli import signals
+from turmerictally.entry import host
+from turmerictally.entry import settings as entry_settings
+from turmerictally.platform import configuration, store, wire
+
+SETTINGS_VARIABLE = "TURMERICTALLY_SETTINGS"
+
+NAMES = host.Names(
+    configuration_table=configuration.CONFIGURATION_TABLE,
+    servers_table=configuration.SERVERS_TABLE,
+    read_configuration=configuration.read_configuration,
+    read_server=configuration.read_server,
+)
+
+
+def build(config: entry_settings.Settings) -> host.Host:
+    """Return an entry host that speaks to the platform."""
+    reached = settings.Platform(
+        url=config.store.url,
+        token="",
+        timeout_s=config.store.timeout_s,
+        reads_per_s=0.0,
+        writes_per_s=0.0,
+        backoff_min_s=0.0,
+        backoff_max_s=0.0,
+    )
+    return host.Host(config, NAMES, store.connect(reached), wire.Wire())
+
+
+def main(path: str | None = None) -> None:
+    """Run one entry host on the users' platform.
+
+    Without a path, the settings file is the one that the platform names.
+    """
+    where = path or os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        config = entry_settings.load(where)
+    except settings.SettingsError as error:
+        sys.exit(str(error))
+    log.setup("WARNING", json_lines=True)
+    trio.run(_run, config)
+
+
+async def _run(config: entry_settings.Settings) -> None:
+    served = build(config)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(signals.stop_on_signal, served.stop)
+        await served.run()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/turmerictally/platform/jobs.py
@@ -0,0 +1,75 @@
+"""Decode the calls of batch jobs and encode their answers."""
+
+import base64
+import binascii
+import json
+import re
+import urllib.parse
+
+from turmerictally.entry import batchcalls, jobs, messages
+
+RESULTS_PATH = re.compile(r"/-/lots/([^/?]+)$")
+ITEM_PATH = re.compile(r"/-/items/([^/?]+)$")
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError, binascii.Error)
+# What callers name the ends of an item.
+STATES = {True: "succeeded", False: "dead_letter"}
+
+
+def read_call(ask: messages.Ask) -> batchcalls.Call | None:
+    """Return the call on a batch job that a request makes, or None."""
+    query = dict(urllib.parse.parse_qsl(ask.query))
+    found = RESULTS_PATH.match(ask.path)
+    if found and ask.method == b"GET":
+        after = query.get("after", "0")
+        position = int(after) if after.isdigit() else 0
+        return batchcalls.ReadResults(found[1], position, ask.poll_wait_s)
+    if found and ask.method == b"DELETE":
+        return batchcalls.Cancel(found[1])
+    found = ITEM_PATH.match(ask.path)
+    if found and ask.method == b"GET":
+        return batchcalls.ReadItem(found[1], query.get("id", ""))
+    return None
+
+
+def read_items(body: bytes) -> list[jobs.Item]:
+    """Return the items of a submission; raises ``ValueError``."""
+    try:
+        return [
+            jobs.Item(
+                id=str(each["id"]),
+                path=str(each["path"]),
+                headers={str(k): str(v) for k, v in each["headers"].items()},
+                body=base64.b64decode(each["body"], validate=True),
+                # Tokens of the prompt and of the longest answer, summed.
+                tokens=int(each["tokenCount"]),
+            )
+            for each in json.loads(body)["items"]
+        ]
+    except MALFORMED as error:
+        raise ValueError(f"not a batch job: {error!r}") from error
+
+
+def write_results(total: int, after: int, results: list[jobs.Result]) -> dict:
+    """Return the body that lists results."""
+    return {
+        "total": total,
+        "next": after + len(results),
+        "results": [
+            {"id": r.id, "state": STATES[r.succeeded], "text": r.text} for r in results
+        ],
+    }
+
+
+def item_ask(item: jobs.Item, hostname: str) -> messages.Ask:
+    """Return the request of an item."""
+    headers = [(b"Host", hostname.encode()), (b"X-Request-Id", item.id.encode())]
+    headers += [(n.encode(), v.encode("latin-1")) for n, v in item.headers.items()]
+    parts = item.headers.get("X-Prompt-Prefix", "").split(",")
+    return messages.Ask(
+        method=b"POST",
+        target=item.path.encode("latin-1"),
+        hostname=hostname,
+        request_id=item.id,
+        headers=headers,
+        prompt_parts=tuple(p.partition(":")[0].strip() for p in parts if p.strip()),
+    )
--- /dev/null
+++ b/turmerictally/platform/requests.py
@@ -0,0 +1,115 @@
+"""Decode callers' requests and servers' answers; encode what goes onward."""
+
+import re
+
+from turmerictally.entry import messages
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+        b"content-length",
+    }
+)
+# Set by the entry host, whatever the caller sent.
+SET_ONWARD = frozenset(
+    {
+        b"authorization",
+        b"x-deadline-ms",
+        b"x-expect-instance",
+        b"x-tenant",
+        b"x-wait-ms",
+        b"x-hold",
+        b"x-pin-ms",
+        b"kv-from",
+        b"kv-fetch",
+        b"x-kv-backup",
+    }
+)
+BEARER = re.compile(r"(?i)bearer +(\S+)$")
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+NUMBER = re.compile(r"\d{1,15}$")
+
+
+def read_ask(method: bytes, target: bytes, headers: messages.Headers) -> messages.Ask:
+    """Decode a caller's request."""
+    named = {name.lower(): value for name, value in headers}
+    found = BEARER.match(_text(named, b"authorization"))
+    wait_ms = _number(named, b"x-deadline-ms")
+    return messages.Ask(
+        method=method,
+        target=target,
+        hostname=_text(named, b"host").partition(":")[0],
+        request_id=_text(named, b"x-request-id"),
+        headers=headers,
+        key=found[1] if found else "",
+        wait_s=None if wait_ms is None else wait_ms / 1000,
+        resume_after=_number(named, b"last-event-id"),
+        prompt_parts=tuple(
+            part.partition(":")[0].strip()
+            for part in _text(named, b"x-prompt-prefix").split(",")
+            if part.strip()
+        ),
+        poll_wait_s=(_number(named, b"x-wait-ms") or 0) / 1000,
+    )
+
+
+def onward(ask: messages.Ask, given: messages.Onward, length: int) -> messages.Headers:
+    """Return the headers for a backend server."""
+    dropped = HOP_BY_HOP | SET_ONWARD | _named_by_connection(ask.headers)
+    if given.resume_after is not None:
+        dropped |= {b"last-event-id"}
+    kept = [(n, v) for n, v in ask.headers if n.lower() not in dropped]
+    kept.append((b"X-Deadline-Ms", b"%d" % max(1, int(given.wait_s * 1000))))
+    kept.append((b"X-Expect-Instance", given.instance.encode()))
+    if given.team:
+        kept.append((b"X-Tenant", given.team.encode()))
+    if given.resume_after is not None:
+        kept.append((b"Last-Event-Id", b"%d" % given.resume_after))
+    if length or ask.method not in (b"GET", b"HEAD", b"DELETE"):
+        kept.append((b"Content-Length", b"%d" % length))
+    return kept
+
+
+def read_head(status: int, headers: messages.Headers) -> messages.Head:
+    """Decode the head of a server's answer."""
+    named = {name.lower(): value for name, value in headers}
+    timeout = KEEP_ALIVE_TIMEOUT.search(named.get(b"keep-alive", b""))
+    return messages.Head(
+        status=status,
+        headers=headers,
+        request_id=_text(named, b"x-request-id"),
+        signed=b"x-server-stamp" in named,
+        # A 421 also says that the request was not run.
+        not_run=b"x-not-executed" in named or status == 421,
+        events=named.get(b"content-type", b"").startswith(b"text/event-stream"),
+        idle_s=float(timeout[1]) if timeout else None,
+    )
+
+
+def to_caller(head: messages.Head) -> messages.Headers:
+    """Return the headers of a server's answer for the caller."""
+    dropped = HOP_BY_HOP | _named_by_connection(head.headers)
+    return [(n, v) for n, v in head.headers if n.lower() not in dropped]
+
+
+def _named_by_connection(headers: messages.Headers) -> set[bytes]:
+    values = [v for n, v in headers if n.lower() == b"connection"]
+    return {part.strip().lower() for value in values for part in value.split(b",")}
+
+
+def _text(named: dict[bytes, bytes], name: bytes) -> str:
+    return named.get(name, b"").decode("latin-1")
+
+
+def _number(named: dict[bytes, bytes], name: bytes) -> int | None:
+    value = _text(named, name).strip()
+    return int(value) if NUMBER.match(value) else None
--- /dev/null
+++ b/turmerictally/platform/store.py
@@ -0,0 +1,118 @@
+"""Reach the platform's row store over HTTP."""
+
+import base64
+import binascii
+import typing
+
+import attrs
+import cattrs
+
+from turmerictally import settings
+from turmerictally.store import client, rows, table
+
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError, binascii.Error)
+# Added to a long poll's waiting time before it counts as unanswered, in seconds;
+# several times the store's usual answer of 4 ms, also when it is slowed 60 times.
+POLL_MARGIN_S = 0.7
+
+
+@attrs.define
+class RowStore:
+    """Implement ``rows.RowStore``."""
+
+    channel: client.Channel
+
+    async def transact(
+        self,
+        expected: dict[rows.Address, int],
+        puts: dict[rows.Address, bytes | None],
+    ) -> rows.Commit:
+        """Change rows in one transaction."""
+        body = {
+            "expect": [
+                _name(address) | {"schemaVersion": version}
+                for address, version in expected.items()
+            ],
+            "put": [
+                _name(address) | {"value": base64.b64encode(value).decode()}
+                for address, value in puts.items()
+                if value is not None
+            ],
+            "remove": [_name(a) for a, value in puts.items() if value is None],
+        }
+        response = await self.channel.request(
+            "POST", "/-/rows-tx", write=True, passed=(412,), json=body
+        )
+        answer = client.read_json(response, write=True)
+        try:
+            if response.status_code == 412:
+                raise rows.ConflictError([_row(each) for each in answer["rows"]])
+            return rows.Commit(int(answer["schemaVersion"]), answer["nowMs"] / 1000)
+        except MALFORMED as error:
+            raise table.UnavailableError("bad answer", maybe_applied=True) from error
+
+    async def read(
+        self,
+        name: str,
+        part: str,
+        *,
+        start: str = "",
+        end: str = "",
+        limit: int = 500,
+    ) -> rows.Page:
+        """Read rows of one part in key order."""
+        params = {"table": name, "part": part, "limit": limit}
+        if start:
+            params["from"] = start
+        if end:
+            params["to"] = end
+        response = await self.channel.request("GET", "/-/rows-get", params=params)
+        return _page(client.read_json(response))
+
+    async def changes(self, name: str, *, after: int, wait_s: float) -> rows.Page:
+        """Return rows changed after a version."""
+        response = await self.channel.request(
+            "GET",
+            "/-/rows-feed",
+            passed=(410,),
+            timeout_s=wait_s + POLL_MARGIN_S,
+            params={"table": name, "after": after, "waitMs": round(wait_s * 1000)},
+        )
+        if response.status_code == 410:
+            raise rows.HistoryLostError(name)
+        return _page(client.read_json(response))
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self.channel.aclose()
+
+
+def connect(config: settings.Platform) -> RowStore:
+    """Return a client of the row store."""
+    return RowStore(client.Channel(config))
+
+
+def _name(address: rows.Address) -> dict[str, str]:
+    return {"table": address.table, "part": address.part, "key": address.key}
+
+
+def _page(body: typing.Any) -> rows.Page:
+    try:
+        return rows.Page(
+            rows=[_row(each) for each in body["rows"]],
+            version=int(body["schemaVersion"]),
+            now_s=body["nowMs"] / 1000,
+            more=bool(body.get("hasMore", False)),
+        )
+    except (*MALFORMED, cattrs.BaseValidationError) as error:
+        raise table.UnavailableError("bad answer") from error
+
+
+def _row(body: dict) -> rows.Row:
+    address = rows.Address(body["table"], body.get("part", ""), body["key"])
+    deleted = bool(body.get("tombstone"))
+    # The version of this row, although the field is named for a schema.
+    version = int(body.get("schemaVersion", 0))
+    if deleted or body.get("value") is None:
+        return rows.Row(address, None, version)
+    return rows.Row(address, base64.b64decode(body["value"]), version)
--- a/turmerictally/routing/headroom.py
+++ b/turmerictally/routing/headroom.py
@@ -11,8 +11,8 @@
 from turmerictally import clock as clocks
 from turmerictally import errors, settings
 from turmerictally.peers import calls, routing_pb2
-from turmerictally.platform import hosts
 from turmerictally.routing import router, servers, subset
+from turmerictally.store import hosts
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/routing/polling.py
+++ b/turmerictally/routing/polling.py
@@ -9,8 +9,8 @@
 
 from turmerictally import clock as clocks
 from turmerictally import settings
-from turmerictally.platform import hosts, table
 from turmerictally.routing import engines, router
+from turmerictally.store import hosts, table
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/routing/servers.py
+++ b/turmerictally/routing/servers.py
@@ -6,7 +6,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.config import model
-from turmerictally.platform import hosts
+from turmerictally.store import hosts
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/settings.py
+++ b/turmerictally/settings.py
@@ -4,6 +4,7 @@
 in seconds; sizes end in ``_bytes``.
 """
 
+import collections.abc
 import pathlib
 import typing
 
@@ -350,7 +351,15 @@
         super().__init__("\n".join(str(fault) for fault in faults))
 
 
-def load(path: str) -> Settings:
+Check = collections.abc.Callable[[dict], list[checks.Fault]]
+
+
+def load(
+    path: str,
+    defaults: dict[str, typing.Any] = DEFAULTS,
+    shape: type = Settings,
+    check: Check = checks.check,
+) -> typing.Any:
     """Read a YAML settings file, raising ``SettingsError`` with every fault."""
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
@@ -363,20 +372,25 @@
         raise SettingsError(
             [checks.Fault(path, f"expected YAML: {_one_line(error)}")]
         ) from error
-    return build(given if given is not None else {})
+    return build(given if given is not None else {}, defaults, shape, check)
 
 
-def build(given: typing.Any) -> Settings:
+def build(
+    given: typing.Any,
+    defaults: dict[str, typing.Any] = DEFAULTS,
+    shape: type = Settings,
+    check: Check = checks.check,
+) -> typing.Any:
     """Merge given values over the defaults and check the result."""
     if not isinstance(given, dict):
         raise SettingsError([checks.Fault("(top level)", "expected a mapping")])
     faults: list[checks.Fault] = []
-    merged = _merge(DEFAULTS, given, "", faults)
+    merged = _merge(defaults, given, "", faults)
     if not faults:
-        faults.extend(checks.check(merged))
+        faults.extend(check(merged))
     if faults:
         raise SettingsError(sorted(faults, key=lambda fault: fault.path))
-    return cattrs.structure(merged, Settings)
+    return cattrs.structure(merged, shape)
 
 
 def _merge(
--- a/turmerictally/standins/faults.py
+++ b/turmerictally/standins/faults.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from turmerictally.platform import table
+from turmerictally.store import table
 
 
 @attrs.define
--- a/turmerictally/standins/memory.py
+++ b/turmerictally/standins/memory.py
@@ -8,8 +8,8 @@
 import attrs
 import trio
 
-from turmerictally.platform import hosts, objects, table, weights
 from turmerictally.standins import faults
+from turmerictally.store import hosts, objects, table, weights
 
 WRITES_PER_S = 400.0
 READS_PER_S = 2000.0
--- a/turmerictally/standins/server.py
+++ b/turmerictally/standins/server.py
@@ -7,8 +7,8 @@
 import quart
 import quart_trio
 
-from turmerictally.platform import hosts, table, weights
 from turmerictally.standins import faults, memory
+from turmerictally.store import hosts, table, weights
 
 _FAULT_FIELDS = ("down", "delay_s", "jitter_s", "lose_request", "lose_answer")
 
--- /dev/null
+++ b/turmerictally/store/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the platform: table service, object store, host list, weight store."""
--- a/turmerictally/platform/budget.py
+++ b/turmerictally/store/budget.py
@@ -6,7 +6,7 @@
 import trio
 
 from turmerictally import clock
-from turmerictally.platform import table
+from turmerictally.store import table
 
 BURST_S = 1.0  # seconds of the rate that may be spent at once
 MIN_BURST = 4.0  # calls
--- a/turmerictally/platform/client.py
+++ b/turmerictally/store/client.py
@@ -12,7 +12,7 @@
 import trio
 
 from turmerictally import httpclient, settings
-from turmerictally.platform import guard, hosts, objects, table, weights
+from turmerictally.store import guard, hosts, objects, table, weights
 
 logger = logging.getLogger(__name__)
 
@@ -64,11 +64,18 @@
         write: bool = False,
         passed: tuple[int, ...] = (),
         whole_timeout: bool = True,
+        timeout_s: float | None = None,
         **options: typing.Any,
     ) -> httpx.Response:
-        """Send a request; statuses in ``passed`` are left to the caller."""
+        """Send a request; statuses in ``passed`` are left to the caller.
+
+        ``timeout_s`` replaces the usual time limit, for calls that wait for news.
+        """
+        if timeout_s is not None:
+            options["timeout"] = timeout_s
+        limit_s = self.timeout_s if timeout_s is None else timeout_s
         with classified(write):
-            left = self.timeout_s if whole_timeout else float("inf")
+            left = limit_s if whole_timeout else float("inf")
             with trio.fail_after(left):
                 response = await self.client.request(method, path, **options)
         check(response, write, passed)
--- a/turmerictally/platform/guard.py
+++ b/turmerictally/store/guard.py
@@ -10,7 +10,7 @@
 import attrs
 
 from turmerictally import clock, settings
-from turmerictally.platform import budget, hosts, objects, table, weights
+from turmerictally.store import budget, hosts, objects, table, weights
 
 logger = logging.getLogger(__name__)
 
--- a/turmerictally/tests/features/steps/configuration_steps.py
+++ b/turmerictally/tests/features/steps/configuration_steps.py
@@ -11,8 +11,8 @@
 from turmerictally import errors
 from turmerictally.config import audit, model, operations, replica, store
 from turmerictally.peers import calls
-from turmerictally.platform import table
 from turmerictally.standins import memory
+from turmerictally.store import table
 from turmerictally.tests.support import config_fleet, config_schedule
 
 
--- a/turmerictally/tests/features/steps/fuzz_steps.py
+++ b/turmerictally/tests/features/steps/fuzz_steps.py
@@ -11,8 +11,8 @@
 
 from turmerictally import clock, settings
 from turmerictally.online import events, headers, messages
-from turmerictally.platform import client, hosts, table, weights
 from turmerictally.routing import engines
+from turmerictally.store import client, hosts, table, weights
 
 EXAMPLES = 150
 FIELDS = (
--- a/turmerictally/tests/features/steps/limits_steps.py
+++ b/turmerictally/tests/features/steps/limits_steps.py
@@ -9,7 +9,7 @@
 from turmerictally.bench import limits as limits_bench
 from turmerictally.config import model
 from turmerictally.limits import layout
-from turmerictally.platform import table
+from turmerictally.store import table
 from turmerictally.tests.support import (
     limits_fleet,
     limits_mechanisms,
--- a/turmerictally/tests/features/steps/metrics_steps.py
+++ b/turmerictally/tests/features/steps/metrics_steps.py
@@ -12,7 +12,7 @@
 from turmerictally import errors, settings
 from turmerictally.metrics import decisions, exposition, host, latency, refusals
 from turmerictally.peers import calls, traffic
-from turmerictally.platform import guard
+from turmerictally.store import guard
 
 FIRST = latency.Measure.FIRST_TOKEN
 ONLINE = latency.Work.ONLINE
--- a/turmerictally/tests/features/steps/orders_steps.py
+++ b/turmerictally/tests/features/steps/orders_steps.py
@@ -13,8 +13,8 @@
 
 from turmerictally import errors
 from turmerictally.orders import engines, executor, guards, model
-from turmerictally.platform import table
 from turmerictally.standins import engine, engine_server, transport
+from turmerictally.store import table
 from turmerictally.tests.support import orders_fleet
 
 SCHEDULES = 40
--- a/turmerictally/tests/features/steps/platform_client_steps.py
+++ b/turmerictally/tests/features/steps/platform_client_steps.py
@@ -8,8 +8,8 @@
 
 from turmerictally import settings
 from turmerictally.bench import platform as platform_bench
-from turmerictally.platform import budget, client, guard, hosts, table, weights
 from turmerictally.standins import memory, server, serving
+from turmerictally.store import budget, client, guard, hosts, table, weights
 
 HANG_GUARD_S = 60
 
@@ -170,7 +170,7 @@
 
 @behave.given("the platform bench")
 def bench(context):
-    logging.getLogger("turmerictally.platform").setLevel("ERROR")
+    logging.getLogger("turmerictally.store").setLevel("ERROR")
     context.report = platform_bench.main()
 
 
--- a/turmerictally/tests/features/steps/routing_steps.py
+++ b/turmerictally/tests/features/steps/routing_steps.py
@@ -10,8 +10,8 @@
 
 from turmerictally import errors
 from turmerictally.online import items
-from turmerictally.platform import hosts
 from turmerictally.routing import affinity, engines, headroom, router, servers, subset
+from turmerictally.store import hosts
 from turmerictally.tests.support import online
 
 A, B = "10.0.0.1:8000", "10.0.0.2:8000"
--- a/turmerictally/tests/features/steps/whole_path_steps.py
+++ b/turmerictally/tests/features/steps/whole_path_steps.py
@@ -9,7 +9,7 @@
 import httpx
 import openai
 
-from turmerictally.platform import weights
+from turmerictally.store import weights
 from turmerictally.tests.support import deployment
 
 CHAT = "/v1/chat/completions"
--- a/turmerictally/tests/support/batch_fleet.py
+++ b/turmerictally/tests/support/batch_fleet.py
@@ -19,8 +19,8 @@
     store,
 )
 from turmerictally.config import model
-from turmerictally.platform import table
 from turmerictally.standins import memory
+from turmerictally.store import table
 from turmerictally.tests.support import network
 
 TEAM = "dalisay"
--- a/turmerictally/tests/support/config_fleet.py
+++ b/turmerictally/tests/support/config_fleet.py
@@ -10,8 +10,8 @@
 from turmerictally import clock as clocks
 from turmerictally import settings
 from turmerictally.config import assembly
-from turmerictally.platform import hosts, table
 from turmerictally.standins import memory
+from turmerictally.store import hosts, table
 from turmerictally.tests.support import network
 
 DOMAINS = ("luzon-a", "luzon-b", "luzon-c", "luzon-d")
--- a/turmerictally/tests/support/limits_schedules.py
+++ b/turmerictally/tests/support/limits_schedules.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from turmerictally.config import model
-from turmerictally.platform import table
+from turmerictally.store import table
 from turmerictally.tests.support import limits_fleet
 
 LEASE_S = 12.0
--- a/turmerictally/tests/support/online.py
+++ b/turmerictally/tests/support/online.py
@@ -9,7 +9,6 @@
 from turmerictally import clock, settings
 from turmerictally.config import model
 from turmerictally.online import forward, idempotency, messages, pipeline
-from turmerictally.platform import hosts
 from turmerictally.routing import engines, headroom, polling, router, servers
 from turmerictally.standins import (
     engine,
@@ -18,6 +17,7 @@
     service,
     transport,
 )
+from turmerictally.store import hosts
 from turmerictally.tests.support import network
 
 DOMAIN = "luzon-a"
