Draw servers by their free slots; stop batch items in one order of hosts

Change: servers are drawn by the square of their free slots, digests go out each 0.05 s, batch items leave in one order of hosts that all compute alike, starts are told at once, and no slot is kept free. A shared prompt part draws while half is free.

--- a/turmerictally/entry/balance.py
+++ b/turmerictally/entry/balance.py
@@ -9,30 +9,36 @@
 
 import attrs
 
-# Load, as a share of the slots, that a server may have above the least loaded one
-# to keep a shared prompt part or stay in the failure domain: one slot of eight.
-AFFINITY_BONUS = 0.125
-DOMAIN_BONUS = 0.05
+# Share of its slots that must be free on the server that keeps a request's shared
+# prompt part: room for what other hosts send there until they tell.
+AFFINITY_FREE_RATIO = 0.5
+# What the own failure domain counts for beside a server's free slots.
+DOMAIN_SLOTS = 0.3
+# Power of the free slots by which servers are drawn. Always the freest one would draw
+# all hosts, whose counts are a digest old, to the same server.
+FREE_POWER = 2.0
 # Requests of one server beyond its slots, waiting there, as a share of the slots: at
 # a service time of about 0.7 s more would wait longer than the latency objective.
 MAX_WAITING_RATIO = 0.5
-# Slots of each server that batch items leave free for the next online requests.
-RESERVED_SLOTS = 1
 
 
 @attrs.frozen
 class Load:
     """Count one server's requests in flight, over all hosts.
 
-    ``own_batch`` is the part of ``batch`` that this host runs.
+    ``batch_by_host`` counts the batch items of each host that has any.
     """
 
     name: str
     domain: str
     slots: int
     online: int = 0
-    batch: int = 0
-    own_batch: int = 0
+    batch_by_host: dict[str, int] = attrs.Factory(dict)
+
+    @property
+    def batch(self) -> int:
+        """Return the batch items in flight."""
+        return sum(self.batch_by_host.values())
 
     @property
     def total(self) -> int:
@@ -49,42 +55,42 @@
 ) -> Load | None:
     """Return the server for an online request, or None when all are full.
 
-    Batch items do not fill a server, as they give way; a server without them is
-    preferred, since giving way takes time.
+    One is drawn by its free slots. With none free, batch items give way: they do not
+    fill a server.
     """
     open_to = [
         load
         for load in loads
         if load.online < load.slots + max(1, load.slots * MAX_WAITING_RATIO)
     ]
-    if not open_to:
-        return None
+    free = [load for load in open_to if load.total < load.slots]
+    if not free:
+        return min(open_to, key=lambda load: _crowding(load, rng), default=None)
     preferred = _preferred(open_to, prompt_parts)
+    if preferred is not None:
+        least_free = preferred.slots * AFFINITY_FREE_RATIO
+        if preferred.slots - preferred.total >= least_free:
+            return preferred
+
+    def weight(load: Load) -> float:
+        slots = load.slots - load.total + DOMAIN_SLOTS * (load.domain == domain)
+        return slots**FREE_POWER
+
+    return rng.choices(free, [weight(load) for load in free])[0]
 
-    def cost(load: Load) -> tuple[float, float]:
-        over = max(0, load.total + 1 - load.slots)
-        must_wait = max(0, load.online + 1 - load.slots)
-        share = load.total / load.slots
-        share += over / load.slots + 2.0 * must_wait / load.slots
-        if load.name == preferred:
-            share -= AFFINITY_BONUS
-        if load.domain == domain:
-            share -= DOMAIN_BONUS
-        return share, rng.random()
 
-    return min(open_to, key=cost)
+def _crowding(load: Load, rng: random.Random) -> tuple[int, int, float]:
+    must_wait = max(0, load.online + 1 - load.slots)
+    return must_wait, load.total - load.slots, rng.random()
 
 
-def _preferred(loads: list[Load], prompt_parts: tuple[str, ...]) -> str | None:
+def _preferred(loads: list[Load], prompt_parts: tuple[str, ...]) -> Load | None:
     """Return the server that keeps a prompt's shared parts, by rendezvous hashing."""
     if len(prompt_parts) < 2:
         return None
-    shared = prompt_parts[0].encode()
+    shared = prompt_parts[0]
 
-    def weight(load: Load) -> bytes:
-        return hashlib.blake2b(load.name.encode() + b"/" + shared).digest()
-
-    return max(loads, key=weight).name
+    return max(loads, key=lambda load: _rank(shared, load.name))
 
 
 def batch_starts(
@@ -99,11 +105,7 @@
     Hosts see the same free slots at once, so each takes the share of them that its
     waiting items are of all waiting ones.
     """
-    free = [
-        load.name
-        for load in loads
-        for _ in range(load.slots - RESERVED_SLOTS - load.total)
-    ]
+    free = [load.name for load in loads for _ in range(load.slots - load.total)]
     if not waiting or not free:
         return []
     part = len(free) * waiting / (waiting + waiting_elsewhere)
@@ -112,13 +114,20 @@
     return free[: min(count, waiting)]
 
 
-def batch_stops(load: Load, rng: random.Random) -> int:
-    """Return how many own batch items must leave a server that is over its slots.
+def batch_stops(load: Load, host: str) -> int:
+    """Return how many of a host's batch items must leave a server over its slots.
 
-    The hosts that run batch items there share the excess in proportion.
+    All hosts take them in the same order of hosts, so that no two act on the same
+    excess while their counts are on the way.
     """
     excess = min(load.total - load.slots, load.batch)
-    if excess <= 0 or not load.own_batch:
-        return 0
-    part = excess * load.own_batch / load.batch
-    return min(load.own_batch, int(part) + (rng.random() < part - int(part)))
+    for name in sorted(load.batch_by_host, key=lambda each: _rank(load.name, each)):
+        count = min(max(0, excess), load.batch_by_host[name])
+        if name == host:
+            return count
+        excess -= count
+    return 0
+
+
+def _rank(server: str, host: str) -> bytes:
+    return hashlib.blake2b(f"{server}/{host}".encode()).digest()
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -11,9 +11,12 @@
 from turmerictally.entry import trace as traces
 from turmerictally.store import rows
 
-PERIOD_S = 0.1  # a third of the usual latency objective
+# Between two digests: a sixth of the usual latency objective, and with many hosts so
+# long that a host takes about 250 of them a second.
+PERIOD_S = 0.05
+MAX_DIGESTS_PER_S = 250.0
 NUDGE_S = 0.02  # least time between two digests when a server has become full
-SILENT_S = 0.4  # four digests in a row
+SILENT_S = 0.4  # some digests in a row, or a host that was busy that long
 FORGET_S = 2.5  # after this a silent host's requests count as ended
 MAX_BYTES = 60_000  # of a datagram that can be sent
 RENEW_S = 2.0  # between renewals of this host's row
@@ -205,6 +208,10 @@
         finally:
             self.endpoint.close()
 
+    def period_s(self) -> float:
+        """Return the seconds between two digests."""
+        return max(PERIOD_S, len(self.hosts.listed) / MAX_DIGESTS_PER_S)
+
     def nudge(self) -> None:
         """Send the next digest at once."""
         self.urgent.set()
@@ -218,7 +225,7 @@
                 for address in self.hosts.addresses():
                     await self._send_to(address, data)
             await trio.sleep(NUDGE_S)
-            with trio.move_on_after(PERIOD_S - NUDGE_S):
+            with trio.move_on_after(self.period_s() - NUDGE_S):
                 await self.urgent.wait()
             self.urgent = trio.Event()
 
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -142,6 +142,7 @@
             clock=clock,
             trace=trace,
             rng=self.rng,
+            nudge=self.gossip.nudge,
         )
         self.relay = relay.Relay(
             inflight=self.inflight,
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -39,14 +39,15 @@
     def _load(self, server: model.Server) -> balance.Load:
         name = server.instance
         others = self.hosts.current()
-        own_batch = self.batch[name]
+        batch = {d.host: d.batch[name] for d in others if d.batch.get(name)}
+        if self.batch[name]:
+            batch[self.hosts.host_id] = self.batch[name]
         return balance.Load(
             name=name,
             domain=server.domain,
             slots=server.slots,
             online=self.online[name] + sum(d.online.get(name, 0) for d in others),
-            batch=own_batch + sum(d.batch.get(name, 0) for d in others),
-            own_batch=own_batch,
+            batch_by_host=batch,
         )
 
     def load(self, name: str) -> balance.Load | None:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -1,5 +1,6 @@
 """Run the items of the batch jobs that this host owns, in free slots only."""
 
+import collections.abc
 import contextlib
 import hashlib
 import random
@@ -51,6 +52,7 @@
     errors: int = 0
     not_before: float = 0.0
     server: str = ""
+    counted: bool = False
     scope: trio.CancelScope | None = None
     refused_by: set[str] = attrs.Factory(set)
 
@@ -87,6 +89,7 @@
     clock: clocks.Clock
     trace: traces.Trace
     rng: random.Random
+    nudge: collections.abc.Callable[[], None]
     owned: dict[str, Owned] = attrs.Factory(dict)
     stopping: bool = False
     orphaned_at: dict[str, float] = attrs.Factory(dict)
@@ -153,7 +156,7 @@
         """Stop own items on servers that are over their slots."""
         for name in [name for name, count in self.inflight.batch.items() if count]:
             load = self.inflight.load(name)
-            count = balance.batch_stops(load, self.rng) if load else 0
+            count = balance.batch_stops(load, self.host_id) if load else 0
             if count:
                 self._stop_on(name, count)
 
@@ -202,6 +205,13 @@
                 last_event=task.last_event,
             )
             task.scope.cancel()
+            self._uncount(task)
+
+    def _uncount(self, task: Task) -> None:
+        """Take an item off its server's count, once."""
+        if task.counted:
+            task.counted = False
+            self.inflight.batch[task.server] -= 1
 
     def _start_items(self) -> None:
         waiting = self.waiting()
@@ -223,11 +233,14 @@
             )
             for (owned, task), name in zip(pairs, starts, strict=False):
                 self._start(owned, task, name)
+            if starts:
+                self.nudge()
 
     def _start(self, owned: Owned, task: Task, name: str) -> None:
         server = self.inflight.registry.servers[name]
         task.scope = trio.CancelScope()
         task.server = name
+        task.counted = True
         self.inflight.batch[name] += 1
         self.trace.emit(
             "item_placed",
@@ -260,7 +273,7 @@
             with task.scope, trio.move_on_after(ITEM_TIMEOUT_S):
                 outcome = await self._exchange(owned, task, server)
         finally:
-            self.inflight.batch[name] -= 1
+            self._uncount(task)
             task.scope = None
             task.server = ""
         now = self.clock.monotonic()
