Keep running items' events in the store, so that another host goes on with them

Change: owners write new events of running items each second in a transaction that only the owner's version admits, and at a planned stop with the release; whoever takes the job resumes behind them. Rows are renewed each 1.5 s and a silent host counts as dead after 3.6 s.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -19,7 +19,7 @@
 SILENT_S = 0.4  # some digests in a row, or a host that was busy that long
 FORGET_S = 2.5  # after this a silent host's requests count as ended
 MAX_BYTES = 60_000  # of a datagram that can be sent
-RENEW_S = 2.0  # between renewals of this host's row
+RENEW_S = 1.5  # between renewals of this host's row
 # A host whose row was not renewed for this long no longer counts for the quotas; it
 # has itself given up its share before, as it cannot renew.
 EXPIRE_S = 30.0
--- a/turmerictally/entry/jobs.py
+++ b/turmerictally/entry/jobs.py
@@ -12,6 +12,7 @@
 STATES = "jobs"  # one small row a job, followed by every host
 ITEMS = "items"  # a job's items, written once
 RESULTS = "results"  # a job's results by position, written once
+PROGRESS = "progress"  # events of items that still run, so that others can go on
 SHARDS = 8  # parts; one takes 200 transactions a second, each of 5 ms
 PIECE_BYTES = 60_000  # of one row, below the store's 65,536
 MAX_TRANSACTION_BYTES = 900_000  # below the store's 1 MB with its names
@@ -138,6 +139,29 @@
     }
 
 
+@attrs.frozen
+class Progress:
+    """Hold an item's events from ``first`` on, their data in order."""
+
+    item: str
+    first: int
+    parts: list[str] = attrs.field(repr=False)
+
+
+def progress_puts(job: str, progress: list[Progress]) -> dict[rows.Address, bytes]:
+    """Return the rows of items' progress; one that would not fit is left out."""
+    puts = {}
+    size = 0
+    for each in progress:
+        packed = zlib.compress(json.dumps(each.parts).encode())
+        size += len(packed) * 4 // 3
+        if len(packed) > PIECE_BYTES or size > MAX_TRANSACTION_BYTES // 2:
+            continue
+        key = f"{job}/{each.item}/{each.first:07d}"
+        puts[rows.Address(PROGRESS, shard(job), key)] = packed
+    return puts
+
+
 @attrs.define(eq=False)
 class Jobs:
     """Read and write jobs."""
@@ -183,6 +207,22 @@
             for key, path, headers, body, tokens in json.loads(join(pieces))
         ]
 
+    async def progress(self, job: str) -> list[Progress]:
+        """Return what is kept of the progress of a job's items, in order."""
+        found = []
+        start = f"{job}/"
+        while True:
+            page = await self.store.read(
+                PROGRESS, shard(job), start=start, end=f"{job}0", limit=READ_ROWS
+            )
+            for row in page.rows:
+                _, item, first = row.address.key.split("/")
+                parts = json.loads(zlib.decompress(row.value))
+                found.append(Progress(item, int(first), parts))
+            if not page.more:
+                return found
+            start = page.rows[-1].address.key + "\0"
+
     async def results(self, job: str, after: int) -> list[Result]:
         """Return results from a position on, at most ``MAX_READ_BYTES`` of them."""
         found: list[Result] = []
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -32,23 +32,31 @@
 FAILED_RETRY_S = 0.8  # pause after a server's error, so that causes can pass
 SAVE_DELAY_S = 0.06  # results that end close together share a transaction
 SAVE_RETRY_S = 0.4
-TAKEOVER_TICK_S = 0.4
-RANK_DELAY_S = 0.8  # between the hosts that may take a job over
+# Between two writes of running items' events: what a host's loss costs an item at
+# most, at about one transaction a second for each job that runs.
+PROGRESS_S = 1.0
+MIN_PROGRESS_EVENTS = 10  # fewer are made again sooner than they are written
+TAKEOVER_TICK_S = 0.3
+RANK_DELAY_S = 0.6  # between the hosts that may take a job over
 # A host whose row was not renewed for this long and that is not heard is taken for
 # dead: two renewals missed.
-DEAD_AFTER_S = 5.0
+DEAD_AFTER_S = 3.6
 # An owner that cannot reach the store cannot list results; others take its jobs.
 STORELESS_S = 4.0
 
 
 @attrs.define(eq=False)
 class Task:
-    """Hold one item's progress; ``not_before`` is monotonic seconds."""
+    """Hold one item's progress; ``not_before`` is monotonic seconds.
+
+    ``saved`` counts the events that are kept in the store.
+    """
 
     item: jobs.Item
     order: int
     parts: list[bytes] = attrs.Factory(list)
     last_event: int | None = None
+    saved: int = 0
     errors: int = 0
     not_before: float = 0.0
     server: str = ""
@@ -100,6 +108,7 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(self._take_over)
+            nursery.start_soon(self._keep_progress)
             while True:
                 if not self.stopping:
                     self._start_items()
@@ -168,6 +177,40 @@
         for owned in list(self.owned.values()):
             await self._release(owned)
 
+    async def _keep_progress(self) -> None:
+        """Write the events of running items, so that another host can go on."""
+        while True:
+            await trio.sleep(PROGRESS_S * self.rng.uniform(0.8, 1.2))
+            for owned in list(self.owned.values()):
+                if not owned.saving and not owned.dropped and not self.stopping:
+                    await self._write_progress(owned)
+
+    async def _write_progress(self, owned: Owned) -> None:
+        counts = {task: len(task.parts) for task in owned.tasks.values()}
+        puts = _unsaved_progress(owned, MIN_PROGRESS_EVENTS)
+        if not puts:
+            return
+        owned.saving = True
+        try:
+            # The same state again: only its owner may write, at its version.
+            state = owned.kept.state
+            self._take_state(owned, await self.jobs.change(owned.kept, state, puts))
+            for task, count in counts.items():
+                task.saved = max(task.saved, count)
+        except rows.ConflictError as error:
+            found = [jobs.decode(row) for row in error.found if row.value]
+            self._take_state(owned, found[0] if found else None)
+        except rows.UnavailableError as error:
+            # The next write repeats these rows.
+            self.trace.emit(
+                "progress_not_kept", job=owned.kept.state.job, reason=str(error)
+            )
+        finally:
+            owned.saving = False
+            if owned.unsaved and not owned.dropped:
+                owned.saving = True
+                self.nursery.start_soon(self._save, owned)
+
     async def _release(self, owned: Owned) -> None:
         while owned.saving:
             await trio.sleep(0.02)
@@ -176,7 +219,7 @@
             return
         free = attrs.evolve(state, owner="", instance="")
         try:
-            await self.jobs.change(owned.kept, free)
+            await self.jobs.change(owned.kept, free, _unsaved_progress(owned, 1))
         except (rows.ConflictError, rows.UnavailableError) as error:
             # The others find this host gone and take the job over a little later.
             self.trace.emit("job_not_released", job=state.job, reason=str(error))
@@ -512,6 +555,7 @@
         try:
             taken = await self.jobs.change(kept, mine)
             items = await self.jobs.items(mine)
+            progress = await self.jobs.progress(mine.job)
             results = await self.jobs.results(mine.job, 0) if mine.listed else []
             while len(results) < mine.listed:
                 results += await self.jobs.results(mine.job, len(results))
@@ -519,6 +563,7 @@
             self.trace.emit("job_not_taken", job=before.job, reason=str(error))
             return
         self.own(taken, items, {result.id for result in results})
+        _resume(self.owned[mine.job].tasks, progress)
         self.trace.emit(
             "job_taken",
             job=before.job,
@@ -544,3 +589,25 @@
             return puts, number
         puts |= more
     return puts, len(results)
+
+
+def _unsaved_progress(owned: Owned, least: int) -> dict[rows.Address, bytes]:
+    """Return the rows of events that are not kept yet, at least so many an item."""
+    found = []
+    for task in owned.tasks.values():
+        new = len(task.parts) - task.saved
+        # Events are numbered from 1, as the parts are from 0.
+        if new >= least and task.last_event == len(task.parts):
+            parts = [part.decode("utf-8", "replace") for part in task.parts[-new:]]
+            found.append(jobs.Progress(task.item.id, task.saved + 1, parts))
+    return jobs.progress_puts(owned.kept.state.job, found)
+
+
+def _resume(tasks: dict[str, Task], progress: list[jobs.Progress]) -> None:
+    """Let items go on behind what is kept of them."""
+    for each in progress:
+        task = tasks.get(each.item)
+        if task is None or each.first != len(task.parts) + 1:
+            continue
+        task.parts += [part.encode() for part in each.parts]
+        task.last_event = task.saved = len(task.parts)
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -52,6 +52,12 @@
     When a team sends jobs to both hosts beyond its waiting tokens
     Then what was accepted fits, and the rest got 429
 
-  Scenario: A planned stop hands jobs over at once
+  Scenario: A planned stop hands jobs over at once, with what was made
     When the host that runs a job is stopped
     Then the other host lists every result within 6 s
+    And no event was made twice by items that went on elsewhere
+
+  Scenario: Of long items little is made again when their host is lost
+    When the host that runs long items is lost after 4 s
+    Then the other host lists every result of long items
+    And no item made more than 1.6 s of its events again
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -325,3 +325,49 @@
         context.took_s = trio.current_time() - started
 
     play(context, main)
+
+
+def again_s(context):
+    """Return for each item the seconds of events that were made more than once."""
+    found = {}
+    for item in context.ids:
+        runs = [run for run in context.world.runs if run.request == item]
+        done = 0
+        for run in runs:
+            first = run.resumed_after or 0
+            found[item] = found.get(item, 0.0)
+            found[item] += max(0, done - first) * users_platform.EVENT_S
+            done = first + run.events_made
+    return found
+
+
+@behave.then("no event was made twice by items that went on elsewhere")
+def none_again(context):
+    assert max(again_s(context).values()) <= 0.1, again_s(context)
+    went_on = [run for run in context.world.runs if run.resumed_after]
+    assert went_on
+
+
+@behave.when("the host that runs long items is lost after {seconds:d} s")
+def long_lost(context, seconds):
+    async def main(world):
+        for server in world.servers.values():
+            server.events = 300
+        reply, context.ids = await submit(world, 0, count=8)
+        await trio.sleep(seconds)
+        world.kill_host(0)
+        context.lists = [await read_all(world, 1, "j1", 8, 60.0)] * 2
+
+    play(context, main)
+
+
+@behave.then("the other host lists every result of long items")
+def long_listed(context):
+    for result in context.lists[0]:
+        assert result["text"] == whole_text(result["id"], 300)
+    assert len(context.lists[0]) == 8
+
+
+@behave.then("no item made more than {seconds:g} s of its events again")
+def little_again(context, seconds):
+    assert max(again_s(context).values()) <= seconds, again_s(context)
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -34,6 +34,7 @@
     at: float
     resumed_after: int | None
     ended: str = ""
+    events_made: int = 0
 
 
 class Server:
@@ -202,6 +203,7 @@
                 stream.reset()
                 run.ended = "broken"
                 return False
+            run.events_made += 1
             if not lost:
                 await stream.send_all(head + parser.send(h11.Data(data=event)))
             head = b""
