--- a/turmerictally/tests/features/steps/settings_steps.py
+++ b/turmerictally/tests/features/steps/settings_steps.py
@@ -1,11 +1,15 @@
 """Steps for the settings feature."""
 
+import json
 import pathlib
+import re
+import tempfile
 
 import behave
 import yaml
 
 from turmerictally import errors, settings
+from turmerictally.entry import settings as entry_settings
 
 DOCS = pathlib.Path(__file__).parents[4] / "docs"
 
@@ -72,8 +76,44 @@
 
 @behave.then("docs/settings.md has a row for each key and default")
 def settings_page(context):
-    page = (DOCS / "settings.md").read_text(encoding="utf-8")
-    wanted = {f"| `{k}` | {_shown(v)} |" for k, v in _leaves(settings.DEFAULTS)}
+    check_page("settings.md", settings.DEFAULTS)
+
+
+@behave.then("docs/settings-entry.md has a row for each key and default")
+def entry_settings_page(context):
+    check_page("settings-entry.md", entry_settings.DEFAULTS)
+
+
+@behave.then("the template of the users' platform gives valid settings")
+def template(context):
+    text = (DOCS.parent / "deploy" / "entry.yaml").read_text(encoding="utf-8")
+    given = {
+        "nodeName": "edge-1",
+        "zone": "luzon-a",
+        "listen.front": "10.1.0.21:8689",
+        "listen.readiness": "10.1.0.21:8687",
+        "ip": "10.1.0.21",
+        "portRange.0": 7360,
+        "provider.address": "10.200.1.7:8688",
+        "bounds.graceS": 8,
+    }
+
+    def fill(match):
+        name, _, form = match[1].partition("|")
+        return json.dumps(given[name]) if form == "json" else str(given[name])
+
+    filled = re.sub(r"\{\{(.*?)\}\}", fill, text)
+    with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
+        file.write(filled)
+        file.flush()
+        found = entry_settings.load(file.name)
+    assert found.listen.peers == "10.1.0.21:7360"
+    assert found.stop.grace_s == 8.0
+
+
+def check_page(name, defaults):
+    page = (DOCS / name).read_text(encoding="utf-8")
+    wanted = {f"| `{k}` | {_shown(v)} |" for k, v in _leaves(defaults)}
     rows = {line for line in page.splitlines() if line.startswith("| `")}
     listed = {row for row in rows if any(row.startswith(w) for w in wanted)}
     assert rows == listed, rows - listed
