Run batch items that can still be in time first; see suspensions and short outages

A host that wakes took what it had heard before for current. After a short outage registrations that lapsed were taken for gone. A stopping host went on accepting until its end.

Change: entry/itemorder.py orders items, those that can still meet their due time first; a suspension drops what was heard; any failed call before a change marks the store as back just now; a stopping host refuses new connections once the balancer knows.

--- a/turmerictally/clock.py
+++ b/turmerictally/clock.py
@@ -16,6 +16,11 @@
         """Return seconds since the Unix epoch."""
         return time.time()
 
+    def suspended(self) -> float:
+        """Return the seconds that the machine slept, which ``monotonic`` leaves out."""
+        boot = time.clock_gettime(time.CLOCK_BOOTTIME)
+        return boot - time.clock_gettime(time.CLOCK_MONOTONIC)
+
 
 class VirtualClock(Clock):
     """Derive wall time from the running trio clock.
--- a/turmerictally/entry/allowance.py
+++ b/turmerictally/entry/allowance.py
@@ -11,6 +11,7 @@
 MIN_RETRY_AFTER_S = 0.05
 MIN_RATE_PER_S = 0.1  # bounds the time told to callers of a group without a share
 SMOOTHING = 0.4  # weight of the latest digest in a host's rate: about half a second
+MIN_SUSPENSION_S = 0.2  # shorter ones are within what digests may be late
 MIN_ELAPSED_S = 0.02  # between two digests, as they may arrive together
 
 
@@ -80,6 +81,10 @@
     buckets: dict[str, Bucket] = attrs.Factory(dict)
     tellers: dict[str, Teller] = attrs.Factory(dict)
     told_at: float = float("-inf")
+    suspended_s: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.suspended_s = self.clock.suspended()
 
     def configure(self, teams: tuple[model.Team, ...]) -> None:
         """Take the teams' quotas; a new bucket starts empty."""
@@ -115,6 +120,7 @@
         bucket = self.buckets.get(team)
         if bucket is None:
             return None
+        self._notice_suspension()
         now = self.clock.monotonic()
         bucket.asked += 1
         bucket.accrue(now, self.share)
@@ -126,6 +132,16 @@
         rate = max(bucket.rate * self.share, MIN_RATE_PER_S)
         return max(MIN_RETRY_AFTER_S, (1.0 - left) / rate)
 
+    def _notice_suspension(self) -> None:
+        """After a suspension, nothing heard before counts until it is heard again."""
+        suspended_s = self.clock.suspended()
+        if suspended_s - self.suspended_s < MIN_SUSPENSION_S:
+            return
+        self.suspended_s = suspended_s
+        hosts = 1 + len(self.tellers)
+        self.tellers.clear()
+        self.set_group(1, round(hosts / max(self.share, 1 / hosts)))
+
     def _unheard(self, team: str, bucket: Bucket, now: float) -> float:
         """Return what the others have probably admitted since their digests.
 
--- a/turmerictally/entry/front.py
+++ b/turmerictally/entry/front.py
@@ -135,6 +135,7 @@
     clock: clocks.Clock
     max_connections: int
     stopping: bool = False
+    accepting: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     open: int = 0
     busy: int = 0
     idle: set[trio.CancelScope] = attrs.Factory(set)
@@ -147,21 +148,30 @@
         try:
             async with trio.open_nursery() as nursery:
                 task_status.started(listener.address)
-                while True:
-                    stream = await listener.accept()
-                    if self.open >= self.max_connections:
-                        logger.warning("%d connections are open.", self.open)
-                        stream.close()
-                        continue
-                    self.open += 1
-                    nursery.start_soon(self._serve, stream)
+                with self.accepting:
+                    await self._accept(listener, nursery)
+                listener.close()
         finally:
             listener.close()
 
+    async def _accept(self, listener: network.Listener, nursery: trio.Nursery) -> None:
+        while True:
+            stream = await listener.accept()
+            if self.open >= self.max_connections:
+                logger.warning("%d connections are open.", self.open)
+                stream.close()
+                continue
+            self.open += 1
+            nursery.start_soon(self._serve, stream)
+
     def stop(self) -> None:
         """Close each connection after its next answer."""
         self.stopping = True
 
+    def stop_accepting(self) -> None:
+        """Refuse new connections."""
+        self.accepting.cancel()
+
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
         for scope in list(self.idle):
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -254,10 +254,7 @@
             self.allowances.configure(self.configured.current.teams)
 
     def _on_servers(self, changed: list[rows.Row]) -> None:
-        lapses = self.servers_watch.regained_at + registry.LAPSE_S
-        self.registry.disturbed(lapses)
-        if self.servers_watch.lost:
-            self.registry.disturbed(self.clock.monotonic() + registry.LAPSE_S)
+        self.registry.disturbed(self.servers_watch.back_at + registry.LAPSE_S)
         before = {s.address for s in self.registry.servers.values()}
         self.registry.update(changed)
         after = {s.address for s in self.registry.servers.values()}
@@ -341,7 +338,8 @@
             await self.worker.release()
         with trio.move_on_at(max(begun + given.unready_s, trio.current_time())):
             await trio.sleep_forever()
-        self.callers.close_idle()
+        # Whoever comes now is refused unread, and may try another host at once.
+        self.callers.stop_accepting()
         with trio.move_on_at(end):
             while self.callers.busy or self.callers.open:
                 self.callers.close_idle()
--- a/turmerictally/entry/watch.py
+++ b/turmerictally/entry/watch.py
@@ -45,7 +45,8 @@
     fresh_at: float = float("-inf")
     store_at: float = float("-inf")
     lost: bool = False
-    regained_at: float = float("-inf")
+    failing: bool = False
+    back_at: float = float("-inf")
     now_s: float | None = None
     now_at: float = 0.0
     changed: trio.Event = attrs.field(factory=trio.Event)
@@ -126,6 +127,9 @@
     def _mark(self, page: rows.Page) -> None:
         self.now_s = page.now_s
         self.now_at = self.clock.monotonic()
+        if self.failing:
+            self.failing = False
+            self.back_at = self.now_at
 
     def replace(self, found: list[rows.Row], version: int) -> None:
         """Take a complete copy as of a version; an older one removes nothing newer."""
@@ -168,11 +172,11 @@
             gone = round(now - self.store_at, 2)
             self.trace.emit("store_regained", table=self.name, gone_s=gone)
             self.lost = False
-            self.regained_at = now
         self.fresh_at = self.store_at = now
 
     def _failed(self, error: Exception) -> None:
         now = self.clock.monotonic()
+        self.failing = True
         if not self.lost and now - self.store_at > LOST_AFTER_S:
             self.lost = True
             self.trace.emit("store_lost", table=self.name, reason=str(error))
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -14,6 +14,7 @@
     events,
     gossip,
     inflight,
+    itemorder,
     jobs,
     messages,
     model,
@@ -57,6 +58,7 @@
     parts: list[bytes] = attrs.Factory(list)
     last_event: int | None = None
     saved: int = 0
+    worked_s: float = 0.0
     errors: int = 0
     not_before: float = 0.0
     server: str = ""
@@ -100,6 +102,7 @@
     nudge: collections.abc.Callable[[], None]
     owned: dict[str, Owned] = attrs.Factory(dict)
     stopping: bool = False
+    expected: itemorder.Expected = attrs.field(factory=itemorder.Expected)
     orphaned_at: dict[str, float] = attrs.Factory(dict)
     nursery: trio.Nursery | None = None
 
@@ -140,14 +143,17 @@
             for task in owned.tasks.values()
             if not task.running and task.not_before <= now
         ]
-        found.sort(
-            key=lambda pair: (
-                pair[0].kept.state.created_s + pair[0].kept.state.completion_s,
-                pair[1].last_event is None,
-                pair[1].order,
-            )
+        return sorted(found, key=lambda pair: self._rank_of(*pair))
+
+    def _rank_of(self, owned: Owned, task: Task) -> tuple:
+        state = owned.kept.state
+        now_s = self.states.store_now_s()
+        candidate = itemorder.Candidate(
+            state.created_s + state.completion_s, len(task.parts), task.order
+        )
+        return itemorder.key(
+            candidate, self.expected, state.created_s if now_s is None else now_s
         )
-        return found
 
     def adopt(self, changed: list[rows.Row]) -> None:
         """Take other hosts' changes to owned jobs: an end, or another owner."""
@@ -233,14 +239,14 @@
 
     def _stop_on(self, server: str, count: int) -> None:
         running = [
-            task
+            (owned, task)
             for owned in self.owned.values()
             for task in owned.tasks.values()
             if task.server == server and task.scope is not None
             if not task.scope.cancel_called
         ]
-        running.sort(key=lambda task: len(task.parts))
-        for task in running[:count]:
+        running.sort(key=lambda pair: self._rank_of(*pair), reverse=True)
+        for _, task in running[:count]:
             self.trace.emit(
                 "item_gives_way",
                 task.item.id,
@@ -311,6 +317,7 @@
     async def _run_item(self, owned: Owned, task: Task, server: model.Server) -> None:
         name = server.instance
         outcome = "gave way"
+        started = self.clock.monotonic()
         health = self.inflight.circuits
         try:
             with task.scope, trio.move_on_after(ITEM_TIMEOUT_S):
@@ -320,8 +327,10 @@
             task.scope = None
             task.server = ""
         now = self.clock.monotonic()
+        task.worked_s += now - started
         if outcome == "done":
             health.succeeded(name)
+            self.expected.learn(task.worked_s, len(task.parts))
             text = b"\n".join(task.parts).decode("utf-8", "replace")
             self._end(owned, task, True, "done", text)
             return
--- a/turmerictally/tests/features/steps/entry_quota_steps.py
+++ b/turmerictally/tests/features/steps/entry_quota_steps.py
@@ -21,6 +21,23 @@
     def monotonic(self):
         return self.now
 
+    def suspended(self):
+        return 0.0
+
+
+class HostTime:
+    """Give one host's clocks, which do not count its suspensions as steady time."""
+
+    def __init__(self, shared):
+        self.shared = shared
+        self.asleep = 0.0
+
+    def monotonic(self):
+        return self.shared.now - self.asleep
+
+    def suspended(self):
+        return self.asleep
+
 
 class Member:
     """Hold one host's allowances and when it last told the others."""
@@ -35,16 +52,17 @@
     def start(self):
         self.starts += 1
         self.alive = True
-        self.allowances = allowance.Allowances(self.fleet.time)
+        self.time = HostTime(self.fleet.time)
+        self.allowances = allowance.Allowances(self.time)
         self.allowances.configure((self.fleet.team,))
         self.heard_at = {}
         self.inbox = []
 
     def step(self):
-        now = self.fleet.time.now
+        now = self.time.monotonic()
         kept = []
         for due, sender, instance, told in self.inbox:
-            if due > now:
+            if due > self.fleet.time.now:
                 kept.append((due, sender, instance, told))
                 continue
             self.allowances.observe(sender, instance, *told)
@@ -159,6 +177,7 @@
 def freeze(fleet):
     for member in fleet.members[:4]:
         member.frozen = 7.0 <= fleet.time.now < 10.0
+        member.time.asleep += STEP_S * member.frozen
 
 
 TROUBLES = collections.OrderedDict(
--- a/turmerictally/tests/features/steps/entry_store_steps.py
+++ b/turmerictally/tests/features/steps/entry_store_steps.py
@@ -160,7 +160,8 @@
 def drains(context):
     async def main(world):
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(serve_on, context, world, 3.0)
+            for _ in range(4):
+                nursery.start_soon(serve_on, context, world, 3.0)
             await trio.sleep(1.0)
             world.servers["s0"].state = "draining"
             world.servers["s0"].register()
