Split running, owning and taking over batch jobs

Cause: worker.py held three concerns in 620 lines.

Change: itemrun.py runs one item on a server, takeover.py finds jobs without an owner, worker.py keeps what is owned; a stale read while taking over ends in a retry.

Conclusion: no change in behaviour but for the stale read.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -16,6 +16,7 @@
     front,
     gossip,
     inflight,
+    itemrun,
     jobs,
     messages,
     model,
@@ -25,6 +26,7 @@
     registry,
     relay,
     settings,
+    takeover,
     watch,
     worker,
 )
@@ -137,13 +139,13 @@
             configured=self.configured,
             hosts=self.hosts,
             inflight=self.inflight,
-            pool=self.pool,
-            wire=wire,
+            runner=itemrun.Runner(self.pool, wire),
             clock=clock,
             trace=trace,
             rng=self.rng,
             nudge=self.gossip.nudge,
         )
+        self.takeover = takeover.Takeover(self.worker)
         self.relay = relay.Relay(
             inflight=self.inflight,
             pool=self.pool,
@@ -220,6 +222,7 @@
         nursery.start_soon(self._keep_house)
         nursery.start_soon(self.copies.run)
         nursery.start_soon(self.worker.run)
+        nursery.start_soon(self.takeover.run)
 
     def stop(self) -> None:
         """Begin a planned stop."""
--- /dev/null
+++ b/turmerictally/entry/itemrun.py
@@ -0,0 +1,108 @@
+"""Run a batch item on a backend server, going on where an earlier run stopped."""
+
+import attrs
+import trio
+
+from turmerictally.entry import events, jobs, messages, model, pool, relay
+
+ITEM_TIMEOUT_S = 30.0  # several times the longest item on a slow server
+SILENCE_S = 2.5  # without an event; an item may go on elsewhere
+
+
+@attrs.define(eq=False)
+class Task:
+    """Hold one item's progress; ``not_before`` is monotonic seconds.
+
+    ``saved`` counts the events that are kept in the store.
+    """
+
+    item: jobs.Item
+    order: int
+    parts: list[bytes] = attrs.Factory(list)
+    last_event: int | None = None
+    saved: int = 0
+    worked_s: float = 0.0
+    errors: int = 0
+    not_before: float = 0.0
+    server: str = ""
+    counted: bool = False
+    scope: trio.CancelScope | None = None
+    refused_by: set[str] = attrs.Factory(set)
+
+    @property
+    def running(self) -> bool:
+        """Return whether a server works on it."""
+        return self.scope is not None
+
+
+@attrs.define(eq=False)
+class Runner:
+    """Send items to servers and collect their events."""
+
+    pool: pool.Pool
+    wire: messages.Wire
+
+    async def run(self, state: jobs.State, task: Task, server: model.Server) -> str:
+        """Run an item on one server; return how that ended."""
+        try:
+            connection = await self.pool.acquire(server.address)
+        except pool.ConnectError:
+            return "broken: not connected"
+        kept = False
+        try:
+            with trio.fail_after(SILENCE_S) as silence:
+                outcome, head = await self._converse(
+                    state, task, server, connection, silence
+                )
+            if connection.reusable():
+                self.pool.release(connection, head.idle_s)
+                kept = True
+            return outcome
+        except (pool.BrokenError, events.SequenceError) as error:
+            return f"broken: {error}"
+        except trio.TooSlowError:
+            return "broken: silent"
+        finally:
+            if not kept:
+                connection.close()
+
+    async def _converse(
+        self,
+        state: jobs.State,
+        task: Task,
+        server: model.Server,
+        connection: pool.Connection,
+        silence: trio.CancelScope,
+    ) -> tuple[str, messages.Head]:
+        ask = self.wire.item(task.item, state.hostname)
+        onward = messages.Onward(
+            server.instance, ITEM_TIMEOUT_S, state.team, task.last_event
+        )
+        headers = self.wire.onward(ask, onward, len(task.item.body))
+        await connection.request(ask.method, ask.target, headers, task.item.body)
+        head = await relay.read_head(self.wire, connection, ask.request_id)
+        if head.status != 200 or head.not_run:
+            await relay.drain(connection)
+            if head.not_run:
+                return "not run", head
+            if not head.signed:
+                return "broken: no signature", head
+            if head.status == 422:
+                return "impossible", head
+            if head.status == 500:
+                task.errors += 1
+                return "error", head
+            return f"answered {head.status}", head
+        if not head.signed or not head.events:
+            raise pool.BrokenError("answer is no signed stream")
+        splitter = events.Splitter(task.last_event)
+        while (data := await connection.data()) is not None:
+            silence.deadline = trio.current_time() + SILENCE_S
+            for event in splitter.feed(data):
+                if event.id is None:
+                    raise events.SequenceError("event without an id")
+                task.parts.append(event.data())
+                task.last_event = event.id
+        if splitter.rest:
+            raise pool.BrokenError("stream ended within an event")
+        return "done", head
--- /dev/null
+++ b/turmerictally/entry/takeover.py
@@ -0,0 +1,117 @@
+"""Take over batch jobs whose owner is lost or gave them up."""
+
+import contextlib
+import hashlib
+
+import attrs
+import trio
+
+from turmerictally.entry import itemrun, jobs
+from turmerictally.entry import worker as workers
+from turmerictally.store import rows
+
+TAKEOVER_TICK_S = 0.3
+RANK_DELAY_S = 0.6  # between the hosts that may take a job over
+# A host whose row was not renewed for this long and that is not heard is taken for
+# dead: two renewals missed.
+DEAD_AFTER_S = 3.6
+# An owner that cannot reach the store cannot list results; others take its jobs.
+STORELESS_S = 4.0
+
+
+@attrs.define(eq=False)
+class Takeover:
+    """Find jobs without a live owner and make this host their owner."""
+
+    worker: workers.Worker
+    orphaned_at: dict[str, float] = attrs.Factory(dict)
+
+    async def run(self) -> None:
+        """Look for jobs to take until cancelled."""
+        states = self.worker.states
+        while True:
+            await trio.sleep(TAKEOVER_TICK_S * self.worker.rng.uniform(0.8, 1.2))
+            if self.worker.stopping or states.lost or not states.complete:
+                continue
+            for kept in self.orphans():
+                await self._take(kept)
+
+    def orphans(self) -> list[jobs.Kept]:
+        """Return jobs without a live owner whose turn to be taken here has come."""
+        now = self.worker.clock.monotonic()
+        found = []
+        seen = set()
+        for row in list(self.worker.states.known.values()):
+            kept = jobs.decode(row)
+            if kept is None or not kept.state.open:
+                continue
+            job = kept.state.job
+            if job in self.worker.owned or self._owner_lives(kept.state, now):
+                continue
+            seen.add(job)
+            since = self.orphaned_at.setdefault(job, now)
+            if now >= since + self._rank(job) * RANK_DELAY_S:
+                found.append(kept)
+        for job in self.orphaned_at.keys() - seen:
+            del self.orphaned_at[job]
+        return found
+
+    def _owner_lives(self, state: jobs.State, now: float) -> bool:
+        if not state.owner or state.owner == self.worker.host_id:
+            return False
+        hosts = self.worker.hosts
+        heard = hosts.is_heard(state.owner, state.instance)
+        listed = hosts.listed.get(state.owner)
+        if listed is None or listed.instance != state.instance:
+            return heard
+        if heard:
+            return hosts.peers[state.owner].digest.store_age_s < STORELESS_S
+        return now - listed.seen_at < DEAD_AFTER_S
+
+    def _rank(self, job: str) -> int:
+        """Return how many other live hosts come before this one for a job."""
+        names = [digest.host for digest in self.worker.hosts.audible()]
+
+        def weight(name: str) -> bytes:
+            return hashlib.blake2b(f"{job}/{name}".encode()).digest()
+
+        own = weight(self.worker.host_id)
+        return sum(weight(name) > own for name in names)
+
+    async def _take(self, kept: jobs.Kept) -> None:
+        before, worker = kept.state, self.worker
+        mine = attrs.evolve(before, owner=worker.host_id, instance=worker.instance)
+        try:
+            taken = await worker.jobs.change(kept, mine)
+            items = await worker.jobs.items(mine)
+            progress = await worker.jobs.progress(mine.job)
+            results: list[jobs.Result] = []
+            while len(results) < mine.listed:
+                more = await worker.jobs.results(mine.job, len(results))
+                if not more:
+                    raise rows.UnavailableError("results are not all there")
+                results += more
+        except (rows.ConflictError, rows.UnavailableError) as error:
+            worker.trace.emit("job_not_taken", job=before.job, reason=str(error))
+            return
+        worker.own(taken, items, {result.id for result in results})
+        _resume(worker.owned[mine.job].tasks, progress)
+        worker.trace.emit(
+            "job_taken",
+            job=before.job,
+            owner_before=before.owner,
+            listed=before.listed,
+            outcome=f"{len(items) - len(results)} items left",
+        )
+        with contextlib.suppress(KeyError):
+            del self.orphaned_at[before.job]
+
+
+def _resume(tasks: dict[str, itemrun.Task], progress: list[jobs.Progress]) -> None:
+    """Let items go on behind what is kept of them."""
+    for each in progress:
+        task = tasks.get(each.item)
+        if task is None or each.first != len(task.parts) + 1:
+            continue
+        task.parts += [part.encode() for part in each.parts]
+        task.last_event = task.saved = len(task.parts)
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -1,8 +1,6 @@
 """Run the items of the batch jobs that this host owns, in free slots only."""
 
 import collections.abc
-import contextlib
-import hashlib
 import random
 
 import attrs
@@ -11,14 +9,12 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import (
     balance,
-    events,
     gossip,
     inflight,
     itemorder,
+    itemrun,
     jobs,
-    messages,
     model,
-    pool,
     registry,
     relay,
     watch,
@@ -27,8 +23,6 @@
 from turmerictally.store import rows
 
 TICK_S = 0.1  # between looks for free slots; as often as the hosts tell theirs
-ITEM_TIMEOUT_S = 30.0  # several times the longest item on a slow server
-SILENCE_S = 2.5  # without an event; an item may go on elsewhere
 RETRY_S = 0.3  # pause of an item whose server refused or broke off
 FAILED_RETRY_S = 0.8  # pause after a server's error, so that causes can pass
 SAVE_DELAY_S = 0.06  # results that end close together share a transaction
@@ -37,39 +31,6 @@
 # most, at about one transaction a second for each job that runs.
 PROGRESS_S = 1.0
 MIN_PROGRESS_EVENTS = 10  # fewer are made again sooner than they are written
-TAKEOVER_TICK_S = 0.3
-RANK_DELAY_S = 0.6  # between the hosts that may take a job over
-# A host whose row was not renewed for this long and that is not heard is taken for
-# dead: two renewals missed.
-DEAD_AFTER_S = 3.6
-# An owner that cannot reach the store cannot list results; others take its jobs.
-STORELESS_S = 4.0
-
-
-@attrs.define(eq=False)
-class Task:
-    """Hold one item's progress; ``not_before`` is monotonic seconds.
-
-    ``saved`` counts the events that are kept in the store.
-    """
-
-    item: jobs.Item
-    order: int
-    parts: list[bytes] = attrs.Factory(list)
-    last_event: int | None = None
-    saved: int = 0
-    worked_s: float = 0.0
-    errors: int = 0
-    not_before: float = 0.0
-    server: str = ""
-    counted: bool = False
-    scope: trio.CancelScope | None = None
-    refused_by: set[str] = attrs.Factory(set)
-
-    @property
-    def running(self) -> bool:
-        """Return whether a server works on it."""
-        return self.scope is not None
 
 
 @attrs.define(eq=False)
@@ -77,7 +38,7 @@
     """Hold a job that this host runs."""
 
     kept: jobs.Kept
-    tasks: dict[str, Task]
+    tasks: dict[str, itemrun.Task]
     unsaved: list[jobs.Result] = attrs.Factory(list)
     saving: bool = False
     dropped: bool = False
@@ -94,8 +55,7 @@
     configured: registry.Configured
     hosts: gossip.Hosts
     inflight: inflight.InFlight
-    pool: pool.Pool
-    wire: messages.Wire
+    runner: itemrun.Runner
     clock: clocks.Clock
     trace: traces.Trace
     rng: random.Random
@@ -103,14 +63,12 @@
     owned: dict[str, Owned] = attrs.Factory(dict)
     stopping: bool = False
     expected: itemorder.Expected = attrs.field(factory=itemorder.Expected)
-    orphaned_at: dict[str, float] = attrs.Factory(dict)
     nursery: trio.Nursery | None = None
 
     async def run(self) -> None:
         """Work until cancelled."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            nursery.start_soon(self._take_over)
             nursery.start_soon(self._keep_progress)
             while True:
                 if not self.stopping:
@@ -121,7 +79,7 @@
     def own(self, kept: jobs.Kept, items: list[jobs.Item], listed: set[str]) -> None:
         """Begin to run a job whose row names this host."""
         tasks = {
-            item.id: Task(item, order)
+            item.id: itemrun.Task(item, order)
             for order, item in enumerate(items)
             if item.id not in listed
         }
@@ -133,7 +91,7 @@
         where = jobs.state_address(kept.state.job)
         self.states.apply([rows.Row(where, kept.state.encode(), kept.version)], 0)
 
-    def waiting(self) -> list[tuple[Owned, Task]]:
+    def waiting(self) -> list[tuple[Owned, itemrun.Task]]:
         """Return the items to run now, those due first in front."""
         now = self.clock.monotonic()
         found = [
@@ -145,7 +103,7 @@
         ]
         return sorted(found, key=lambda pair: self._rank_of(*pair))
 
-    def _rank_of(self, owned: Owned, task: Task) -> tuple:
+    def _rank_of(self, owned: Owned, task: itemrun.Task) -> tuple:
         state = owned.kept.state
         now_s = self.states.store_now_s()
         candidate = itemorder.Candidate(
@@ -256,7 +214,7 @@
             task.scope.cancel()
             self._uncount(task)
 
-    def _uncount(self, task: Task) -> None:
+    def _uncount(self, task: itemrun.Task) -> None:
         """Take an item off its server's count, once."""
         if task.counted:
             task.counted = False
@@ -266,7 +224,7 @@
         waiting = self.waiting()
         if not waiting or self.configured.current is None:
             return
-        groups: dict[str, list[tuple[Owned, Task]]] = {}
+        groups: dict[str, list[tuple[Owned, itemrun.Task]]] = {}
         for owned, task in waiting:
             service = self._service(owned, task)
             if service is not None:
@@ -285,7 +243,7 @@
             if starts:
                 self.nudge()
 
-    def _start(self, owned: Owned, task: Task, name: str) -> None:
+    def _start(self, owned: Owned, task: itemrun.Task, name: str) -> None:
         server = self.inflight.registry.servers[name]
         task.scope = trio.CancelScope()
         task.server = name
@@ -301,7 +259,7 @@
         )
         self.nursery.start_soon(self._run_item, owned, task, server)
 
-    def _service(self, owned: Owned, task: Task) -> str | None:
+    def _service(self, owned: Owned, task: itemrun.Task) -> str | None:
         """Return the service that runs an item, or end it when there is none."""
         state = owned.kept.state
         route = self.configured.current.route(state.hostname, task.item.path)
@@ -314,14 +272,16 @@
             return None
         return relay.choose_service(route, self.rng)
 
-    async def _run_item(self, owned: Owned, task: Task, server: model.Server) -> None:
+    async def _run_item(
+        self, owned: Owned, task: itemrun.Task, server: model.Server
+    ) -> None:
         name = server.instance
         outcome = "gave way"
         started = self.clock.monotonic()
         health = self.inflight.circuits
         try:
-            with task.scope, trio.move_on_after(ITEM_TIMEOUT_S):
-                outcome = await self._exchange(owned, task, server)
+            with task.scope, trio.move_on_after(itemrun.ITEM_TIMEOUT_S):
+                outcome = await self.runner.run(owned.kept.state, task, server)
         finally:
             self._uncount(task)
             task.scope = None
@@ -355,78 +315,18 @@
             outcome=outcome,
         )
 
-    def _is_hopeless(self, owned: Owned, task: Task) -> bool:
+    def _is_hopeless(self, owned: Owned, task: itemrun.Task) -> bool:
         view = self.configured.current
         route = view.route(owned.kept.state.hostname, task.item.path)
         return route is not None and task.errors >= route.max_attempts
 
-    async def _exchange(self, owned: Owned, task: Task, server: model.Server) -> str:
-        try:
-            connection = await self.pool.acquire(server.address)
-        except pool.ConnectError:
-            return "broken: not connected"
-        kept = False
-        try:
-            with trio.fail_after(SILENCE_S) as silence:
-                outcome, head = await self._converse(
-                    owned, task, server, connection, silence
-                )
-            if connection.reusable():
-                self.pool.release(connection, head.idle_s)
-                kept = True
-            return outcome
-        except (pool.BrokenError, events.SequenceError) as error:
-            return f"broken: {error}"
-        except trio.TooSlowError:
-            return "broken: silent"
-        finally:
-            if not kept:
-                connection.close()
-
-    async def _converse(
+    def _end(
         self,
         owned: Owned,
-        task: Task,
-        server: model.Server,
-        connection: pool.Connection,
-        silence: trio.CancelScope,
-    ) -> tuple[str, messages.Head]:
-        state = owned.kept.state
-        ask = self.wire.item(task.item, state.hostname)
-        onward = messages.Onward(
-            server.instance, ITEM_TIMEOUT_S, state.team, task.last_event
-        )
-        headers = self.wire.onward(ask, onward, len(task.item.body))
-        await connection.request(ask.method, ask.target, headers, task.item.body)
-        head = await relay.read_head(self.wire, connection, ask.request_id)
-        if head.status != 200 or head.not_run:
-            await relay.drain(connection)
-            if head.not_run:
-                return "not run", head
-            if not head.signed:
-                return "broken: no signature", head
-            if head.status == 422:
-                return "impossible", head
-            if head.status == 500:
-                task.errors += 1
-                return "error", head
-            return f"answered {head.status}", head
-        if not head.signed or not head.events:
-            raise pool.BrokenError("answer is no signed stream")
-        splitter = events.Splitter(task.last_event)
-        while (data := await connection.data()) is not None:
-            silence.deadline = trio.current_time() + SILENCE_S
-            for event in splitter.feed(data):
-                if event.id is None:
-                    raise events.SequenceError("event without an id")
-                task.parts.append(event.data())
-                task.last_event = event.id
-        if splitter.rest:
-            raise pool.BrokenError("stream ended within an event")
-        return "done", head
-
-    def _end(
-        self, owned: Owned, task: Task, succeeded: bool, reason: str, text: str = ""
+        task: itemrun.Task,
+        succeeded: bool,
+        reason: str,
+        text: str = "",
     ) -> None:
         if owned.dropped or owned.tasks.pop(task.item.id, None) is None:
             return
@@ -509,80 +409,6 @@
             owner=None if state is None else state.owner,
         )
 
-    async def _take_over(self) -> None:
-        while True:
-            await trio.sleep(TAKEOVER_TICK_S * self.rng.uniform(0.8, 1.2))
-            if self.stopping or self.states.lost or not self.states.complete:
-                continue
-            for kept in self.orphans():
-                await self._take(kept)
-
-    def orphans(self) -> list[jobs.Kept]:
-        """Return jobs without a live owner whose turn to be taken here has come."""
-        now = self.clock.monotonic()
-        found = []
-        seen = set()
-        for row in list(self.states.known.values()):
-            kept = jobs.decode(row)
-            if kept is None or not kept.state.open or kept.state.job in self.owned:
-                continue
-            if self._owner_lives(kept.state, now):
-                continue
-            job = kept.state.job
-            seen.add(job)
-            since = self.orphaned_at.setdefault(job, now)
-            if now >= since + self._rank(job) * RANK_DELAY_S:
-                found.append(kept)
-        for job in self.orphaned_at.keys() - seen:
-            del self.orphaned_at[job]
-        return found
-
-    def _owner_lives(self, state: jobs.State, now: float) -> bool:
-        listed = self.hosts.listed.get(state.owner)
-        if not state.owner or state.owner == self.host_id:
-            return False
-        if listed is None or listed.instance != state.instance:
-            return self.hosts.is_heard(state.owner, state.instance)
-        peer = self.hosts.peers.get(state.owner)
-        if peer is not None and self.hosts.is_heard(state.owner, state.instance):
-            return peer.digest.store_age_s < STORELESS_S
-        return now - listed.seen_at < DEAD_AFTER_S
-
-    def _rank(self, job: str) -> int:
-        """Return how many other live hosts come before this one for a job."""
-        names = [digest.host for digest in self.hosts.audible()]
-
-        def weight(name: str) -> bytes:
-            return hashlib.blake2b(f"{job}/{name}".encode()).digest()
-
-        own = weight(self.host_id)
-        return sum(weight(name) > own for name in names)
-
-    async def _take(self, kept: jobs.Kept) -> None:
-        before = kept.state
-        mine = attrs.evolve(before, owner=self.host_id, instance=self.instance)
-        try:
-            taken = await self.jobs.change(kept, mine)
-            items = await self.jobs.items(mine)
-            progress = await self.jobs.progress(mine.job)
-            results = await self.jobs.results(mine.job, 0) if mine.listed else []
-            while len(results) < mine.listed:
-                results += await self.jobs.results(mine.job, len(results))
-        except (rows.ConflictError, rows.UnavailableError) as error:
-            self.trace.emit("job_not_taken", job=before.job, reason=str(error))
-            return
-        self.own(taken, items, {result.id for result in results})
-        _resume(self.owned[mine.job].tasks, progress)
-        self.trace.emit(
-            "job_taken",
-            job=before.job,
-            owner_before=before.owner,
-            listed=before.listed,
-            outcome=f"{len(items) - len(results)} items left",
-        )
-        with contextlib.suppress(KeyError):
-            del self.orphaned_at[before.job]
-
 
 def _fitting(
     job: str, base: int, results: list[jobs.Result]
@@ -610,13 +436,3 @@
             parts = [part.decode("utf-8", "replace") for part in task.parts[-new:]]
             found.append(jobs.Progress(task.item.id, task.saved + 1, parts))
     return jobs.progress_puts(owned.kept.state.job, found)
-
-
-def _resume(tasks: dict[str, Task], progress: list[jobs.Progress]) -> None:
-    """Let items go on behind what is kept of them."""
-    for each in progress:
-        task = tasks.get(each.item)
-        if task is None or each.first != len(task.parts) + 1:
-            continue
-        task.parts += [part.encode() for part in each.parts]
-        task.last_event = task.saved = len(task.parts)
