Delete the rows of batch jobs that need not be kept any longer

Cause: rows of done jobs stayed in the store for good.

Change: entry/collector.py; of the hosts that are heard one deletes each job's rows, the state last. batch.keep_s comes from the platform's settings.

Conclusion: open jobs are never deleted; an abandoned route's items end first.

--- /dev/null
+++ b/turmerictally/entry/collector.py
@@ -0,0 +1,70 @@
+"""Delete the rows of batch jobs whose results need not be kept any longer."""
+
+import attrs
+import trio
+
+from turmerictally.entry import jobs
+from turmerictally.entry import takeover as takeovers
+from turmerictally.store import rows
+
+PERIOD_S = 5.0  # results are kept for minutes
+# Beyond the time for which results are promised, for readers with slow clocks.
+GRACE_S = 30.0
+MAX_ROWS = 90  # in one transaction, below the store's 100
+
+
+@attrs.define(eq=False)
+class Collector:
+    """Delete old jobs; of the hosts that are heard, one does it for each job.
+
+    ``keep_s`` is how long results are promised from a job's submission.
+    """
+
+    takeover: takeovers.Takeover
+    keep_s: float
+
+    async def run(self) -> None:
+        """Delete until cancelled."""
+        worker = self.takeover.worker
+        while True:
+            await trio.sleep(PERIOD_S * worker.rng.uniform(0.8, 1.2))
+            for kept in self.due():
+                try:
+                    await self._delete(kept)
+                except (rows.UnavailableError, rows.ConflictError) as error:
+                    worker.trace.emit(
+                        "job_not_deleted", job=kept.state.job, reason=str(error)
+                    )
+
+    def due(self) -> list[jobs.Kept]:
+        """Return the jobs to delete here and now."""
+        states = self.takeover.worker.states
+        now_s = states.store_now_s()
+        if now_s is None or states.lost:
+            return []
+        found = []
+        for row in states.known.values():
+            kept = jobs.decode(row)
+            if kept is None:
+                continue
+            state = kept.state
+            keep_s = max(self.keep_s, state.retention_s) + GRACE_S
+            # What is still open must end first, so that its owner lists it.
+            if now_s < state.created_s + keep_s or state.open:
+                continue
+            if self.takeover.rank(state.job) == 0:
+                found.append(kept)
+        return found
+
+    async def _delete(self, kept: jobs.Kept) -> None:
+        """Delete all rows, the state last, so that a broken-off run is repeated."""
+        worker = self.takeover.worker
+        job = kept.state.job
+        count = 0
+        for name in (jobs.PROGRESS, jobs.RESULTS, jobs.ITEMS):
+            while addresses := await worker.jobs.addresses(name, job, MAX_ROWS):
+                await worker.jobs.store.transact({}, dict.fromkeys(addresses))
+                count += len(addresses)
+        where = jobs.state_address(job)
+        await worker.jobs.store.transact({where: kept.version}, {where: None})
+        worker.trace.emit("job_deleted", job=job, rows=count + 1)
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -12,6 +12,7 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import (
     allowance,
+    collector,
     desk,
     front,
     gossip,
@@ -146,6 +147,7 @@
             nudge=self.gossip.nudge,
         )
         self.takeover = takeover.Takeover(self.worker)
+        self.collector = collector.Collector(self.takeover, config.batch.keep_s)
         self.relay = relay.Relay(
             inflight=self.inflight,
             pool=self.pool,
@@ -223,6 +225,7 @@
         nursery.start_soon(self.copies.run)
         nursery.start_soon(self.worker.run)
         nursery.start_soon(self.takeover.run)
+        nursery.start_soon(self.collector.run)
 
     def stop(self) -> None:
         """Begin a planned stop."""
--- a/turmerictally/entry/jobs.py
+++ b/turmerictally/entry/jobs.py
@@ -207,6 +207,13 @@
             for key, path, headers, body, tokens in json.loads(join(pieces))
         ]
 
+    async def addresses(self, name: str, job: str, limit: int) -> list[rows.Address]:
+        """Return where rows of a job lie in one of its tables, at most so many."""
+        page = await self.store.read(
+            name, shard(job), start=f"{job}/", end=f"{job}0", limit=limit
+        )
+        return [row.address for row in page.rows]
+
     async def progress(self, job: str) -> list[Progress]:
         """Return what is kept of the progress of a job's items, in order."""
         found = []
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -17,6 +17,7 @@
         "max_connections": 4000,
     },
     "store": {"url": settings.REQUIRED, "timeout_s": 1.0},
+    "batch": {"keep_s": 120.0},
     "stop": {"grace_s": 8.0, "unready_s": 2.6},
 }
 
@@ -40,6 +41,13 @@
     timeout_s: float
 
 
+@attrs.frozen
+class Batch:
+    """Hold for how long a job's results are kept from its submission."""
+
+    keep_s: float
+
+
 @attrs.frozen
 class Stop:
     """Hold the times of a planned stop.
@@ -60,6 +68,7 @@
     failure_domain: str
     listen: Listen
     store: Store
+    batch: Batch
     stop: Stop
 
 
--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -50,7 +50,7 @@
                 continue
             seen.add(job)
             since = self.orphaned_at.setdefault(job, now)
-            if now >= since + self._rank(job) * RANK_DELAY_S:
+            if now >= since + self.rank(job) * RANK_DELAY_S:
                 found.append(kept)
         for job in self.orphaned_at.keys() - seen:
             del self.orphaned_at[job]
@@ -68,7 +68,7 @@
             return hosts.peers[state.owner].digest.store_age_s < STORELESS_S
         return now - listed.seen_at < DEAD_AFTER_S
 
-    def _rank(self, job: str) -> int:
+    def rank(self, job: str) -> int:
         """Return how many other live hosts come before this one for a job."""
         names = [digest.host for digest in self.worker.hosts.audible()]
 
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -52,6 +52,11 @@
     When a team sends jobs to both hosts beyond its waiting tokens
     Then what was accepted fits, and the rest got 429
 
+  Scenario: A job's rows go when its results need not be kept any longer
+    When a job is done and 120 s and more pass
+    Then its results could be read until 120 s after its submission
+    And none of its rows is left, and one host deleted them
+
   Scenario: A planned stop hands jobs over at once, with what was made
     When the host that runs a job is stopped
     Then the other host lists every result within 6 s
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -371,3 +371,29 @@
 @behave.then("no item made more than {seconds:g} s of its events again")
 def little_again(context, seconds):
     assert max(again_s(context).values()) <= seconds, again_s(context)
+
+
+@behave.when("a job is done and {seconds:d} s and more pass")
+def long_after(context, seconds):
+    async def main(world):
+        started = trio.current_time()
+        reply, context.ids = await submit(world, 0)
+        await trio.sleep_until(started + seconds - 1.0)
+        context.lists = [await read_all(world, n, "j1", 6) for n in (0, 1)]
+        await trio.sleep(60.0)
+        tables = ("jobs", "items", "results", "progress")
+        context.left = [a for a in world.store.rows if a.table in tables]
+        context.deleted = world.lines("job_deleted")
+
+    play(context, main, seconds=300.0)
+
+
+@behave.then("its results could be read until {seconds:d} s after its submission")
+def readable(context, seconds):
+    check_same(context, *context.lists)
+
+
+@behave.then("none of its rows is left, and one host deleted them")
+def none_left(context):
+    assert not context.left, context.left
+    assert len(context.deleted) == 1
--- a/turmerictally/tests/features/steps/settings_steps.py
+++ b/turmerictally/tests/features/steps/settings_steps.py
@@ -96,6 +96,7 @@
         "portRange.0": 7360,
         "provider.address": "10.200.1.7:8688",
         "bounds.graceS": 8,
+        "bounds.statusS": 120,
     }
 
     def fill(match):
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -309,6 +309,7 @@
                 f"{ip}:80", f"{ip}:81", f"{ip}:82", f"{ip}:83", 1000
             ),
             store=settings.Store("http://store", 1.0),
+            batch=settings.Batch(120.0),
             stop=settings.Stop(8.0, 2.6),
         )
         served = Quiet(
