Read the settings again on SIGHUP instead of ending

Change: SIGHUP reloads; a faulty file changes nothing. A host stays ready when every registration lapses, an item under a route of another kind still runs, and no more than three requests wait on a server of eight slots, as a fourth would miss its objective.

--- a/turmerictally/entry/balance.py
+++ b/turmerictally/entry/balance.py
@@ -18,8 +18,8 @@
 # all hosts, whose counts are a digest old, to the same server.
 FREE_POWER = 2.0
 # Requests of one server beyond its slots, waiting there, as a share of the slots: at
-# a service time of about 0.7 s more would wait longer than the latency objective.
-MAX_WAITING_RATIO = 0.5
+# a service time of about 0.7 s more would wait longer than the usual objective, 0.3 s.
+MAX_WAITING_RATIO = 0.375
 
 
 @attrs.frozen
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -10,6 +10,7 @@
 import trio
 
 from turmerictally import clock as clocks
+from turmerictally import settings as base_settings
 from turmerictally.entry import (
     allowance,
     collector,
@@ -231,14 +232,31 @@
         """Begin a planned stop."""
         self.stop_requested.set()
 
+    def reload(self, path: str) -> None:
+        """Read the settings again and apply what may change while running.
+
+        Addresses and names stay until the next start; a faulty file changes nothing.
+        """
+        try:
+            found = settings.load(path)
+        except base_settings.SettingsError as error:
+            self.trace.emit("reload_failed", path=path, reason=str(error))
+            return
+        kept = attrs.evolve(self.settings, stop=found.stop, batch=found.batch)
+        self.trace.emit(
+            "reloaded", path=path, changed=kept != self.settings, whole=kept == found
+        )
+        self.settings = kept
+        self.collector.keep_s = found.batch.keep_s
+
     def not_ready(self) -> str | None:
         """Return why this host should get no connections, or None."""
         if self.stopping:
             return "stopping"
         if self.configured.current is None:
             return "no configuration"
-        if not self.registry.servers:
-            return "no servers"
+        if not self.servers_watch.complete:
+            return "servers unknown"
         return None
 
     async def _health(self, exchange: front.Exchange) -> None:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -263,7 +263,7 @@
         """Return the service that runs an item, or end it when there is none."""
         state = owned.kept.state
         route = self.configured.current.route(state.hostname, task.item.path)
-        if route is None or route.kind is not model.Kind.BATCH:
+        if route is None:
             self._end(owned, task, False, "route ended")
             return None
         now_s = self.states.store_now_s()
--- a/turmerictally/platform/deployment.py
+++ b/turmerictally/platform/deployment.py
@@ -1,5 +1,6 @@
 """Build an entry host for the users' platform."""
 
+import functools
 import os
 import sys
 
@@ -48,12 +49,14 @@
     except settings.SettingsError as error:
         sys.exit(str(error))
     log.setup("WARNING", json_lines=True)
-    trio.run(_run, config)
+    trio.run(_run, where, config)
 
 
-async def _run(config: entry_settings.Settings) -> None:
+async def _run(where: str, config: entry_settings.Settings) -> None:
     served = build(config)
+    reload = functools.partial(served.reload, where)
     async with trio.open_nursery() as nursery:
         await nursery.start(signals.stop_on_signal, served.stop)
+        await nursery.start(signals.reload_on_signal, reload)
         await served.run()
         nursery.cancel_scope.cancel()
