--- a/turmerictally/platform/configuration.py
+++ b/turmerictally/platform/configuration.py
@@ -19,7 +19,7 @@
     "batch": model.Kind.BATCH,
 }
 SERVER_STATES = ("ready", "draining")
-MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
 def read_configuration(value: bytes) -> model.Configuration | None:
