Count a host as silent by the period of digests

Cause: beyond 100 hosts the digests' period would pass the silence of 0.4 s, and no host would hear another.

Change: the silence is three periods, at least 0.4 s.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -16,8 +16,10 @@
 PERIOD_S = 0.05
 MAX_DIGESTS_PER_S = 250.0
 NUDGE_S = 0.02  # least time between two digests when a server has become full
-SILENT_S = 0.4  # some digests in a row, or a host that was busy that long
+SILENT_S = 0.4  # eight digests in a row, or a host that was busy that long
+SILENT_PERIODS = 3  # of longer periods, with many hosts
 FORGET_S = 2.5  # after this a silent host's requests count as ended
+FORGET_SILENCES = 2  # the same, with many hosts
 MAX_BYTES = 60_000  # of a datagram that can be sent
 RENEW_S = 1.5  # between renewals of this host's row
 # A host whose row was not renewed for this long no longer counts for the quotas; it
@@ -136,16 +138,26 @@
         self.peers[digest.host] = Peer(digest, self.clock.monotonic())
         return True
 
+    def period_s(self) -> float:
+        """Return the seconds between two digests of one host."""
+        return max(PERIOD_S, len(self.listed) / MAX_DIGESTS_PER_S)
+
+    def silent_s(self) -> float:
+        """Return the silence after which a host is not heard any more."""
+        return max(SILENT_S, SILENT_PERIODS * self.period_s())
+
     def expire(self) -> None:
         """Note who fell silent."""
         now = self.clock.monotonic()
+        silent_s = self.silent_s()
+        forget_s = max(FORGET_S, FORGET_SILENCES * silent_s)
         for name, peer in list(self.peers.items()):
             age = now - peer.heard_at
-            if age > SILENT_S and not peer.silent:
+            if age > silent_s and not peer.silent:
                 peer.silent = True
                 self.on_silent(name)
                 self.trace.emit("peer_silent", host=name, age_s=round(age, 2))
-            if age > FORGET_S:
+            if age > forget_s:
                 del self.peers[name]
 
     def current(self) -> list[Digest]:
@@ -210,10 +222,6 @@
         finally:
             self.endpoint.close()
 
-    def period_s(self) -> float:
-        """Return the seconds between two digests."""
-        return max(PERIOD_S, len(self.hosts.listed) / MAX_DIGESTS_PER_S)
-
     def nudge(self) -> None:
         """Send the next digest at once."""
         self.urgent.set()
@@ -227,7 +235,7 @@
                 for address in self.hosts.addresses():
                     await self._send_to(address, data)
             await trio.sleep(NUDGE_S)
-            with trio.move_on_after(self.period_s() - NUDGE_S):
+            with trio.move_on_after(self.hosts.period_s() - NUDGE_S):
                 await self.urgent.wait()
             self.urgent = trio.Event()
 
--- a/turmerictally/tests/features/entry_quota.feature
+++ b/turmerictally/tests/features/entry_quota.feature
@@ -18,6 +18,17 @@
       | 10    | hosts freeze and wake          | 0.6  |
       | 58    | nothing fails                  | 0.9  |
 
+  Scenario Outline: Digests stay bounded and late ones are no silence as hosts grow
+    When a fleet grows to <hosts> hosts
+    Then a host takes at most 250 digests a second
+    And two lost digests in a row are no silence
+
+    Examples:
+      | hosts |
+      | 10    |
+      | 66    |
+      | 400   |
+
   Scenario: A team within its quota is not refused although one host gets it all
     Given 10 hosts and a team of 34 a second, burst 34
     When the team sends 0.9 times its rate to one host
--- a/turmerictally/tests/features/steps/entry_quota_steps.py
+++ b/turmerictally/tests/features/steps/entry_quota_steps.py
@@ -235,3 +235,22 @@
 @behave.then("most of its requests are refused")
 def most_refused(context):
     assert context.fleet.refused > len(context.fleet.admitted)
+
+
+@behave.when("a fleet grows to {count:d} hosts")
+def grows(context, count):
+    context.hosts = gossip.Hosts("h0", "i0", Time(), None)
+    for n in range(count):
+        listed = gossip.Listed(f"h{n}", "i", f"10.1.0.{n}:82", 0, 0.0)
+        context.hosts.listed[listed.host] = listed
+
+
+@behave.then("a host takes at most {most:d} digests a second")
+def takes(context, most):
+    others = len(context.hosts.listed) - 1
+    assert others / context.hosts.period_s() <= most
+
+
+@behave.then("two lost digests in a row are no silence")
+def no_silence(context):
+    assert context.hosts.silent_s() >= 3 * context.hosts.period_s()
