Let a stopping host give new jobs to others; delete rows of hosts that are gone

Cause: a job accepted while a host stopped waited until the host had ended; rows of replaced hosts stayed for good.

Change: a stopping host accepts a job without owning it; a host's row that was not renewed for 120 s is deleted by one of the others.

--- a/turmerictally/entry/collector.py
+++ b/turmerictally/entry/collector.py
@@ -1,15 +1,18 @@
-"""Delete the rows of batch jobs whose results need not be kept any longer."""
+"""Delete the rows of old batch jobs and of hosts that are gone for good."""
 
 import attrs
 import trio
 
-from turmerictally.entry import jobs
+from turmerictally.entry import gossip, jobs
 from turmerictally.entry import takeover as takeovers
 from turmerictally.store import rows
 
 PERIOD_S = 5.0  # results are kept for minutes
 # Beyond the time for which results are promised, for readers with slow clocks.
 GRACE_S = 30.0
+# A host that did not renew its row for this long has been replaced; one that only could
+# not reach the store writes its row again.
+HOST_GONE_S = 120.0
 MAX_ROWS = 90  # in one transaction, below the store's 100
 
 
@@ -35,6 +38,12 @@
                     worker.trace.emit(
                         "job_not_deleted", job=kept.state.job, reason=str(error)
                     )
+            for name in self.gone_hosts():
+                where = rows.Address(gossip.TABLE, "", name)
+                try:
+                    await worker.jobs.store.transact({}, {where: None})
+                except rows.UnavailableError as error:
+                    worker.trace.emit("host_not_deleted", host=name, reason=str(error))
 
     def due(self) -> list[jobs.Kept]:
         """Return the jobs to delete here and now."""
@@ -56,6 +65,17 @@
                 found.append(kept)
         return found
 
+    def gone_hosts(self) -> list[str]:
+        """Return the hosts whose rows this one deletes."""
+        worker = self.takeover.worker
+        since = worker.clock.monotonic() - HOST_GONE_S
+        return [
+            name
+            for name, found in worker.hosts.listed.items()
+            if found.seen_at < since and name not in worker.hosts.peers
+            if name != worker.host_id and self.takeover.rank(name) == 0
+        ]
+
     async def _delete(self, kept: jobs.Kept) -> None:
         """Delete all rows, the state last, so that a broken-off run is repeated."""
         worker = self.takeover.worker
--- a/turmerictally/entry/desk.py
+++ b/turmerictally/entry/desk.py
@@ -181,6 +181,9 @@
             completion_s=route.completion_s,
             retention_s=route.retention_s,
         )
+        if self.worker.stopping:
+            # Another host takes it at once.
+            state = attrs.evolve(state, owner="", instance="")
         given = route.timeout_s if ask.wait_s is None else ask.wait_s
         deadline = exchange.arrived + min(given, route.timeout_s) - ANSWER_MARGIN_S
         return await self._create(exchange, state, items, deadline)
@@ -223,7 +226,10 @@
         done = await self.jobs.create(state, items)
         pieces = len(jobs.item_puts(state.job, items))
         kept = jobs.Kept(attrs.evolve(state, pieces=pieces), done.version)
-        self.worker.own(kept, items, set())
+        if state.owner:
+            self.worker.own(kept, items, set())
+        else:
+            self.worker.publish(kept)
 
     def _states_of(self, job: str) -> dict[str, jobs.Kept]:
         """Return a job's state as followed, under its name, if it is known."""
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -62,6 +62,10 @@
     Then the other host lists every result within 6 s
     And no event was made twice by items that went on elsewhere
 
+  Scenario: A job sent to a stopping host runs elsewhere at once
+    When a job is sent to a host that is stopping
+    Then the other host lists every result within 4 s
+
   Scenario: Of long items little is made again when their host is lost
     When the host that runs long items is lost after 4 s
     Then the other host lists every result of long items
--- a/turmerictally/tests/features/entry_store.feature
+++ b/turmerictally/tests/features/entry_store.feature
@@ -27,6 +27,10 @@
     Then requests are served all the while
     And one line tells when it was lost, and one when it came back
 
+  Scenario: The row of a host that is gone for good is deleted
+    When a host is lost for good and 130 s pass
+    Then the others know only each other
+
   Scenario: Rows of another writer name no server
     When rows that cannot be read lie among the servers
     Then requests are served all the while
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -397,3 +397,17 @@
 def none_left(context):
     assert not context.left, context.left
     assert len(context.deleted) == 1
+
+
+@behave.when("a job is sent to a host that is stopping")
+def sent_to_stopping(context):
+    async def main(world):
+        world.hosts[0].stop()
+        await trio.sleep(1.0)
+        started = trio.current_time()
+        reply, context.ids = await submit(world, 0)
+        assert reply.status == 202
+        context.lists = [await read_all(world, 1, "j1", 6)] * 2
+        context.took_s = trio.current_time() - started
+
+    play(context, main)
--- a/turmerictally/tests/features/steps/entry_store_steps.py
+++ b/turmerictally/tests/features/steps/entry_store_steps.py
@@ -229,3 +229,18 @@
 
 def servers_row(world, name):
     return next(a for a in world.store.rows if a.key == name)
+
+
+@behave.when("a host is lost for good and {seconds:d} s pass")
+def lost_for_good(context, seconds):
+    async def main(world):
+        world.kill_host(2)
+        await trio.sleep(seconds)
+        context.listed = [set(h.hosts.listed) for h in world.hosts.values()]
+
+    play(context, main, hosts=3, seconds=200.0)
+
+
+@behave.then("the others know only each other")
+def only_each_other(context):
+    assert context.listed == [{"h0", "h1"}] * 2, context.listed
