--- a/turmerictally/tests/features/entry_store.feature
+++ b/turmerictally/tests/features/entry_store.feature
@@ -13,6 +13,10 @@
     Then the newest configuration holds from then on
     And the server that left gets nothing 2 s after the reads are right
 
+  Scenario: A server that drains is not used again after reads from an earlier moment
+    When a server drains, history is dropped and reads answer from before that
+    Then that server gets no request after it drained
+
   Scenario: Registrations that lapse during an outage are kept until they are back
     When the store is down and comes back without its registrations
     Then requests are served all the while
--- a/turmerictally/tests/features/steps/entry_store_steps.py
+++ b/turmerictally/tests/features/steps/entry_store_steps.py
@@ -244,3 +244,35 @@
 @behave.then("the others know only each other")
 def only_each_other(context):
     assert context.listed == [{"h0", "h1"}] * 2, context.listed
+
+
+@behave.when("a server drains, history is dropped and reads answer from before that")
+def drains_in_the_past(context):
+    async def main(world):
+        store = world.store
+        earlier = store.version
+        world.servers["s0"].state = "draining"
+        world.servers["s0"].register()
+        await trio.sleep(0.5)
+        context.drained_at = trio.current_time()
+        store.forget_history()
+        store.stale_at = earlier
+        # A change wakes the feeds, whose history is gone by then.
+        store.kept_from = store.version + 1
+        store.put("servers", "other", b"[]")
+        async with trio.open_nursery() as nursery:
+            for _ in range(4):
+                nursery.start_soon(serve_on, context, world, 3.0)
+            await trio.sleep(2.0)
+            store.stale_at = None
+            store.kept_from = 0
+
+    play(context, main)
+
+
+@behave.then("that server gets no request after it drained")
+def none_after(context):
+    late = [run for run in context.world.runs if run.at > context.drained_at]
+    assert late
+    assert {run.server for run in late} == {"s1"}
+    assert context.world.lines("history_lost")
