Keep the events of items without gaps, and those of two owners apart

After a write of running items' events, items with too few new events to be written counted as written too; the next owner resumed before the gap and a third one put its events together with later ones of the first owner.

Change: only what a transaction held counts as written, at most 50 rows of it; rows are kept by owner, and a later owner's events replace what an earlier one wrote from there.

--- a/turmerictally/entry/jobs.py
+++ b/turmerictally/entry/jobs.py
@@ -17,6 +17,7 @@
 PIECE_BYTES = 60_000  # of one row, below the store's 65,536
 MAX_TRANSACTION_BYTES = 900_000  # below the store's 1 MB with its names
 MAX_TRANSACTION_ROWS = 90  # below the store's 100
+MAX_PROGRESS_ROWS = 50  # in one transaction, beside a release
 READ_ROWS = 100  # of results in one read
 MAX_READ_BYTES = 900_000  # of results told to a caller at once
 
@@ -167,25 +168,50 @@
 
 @attrs.frozen
 class Progress:
-    """Hold an item's events from ``first`` on, their data in order."""
+    """Hold an item's events from ``first`` on, their data in order.
+
+    ``owning`` is the version at which their writer became the owner: later owners
+    have higher ones.
+    """
 
     item: str
+    owning: int
     first: int
     parts: list[str] = attrs.field(repr=False)
 
 
-def progress_puts(job: str, progress: list[Progress]) -> dict[rows.Address, bytes]:
-    """Return the rows of items' progress; one that would not fit is left out."""
-    puts = {}
+def join_progress(progress: list[Progress]) -> dict[str, list[str]]:
+    """Return each item's events as far as they are known without a gap.
+
+    What a later owner wrote replaces an earlier owner's events from there on, as it
+    went on from its own ones.
+    """
+    found: dict[str, list[str]] = {}
+    for each in sorted(progress, key=lambda p: (p.owning, p.first)):
+        parts = found.setdefault(each.item, [])
+        if each.first <= len(parts) + 1:
+            parts[each.first - 1 :] = each.parts
+    return found
+
+
+def progress_puts(
+    job: str, progress: list[Progress]
+) -> tuple[dict[rows.Address, bytes], list[Progress]]:
+    """Return rows of items' progress, and which of it fits into one transaction."""
+    puts: dict[rows.Address, bytes] = {}
+    fitting = []
     size = 0
     for each in progress:
         packed = zlib.compress(json.dumps(each.parts).encode())
-        size += len(packed) * 4 // 3
-        if len(packed) > PIECE_BYTES or size > MAX_TRANSACTION_BYTES // 2:
+        more = len(packed) * 4 // 3
+        too_much = size + more > MAX_TRANSACTION_BYTES // 2
+        if len(packed) > PIECE_BYTES or too_much or len(puts) >= MAX_PROGRESS_ROWS:
             continue
-        key = f"{job}/{each.item}/{each.first:07d}"
+        size += more
+        key = f"{job}/{each.item}/{each.owning:012d}/{each.first:07d}"
         puts[rows.Address(PROGRESS, shard(job), key)] = packed
-    return puts
+        fitting.append(each)
+    return puts, fitting
 
 
 @attrs.define(eq=False)
@@ -249,9 +275,9 @@
                 PROGRESS, shard(job), start=start, end=f"{job}0", limit=READ_ROWS
             )
             for row in page.rows:
-                _, item, first = row.address.key.split("/")
+                _, item, owning, first = row.address.key.split("/")
                 parts = json.loads(zlib.decompress(row.value))
-                found.append(Progress(item, int(first), parts))
+                found.append(Progress(item, int(owning), int(first), parts))
             if not page.more:
                 return found
             start = page.rows[-1].address.key + "\0"
--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -94,7 +94,7 @@
             worker.trace.emit("job_not_taken", job=before.job, reason=str(error))
             return
         worker.own(taken, items, {result.id for result in results})
-        _resume(worker.owned[mine.job].tasks, progress)
+        _resume(worker.owned[mine.job].tasks, jobs.join_progress(progress))
         worker.trace.emit(
             "job_taken",
             job=before.job,
@@ -106,11 +106,10 @@
             del self.orphaned_at[before.job]
 
 
-def _resume(tasks: dict[str, itemrun.Task], progress: list[jobs.Progress]) -> None:
+def _resume(tasks: dict[str, itemrun.Task], progress: dict[str, list[str]]) -> None:
     """Let items go on behind what is kept of them."""
-    for each in progress:
-        task = tasks.get(each.item)
-        if task is None or each.first != len(task.parts) + 1:
-            continue
-        task.parts += [part.encode() for part in each.parts]
-        task.last_event = task.saved = len(task.parts)
+    for name, parts in progress.items():
+        task = tasks.get(name)
+        if task is not None and parts:
+            task.parts = [part.encode() for part in parts]
+            task.last_event = task.saved = len(parts)
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -35,9 +35,10 @@
 
 @attrs.define(eq=False)
 class Owned:
-    """Hold a job that this host runs."""
+    """Hold a job that this host runs since the row's version ``owning``."""
 
     kept: jobs.Kept
+    owning: int
     tasks: dict[str, itemrun.Task]
     unsaved: list[jobs.Result] = attrs.Factory(list)
     saving: bool = False
@@ -84,7 +85,7 @@
             for order, item in enumerate(items)
             if item.id not in listed
         }
-        self.owned[kept.state.job] = Owned(kept, tasks)
+        self.owned[kept.state.job] = Owned(kept, kept.version, tasks)
         self.publish(kept)
 
     def publish(self, kept: jobs.Kept) -> None:
@@ -150,8 +151,7 @@
                     await self._write_progress(owned)
 
     async def _write_progress(self, owned: Owned) -> None:
-        counts = {task: len(task.parts) for task in owned.tasks.values()}
-        puts = _unsaved_progress(owned, MIN_PROGRESS_EVENTS)
+        puts, written = _unsaved_progress(owned, MIN_PROGRESS_EVENTS)
         if not puts:
             return
         owned.saving = True
@@ -159,8 +159,9 @@
             # The same state again: only its owner may write, at its version.
             state = owned.kept.state
             self._take_state(owned, await self.jobs.change(owned.kept, state, puts))
-            for task, count in counts.items():
-                task.saved = max(task.saved, count)
+            for each in written:
+                if each.item in owned.tasks:
+                    owned.tasks[each.item].saved = each.first - 1 + len(each.parts)
         except rows.ConflictError as error:
             found = [jobs.decode(row) for row in error.found if row.value]
             self._take_state(owned, found[0] if found else None)
@@ -183,7 +184,8 @@
             return
         free = attrs.evolve(state, owner="", instance="")
         try:
-            await self.jobs.change(owned.kept, free, _unsaved_progress(owned, 1))
+            puts, _ = _unsaved_progress(owned, 1)
+            await self.jobs.change(owned.kept, free, puts)
         except (rows.ConflictError, rows.UnavailableError) as error:
             # The others find this host gone and take the job over a little later.
             self.trace.emit("job_not_released", job=state.job, reason=str(error))
@@ -426,7 +428,9 @@
     return puts, len(results)
 
 
-def _unsaved_progress(owned: Owned, least: int) -> dict[rows.Address, bytes]:
+def _unsaved_progress(
+    owned: Owned, least: int
+) -> tuple[dict[rows.Address, bytes], list[jobs.Progress]]:
     """Return the rows of events that are not kept yet, at least so many an item."""
     found = []
     for task in owned.tasks.values():
@@ -434,5 +438,6 @@
         # Events are numbered from 1, as the parts are from 0.
         if new >= least and task.last_event == len(task.parts):
             parts = [part.decode("utf-8", "replace") for part in task.parts[-new:]]
-            found.append(jobs.Progress(task.item.id, task.saved + 1, parts))
+            first = task.saved + 1
+            found.append(jobs.Progress(task.item.id, owned.owning, first, parts))
     return jobs.progress_puts(owned.kept.state.job, found)
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -62,6 +62,14 @@
     Then the other host lists every result within 6 s
     And no event was made twice by items that went on elsewhere
 
+  Scenario: Events that were not written are not taken for written
+    When items of a job run at different speeds while their events are written
+    Then the events in the store have no gap for any item
+
+  Scenario: Events of two owners' runs are not put together
+    When an item's events were written by one owner and again by the next
+    Then what the next one wrote replaces the rest of the first one's
+
   Scenario: A job sent to a stopping host runs elsewhere at once
     When a job is sent to a host that is stopping
     Then the other host lists every result within 4 s
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -3,6 +3,7 @@
 import behave
 import trio
 
+from turmerictally.entry import jobs
 from turmerictally.tests.support import users_platform
 from turmerictally.tests.support.users_platform import Caller
 
@@ -411,3 +412,47 @@
         context.took_s = trio.current_time() - started
 
     play(context, main)
+
+
+@behave.when("an item's events were written by one owner and again by the next")
+def two_owners(context):
+    # The first owner's events from 4 on were not known to the next one.
+    first = [
+        jobs.Progress("i", 7, 1, ["a1", "a2", "a3"]),
+        jobs.Progress("i", 7, 4, ["a4", "a5", "a6"]),
+        jobs.Progress("i", 7, 7, ["a7", "a8"]),
+    ]
+    later = [jobs.Progress("i", 12, 4, ["b4", "b5", "b6"])]
+    context.joined = jobs.join_progress([*later, *reversed(first)])
+    context.gap = jobs.join_progress([first[0], first[2]])
+
+
+@behave.then("what the next one wrote replaces the rest of the first one's")
+def replaced(context):
+    assert context.joined == {"i": ["a1", "a2", "a3", "b4", "b5", "b6"]}
+    assert context.gap == {"i": ["a1", "a2", "a3"]}
+
+
+@behave.when("items of a job run at different speeds while their events are written")
+def speeds(context):
+    async def main(world):
+        for server in world.servers.values():
+            server.events = 400
+        # One server makes fewer events a second than are written at once.
+        world.slowness["s0"] = 8.0
+        reply, context.ids = await submit(world, 0, count=8)
+        await trio.sleep(5.5)
+        context.progress = await world.hosts[1].jobs.progress("j1")
+
+    play(context, main)
+
+
+@behave.then("the events in the store have no gap for any item")
+def no_gap(context):
+    assert {each.item for each in context.progress} == set(context.ids)
+    joined = jobs.join_progress(context.progress)
+    for item in context.ids:
+        written = sum(len(p.parts) for p in context.progress if p.item == item)
+        assert len(joined[item]) == written, (item, len(joined[item]), written)
+        first = [f"{item}.{n}" for n in range(1, written + 1)]
+        assert joined[item] == first
