--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -42,8 +42,7 @@
 HOUSEKEEPING_S = 0.25
 # Time kept back from the grace period for the last writes of a stop.
 LAST_WRITES_S = 1.2
-# Silence of an idle connection after which a stopping host closes it.
-STOP_POLL_S = 0.05
+STOP_POLL_S = 0.05  # between looks for connections that became idle in a stop
 
 
 @attrs.frozen
@@ -51,6 +50,7 @@
     """Name the platform's tables and how their rows are read."""
 
     configuration_table: str
+    configuration_key: str
     servers_table: str
     read_configuration: model.ReadConfiguration
     read_server: model.ReadServer
@@ -86,7 +86,9 @@
 
     def _build_knowledge(self, names: Names) -> None:
         config, clock, trace = self.settings, self.clock, self.trace
-        self.configured = registry.Configured(names.read_configuration, trace)
+        self.configured = registry.Configured(
+            names.configuration_key, names.read_configuration, trace
+        )
         self.registry = registry.Registry(names.read_server, clock, trace)
         self.hosts = gossip.Hosts(config.host_id, self.instance, clock, trace)
         self.allowances = allowance.Allowances(clock)
--- a/turmerictally/entry/model.py
+++ b/turmerictally/entry/model.py
@@ -121,11 +121,6 @@
         """Return the team of each key."""
         return {key: team for team in self.teams for key in team.keys}
 
-    @functools.cached_property
-    def teams_by_name(self) -> dict[str, Team]:
-        """Return the teams by name."""
-        return {team.name: team for team in self.teams}
-
 
 @attrs.frozen
 class Server:
--- a/turmerictally/entry/registry.py
+++ b/turmerictally/entry/registry.py
@@ -15,6 +15,7 @@
 class Configured:
     """Hold the newest configuration seen; it never goes back to an older one."""
 
+    key: str
     read: model.ReadConfiguration
     trace: traces.Trace
     current: model.Configuration | None = None
@@ -22,7 +23,7 @@
     def update(self, changed: list[rows.Row]) -> None:
         """Take changed rows of the configuration's table."""
         for row in changed:
-            if row.value is None:
+            if row.value is None or row.address.key != self.key:
                 continue
             found = self.read(row.value)
             before = self.current.version if self.current else None
--- a/turmerictally/platform/deployment.py
+++ b/turmerictally/platform/deployment.py
@@ -16,6 +16,7 @@
 
 NAMES = host.Names(
     configuration_table=configuration.CONFIGURATION_TABLE,
+    configuration_key=configuration.CONFIGURATION_KEY,
     servers_table=configuration.SERVERS_TABLE,
     read_configuration=configuration.read_configuration,
     read_server=configuration.read_server,
--- a/turmerictally/tests/features/steps/entry_store_steps.py
+++ b/turmerictally/tests/features/steps/entry_store_steps.py
@@ -219,10 +219,12 @@
             row = json.dumps(good | {"address": "10.66.0.1:80", field: value})
             world.store.put("servers", f"x{n}", row.encode())
         world.store.put("servers", "y", b"\xff\x00")
+        world.store.put("op", "else", b'{"version": 99}')
         world.store.put("servers", "z", b"[]")
         await serve_on(context, world, 1.0)
         for served in world.hosts.values():
             assert set(served.registry.servers) == {"s0", "s1"}
+            assert served.configured.current.version == world.version
 
     play(context, main)
 
