--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -5,7 +5,6 @@
 
 from turmerictally.entry import jobs
 from turmerictally.tests.support import users_platform
-from turmerictally.tests.support.users_platform import Caller
 
 
 def play(context, main, **given):
@@ -14,13 +13,17 @@
 
 async def submit(world, n=0, job="j1", count=6, **more):
     body, ids = users_platform.lot(world, count, name=f"{job}-", **more)
-    reply = await Caller(world, n).ask("/night/x", body=body, request_id=job)
+    reply = await users_platform.Caller(world, n).ask(
+        "/night/x", body=body, request_id=job
+    )
     return reply, ids
 
 
 async def read(world, n, job, after=0):
     path = f"/-/lots/{job}?after={after}"
-    return await Caller(world, n).ask(path, "GET", b"", **{"X-Wait-Ms": "1000"})
+    return await users_platform.Caller(world, n).ask(
+        path, "GET", b"", **{"X-Wait-Ms": "1000"}
+    )
 
 
 async def read_all(world, n, job, count, seconds=30.0):
@@ -67,7 +70,7 @@
         context.bodies = {}
         for n, item in enumerate(context.ids):
             path = f"/-/items/j1?id={item}"
-            reply = await Caller(world, n % 2).ask(path, "GET", b"")
+            reply = await users_platform.Caller(world, n % 2).ask(path, "GET", b"")
             context.bodies[item] = reply.body
         context.lists = [await read_all(world, n, "j1", 6) for n in (0, 1)]
         context.unknown = [(await read(world, n, "none")).status for n in (0, 1)]
@@ -196,10 +199,10 @@
         reply, context.ids = await submit(world, 0, count=60)
         await trio.sleep(1.2)
         context.listed = (await read(world, 1, "j1")).json()["results"]
-        reply = await Caller(world, 1).ask("/-/lots/j1", "DELETE", b"")
+        reply = await users_platform.Caller(world, 1).ask("/-/lots/j1", "DELETE", b"")
         assert reply.status == 200
         context.ended_at = trio.current_time()
-        reply = await Caller(world, 0).ask("/-/lots/j1", "DELETE", b"")
+        reply = await users_platform.Caller(world, 0).ask("/-/lots/j1", "DELETE", b"")
         assert reply.status == 200
         await trio.sleep(6.0)
         context.after = [(await read(world, n, "j1")).json() for n in (0, 1)]
@@ -271,7 +274,7 @@
 
         async def one(n):
             sent_at = trio.current_time()
-            reply = await Caller(world, n % 2).ask()
+            reply = await users_platform.Caller(world, n % 2).ask()
             context.replies.append((reply, reply.event_times[0] - sent_at))
 
         await trio.sleep(0.5)
--- a/turmerictally/tests/features/steps/entry_store_steps.py
+++ b/turmerictally/tests/features/steps/entry_store_steps.py
@@ -6,7 +6,6 @@
 import trio
 
 from turmerictally.tests.support import users_platform
-from turmerictally.tests.support.users_platform import KEY, Caller
 
 OTHER_KEY = "key-of-the-floor"
 
@@ -21,7 +20,7 @@
     until = trio.current_time() + seconds
     while trio.current_time() < until:
         for n in world.hosts:
-            context.replies.append(await Caller(world, n).ask())
+            context.replies.append(await users_platform.Caller(world, n).ask())
         await trio.sleep(0.1)
 
 
@@ -29,7 +28,7 @@
 def refuses_one(context):
     async def main(world):
         both = [
-            {"name": "counter", "apiKeys": [KEY]},
+            {"name": "counter", "apiKeys": [users_platform.KEY]},
             {"name": "floor", "apiKeys": [OTHER_KEY]},
         ]
         world.configure(tenants=both)
@@ -42,11 +41,12 @@
         while trio.current_time() < withdrawn_at + 8.0:
             for n in world.hosts:
                 sent_at = trio.current_time() - withdrawn_at
-                reply = await Caller(world, n).ask()
+                reply = await users_platform.Caller(world, n).ask()
                 context.late.append((n, sent_at, reply.status))
             await trio.sleep(0.1)
         context.others = [
-            (await Caller(world, n, OTHER_KEY).ask()).status for n in world.hosts
+            (await users_platform.Caller(world, n, OTHER_KEY).ask()).status
+            for n in world.hosts
         ]
 
     play(context, main, hosts=3)
@@ -73,7 +73,7 @@
         row = {"instance": "x", "address": "10.1.0.2:82", "renewals": 0}
         world.store.put("hosts", "h2", json.dumps(row).encode())
         await trio.sleep(6.0)
-        context.reply = await Caller(world, 2).ask()
+        context.reply = await users_platform.Caller(world, 2).ask()
 
     play(context, main)
 
@@ -103,7 +103,7 @@
         context.statuses = []
         await trio.sleep(6.0)
         for n in world.hosts:
-            reply = await Caller(world, n).ask("/newer/1")
+            reply = await users_platform.Caller(world, n).ask("/newer/1")
             context.statuses.append(reply.status)
 
     play(context, main)
