--- a/turmerictally/tests/features/steps/whole_path_steps.py
+++ b/turmerictally/tests/features/steps/whole_path_steps.py
@@ -344,7 +344,9 @@
     operators = context.fleet.operators()
     assert operators.post("/v1/orders", json=body).status_code == 200
     for _ in range(POLLS):
-        ended = operators.post("/v1/orders", json=body).json()["ended"]
+        answer = operators.post("/v1/orders", json=body)
+        assert answer.status_code == 200, answer.text
+        ended = answer.json()["ended"]
         if ended is not None:
             return ended["outcome"]
         time.sleep(0.05)
