Give the batch lane a share of a host's store budget that polling cannot take

Its read of the input waited for the budget of the batch lane, which asks for more than half of the burst to be left, while the caller's polling of the job's state, ten times a second, took the whole rate of 20 reads. Change: the online and the batch lane each get a twentieth of the rate whatever the lanes above take.

--- a/turmerictally/store/budget.py
+++ b/turmerictally/store/budget.py
@@ -15,6 +15,7 @@
 RECOVERY_PER_S = 0.05  # of the full rate, regained each second
 DECREASE_INTERVAL_S = 1.0  # refusals within this time count once
 OPEN_AFTER_FAILURES = 3
+EPSILON = 1e-9  # calls; rounding of sums of times
 
 
 class Lane(enum.Enum):
@@ -31,6 +32,13 @@
     Lane.ONLINE: 0.25,
     Lane.BATCH: 0.5,
 }
+# Share of the rate that a lane gets whatever the lanes above it take; otherwise a
+# caller who polls a job's state keeps the job from running.
+GUARANTEED: dict[Lane, float] = {
+    Lane.CONTROL: 0.0,
+    Lane.ONLINE: 0.05,
+    Lane.BATCH: 0.05,
+}
 
 
 class Budget:
@@ -49,6 +57,7 @@
         self.updated_at = self.clock.monotonic()
         self.decreased_at = self.updated_at - DECREASE_INTERVAL_S
         self.turns = {lane: trio.Lock() for lane in Lane}
+        self.guaranteed = dict.fromkeys(Lane, 0.0)
 
     async def take(self, lane: Lane, deadline: float) -> None:
         """Wait for one call's turn, first in first out within the lane.
@@ -85,15 +94,26 @@
         while True:
             self._refill()
             missing = needed - self.level
-            if missing <= 1e-9:
+            if missing <= EPSILON:
                 return
-            await trio.sleep(missing / self.rate)
+            wait = missing / self.rate
+            ratio = GUARANTEED[lane]
+            if ratio:
+                due = 1.0 - self.guaranteed[lane]
+                if due <= EPSILON:
+                    self.guaranteed[lane] = 0.0
+                    return
+                wait = min(wait, due / (self.rate * ratio))
+            await trio.sleep(wait)
 
     def _refill(self) -> None:
         now = self.clock.monotonic()
         elapsed = max(0.0, now - self.updated_at)
         self.updated_at = now
         self.level = min(self.burst, self.level + elapsed * self.rate)
+        for lane, ratio in GUARANTEED.items():
+            credit = self.guaranteed[lane] + elapsed * self.rate * ratio
+            self.guaranteed[lane] = min(1.0, credit)
         regained = elapsed * RECOVERY_PER_S * self.full_rate
         self.rate = min(self.full_rate, self.rate + regained)
 
--- a/turmerictally/tests/features/platform_client.feature
+++ b/turmerictally/tests/features/platform_client.feature
@@ -15,6 +15,12 @@
     Then a control write passes within a tenth of a second
     And without reserved lanes it waits behind them
 
+  Scenario: Batch reads go on while a caller's polling takes the whole rate
+    Given a guarded platform in virtual time
+    When callers read as often as the budget allows for a minute
+    Then a batch read passes at least every 2 seconds
+    And all reads together stay within the rate
+
   Scenario: A returning platform meets no stampede
     Given the platform bench
     Then guarded hosts cause fewer refusals after an outage than unguarded ones
--- a/turmerictally/tests/features/steps/platform_client_steps.py
+++ b/turmerictally/tests/features/steps/platform_client_steps.py
@@ -187,3 +187,46 @@
 def require(report, name):
     found = [check for check in report.checks if check.name == name]
     assert found and all(check.ok for check in found), found
+
+
+@behave.when("callers read as often as the budget allows for a minute")
+def polling(context):
+    async def main():
+        values = config(timeout_s=30.0)
+        platform = guard.Platform(guard.Guard(values), memory.Platform())
+        context.passed, context.reads = [], 0
+        context.rate = values.reads_per_s
+
+        async def poll(lane, times):
+            kept = platform.table_in(lane)
+            while True:
+                try:
+                    await kept.get("jobs/a")
+                except table.UnavailableError:
+                    # It waited for the budget as long as a call may.
+                    continue
+                times.append(trio.current_time())
+
+        others = []
+        with trio.move_on_after(60.0):
+            async with trio.open_nursery() as nursery:
+                for _ in range(8):
+                    nursery.start_soon(poll, budget.Lane.ONLINE, others)
+                nursery.start_soon(poll, budget.Lane.BATCH, context.passed)
+        context.reads = len(others) + len(context.passed)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@behave.then("a batch read passes at least every {seconds:d} seconds")
+def passes(context, seconds):
+    times = [*context.passed, context.passed[0] + 60.0 if context.passed else 60.0]
+    gaps = [b - a for a, b in zip(times, times[1:], strict=False)] or [60.0]
+    # The run ends a minute after it began, at most one gap after the last read.
+    assert max(gaps[:-1], default=60.0) <= seconds, max(gaps)
+    assert len(context.passed) >= 60 / seconds, len(context.passed)
+
+
+@behave.then("all reads together stay within the rate")
+def within(context):
+    assert context.reads <= context.rate * (60.0 + budget.BURST_S), context.reads
