Soak the real programs as processes with faults from outside

What: bash tasks soak plays a seed: entry hosts, model servers and the row store as processes, proxies between them, signals, an operator; eleven checks compare what callers got with what servers ran.

--- /dev/null
+++ b/turmerictally/tests/features/soak.feature
@@ -0,0 +1,33 @@
+Feature: The real programs keep their promises while faults come from outside
+  Scenario: A short seeded run of processes, proxies and signals breaks no promise
+    When the soak plays seed 7 for 26 s with 3 hosts and 3 servers
+    Then it ends with no broken promise and leaves no process behind
+
+  Scenario Outline: Each check of the soak finds what it is for
+    Given a record of a run in which all went well
+    When in it <what happens>
+    Then the check <check> finds it
+
+    Examples:
+      | what happens                                       | check          |
+      | a stream ends as whole before its last event       | whole_answers  |
+      | a stream holds another request's events            | whole_answers  |
+      | a stream holds an event twice                      | whole_answers  |
+      | a request that may run once runs twice             | once           |
+      | a request is answered 503 and runs                 | not_run        |
+      | an item of a refused job runs                      | not_run        |
+      | a server runs what nobody sent                     | unasked        |
+      | a server gets another body                         | unasked        |
+      | a server is told another team                      | unasked        |
+      | an accepted job lacks an item                      | kept_jobs      |
+      | a job's position changes                           | kept_jobs      |
+      | a job's text lacks an event                        | kept_jobs      |
+      | nothing is served after the last fault             | recovered      |
+      | a host ends by itself                              | exits          |
+      | a drained server gets a request                    | draining       |
+      | a withdrawn key is served                          | withdrawn_keys |
+      | a team runs more than its quota                    | quota          |
+      | a host takes too much memory                       | bounded        |
+
+  Scenario: A schedule depends on its seed only and leaves the end calm
+    Then two draws of one seed are the same and no fault begins in the last 14 s
--- /dev/null
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -0,0 +1,160 @@
+"""Steps for the soak: a short run of processes, and its checks on made records."""
+
+import base64
+import os
+import pathlib
+import subprocess
+import sys
+
+import behave
+
+from turmerictally.tests.soak import checks, schedule
+from turmerictally.tests.support import users_platform
+
+HANG_GUARD_S = 180
+CALM_AT = 50.0
+BODY = base64.b64encode(b"body").decode()
+IDS = list(range(1, users_platform.EVENTS + 1))
+
+
+@behave.when(
+    "the soak plays seed {seed:d} for {seconds:d} s with {hosts:d} hosts and "
+    "{servers:d} servers"
+)
+def plays(context, seed, seconds, hosts, servers):
+    command = [sys.executable, "-m", "turmerictally.tests.soak"]
+    command += [f"--seed={seed}", f"--seconds={seconds}", f"--hosts={hosts}"]
+    # Bounds in time hold by hand only: CI's machine may be busy.
+    command += [f"--servers={servers}", "--timed=False"]
+    context.soak = subprocess.run(
+        command, capture_output=True, text=True, timeout=HANG_GUARD_S
+    )
+
+
+@behave.then("it ends with no broken promise and leaves no process behind")
+def no_broken(context):
+    assert context.soak.returncode == 0, context.soak.stdout + context.soak.stderr
+    left = []
+    for path in pathlib.Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            line = path.read_bytes()
+        except OSError:
+            # That process has ended.
+            continue
+        if b"turmerictally.tests.soak." in line and _is_ours(path.parent):
+            left.append(line)
+    assert not left, left
+
+
+def _is_ours(process):
+    try:
+        return pathlib.Path(process / "cwd").resolve() == pathlib.Path(os.getcwd())
+    except OSError:
+        return False
+
+
+def asked(name="r1", kind="repeatable", at=10.0, status=200):
+    data = [f"{name}.{number}" for number in IDS]
+    return checks.Asked(
+        name, kind, at, BODY, "key-1", "host0", status, True, list(IDS), data, at, "t"
+    )
+
+
+def ran(name="r1", at=10.0, server="s0-1", team="t"):
+    run = {"request": name, "server": server, "at": at, "team": team}
+    return run | {"body": BODY, "target": "/ask/x", "after": None}
+
+
+@behave.given("a record of a run in which all went well")
+def good_record(context):
+    text = "\n".join(f"i0.{number}" for number in IDS)
+    job = checks.Job("j", {"i0": BODY}, True, [202], whole=True)
+    job.results[0] = ("i0", "succeeded", text)
+    late = [asked(f"late{n}", at=CALM_AT + n) for n in range(10)]
+    context.record = checks.Record(
+        asked=[asked(), *late],
+        jobs=[job],
+        runs=[ran(), *(ran(a.request, a.at) for a in late), ran("i0", 20.0)],
+        calm_from=CALM_AT,
+        quota=(1.0, 1.0),
+    )
+    assert checks.find_broken(context.record) == []
+
+
+def _events(record, ids, data=None):
+    record.asked[0].ids = ids
+    record.asked[0].data = data or [f"r1.{number}" for number in ids]
+
+
+def _refused(record):
+    record.asked[0].status = 503
+
+
+def _refused_job(record):
+    record.jobs[0].accepted, record.jobs[0].statuses = False, [503, 429]
+
+
+def _late_fail(record):
+    for each in record.asked[1:]:
+        each.status = 502
+
+
+def _hot(record):
+    hot = [asked(f"h{n}", kind="hot", at=30.0) for n in range(60)]
+    record.asked += hot
+    record.runs += [ran(each.request, 30.0) for each in hot]
+
+
+def _text(record):
+    name, state, text = record.jobs[0].results[0]
+    record.jobs[0].results[0] = (name, state, text.rpartition("\n")[0])
+
+
+CASES = {
+    "a stream ends as whole before its last event": lambda r: _events(r, IDS[:-1]),
+    "a stream holds another request's events": lambda r: _events(
+        r, IDS, [f"r2.{number}" for number in IDS]
+    ),
+    "a stream holds an event twice": lambda r: _events(r, [1, *IDS]),
+    "a request that may run once runs twice": lambda r: (
+        setattr(r.asked[0], "kind", "once"),
+        r.runs.append(ran()),
+    ),
+    "a request is answered 503 and runs": _refused,
+    "an item of a refused job runs": _refused_job,
+    "a server runs what nobody sent": lambda r: r.runs.append(ran("unknown")),
+    "a server gets another body": lambda r: r.runs[0].update(body="eA=="),
+    "a server is told another team": lambda r: r.runs[0].update(team="other"),
+    "an accepted job lacks an item": lambda r: r.jobs[0].results.clear(),
+    "a job's position changes": lambda r: r.jobs[0].changed.append("position 0"),
+    "a job's text lacks an event": _text,
+    "nothing is served after the last fault": _late_fail,
+    "a host ends by itself": lambda r: r.exits.append("h0 ended by itself"),
+    "a drained server gets a request": lambda r: r.drains.update({"s0-1": 5.0}),
+    "a withdrawn key is served": lambda r: r.withdrawn.update({"key-1": 5.0}),
+    "a team runs more than its quota": _hot,
+    "a host takes too much memory": lambda r: r.usage.append(
+        {"host": "h0", "memory_mb": 500, "descriptors": 1, "log_bytes_per_s": 1}
+    ),
+}
+
+
+@behave.when("in it {what}")
+def happens(context, what):
+    CASES[what](context.record)
+
+
+@behave.then("the check {name} finds it")
+def finds(context, name):
+    broken = checks.find_broken(context.record)
+    assert {line.partition(":")[0] for line in broken} >= {name}, broken
+
+
+@behave.then("two draws of one seed are the same and no fault begins in the last 14 s")
+def same_draw(context):
+    for seed in range(20):
+        plan = schedule.draw(seed, 40.0)
+        assert plan == schedule.draw(seed, 40.0)
+        assert plan and plan != schedule.draw(seed + 1, 40.0)
+        # Faults of a series begin up to 0.6 s after the series.
+        assert max(fault.at for fault in plan) <= 40.0 - 14.0 + 0.6
