Tell teams' counts rarely, outcomes each second; pass events with fewer task switches

One host in front of 57 made-up peers on real sockets: 0.042 of a core idle, 0.062 more for 200 digests a second, 0.065 more for 3.5 streams a second. A digest cost 173 us to take. Change: whole team counts come every 5 s or when a host asks for them; outcomes are summed only when they change; a paced count that stands still costs nothing; one cancel scope a stream instead of one an event; bytes that the socket takes are written without a switch.

--- a/turmerictally/entry/allowance.py
+++ b/turmerictally/entry/allowance.py
@@ -1,5 +1,7 @@
 """Hold teams to their quota over all hosts, from what the hosts tell each other."""
 
+import collections.abc
+
 import attrs
 
 from turmerictally import clock as clocks
@@ -71,7 +73,7 @@
     instance: str
     at: float
     accounts: dict[str, Account] = attrs.Factory(dict)
-    active: set[str] = attrs.Factory(set)
+    active: collections.abc.Set[str] = frozenset()
 
 
 @attrs.define(eq=False)
@@ -88,6 +90,7 @@
     share: float = 0.0
     buckets: dict[str, Bucket] = attrs.Factory(dict)
     tellers: dict[str, Teller] = attrs.Factory(dict)
+    lacking: set[str] = attrs.Factory(set)  # hosts that told no base yet
     told_at: float = float("-inf")
     suspended_s: float = attrs.field(init=False)
 
@@ -175,10 +178,10 @@
             bucket.spent -= 1
             bucket.touched = self.clock.monotonic()
 
-    def tell(self, full: bool) -> tuple[dict[str, int], dict[str, int]]:
+    def tell(self, base: bool) -> tuple[dict[str, int], dict[str, int]]:
         """Return the requests admitted and asked for since the start, by team.
 
-        Unless ``full``, only teams with requests lately. Called once a digest, it also
+        Unless ``base``, only teams with requests lately. Called once a digest, it also
         takes this host's own pace.
         """
         now = self.clock.monotonic()
@@ -188,7 +191,7 @@
         for name, bucket in self.buckets.items():
             if bucket.asked != bucket.pace.count or bucket.pace.rate:
                 bucket.pace.update(bucket.asked, elapsed)
-            if bucket.asked and (full or now - bucket.touched < RETELL_S):
+            if bucket.asked and (base or now - bucket.touched < RETELL_S):
                 told[name] = bucket
         spent = {name: bucket.spent for name, bucket in told.items()}
         return spent, {name: bucket.asked for name, bucket in told.items()}
@@ -199,19 +202,21 @@
         instance: str,
         spent: dict[str, int],
         asked: dict[str, int],
-        full: bool,
+        base: bool,
     ) -> None:
         """Take another host's counts.
 
-        The first full ones of a host, or after a silence, only set its base: until
-        then it was not of this group.
+        The first ``base`` of a host, or after a silence, only sets where its counts
+        begin: until then it was not of this group.
         """
         now = self.clock.monotonic()
         teller = self.tellers.get(host)
         if teller is None or teller.instance != instance:
             self.tellers.pop(host, None)
-            if not full:
+            if not base:
+                self.lacking.add(host)
                 return
+            self.lacking.discard(host)
             accounts = {
                 name: Account(spent.get(name, 0), Pace(count))
                 for name, count in asked.items()
@@ -222,12 +227,16 @@
         teller.at = now
         for name in teller.active - asked.keys():
             teller.accounts[name].asked.rate = 0.0
-        teller.active = set(asked)
+        teller.active = asked.keys()
         for name, count in asked.items():
-            account = teller.accounts.setdefault(name, Account(0, Pace()))
+            account = teller.accounts.get(name)
+            if account is None:
+                account = teller.accounts[name] = Account(0, Pace())
+            pace = account.asked
+            if count != pace.count or pace.rate:
+                pace.update(count, elapsed)
             delta = spent.get(name, 0) - account.spent
             account.spent += delta
-            account.asked.update(count, elapsed)
             bucket = self.buckets.get(name)
             if bucket is None or not delta:
                 continue
@@ -248,3 +257,4 @@
                 after = self._unheard(name, bucket, now)
                 bucket.level -= max(0.0, before - after)
         self.tellers.pop(host, None)
+        self.lacking.discard(host)
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -18,8 +18,12 @@
 PERIOD_S = 0.05
 MAX_DIGESTS_PER_S = 200.0
 NUDGE_S = 0.02  # least time between two digests when a server has become full
-# Between two digests that hold every team's counts; the others hold what changed.
+# Between two digests with the ages of tables and the outcomes by server, a small part
+# of the time for which either counts.
 FULL_S = 1.0
+# Between two digests with every team's counts; others hold what changed, and a host
+# that lacks the rest asks for it.
+BASE_S = 5.0
 # Digests that come close together are read at one wake-up, after this part of a period.
 RECEIVE_PAUSE_RATIO = 0.2
 MAX_RECEIVE_PAUSE_S = 0.03  # a tenth of the usual latency objective
@@ -35,14 +39,15 @@
 TABLE = "hosts"
 
 
-@attrs.frozen
+@attrs.define
 class Digest:
     """Hold what a host tells: counts by server, requests admitted and asked by team.
 
     ``failing`` names the servers it leaves out, ``outcomes`` counts by server the
     requests that were answered and that failed lately; ``ages`` gives for each followed
     table its version and age in seconds. Unless ``full``, these two are left out and
-    stay as they were told last, and teams without a request for a while are left out.
+    stay as they were told last. Unless ``base``, teams without requests lately are
+    left out; ``lacking`` names the hosts whose base this one asks for.
     """
 
     host: str
@@ -60,11 +65,14 @@
     domain: str = ""
     outcomes: dict[str, list[int]] = attrs.Factory(dict)
     full: bool = True
+    base: bool = True
+    lacking: list[str] = attrs.Factory(list)
     stopping: bool = False
 
     def encode(self) -> bytes:
         """Return the datagram."""
-        return json.dumps(attrs.astuple(self), separators=(",", ":")).encode()
+        fields = attrs.astuple(self, recurse=False)
+        return json.dumps(fields, separators=(",", ":")).encode()
 
 
 def decode(data: bytes) -> Digest | None:
@@ -119,14 +127,14 @@
     failed: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
     def add(self, digest: Digest) -> None:
-        """Count a host's newest digest."""
+        """Count a host's newest digest, without its outcomes."""
         self.waiting += digest.waiting
         self._count(digest, 1)
         for name, count in digest.batch.items():
             self.batch[name][digest.host] = count
 
     def drop(self, digest: Digest) -> None:
-        """Count it no more."""
+        """Count it no more, without its outcomes."""
         self.waiting -= digest.waiting
         self._count(digest, -1)
         for name in digest.batch:
@@ -136,14 +144,24 @@
 
     def _count(self, digest: Digest, sign: int) -> None:
         _add(self.online, digest.online.items(), sign)
-        _add(self.failing, ((name, 1) for name in digest.failing), sign)
-        for name, (answered, failed) in digest.outcomes.items():
-            counts = self.outcomes[name]
-            both = ((digest.domain, True), answered), ((digest.domain, False), failed)
-            _add(counts, both, sign)
-            _add(self.failed, ((name, failed),), sign)
-            if not counts:
-                del self.outcomes[name]
+        if digest.failing:
+            _add(self.failing, ((name, 1) for name in digest.failing), sign)
+
+    def take_outcomes(self, before: Digest | None, after: Digest | None) -> None:
+        """Replace what a host told of its requests' outcomes."""
+        for digest, sign in ((before, -1), (after, 1)):
+            if digest is None:
+                continue
+            for name, (answered, failed) in digest.outcomes.items():
+                counts = self.outcomes[name]
+                both = (
+                    ((digest.domain, True), answered),
+                    ((digest.domain, False), failed),
+                )
+                _add(counts, both, sign)
+                _add(self.failed, ((name, failed),), sign)
+                if not counts:
+                    del self.outcomes[name]
 
 
 def _add(
@@ -212,13 +230,14 @@
             self.on_heard()
         now = self.clock.monotonic()
         full_at = now
-        if peer is not None:
-            self.totals.drop(peer.digest)
-            if same and not digest.full:
-                full_at = peer.full_at
-                digest = attrs.evolve(
-                    digest, ages=peer.digest.ages, outcomes=peer.digest.outcomes
-                )
+        before = None if peer is None else peer.digest
+        if before is not None:
+            self.totals.drop(before)
+        if same and not digest.full:
+            full_at = peer.full_at
+            digest.ages, digest.outcomes = before.ages, before.outcomes
+        else:
+            self.totals.take_outcomes(before, digest)
         self.peers[digest.host] = Peer(digest, now, full_at)
         self.totals.add(digest)
         return True
@@ -242,12 +261,14 @@
                 peer.silent = True
                 # Its requests still run; its judgement of servers is out of date.
                 self.totals.drop(peer.digest)
+                self.totals.take_outcomes(peer.digest, None)
                 peer.digest = attrs.evolve(peer.digest, failing=[], outcomes={})
                 self.totals.add(peer.digest)
                 self.on_silent(name)
                 self.trace.emit("peer_silent", host=name, age_s=round(age, 2))
             if age > forget_s:
                 self.totals.drop(peer.digest)
+                self.totals.take_outcomes(peer.digest, None)
                 del self.peers[name]
 
     def audible(self) -> list[Digest]:
@@ -289,11 +310,12 @@
     network: network.Network
     hosts: Hosts
     address: str
-    make_digest: collections.abc.Callable[[int, bool], Digest]
+    make_digest: collections.abc.Callable[[int, bool, bool], Digest]
     on_digest: collections.abc.Callable[[Digest], None]
     on_told: collections.abc.Callable[[], None]
     sequence: int = 0
     full_due: float = float("-inf")
+    base_due: float = float("-inf")
     urgent: trio.Event = attrs.field(factory=trio.Event)
     endpoint: network.Datagrams | None = None
 
@@ -315,7 +337,12 @@
         self.urgent.set()
 
     def introduce(self) -> None:
-        """Send a full digest next, as to a host that was not heard before."""
+        """Send all there is to tell next, as to a host that was not heard before."""
+        self.base_due = float("-inf")
+        self.tell_outcomes()
+
+    def tell_outcomes(self) -> None:
+        """Send a full digest next, as after a failure."""
         self.full_due = float("-inf")
         self.nudge()
 
@@ -327,7 +354,10 @@
             full = now >= self.full_due
             if full:
                 self.full_due = now + FULL_S
-            data = self.make_digest(self.sequence, full).encode()
+            base = now >= self.base_due
+            if base:
+                self.base_due = now + BASE_S
+            data = self.make_digest(self.sequence, full, base).encode()
             if len(data) <= MAX_BYTES:
                 for address in self.hosts.addresses():
                     self._send_to(address, data)
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -157,7 +157,7 @@
         )
         self.jobs = jobs.Jobs(self.store)
         self.known_jobs = jobs.Known()
-        self.inflight.on_failure = self.gossip.introduce
+        self.inflight.on_failure = self.gossip.tell_outcomes
         self.worker = worker.Worker(
             host_id=config.host_id,
             instance=self.instance,
@@ -325,8 +325,10 @@
 
     def _on_digest(self, digest: gossip.Digest) -> None:
         self.allowances.observe(
-            digest.host, digest.instance, digest.spent, digest.asked, digest.full
+            digest.host, digest.instance, digest.spent, digest.asked, digest.base
         )
+        if self.settings.host_id in digest.lacking:
+            self.gossip.introduce()
 
     def _on_told(self) -> None:
         self.worker.give_way()
@@ -337,9 +339,9 @@
         self.worker.give_way()
         self.gossip.nudge()
 
-    def _digest(self, sequence: int, full: bool) -> gossip.Digest:
+    def _digest(self, sequence: int, full: bool, base: bool) -> gossip.Digest:
         self.allowances.set_group(*self.hosts.counted())
-        spent, asked = self.allowances.tell(full)
+        spent, asked = self.allowances.tell(base)
         return gossip.Digest(
             host=self.settings.host_id,
             instance=self.instance,
@@ -358,6 +360,8 @@
             domain=self.settings.failure_domain,
             outcomes=self._outcomes() if full else {},
             full=full,
+            base=base,
+            lacking=list(self.allowances.lacking),
             stopping=self.stopping,
         )
 
--- a/turmerictally/entry/network.py
+++ b/turmerictally/entry/network.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import logging
+import os
 import select
 import socket
 import typing
@@ -84,8 +85,17 @@
     inner: trio.SocketStream
 
     async def send_all(self, data: bytes) -> None:
-        """Send bytes."""
-        await self.inner.send_all(data)
+        """Send bytes, without a task switch when the socket takes them at once."""
+        try:
+            sent = os.write(self.inner.socket.fileno(), data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            if error.errno == errno.EBADF:
+                raise trio.ClosedResourceError from error
+            raise trio.BrokenResourceError from error
+        if sent < len(data):
+            await self.inner.send_all(data[sent:])
 
     async def receive_some(self) -> bytes:
         """Return the next bytes."""
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -1,8 +1,8 @@
 """Carry one caller's request to backend servers and the answer back."""
 
 import collections.abc
-import contextlib
 import enum
+import math
 import random
 import typing
 
@@ -243,7 +243,7 @@
         resumed = job.last_event if job.last_event != job.ask.resume_after else None
         onward = messages.Onward(server.instance, left, job.team, resumed)
         headers = self.wire.onward(job.ask, onward, len(job.body))
-        with self._silence(job, first=True):
+        with trio.fail_at(self._silence_ends(job, first=True)):
             await connection.request(job.ask.method, job.ask.target, headers, job.body)
             head = await read_head(self.wire, connection, job.ask.request_id)
         job.head = head
@@ -282,36 +282,39 @@
         self, job: Job, connection: pool.Connection, head: messages.Head
     ) -> None:
         splitter = events.Splitter(job.last_event)
-        while True:
-            with self._silence(job, first=not job.answer.started):
+        with trio.CancelScope() as silence:
+            while True:
+                silence.deadline = self._silence_ends(job, first=not job.answer.started)
                 data = await connection.data()
-            if data is None:
-                break
-            found = splitter.feed(data)
-            if not found:
-                continue
-            if not job.answer.started:
-                await job.answer.start(head.status, self.wire.to_caller(head), None)
-            await job.answer.send(b"".join(event.raw for event in found))
-            job.last_event = splitter.last
+                if data is None:
+                    break
+                # A reader that is slow is no silence of the server.
+                silence.deadline = math.inf
+                found = splitter.feed(data)
+                if not found:
+                    continue
+                if not job.answer.started:
+                    await job.answer.start(head.status, self.wire.to_caller(head), None)
+                await job.answer.send(b"".join(event.raw for event in found))
+                job.last_event = splitter.last
+        if silence.cancelled_caught:
+            raise trio.TooSlowError
         if splitter.rest:
             raise pool.BrokenError("stream ended within an event")
         if not job.answer.started:
             await job.answer.start(head.status, self.wire.to_caller(head), None)
         await job.answer.finish()
 
-    def _silence(
-        self, job: Job, *, first: bool
-    ) -> contextlib.AbstractContextManager[typing.Any]:
-        """Bound a server's silence where another server may go on."""
+    def _silence_ends(self, job: Job, *, first: bool) -> float:
+        """Return when a server's silence ends where another one may go on."""
         if not job.route.repeatable or job.runs >= job.route.max_attempts:
-            return contextlib.nullcontext()
+            return math.inf
         usual = (
             job.route.objective_s * SILENCE_OBJECTIVES
             if first
             else job.route.max_gap_s * SILENCE_GAPS
         )
-        return trio.fail_after(max(MIN_SILENCE_S, usual))
+        return trio.current_time() + max(MIN_SILENCE_S, usual)
 
     async def _give_up(self, job: Job, *, at_deadline: bool = False) -> str:
         answer = job.answer
--- a/turmerictally/tests/features/steps/entry_quota_steps.py
+++ b/turmerictally/tests/features/steps/entry_quota_steps.py
@@ -57,7 +57,7 @@
         self.allowances.configure((self.fleet.team,))
         self.heard_at = {}
         self.inbox = []
-        self.full_at = 0.0
+        self.base_at = 0.0
 
     def step(self):
         now = self.time.monotonic()
@@ -67,7 +67,7 @@
                 kept.append((due, sender, instance, told))
                 continue
             if sender not in self.heard_at:
-                self.full_at = 0.0
+                self.base_at = 0.0
             self.allowances.observe(sender, instance, *told)
             self.heard_at[sender] = now
         self.inbox = kept
@@ -113,10 +113,10 @@
                     self.ask(only or self.rng.choice(running))
 
     def tell(self, member):
-        full = self.time.now >= member.full_at
-        if full:
-            member.full_at = self.time.now + gossip.FULL_S
-        told = (*member.allowances.tell(full), full)
+        base = self.time.now >= member.base_at
+        if base:
+            member.base_at = self.time.now + gossip.BASE_S
+        told = (*member.allowances.tell(base), base)
         for other in self.members:
             lost = self.rng.random() < 0.01
             apart = self.cut(member.number, other.number)
