--- a/turmerictally/tests/features/soak.feature
+++ b/turmerictally/tests/features/soak.feature
@@ -31,3 +31,7 @@
 
   Scenario: A schedule depends on its seed only and leaves the end calm
     Then two draws of one seed are the same and no fault begins in the last 14 s
+
+  Scenario: Faults on one host never overlap
+    When a host is killed while all hosts are stopped in turn
+    Then each host is harmed by one fault at a time
--- a/turmerictally/tests/features/steps/soak_steps.py
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -5,10 +5,13 @@
 import pathlib
 import subprocess
 import sys
+import types
 
 import behave
+import trio
+import trio.testing
 
-from turmerictally.tests.soak import checks, schedule
+from turmerictally.tests.soak import checks, faults, schedule
 from turmerictally.tests.support import users_platform
 
 HANG_GUARD_S = 180
@@ -158,3 +161,49 @@
         assert plan and plan != schedule.draw(seed + 1, 40.0)
         # Faults of a series begin up to 0.6 s after the series.
         assert max(fault.at for fault in plan) <= 40.0 - 14.0 + 0.6
+
+
+class Noting(faults.Injector):
+    """Note who is harmed when, in place of harming anybody."""
+
+    async def host_kill(self, n, for_s):
+        await self.note({n})
+
+    async def hosts_term_in_turn(self, _, for_s):
+        await self.note({0, 1})
+
+    async def note(self, hosts):
+        assert not hosts & self.world.harmed, hosts
+        self.world.harmed |= hosts
+        self.world.played += 1
+        await trio.sleep(3.0)
+        self.world.harmed -= hosts
+
+
+@behave.when("a host is killed while all hosts are stopped in turn")
+def overlapping(context):
+    # Seed 45601944: a host was killed in its planned stop and then started twice.
+    world = types.SimpleNamespace(hosts={0: "", 1: ""}, harmed=set(), played=0)
+    context.played = world
+
+    async def main():
+        injector = Noting(world, checks.Record(), None)
+        async with trio.open_nursery() as nursery:
+            for at, kind in (
+                (0, "hosts_term_in_turn"),
+                (1, "host_kill"),
+                (5, "host_kill"),
+            ):
+                fault = schedule.Fault(at, kind, 1.0, 0.9)
+                nursery.start_soon(begin, injector, fault)
+
+    async def begin(injector, fault):
+        await trio.sleep(fault.at)
+        await injector.run(fault)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@behave.then("each host is harmed by one fault at a time")
+def one_at_a_time(context):
+    assert context.played.played == 2, context.played
--- a/turmerictally/tests/soak/faults.py
+++ b/turmerictally/tests/soak/faults.py
@@ -28,33 +28,37 @@
     async def run(self, fault):
         """Carry out one fault; what is harmed already is left alone."""
         method = getattr(self, fault.kind)
-        target, things = self._target(fault)
-        if target in self.busy:
+        targets, things = self._targets(fault)
+        if self.busy & targets:
             return
-        self.busy.add(target)
+        self.busy |= targets
         begun = time.monotonic()
-        entry = [target, begun, float("inf")]
-        self.record.touched.append(entry)
+        entries = [[target, begun, float("inf")] for target in targets]
+        self.record.touched += entries
         try:
             await method(things, fault.for_s)
         finally:
-            entry[2] = time.monotonic()
-            self.busy.discard(target)
+            for entry in entries:
+                entry[2] = time.monotonic()
+            self.busy -= targets
 
-    def _target(self, fault):
+    def _targets(self, fault):
+        """Return what a fault harms, and what its method needs to know of it."""
         group = fault.kind.partition("_")[0]
+        if group == "hosts":
+            return {f"host{n}" for n in self.world.hosts}, None
         if group == "host" or fault.kind.endswith("_host"):
             n = int(fault.pick * len(self.world.hosts))
-            return f"host{n}", n
+            return {f"host{n}"}, n
         if group == "server":
             n = int(fault.pick * len(self.world.servers))
-            return f"server{n}", n
+            return {f"server{n}"}, n
         if group == "callers":
             n = int(fault.pick * len(self.world.hosts))
-            return f"way{n}", n
+            return {f"way{n}"}, n
         if group == "configuration":
-            return "operator", fault.pick
-        return {"hosts": "host-all"}.get(group, group), None
+            return {"operator"}, fault.pick
+        return {group}, None
 
     # Hosts.
 
