--- a/turmerictally/entry/balance.py
+++ b/turmerictally/entry/balance.py
@@ -19,9 +19,11 @@
 FREE_POWER = 2.0
 # What an open connection to a server is worth beside none: a new one takes the server's
 # time and a round trip. Hosts keep different ones, so this draws no herd.
+# A server with five free slots and a connection goes before one with eight and none.
 CONNECTED = 3.0
 # Power of a server's reliability by which requests are drawn that may run once only:
-# their failure is final, that of others costs a retry.
+# their failure is final, that of others costs a retry. One that answered four fifths is
+# drawn a quarter as often.
 ONCE_POWER = 6.0
 # Requests of one server beyond its slots, waiting there, as a share of the slots: at
 # a service time of about 0.7 s more would wait longer than the usual objective, 0.3 s.
--- a/turmerictally/entry/ejection.py
+++ b/turmerictally/entry/ejection.py
@@ -13,7 +13,7 @@
 # A sound server spoils up to one answer in twenty on a bad day, so that six of 18
 # outcomes are no chance.
 MAX_FAILED_RATIO = 0.3
-MIN_FAILED = 4  # fewer may be chance
+MIN_FAILED = 4  # fewer in 18 are chance at one in twenty
 # With so many outcomes of the own failure domain, what others see does not count, and
 # what a single other domain sees never does: a server may fail for some callers only.
 MIN_OWN = 5
@@ -23,8 +23,8 @@
 TRIAL_S = 2.0  # of few requests before a server counts as sound again
 FORGIVE_S = 30.0  # after this long without an ejection the next one is short again
 MAX_EJECTED_RATIO = 0.5  # of a service's servers; beyond that, load is the cause
-# Added to the outcomes of a server when it is compared with others, as one failure
-# alone says little.
+# Added to the outcomes of a server when it is compared with others: one failure alone
+# then reads as four fifths answered.
 PRIOR = 4.0
 
 Outcomes = collections.abc.Mapping[tuple[str, bool], int]
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -60,6 +60,8 @@
         self.silent = False  # requests hang
         self.status = 200
         self.state = "ready"
+        self.born = 1
+        self.keep_alive_s = None  # for which it names to keep idle connections
         self.arrivals = 0
         self.connections = 0
         self.scope = None
@@ -71,7 +73,7 @@
             "zone": self.domain,
             "slots": self.slots,
             "state": self.state,
-            "born": 1,
+            "born": self.born,
         }
         self.world.store.put("servers", self.name, json.dumps(value).encode())
 
@@ -199,6 +201,8 @@
         ]
         if self.closes:
             named.append(("Connection", "close"))
+        if self.keep_alive_s is not None:
+            named.append(("Keep-Alive", f"timeout={self.keep_alive_s}"))
         head = parser.send(h11.Response(status_code=200, headers=named))
         lost = self.lose_answers > 0
         self.lose_answers -= lost
