--- a/turmerictally/cli/signals.py
+++ b/turmerictally/cli/signals.py
@@ -1,4 +1,4 @@
-"""Turn signals into planned stops and reloads."""
+"""Turn signals into planned stops."""
 
 import collections.abc
 import logging
@@ -19,14 +19,3 @@
         async for number in received:
             logger.info("Received %s.", signal.Signals(number).name)
             stop()
-
-
-async def reload_on_signal(
-    reload: collections.abc.Callable[[], None],
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Call ``reload`` on each SIGHUP, which would end the process otherwise."""
-    with trio.open_signal_receiver(signal.SIGHUP) as received:
-        task_status.started()
-        async for _ in received:
-            reload()
--- a/turmerictally/platform/deployment.py
+++ b/turmerictally/platform/deployment.py
@@ -1,7 +1,8 @@
 """Build an entry host for the users' platform."""
 
-import functools
+import collections.abc
 import os
+import signal
 import sys
 
 import trio
@@ -44,20 +45,26 @@
 
     Without a path, the settings file is the one that the platform names.
     """
-    where = path or os.environ.get(SETTINGS_VARIABLE, "")
-    try:
-        config = entry_settings.load(where)
-    except settings.SettingsError as error:
-        sys.exit(str(error))
     log.setup("WARNING", json_lines=True)
-    trio.run(_run, where, config)
+    trio.run(_run, path or os.environ.get(SETTINGS_VARIABLE, ""))
 
 
-async def _run(where: str, config: entry_settings.Settings) -> None:
-    served = build(config)
-    reload = functools.partial(served.reload, where)
-    async with trio.open_nursery() as nursery:
-        await nursery.start(signals.stop_on_signal, served.stop)
-        await nursery.start(signals.reload_on_signal, reload)
-        await served.run()
-        nursery.cancel_scope.cancel()
+async def _run(where: str) -> None:
+    # Signals are kept from before the settings are read, so that no change is missed.
+    with trio.open_signal_receiver(signal.SIGHUP) as hangups:
+        try:
+            served = build(entry_settings.load(where))
+        except settings.SettingsError as error:
+            sys.exit(str(error))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(signals.stop_on_signal, served.stop)
+            nursery.start_soon(_reload, hangups, served, where)
+            await served.run()
+            nursery.cancel_scope.cancel()
+
+
+async def _reload(
+    hangups: collections.abc.AsyncIterable[int], served: host.Host, where: str
+) -> None:
+    async for _ in hangups:
+        served.reload(where)
