Let the orders scenario come back when the platform does not answer in time

Under load a platform call took over the 2 s allowed; the answer then is 503 "platform_unavailable" with Retry-After, as for every operator's call, and the order goes on.

Change: a new scenario brings the platform down between two asks: the answer must be that 503 with Retry-After, and the order must end as applied after the outage. The steps ask again after exactly this answer; any other still fails.

Conclusion: the check was wrong about the answer, not the product; the outage case is now played on purpose.

--- a/turmerictally/tests/features/steps/whole_path_steps.py
+++ b/turmerictally/tests/features/steps/whole_path_steps.py
@@ -338,28 +338,75 @@
     raise AssertionError("still refused after the outage")
 
 
-def _order(context, server, action, name, version=""):
+def _order_body(server, action, name, version=""):
     body = {"id": f"{action}-{server}-{name}", "server": server, "action": action}
-    body |= {"name": name, "version": version}
+    return body | {"name": name, "version": version}
+
+
+def _asks_to_come_back(answer):
+    """Return whether an answer states that the platform did not answer in time."""
+    if answer.status_code != 503:
+        return False
+    assert answer.json()["error"]["code"] == "platform_unavailable", answer.text
+    assert int(answer.headers["retry-after"]) >= 1, answer.headers
+    return True
+
+
+def _order(context, server, action, name, version=""):
+    body = _order_body(server, action, name, version)
     operators = context.fleet.operators()
-    assert operators.post("/v1/orders", json=body).status_code == 200
     for _ in range(POLLS):
         answer = operators.post("/v1/orders", json=body)
-        assert answer.status_code == 200, answer.text
-        ended = answer.json()["ended"]
-        if ended is not None:
-            return ended["outcome"]
+        if not _asks_to_come_back(answer):
+            assert answer.status_code == 200, answer.text
+            ended = answer.json()["ended"]
+            if ended is not None:
+                return ended["outcome"]
         time.sleep(0.05)
     raise AssertionError("the order did not end")
 
 
-@behave.when("the operator orders one load and then every unload")
-def order_load_and_unloads(context):
+def _engines(context):
     listed = context.fleet.operators().get("/v1/servers").json()["data"]
-    engines = [row["address"] for row in listed if row["models"]]
-    assert len(engines) == 2
+    return [row["address"] for row in listed if row["models"]]
+
+
+def _offer_extra(context):
     info = weights.WeightsInfo("extra", "2", 1)
     context.fleet.demo.platform.weights.stored[("extra", "2")] = info
+
+
+@behave.when("the operator orders a load and asks for it while the platform is down")
+def order_during_outage(context):
+    _offer_extra(context)
+    context.engine = _engines(context)[0]
+    body = _order_body(context.engine, "load", "extra", "2")
+    operators = context.fleet.operators()
+    first = operators.post("/v1/orders", json=body)
+    assert first.status_code == 200, first.text
+    _set_platform(context, True)
+    try:
+        context.asked_again = operators.post("/v1/orders", json=body)
+    finally:
+        _set_platform(context, False)
+
+
+@behave.then("the answer says that the platform is unavailable and when to ask again")
+def told_to_come_back(context):
+    assert _asks_to_come_back(context.asked_again), context.asked_again.text
+
+
+@behave.then("the order ends as applied after the outage")
+def order_ends(context):
+    outcome = _order(context, context.engine, "load", "extra", "2")
+    assert outcome == "applied", outcome
+
+
+@behave.when("the operator orders one load and then every unload")
+def order_load_and_unloads(context):
+    engines = _engines(context)
+    assert len(engines) == 2
+    _offer_extra(context)
     context.loaded = _order(context, engines[0], "load", "extra", "2")
     model = deployment.MODEL
     context.unloads = [_order(context, each, "unload", model) for each in engines]
--- a/turmerictally/tests/features/whole_path.feature
+++ b/turmerictally/tests/features/whole_path.feature
@@ -72,3 +72,9 @@
     When the operator orders one load and then every unload
     Then the engine has loaded the model and one engine still offers the other
     And the audit trail names the operator of each order
+
+  Scenario: An order that is asked about while the platform is down still ends
+    Given a running deployment
+    When the operator orders a load and asks for it while the platform is down
+    Then the answer says that the platform is unavailable and when to ask again
+    And the order ends as applied after the outage
