Bound the digests that starts, faults and batch items bring at once

A digest that is told at once followed the last after 20 ms, whatever the number of hosts: 57 starting hosts that introduce themselves, or one fault that all notice, send a host 3,250 digests a second.

Change: the least time between two digests grows with the hosts, so that a host takes 250 a second at most. The authorities' package is loaded only with the authorities.

Measured: 20 s of a host that is told to send each millisecond: 65,065 datagrams to 65 hosts before, at most 250 a second to each now; the check fails with the former gap at 10, 66 and 400 hosts.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -20,6 +20,9 @@
 MAX_DIGESTS_PER_S = 100.0
 MAX_PERIOD_S = 2.0  # at 200 hosts and more; well below the time to forget a host
 NUDGE_S = 0.02  # least time between two digests when a server has become full
+# With many hosts so long that all of them together, telling everything at once, send a
+# host at most so many: starts and faults would otherwise flood those that serve.
+MAX_NUDGED_PER_S = 250.0
 # Between two digests with the ages of tables and the outcomes by server, a small part
 # of the time for which either counts.
 FULL_S = 1.0
@@ -249,6 +252,10 @@
         wanted = len(self.listed) / MAX_DIGESTS_PER_S
         return min(MAX_PERIOD_S, max(PERIOD_S, wanted))
 
+    def nudge_s(self) -> float:
+        """Return the least seconds between two digests of one host."""
+        return min(self.period_s(), max(NUDGE_S, len(self.listed) / MAX_NUDGED_PER_S))
+
     def silent_s(self) -> float:
         """Return the silence after which a host is not heard any more."""
         return max(SILENT_S, SILENT_PERIODS * self.period_s())
@@ -336,7 +343,7 @@
             self.endpoint.close()
 
     def nudge(self) -> None:
-        """Send the next digest at once."""
+        """Send the next digest as soon as the least time between two has passed."""
         self.urgent.set()
 
     def introduce(self) -> None:
@@ -364,8 +371,9 @@
             if len(data) <= MAX_BYTES:
                 for address in self.hosts.addresses():
                     self._send_to(address, data)
-            await trio.sleep(NUDGE_S)
-            with trio.move_on_after(self.hosts.period_s() - NUDGE_S):
+            least_s = self.hosts.nudge_s()
+            await trio.sleep(least_s)
+            with trio.move_on_after(self.hosts.period_s() - least_s):
                 await self.urgent.wait()
             self.urgent = trio.Event()
 
--- a/turmerictally/httpclient.py
+++ b/turmerictally/httpclient.py
@@ -1,16 +1,18 @@
 """Make HTTP clients and transports that share one TLS context."""
 
 import functools
+import importlib
 import ssl
 import typing
 
-import certifi
 import httpx
 
 
 @functools.cache
 def tls_context() -> ssl.SSLContext:
     """Return the context by which servers are verified."""
+    # A process that reaches its services without TLS never loads the authorities.
+    certifi = importlib.import_module("certifi")
     return ssl.create_default_context(cafile=certifi.where())
 
 
--- a/turmerictally/tests/features/steps/entry_quota_steps.py
+++ b/turmerictally/tests/features/steps/entry_quota_steps.py
@@ -4,6 +4,8 @@
 import random
 
 import behave
+import trio
+import trio.testing
 
 from turmerictally.entry import allowance, gossip, model
 
@@ -257,6 +259,49 @@
     assert others / context.hosts.period_s() <= most
 
 
+class Endpoint:
+    """Count the datagrams that a host sends; none arrives."""
+
+    def __init__(self):
+        self.sent = 0
+
+    async def datagrams(self, address):
+        return self
+
+    def send_to(self, address, data):
+        self.sent += 1
+
+    async def receive(self):
+        await trio.sleep_forever()
+
+    def close(self):
+        pass
+
+
+@behave.then("it takes as few when every host tells each change at once")
+def nudged(context):
+    endpoint, hosts = Endpoint(), context.hosts
+    seconds = 20
+
+    def make(sequence, full, base):
+        return gossip.Digest("h0", "i0", "", sequence, {}, {}, 0, {}, {}, {}, 0.0, [])
+
+    async def main():
+        told = gossip.Gossip(endpoint, hosts, "", make, print, print)
+        with trio.move_on_after(seconds):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(told.run)
+                while True:
+                    told.introduce()
+                    await trio.sleep(0.001)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    others = len(hosts.listed) - 1
+    # As many as one host sends to all others, each of them sends to one host; the
+    # first is sent at once.
+    assert others < endpoint.sent <= 250 * seconds + others, endpoint.sent
+
+
 @behave.then("two lost digests in a row are no silence")
 def no_silence(context):
     assert context.hosts.silent_s() >= 3 * context.hosts.period_s()
