Run a job once that comes to its owner twice

In the story one host sends the same item to the same server at 2.632 and 2.741 s. The feed told the owner of its own new job before the store answered the submission; the takeover, which looks for jobs that name this host and do not run, began it, and the late answer began it again. Both copies wrote results under the same owner's name, each taking the other's writes for its own.

Change: a job that comes a second time goes on in the copy with the newer version; the older copy is dropped and its items are stopped. A dropped copy no longer takes the newer one out of the list.

Measured: a scenario with a store that answers a second after it created a row failed before (each item ran twice) and passes; entry_batch.feature 19 passed.

--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -80,7 +80,20 @@
                 await trio.sleep(TICK_S * self.rng.uniform(0.8, 1.2))
 
     def own(self, kept: jobs.Kept, items: list[jobs.Item], listed: set[str]) -> None:
-        """Begin to run a job whose row names this host."""
+        """Begin to run a job whose row names this host.
+
+        The takeover may have found the row before the store answered its writer, so
+        that both come here; the newer version goes on.
+        """
+        before = self.owned.get(kept.state.job)
+        if before is not None:
+            if before.kept.version >= kept.version:
+                self.trace.emit(
+                    "job_owned_already", job=kept.state.job, version=before.kept.version
+                )
+                return
+            before.dropped = True
+            self._stop(before)
         tasks = {
             item.id: itemrun.Task(item, order)
             for order, item in enumerate(items)
@@ -89,6 +102,11 @@
         self.owned[kept.state.job] = Owned(kept, kept.version, tasks)
         self.publish(kept)
 
+    def _forget(self, owned: Owned) -> None:
+        job = owned.kept.state.job
+        if self.owned.get(job) is owned:
+            del self.owned[job]
+
     def publish(self, kept: jobs.Kept) -> None:
         """Take an own change into the followed copy at once."""
         where = jobs.state_address(kept.state.job)
@@ -403,11 +421,11 @@
                     owned.unsaved.clear()
                     owned.dropped = True
                     self.trace.emit("job_cancelled", job=state.job)
-                self.owned.pop(state.job, None)
+                self._forget(owned)
             return
         owned.dropped = True
         self._stop(owned)
-        self.owned.pop(owned.kept.state.job, None)
+        self._forget(owned)
         self.trace.emit(
             "job_lost",
             job=owned.kept.state.job,
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -25,6 +25,10 @@
     When the store loses answers while results are saved
     Then both hosts list the same results at the same positions, whole
 
+  Scenario: A job of whose acceptance the store tells before it answers runs once
+    When a job is accepted by a store that answers a second after it has applied
+    Then each item runs once and has one result
+
   Scenario: A job that is ended stops on the host that runs it
     When a job is ended through the host that does not run it
     Then no item starts later than 1 s after the answer
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -1,5 +1,7 @@
 """Steps for batch jobs on the users' platform."""
 
+import collections
+
 import behave
 import trio
 
@@ -459,3 +461,38 @@
         assert len(joined[item]) == written, (item, len(joined[item]), written)
         first = [f"{item}.{n}" for n in range(1, written + 1)]
         assert joined[item] == first
+
+
+class LateAnswers:
+    """Reach a store that answers a second after it created a row."""
+
+    def __init__(self, store):
+        self.store = store
+
+    def __getattr__(self, name):
+        return getattr(self.store, name)
+
+    async def transact(self, expected, puts):
+        done = await self.store.transact(expected, puts)
+        if 0 in expected.values():
+            await trio.sleep(1.0)
+        return done
+
+
+@behave.when("a job is accepted by a store that answers a second after it has applied")
+def late_acceptance(context):
+    async def main(world):
+        kept = world.hosts[0].jobs
+        kept.store = LateAnswers(kept.store)
+        reply, context.ids = await submit(world)
+        assert reply.status == 202, reply
+        context.results = await read_all(world, 0, "j1", len(context.ids))
+
+    play(context, main, hosts=1)
+
+
+@behave.then("each item runs once and has one result")
+def runs_once(context):
+    assert sorted(r["id"] for r in context.results) == sorted(context.ids)
+    runs = [run.request for run in context.world.runs if run.request in context.ids]
+    assert sorted(runs) == sorted(context.ids), collections.Counter(runs)
