Tell in log lines why a host uses a server that may have left

What callers saw: nothing of this; on-call engineers could not explain such a request.

Change: server_lapsed and server_gone name the registration's version, the version without it, the reason and the times; server names its version; placed and item_placed name the version of the registration and for how long it is missing. store_call_failed and store_answers tell each failure of a table's feed, also short ones, with the duration of the call. The metrics address counts registered servers by state. No logic changes.

--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -33,10 +33,14 @@
     ages = gauge(f"{prefix}_copy_age_seconds", "Age of copies.", labels=["table"])
     for name, watch in served.watches.items():
         ages.add_metric([name], min(watch.age_s(), 1e6))
+    servers = gauge(f"{prefix}_servers", "Registered, by state.", labels=["state"])
+    for state, count in served.registry.counts().items():
+        servers.add_metric([state], count)
     view = served.configured.current
     return [
         events,
         ages,
+        servers,
         exposition.latency_family(served.latencies.histograms),
         gauge(
             f"{prefix}_configuration_version", "Version.", view.version if view else 0
--- a/turmerictally/entry/registry.py
+++ b/turmerictally/entry/registry.py
@@ -1,5 +1,7 @@
 """Know the configuration and the backend servers from followed tables."""
 
+import typing
+
 import attrs
 
 from turmerictally import clock as clocks
@@ -40,19 +42,33 @@
                 )
 
 
+@attrs.frozen
+class Lapsed:
+    """Hold since when a registration is missing, and until when its server is kept.
+
+    Both are monotonic seconds; ``version`` is the store's version without it.
+    """
+
+    since: float
+    until: float
+    version: int
+
+
 @attrs.define(eq=False)
 class Registry:
     """Hold the registered servers.
 
-    ``lapses_until`` is the monotonic time until which a missing registration may be
-    the store's outage; the server is kept as ``lapsed`` until then.
+    ``disturbed_until`` is the monotonic time until which a missing registration may be
+    the store's outage; the server is kept as ``lapsed`` until then. ``versions`` holds
+    the store's version of each registration.
     """
 
     read: model.ReadServer
     clock: clocks.Clock
     trace: traces.Trace
     servers: dict[str, model.Server] = attrs.Factory(dict)
-    lapsed: dict[str, float] = attrs.Factory(dict)
+    versions: dict[str, int] = attrs.Factory(dict)
+    lapsed: dict[str, Lapsed] = attrs.Factory(dict)
     disturbed_until: float = float("-inf")
 
     def update(self, changed: list[rows.Row]) -> None:
@@ -61,11 +77,12 @@
             name = row.address.key
             found = None if row.value is None else self.read(name, row.value)
             if found is None:
-                self._remove(name)
+                self._remove(name, row.version)
                 continue
             self.lapsed.pop(name, None)
             before = self.servers.get(name)
             self.servers[name] = found
+            self.versions[name] = row.version
             if before is None or _differs(before, found):
                 self.trace.emit(
                     "server",
@@ -73,6 +90,7 @@
                     address=found.address,
                     draining=found.draining,
                     born_ms=found.born_ms,
+                    version=row.version,
                 )
 
     def disturbed(self, until: float) -> None:
@@ -82,11 +100,10 @@
     def expire(self) -> None:
         """Drop servers whose registration did not come back after an outage."""
         now = self.clock.monotonic()
-        for name, until in list(self.lapsed.items()):
-            if now >= max(until, self.disturbed_until):
+        for name, lapsed in list(self.lapsed.items()):
+            if now >= max(lapsed.until, self.disturbed_until):
                 del self.lapsed[name]
-                if self.servers.pop(name, None) is not None:
-                    self.trace.emit("server_gone", server=name, lapsed=True)
+                self._drop(name, lapsed.version, "not back", now - lapsed.since)
 
     def usable(self, service: str) -> list[model.Server]:
         """Return the servers of a service that take new requests."""
@@ -96,19 +113,53 @@
             if server.service == service and not server.draining
         ]
 
-    def _remove(self, name: str) -> None:
+    def evidence(self, name: str) -> dict[str, typing.Any]:
+        """Return the log fields that tell why a server counts as registered."""
+        found = {"registered": self.versions.get(name)}
+        if name in self.lapsed:
+            now = self.clock.monotonic()
+            found["lapsed_s"] = round(now - self.lapsed[name].since, 2)
+        return found
+
+    def counts(self) -> dict[str, int]:
+        """Return how many servers are usable, draining, and kept though missing."""
+        draining = sum(server.draining for server in self.servers.values())
+        return {
+            "usable": len(self.servers) - draining - len(self.lapsed),
+            "draining": draining,
+            "lapsed": len(self.lapsed),
+        }
+
+    def _remove(self, name: str, version: int) -> None:
         server = self.servers.get(name)
         if server is None:
             return
         now = self.clock.monotonic()
         if now < self.disturbed_until and not server.draining:
             if name not in self.lapsed:
-                self.lapsed[name] = now + LAPSE_S
-                self.trace.emit("server_lapsed", server=name)
+                self.lapsed[name] = Lapsed(now, now + LAPSE_S, version)
+                self.trace.emit(
+                    "server_lapsed",
+                    server=name,
+                    registered=self.versions[name],
+                    version=version,
+                    disturbed_s=round(self.disturbed_until - now, 2),
+                    kept_s=LAPSE_S,
+                )
             return
-        del self.servers[name]
         self.lapsed.pop(name, None)
-        self.trace.emit("server_gone", server=name, lapsed=False)
+        self._drop(name, version, "removed", 0.0)
+
+    def _drop(self, name: str, version: int, reason: str, missing_s: float) -> None:
+        del self.servers[name]
+        self.trace.emit(
+            "server_gone",
+            server=name,
+            registered=self.versions.pop(name),
+            version=version,
+            reason=reason,
+            missing_s=round(missing_s, 2),
+        )
 
 
 def _differs(before: model.Server, after: model.Server) -> bool:
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -166,6 +166,7 @@
             reliability=round(chosen.reliability, 2),
             of=len(loads),
             sends=job.sends,
+            **self.inflight.registry.evidence(server.instance),
         )
         if chosen.total + 1 > chosen.slots:
             self.crowded(server.instance)
--- a/turmerictally/entry/story.py
+++ b/turmerictally/entry/story.py
@@ -20,6 +20,8 @@
         "server_lapsed",
         "started",
         "stopping",
+        "store_answers",
+        "store_call_failed",
         "store_lost",
         "store_regained",
     }
--- a/turmerictally/entry/watch.py
+++ b/turmerictally/entry/watch.py
@@ -19,6 +19,7 @@
 LOST_AFTER_S = 1.0  # without an answer, beside the poll's own wait
 # After a gap the store may still answer reads from an earlier moment.
 REREAD_AFTER_GAP_S = 4.0
+MAX_LOGGED_S = 1e6  # JSON knows no infinity
 PAGE_ROWS = 500  # the most that the store returns at once
 
 OnChange = collections.abc.Callable[[list[rows.Row]], None]
@@ -47,6 +48,7 @@
     lost: bool = False
     failing: bool = False
     back_at: float = float("-inf")
+    asked_at: float = float("-inf")
     now_s: float | None = None
     now_at: float = 0.0
     changed: trio.Event = attrs.field(factory=trio.Event)
@@ -58,11 +60,11 @@
         failures = 0
         while True:
             try:
-                started = self.clock.monotonic()
+                self.asked_at = self.clock.monotonic()
                 await self._step()
                 failures = 0
                 self._answered()
-                left = started + self.interval_s() - self.clock.monotonic()
+                left = self.asked_at + self.interval_s() - self.clock.monotonic()
                 if left > 0:
                     await trio.sleep(left)
             except rows.UnavailableError as error:
@@ -130,6 +132,13 @@
         if self.failing:
             self.failing = False
             self.back_at = self.now_at
+            self.trace.emit(
+                "store_answers",
+                table=self.name,
+                version=page.version,
+                unanswered_s=_seconds(self.now_at - self.store_at),
+                call_s=_seconds(self.now_at - self.asked_at),
+            )
 
     def replace(self, found: list[rows.Row], version: int) -> None:
         """Take a complete copy as of a version; an older one removes nothing newer."""
@@ -176,6 +185,15 @@
 
     def _failed(self, error: Exception) -> None:
         now = self.clock.monotonic()
+        if not self.failing:
+            self.trace.emit(
+                "store_call_failed",
+                table=self.name,
+                version=self.version,
+                reason=str(error),
+                age_s=_seconds(now - self.store_at),
+                call_s=_seconds(now - self.asked_at),
+            )
         self.failing = True
         if not self.lost and now - self.store_at > LOST_AFTER_S:
             self.lost = True
@@ -206,3 +224,8 @@
             self.fresh_at = max(self.fresh_at, self.clock.monotonic() - age_s)
             return
         self.trace.emit("peer_copy_unreadable", table=self.name)
+
+
+def _seconds(value: float) -> float:
+    """Return a time for a log line; one that never began is cut."""
+    return round(min(value, MAX_LOGGED_S), 2)
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -279,6 +279,7 @@
             server=name,
             last_event=task.last_event,
             errors=task.errors,
+            **self.inflight.registry.evidence(name),
         )
         self.nursery.start_soon(self._run_item, owned, task, server)
 
