Count the wait for a lapsed registration from the store's return

Cause: a registration that lapsed in an outage is back 2.2 s after the store's return; the host counted this from when it saw the registration missing, up to 2.2 s after the return, and looked for what is over each 0.25 s only.

Change: the wait ends with the window in which the outage counts, and is checked whenever servers are chosen.

Measured: the new scenario fails before (the server is used 2.3 s after the return) and passes now.

--- a/turmerictally/entry/registry.py
+++ b/turmerictally/entry/registry.py
@@ -107,6 +107,7 @@
 
     def usable(self, service: str) -> list[model.Server]:
         """Return the servers of a service that take new requests."""
+        self.expire()
         return [
             server
             for server in self.servers.values()
@@ -137,14 +138,13 @@
         now = self.clock.monotonic()
         if now < self.disturbed_until and not server.draining:
             if name not in self.lapsed:
-                self.lapsed[name] = Lapsed(now, now + LAPSE_S, version)
+                self.lapsed[name] = Lapsed(now, self.disturbed_until, version)
                 self.trace.emit(
                     "server_lapsed",
                     server=name,
                     registered=self.versions[name],
                     version=version,
-                    disturbed_s=round(self.disturbed_until - now, 2),
-                    kept_s=LAPSE_S,
+                    kept_s=round(self.disturbed_until - now, 2),
                 )
             return
         self.lapsed.pop(name, None)
--- a/turmerictally/tests/features/entry_leaving.feature
+++ b/turmerictally/tests/features/entry_leaving.feature
@@ -18,3 +18,9 @@
       | 4     | refused  | 2.0   | is removed | 1.5     |
       | 4     | silenced | 3.0   | is removed | -0.5    |
       | 4     | cut off  | 0.1   | is removed | 0.5     |
+
+  # Guards against DRAIN: the wait for a lapsed registration was counted from when the
+  # host saw it missing, and looked at four times a second only.
+  Scenario: The wait for a missing registration counts from the store's return
+    When a registration goes missing 1.5 s after the store's return
+    Then its server is used 2.1 s after the return and not 2.3 s after it
--- a/turmerictally/tests/features/steps/entry_leaving_steps.py
+++ b/turmerictally/tests/features/steps/entry_leaving_steps.py
@@ -2,7 +2,11 @@
 
 import behave
 import trio
+import trio.testing
 
+from turmerictally import clock as clocks
+from turmerictally.entry import model, registry, trace
+from turmerictally.store import rows
 from turmerictally.tests.support import users_platform
 
 DRAIN_S = 2.0  # a server that leaves serves on for this long
@@ -107,3 +111,38 @@
             if run.at > bounds[asked[run.request]]
         ]
         assert not late, f"{len(late)} requests came up to {max(late)} s late"
+
+
+def server_row(name, version, value=b"{}"):
+    return rows.Row(rows.Address("servers", "", name), value, version)
+
+
+@behave.when("a registration goes missing {seconds:g} s after the store's return")
+def goes_missing(context, seconds):
+    async def main():
+        clock = clocks.VirtualClock()
+        found = registry.Registry(
+            read=lambda name, value: model.Server(name, "ip:1", "llm", "a", 8),
+            clock=clock,
+            trace=trace.Trace("h0"),
+        )
+        found.update([server_row("s0", 1)])
+        returned_at = clock.monotonic()
+        found.disturbed(returned_at + registry.LAPSE_S)
+        await trio.sleep(seconds)
+        found.update([server_row("s0", 2, None)])
+        context.used = {}
+        while clock.monotonic() < returned_at + 3.0:
+            await trio.sleep(0.05)
+            after_s = round(clock.monotonic() - returned_at, 2)
+            context.used[after_s] = bool(found.usable("llm"))
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@behave.then(
+    "its server is used {before:g} s after the return and not {after:g} s after it"
+)
+def used_until(context, before, after):
+    assert context.used[before]
+    assert not context.used[after]
