Notice the store's return at the first answer to any call

What callers saw: requests sent to a backend server up to 0.9 s after the 2 s for which a server that leaves serves on, by hosts that had been without the store (DRAIN).

Cause: the window in which a missing registration may be the outage's began when the feed of the servers' table was answered. The first call after a failure waited up to 1.5 s for news, so the window began that much late and covered removals in ordinary service. Each short failure of that one call opened a window, too, also while other calls were answered.

Change: contact.py notes the answers of all store calls of the host; an outage is a gap of a second or more between answers in which a call failed, and is over with the first answer. A feed that failed asks without waiting, and a call that timed out has made its pause already.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -15,6 +15,7 @@
 from turmerictally.entry import (
     allowance,
     collector,
+    contact,
     desk,
     ejection,
     front,
@@ -81,9 +82,10 @@
         self.instance = secrets.token_hex(6)
         self.clock = clock or clocks.Clock()
         self.rng = rng or random.Random()
-        self.store = store
-        self.network = reach
         self.trace = traces.Trace(config.host_id, descriptor)
+        self.contact = contact.Contact(self.clock, self.trace)
+        self.store = contact.Observed(store, self.contact)
+        self.network = reach
         self.stop_requested = trio.Event()
         self.stopping = False
         self.latencies = latency.Latencies(MAX_TEAM_HISTOGRAMS, self.clock)
@@ -96,7 +98,7 @@
         self.configured = registry.Configured(
             names.configuration_key, names.read_configuration, trace
         )
-        self.registry = registry.Registry(names.read_server, clock, trace)
+        self.registry = registry.Registry(names.read_server, self.contact, clock, trace)
         self.hosts = gossip.Hosts(config.host_id, self.instance, clock, trace)
         self.allowances = allowance.Allowances(clock)
         self.hosts.on_silent = self.allowances.forget
@@ -311,11 +313,6 @@
             self.allowances.configure(self.configured.current.teams)
 
     def _on_servers(self, changed: list[rows.Row]) -> None:
-        back_at = self.servers_watch.back_at
-        if self.servers_watch.failing:
-            # A peer's copy: for this host the store is not back yet.
-            back_at = self.clock.monotonic()
-        self.registry.disturbed(back_at + registry.LAPSE_S)
         before = dict(self.registry.servers)
         self.registry.update(changed)
         after = self.registry.servers
--- a/turmerictally/entry/registry.py
+++ b/turmerictally/entry/registry.py
@@ -5,6 +5,7 @@
 import attrs
 
 from turmerictally import clock as clocks
+from turmerictally.entry import contact as contacts
 from turmerictally.entry import model
 from turmerictally.entry import trace as traces
 from turmerictally.store import rows
@@ -58,18 +59,17 @@
 class Registry:
     """Hold the registered servers.
 
-    ``disturbed_until`` is the monotonic time until which a missing registration may be
-    the store's outage; the server is kept as ``lapsed`` until then. ``versions`` holds
-    the store's version of each registration.
+    A server whose registration is missing after an outage is kept as ``lapsed`` for a
+    while. ``versions`` holds the store's version of each registration.
     """
 
     read: model.ReadServer
+    contact: contacts.Contact
     clock: clocks.Clock
     trace: traces.Trace
     servers: dict[str, model.Server] = attrs.Factory(dict)
     versions: dict[str, int] = attrs.Factory(dict)
     lapsed: dict[str, Lapsed] = attrs.Factory(dict)
-    disturbed_until: float = float("-inf")
 
     def update(self, changed: list[rows.Row]) -> None:
         """Take changed rows of the servers' table."""
@@ -93,15 +93,11 @@
                     version=row.version,
                 )
 
-    def disturbed(self, until: float) -> None:
-        """Note that the store may have dropped registrations of live servers."""
-        self.disturbed_until = max(self.disturbed_until, until)
-
     def expire(self) -> None:
         """Drop servers whose registration did not come back after an outage."""
         now = self.clock.monotonic()
         for name, lapsed in list(self.lapsed.items()):
-            if now >= max(lapsed.until, self.disturbed_until):
+            if now >= max(lapsed.until, self.contact.back_at + LAPSE_S):
                 del self.lapsed[name]
                 self._drop(name, lapsed.version, "not back", now - lapsed.since)
 
@@ -136,15 +132,18 @@
         if server is None:
             return
         now = self.clock.monotonic()
-        if now < self.disturbed_until and not server.draining:
+        # A peer's copy may tell of it while the store is away from this host.
+        returned_at = now if self.contact.failing else self.contact.back_at
+        until = returned_at + LAPSE_S
+        if now < until and not server.draining:
             if name not in self.lapsed:
-                self.lapsed[name] = Lapsed(now, self.disturbed_until, version)
+                self.lapsed[name] = Lapsed(now, until, version)
                 self.trace.emit(
                     "server_lapsed",
                     server=name,
                     registered=self.versions[name],
                     version=version,
-                    kept_s=round(self.disturbed_until - now, 2),
+                    kept_s=round(until - now, 2),
                 )
             return
         self.lapsed.pop(name, None)
--- a/turmerictally/entry/story.py
+++ b/turmerictally/entry/story.py
@@ -21,6 +21,8 @@
         "started",
         "stopping",
         "store_answers",
+        "store_away",
+        "store_back",
         "store_call_failed",
         "store_lost",
         "store_regained",
--- a/turmerictally/entry/trace.py
+++ b/turmerictally/entry/trace.py
@@ -15,6 +15,7 @@
 MAX_PER_S = 200
 FLUSH_S = 0.1  # how long a line may wait while the host is busy
 WRITE_BYTES = 32 * 1024  # half of a pipe's usual buffer
+MAX_LOGGED_S = 1e6  # JSON knows no infinity
 
 
 class Trace:
@@ -104,3 +105,8 @@
             except OSError:
                 # The reader does not take more; the process ends now.
                 return
+
+
+def seconds(value: float) -> float:
+    """Return a time for a log line; one that never began is cut."""
+    return round(min(value, MAX_LOGGED_S), 2)
--- a/turmerictally/entry/watch.py
+++ b/turmerictally/entry/watch.py
@@ -19,7 +19,6 @@
 LOST_AFTER_S = 1.0  # without an answer, beside the poll's own wait
 # After a gap the store may still answer reads from an earlier moment.
 REREAD_AFTER_GAP_S = 4.0
-MAX_LOGGED_S = 1e6  # JSON knows no infinity
 PAGE_ROWS = 500  # the most that the store returns at once
 
 OnChange = collections.abc.Callable[[list[rows.Row]], None]
@@ -47,7 +46,6 @@
     store_at: float = float("-inf")
     lost: bool = False
     failing: bool = False
-    back_at: float = float("-inf")
     asked_at: float = float("-inf")
     now_s: float | None = None
     now_at: float = 0.0
@@ -71,7 +69,10 @@
                 failures += 1
                 self._failed(error)
                 pause = min(MAX_RETRY_S, RETRY_S * 2 ** min(failures, 8))
-                await trio.sleep(pause * self.rng.uniform(0.5, 1.0))
+                # A call that went unanswered for long has made its pause already.
+                again_at = self.asked_at + pause * self.rng.uniform(0.5, 1.0)
+                least = RETRY_S * self.rng.uniform(0.5, 1.0)
+                await trio.sleep(max(least, again_at - self.clock.monotonic()))
 
     def age_s(self) -> float:
         """Return for how long the copy may have been out of date, in seconds."""
@@ -93,9 +94,11 @@
             self.reread_at = float("inf")
             await self._read_all()
             return
+        # After a failure no waiting for news, so that a return is noticed at once.
+        wait_s = 0.0 if self.failing else WAIT_S
         try:
             page = await self.store.changes(
-                self.name, after=self.version, wait_s=WAIT_S
+                self.name, after=self.version, wait_s=wait_s
             )
         except rows.HistoryLostError:
             self.trace.emit("history_lost", table=self.name, version=self.version)
@@ -131,13 +134,12 @@
         self.now_at = self.clock.monotonic()
         if self.failing:
             self.failing = False
-            self.back_at = self.now_at
             self.trace.emit(
                 "store_answers",
                 table=self.name,
                 version=page.version,
-                unanswered_s=_seconds(self.now_at - self.store_at),
-                call_s=_seconds(self.now_at - self.asked_at),
+                unanswered_s=traces.seconds(self.now_at - self.store_at),
+                call_s=traces.seconds(self.now_at - self.asked_at),
             )
 
     def replace(self, found: list[rows.Row], version: int) -> None:
@@ -191,8 +193,8 @@
                 table=self.name,
                 version=self.version,
                 reason=str(error),
-                age_s=_seconds(now - self.store_at),
-                call_s=_seconds(now - self.asked_at),
+                age_s=traces.seconds(now - self.store_at),
+                call_s=traces.seconds(now - self.asked_at),
             )
         self.failing = True
         if not self.lost and now - self.store_at > LOST_AFTER_S:
@@ -224,8 +226,3 @@
             self.fresh_at = max(self.fresh_at, self.clock.monotonic() - age_s)
             return
         self.trace.emit("peer_copy_unreadable", table=self.name)
-
-
-def _seconds(value: float) -> float:
-    """Return a time for a log line; one that never began is cut."""
-    return round(min(value, MAX_LOGGED_S), 2)
--- a/turmerictally/tests/features/steps/entry_leaving_steps.py
+++ b/turmerictally/tests/features/steps/entry_leaving_steps.py
@@ -5,7 +5,7 @@
 import trio.testing
 
 from turmerictally import clock as clocks
-from turmerictally.entry import model, registry, trace
+from turmerictally.entry import contact, model, registry, trace
 from turmerictally.store import rows
 from turmerictally.tests.support import users_platform
 
@@ -121,14 +121,18 @@
 def goes_missing(context, seconds):
     async def main():
         clock = clocks.VirtualClock()
+        lines = trace.Trace("h0")
+        reached = contact.Contact(clock, lines)
         found = registry.Registry(
             read=lambda name, value: model.Server(name, "ip:1", "llm", "a", 8),
+            contact=reached,
             clock=clock,
-            trace=trace.Trace("h0"),
+            trace=lines,
         )
         found.update([server_row("s0", 1)])
+        reached.failed("outage")
+        reached.answered()
         returned_at = clock.monotonic()
-        found.disturbed(returned_at + registry.LAPSE_S)
         await trio.sleep(seconds)
         found.update([server_row("s0", 2, None)])
         context.used = {}
