Keep removed rows from coming back with an older version

Cause: the copy of a followed table kept no trace of a removed row. A read that answered from an earlier moment, after history was dropped, or another host's older copy put it back until the next full read. The tables of servers, hosts and jobs follow the same copy.

Change: the copy keeps the versions of the newest 2,000 removals and takes no row that is older; a line tells how many were ignored.

--- a/turmerictally/entry/watch.py
+++ b/turmerictally/entry/watch.py
@@ -19,6 +19,9 @@
 LOST_AFTER_S = 1.0  # without an answer, beside the poll's own wait
 # After a gap the store may still answer reads from an earlier moment.
 REREAD_AFTER_GAP_S = 4.0
+# Removed rows whose versions are kept; a table loses far fewer in the seconds for which
+# an earlier moment can still be read.
+MAX_REMOVED = 2000
 PAGE_ROWS = 500  # the most that the store returns at once
 
 OnChange = collections.abc.Callable[[list[rows.Row]], None]
@@ -28,8 +31,10 @@
 class Watch:
     """Keep a copy of the rows of one table's parts.
 
-    A row never goes back to an older version. ``fresh_at`` is the local monotonic
-    time as of which the copy is known to be complete, from the store or a peer.
+    A row never goes back to an older version, nor does a removed one come back with
+    one; ``removed`` holds the versions of the newest removals. ``fresh_at`` is the
+    local monotonic time as of which the copy is known to be complete, from the store or
+    a peer.
     """
 
     store: rows.RowStore
@@ -41,6 +46,7 @@
     rng: random.Random = attrs.field(factory=random.Random)
     interval_s: collections.abc.Callable[[], float] = lambda: 0.0
     known: dict[rows.Address, rows.Row] = attrs.Factory(dict)
+    removed: dict[rows.Address, int] = attrs.Factory(dict)
     version: int = 0
     fresh_at: float = float("-inf")
     store_at: float = float("-inf")
@@ -158,25 +164,40 @@
     def apply(self, found: list[rows.Row], version: int) -> None:
         """Take changed rows."""
         news = []
+        past = 0
         for row in found:
             old = self.known.get(row.address)
             if old is not None and old.version > row.version:
                 continue
             if row.value is None:
+                self._note_removal(row)
                 if old is None:
                     continue
                 del self.known[row.address]
             else:
                 if old is not None and old.version == row.version:
                     continue
+                if self.removed.get(row.address, 0) >= row.version:
+                    past += 1
+                    continue
                 self.known[row.address] = row
             news.append(row)
+        if past:
+            self.trace.emit(
+                "removed_rows_ignored", table=self.name, version=version, rows=past
+            )
         self.version = max(self.version, version)
         if news:
             self.on_change(news)
             self.changed.set()
             self.changed = trio.Event()
 
+    def _note_removal(self, row: rows.Row) -> None:
+        version = max(row.version, self.removed.pop(row.address, 0))
+        self.removed[row.address] = version
+        if len(self.removed) > MAX_REMOVED:
+            del self.removed[next(iter(self.removed))]
+
     def _answered(self) -> None:
         now = self.clock.monotonic()
         if self.lost:
--- a/turmerictally/tests/features/entry_store.feature
+++ b/turmerictally/tests/features/entry_store.feature
@@ -17,6 +17,16 @@
     When a server drains, history is dropped and reads answer from before that
     Then that server gets no request after it drained
 
+  # Guards against DRAIN: deleted rows left no trace, so that a read from an earlier moment
+  # or another host's older copy brought a server back that had left.
+  Scenario: A server that was removed is not used again after reads from an earlier moment
+    When a server is removed, history is dropped and reads answer from before that
+    Then that server gets no request after it drained
+
+  Scenario: A removed row does not come back with a copy that holds it at an older version
+    When a row is removed and a peer's copy holds it at an older version
+    Then the row stays removed, and comes back with a newer version
+
   Scenario: Registrations that lapse during an outage are kept until they are back
     When the store is down and comes back without its registrations
     Then requests are served all the while
--- a/turmerictally/tests/features/steps/entry_store_steps.py
+++ b/turmerictally/tests/features/steps/entry_store_steps.py
@@ -1,5 +1,6 @@
 """Steps for the row store's failures as entry hosts see them."""
 
+import base64
 import json
 
 import behave
@@ -248,30 +249,79 @@
     assert context.listed == [{"h0", "h1"}] * 2, context.listed
 
 
+async def read_the_past(context, world, leave):
+    """Let a server leave, drop history, and answer reads from before that."""
+    store = world.store
+    earlier = store.version
+    leave()
+    await trio.sleep(0.5)
+    context.drained_at = trio.current_time()
+    store.forget_history()
+    store.stale_at = earlier
+    # A change wakes the feeds, whose history is gone by then.
+    store.kept_from = store.version + 1
+    store.put("servers", "other", b"[]")
+    async with trio.open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(serve_on, context, world, 3.0)
+        await trio.sleep(2.0)
+        store.stale_at = None
+        store.kept_from = 0
+
+
 @behave.when("a server drains, history is dropped and reads answer from before that")
 def drains_in_the_past(context):
     async def main(world):
-        store = world.store
-        earlier = store.version
-        world.servers["s0"].state = "draining"
-        world.servers["s0"].register()
+        def leave():
+            world.servers["s0"].state = "draining"
+            world.servers["s0"].register()
+
+        await read_the_past(context, world, leave)
+
+    play(context, main)
+
+
+@behave.when(
+    "a server is removed, history is dropped and reads answer from before that"
+)
+def removed_in_the_past(context):
+    async def main(world):
+        def leave():
+            world.store.put("servers", "s0", None)
+
+        await read_the_past(context, world, leave)
+
+    play(context, main)
+
+
+@behave.when("a row is removed and a peer's copy holds it at an older version")
+def older_copy(context):
+    async def main(world):
+        followed = world.hosts[0].servers_watch
+        address = servers_row(world, "s0")
+        version = followed.known[address].version
+        value = followed.known[address].value
+        world.store.put("servers", "s0", None)
         await trio.sleep(0.5)
-        context.drained_at = trio.current_time()
-        store.forget_history()
-        store.stale_at = earlier
-        # A change wakes the feeds, whose history is gone by then.
-        store.kept_from = store.version + 1
-        store.put("servers", "other", b"[]")
-        async with trio.open_nursery() as nursery:
-            for _ in range(4):
-                nursery.start_soon(serve_on, context, world, 3.0)
-            await trio.sleep(2.0)
-            store.stale_at = None
-            store.kept_from = 0
+        context.known = [address in followed.known]
+        for version in (version, followed.version + 1):
+            row = ["", "s0", version, base64.b64encode(value).decode()]
+            others = [
+                [a.part, a.key, r.version, base64.b64encode(r.value).decode()]
+                for a, r in followed.known.items()
+            ]
+            given = {"version": followed.version + 1, "rows": [*others, row]}
+            followed.adopt(json.dumps(given).encode(), 0.1)
+            context.known.append(address in followed.known)
 
     play(context, main)
 
 
+@behave.then("the row stays removed, and comes back with a newer version")
+def stays_removed(context):
+    assert context.known == [False, False, True], context.known
+
+
 @behave.then("that server gets no request after it drained")
 def none_after(context):
     late = [run for run in context.world.runs if run.at > context.drained_at]
