Drop a server at once whose registration can no longer be read

What callers saw: nothing that was traced. A server whose registration another writer overwrote shortly after an outage would get requests for up to 2.2 s.

Cause: a registration that cannot be read was taken for one that is missing, which an outage may explain.

Change: only a removed row can have lapsed.

Measured: entry_leaving.feature, the scenario fails before and passes now.

--- a/turmerictally/entry/registry.py
+++ b/turmerictally/entry/registry.py
@@ -90,7 +90,8 @@
             name = row.address.key
             found = None if row.value is None else self.read(name, row.value)
             if found is None:
-                self._remove(name, row.version)
+                # Only a registration that is missing can have lapsed.
+                self._remove(name, row.version, lapses=row.value is None)
                 continue
             self.lapsed.pop(name, None)
             before = self.servers.get(name)
@@ -160,7 +161,7 @@
             "lapsed": len(self.lapsed),
         }
 
-    def _remove(self, name: str, version: int) -> None:
+    def _remove(self, name: str, version: int, *, lapses: bool) -> None:
         server = self.servers.get(name)
         if server is None:
             return
@@ -168,7 +169,7 @@
         # A peer's copy may tell of it while the store is away from this host.
         returned_at = now if self.contact.failing else self.contact.back_at
         until = returned_at + LAPSE_S
-        if now < until and not server.draining:
+        if lapses and now < until and not server.draining:
             if name not in self.lapsed:
                 self.lapsed[name] = Lapsed(now, until, version)
                 self.trace.emit(
--- a/turmerictally/tests/features/entry_leaving.feature
+++ b/turmerictally/tests/features/entry_leaving.feature
@@ -35,3 +35,8 @@
   Scenario: Hosts whose store comes back later keep what lapsed in the outage
     When registrations lapse in an outage of 4 s that lasts 1 s longer for two of four hosts
     Then every request is served until the servers are registered again
+
+  # Guards against requests to a server whose registration was overwritten in an outage.
+  Scenario: A registration that can no longer be read names no server at once
+    When a registration is overwritten by another writer just after the store's return
+    Then its server is not used
--- a/turmerictally/tests/features/steps/entry_leaving_steps.py
+++ b/turmerictally/tests/features/steps/entry_leaving_steps.py
@@ -198,33 +198,104 @@
     return rows.Row(rows.Address("servers", "", name), value, version)
 
 
-@behave.when("a registration goes missing {seconds:g} s after the store's return")
-def goes_missing(context, seconds):
-    async def main():
-        clock = clocks.VirtualClock()
+class SleepyClock(clocks.VirtualClock):
+    """Leave out the time for which the host was suspended."""
+
+    asleep = 0.0
+
+    def monotonic(self):
+        return super().monotonic() - self.asleep
+
+    def suspended(self):
+        return self.asleep
+
+
+class Known:
+    """Hold one host's registry and what it knows of the store."""
+
+    def __init__(self):
+        self.clock = SleepyClock()
         lines = trace.Trace("h0")
-        reached = contact.Contact(clock, lines)
-        found = registry.Registry(
-            read=lambda name, value: model.Server(name, "ip:1", "llm", "a", 8),
-            contact=reached,
-            clock=clock,
-            trace=lines,
+        self.contact = contact.Contact(self.clock, lines)
+        self.registry = registry.Registry(
+            read=self.read, contact=self.contact, clock=self.clock, trace=lines
         )
-        found.update([server_row("s0", 1)])
-        reached.failed("outage")
-        reached.answered()
-        returned_at = clock.monotonic()
-        await trio.sleep(seconds)
-        found.update([server_row("s0", 2, None)])
-        context.used = {}
-        while clock.monotonic() < returned_at + 3.0:
+        self.contact.answered()
+        self.registry.update([server_row("s0", 1)])
+
+    def read(self, name, value):
+        return model.Server(name, "ip:1", "llm", "a", 8) if value == b"{}" else None
+
+    @property
+    def used(self):
+        return bool(self.registry.usable("llm"))
+
+    async def used_after(self, returned_at):
+        """Return by the time after the store's return whether the server is used."""
+        found = {}
+        while self.clock.monotonic() < returned_at + 3.0:
             await trio.sleep(0.05)
-            after_s = round(clock.monotonic() - returned_at, 2)
-            context.used[after_s] = bool(found.usable("llm"))
+            after_s = round(self.clock.monotonic() - returned_at, 2)
+            found[after_s] = self.used
+        return found
+
 
+def in_virtual_time(main):
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+@behave.when("a registration goes missing {seconds:g} s after the store's return")
+def goes_missing(context, seconds):
+    async def main():
+        known = Known()
+        await trio.sleep(5.0)
+        known.contact.failed("outage")
+        known.contact.answered()
+        returned_at = known.clock.monotonic()
+        await trio.sleep(seconds)
+        known.registry.update([server_row("s0", 2, None)])
+        context.used = await known.used_after(returned_at)
+
+    in_virtual_time(main)
+
+
+@behave.when(
+    "a registration is overwritten by another writer just after the store's return"
+)
+def overwritten(context):
+    async def main():
+        known = Known()
+        await trio.sleep(5.0)
+        known.contact.failed("outage")
+        known.contact.answered()
+        assert known.used
+        known.registry.update([server_row("s0", 2, b"[]")])
+        context.used = known.used
+
+    in_virtual_time(main)
+
+
+@behave.then("its server is not used")
+def not_used(context):
+    assert not context.used
+
+
+@behave.when("a registration lapses in an outage through which the host was {paused}")
+def paused_through(context, paused):
+    async def main():
+        known = Known()
+        if paused.startswith("suspended"):
+            known.clock.asleep += 5.0
+        await trio.sleep(5.0)
+        # What was asked before the pause is answered after it; no call failed.
+        known.contact.answered()
+        returned_at = known.clock.monotonic()
+        known.registry.update([server_row("s0", 2, None)])
+        context.used = await known.used_after(returned_at)
+
+    in_virtual_time(main)
+
+
 @behave.then(
     "its server is used {before:g} s after the return and not {after:g} s after it"
 )
