Count a pause of the host itself as an outage of the store

A host that was frozen through an outage of the store would drop servers that live, and since removals are told among hosts, so would the others for up to 2 s.

Cause: a paused host sees no call fail; what it asked before is answered afterwards, and it took registrations that had lapsed meanwhile for removed ones.

Evidence: found while weighing what a wrong removal costs once it is told; both examples of the new scenario fail before (server dropped at once).

Change: a gap between two answers that is longer than any call takes counts as an outage, with the time for which the machine was suspended.

--- a/turmerictally/entry/contact.py
+++ b/turmerictally/entry/contact.py
@@ -12,14 +12,18 @@
 # A registration lapses after three heartbeats of silence. An outage shorter than one
 # of them, 1.2 s, costs a live server one heartbeat, and no registration lapses.
 MIN_OUTAGE_S = 1.0
+# Some call is answered at least this often, by the length of a long poll and the pause
+# before the next; a host that notices none for longer was itself paused.
+MAX_QUIET_S = 2.5
 
 
 @attrs.define(eq=False)
 class Contact:
     """Hold when the store answered, over all tables and transactions.
 
-    An outage is a gap between two answers in which a call failed. All times are
-    monotonic seconds; ``back_at`` is the first answer after the last outage.
+    An outage is a gap between two answers in which a call failed, or through which this
+    host was paused. All times are monotonic seconds; ``back_at`` is the first answer
+    after the last outage.
     """
 
     clock: clocks.Clock
@@ -28,28 +32,37 @@
     back_at: float = float("-inf")
     failing: bool = False
     away: bool = False
+    suspended_s: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.suspended_s = self.clock.suspended()
 
     def answered(self) -> None:
         """Note an answer."""
+        gap_s = self._gap_s()
         now = self.clock.monotonic()
-        if self.failing and self._is_outage():
+        paused = MAX_QUIET_S <= gap_s < float("inf")  # infinite at the first answer
+        if paused or (self.failing and gap_s >= MIN_OUTAGE_S):
             self.back_at = now
-            self.trace.emit("store_back", gone_s=self._gone_s())
+            self.trace.emit(
+                "store_back", gone_s=traces.seconds(gap_s), failed=self.failing
+            )
         self.failing = self.away = False
         self.answered_at = now
+        self.suspended_s = self.clock.suspended()
 
     def failed(self, reason: str) -> None:
         """Note a call without an answer."""
         self.failing = True
-        if not self.away and self._is_outage():
+        gap_s = self._gap_s()
+        if not self.away and gap_s >= MIN_OUTAGE_S:
             self.away = True
-            self.trace.emit("store_away", gone_s=self._gone_s(), reason=reason)
-
-    def _is_outage(self) -> bool:
-        return self.clock.monotonic() - self.answered_at >= MIN_OUTAGE_S
+            self.trace.emit("store_away", gone_s=traces.seconds(gap_s), reason=reason)
 
-    def _gone_s(self) -> float:
-        return traces.seconds(self.clock.monotonic() - self.answered_at)
+    def _gap_s(self) -> float:
+        """Return the seconds since the last answer, also those in suspension."""
+        asleep_s = self.clock.suspended() - self.suspended_s
+        return self.clock.monotonic() - self.answered_at + asleep_s
 
 
 @attrs.frozen
--- a/turmerictally/tests/features/entry_leaving.feature
+++ b/turmerictally/tests/features/entry_leaving.feature
@@ -40,3 +40,14 @@
   Scenario: A registration that can no longer be read names no server at once
     When a registration is overwritten by another writer just after the store's return
     Then its server is not used
+
+  # Guards against the opposite of DRAIN: a host that was paused through an outage saw
+  # no call fail and took what had lapsed for removed, and told the others so.
+  Scenario Outline: A host that was paused through an outage keeps what lapsed in it
+    When a registration lapses in an outage through which the host was <paused>
+    Then its server is used 2.1 s after the return and not 2.3 s after it
+
+    Examples:
+      | paused                             |
+      | stopped while its clock went on    |
+      | suspended and its clock stood still |
