Check in the soak that servers which leave get nothing after 2 s

It allowed 0.5 s beyond the 2 s, after which its servers were gone; it left out every request for which any host had had a fault since 3 s before the server drained; and each server said that it drains.

What callers saw: requests sent to servers that had left.

The bound is the promised 2 s; a request is left out only for a fault on its own host within 3 s or on the store itself.

--- a/turmerictally/tests/features/soak.feature
+++ b/turmerictally/tests/features/soak.feature
@@ -24,7 +24,9 @@
       | a job's text lacks an event                        | kept_jobs      |
       | nothing is served after the last fault             | recovered      |
       | a host ends by itself                              | exits          |
-      | a drained server gets a request                    | draining       |
+      | a server gets a request 2.1 s after it leaves      | draining       |
+      | a server that left gets a request after another host's fault | draining |
+      | a server that left gets a request 3 s after its host's fault | draining |
       | a withdrawn key is served                          | withdrawn_keys |
       | a team runs more than its quota                    | quota          |
       | a host takes too much memory                       | bounded        |
--- a/turmerictally/tests/features/steps/soak_steps.py
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -64,7 +64,7 @@
 
 
 def ran(name="r1", at=10.0, server="s0-1", team="t"):
-    run = {"request": name, "server": server, "at": at, "team": team}
+    run = {"request": name, "server": server, "at": at, "arrived": at, "team": team}
     return run | {"body": BODY, "target": "/ask/x", "after": None}
 
 
@@ -133,7 +133,17 @@
     "a job's text lacks an event": _text,
     "nothing is served after the last fault": _late_fail,
     "a host ends by itself": lambda r: r.exits.append("h0 ended by itself"),
-    "a drained server gets a request": lambda r: r.drains.update({"s0-1": 5.0}),
+    "a server gets a request 2.1 s after it leaves": lambda r: r.drains.update(
+        {"s0-1": 7.9}
+    ),
+    "a server that left gets a request after another host's fault": lambda r: (
+        r.drains.update({"s0-1": 7.9}),
+        r.touched.append(("host1", 9.0, 9.5)),
+    ),
+    "a server that left gets a request 3 s after its host's fault": lambda r: (
+        r.drains.update({"s0-1": 7.9}),
+        r.touched.append(("host0", 6.0, 6.9)),
+    ),
     "a withdrawn key is served": lambda r: r.withdrawn.update({"key-1": 5.0}),
     "a team runs more than its quota": _hot,
     "a host takes too much memory": lambda r: r.usage.append(
--- a/turmerictally/tests/soak/checks.py
+++ b/turmerictally/tests/soak/checks.py
@@ -7,8 +7,6 @@
 from turmerictally.tests.support import users_platform
 
 DRAIN_S = 2.0  # after the store knows of it, no request may reach a server
-# Requests on their way when a server was found draining, and slow processes.
-DRAIN_SLACK_S = 0.5
 # Within this time of a withdrawn key's acknowledgement it stops working.
 APPLY_S = 2.0
 TOUCH_S = 3.0  # without a fault before a bound in time counts
@@ -167,13 +165,18 @@
 
 
 def draining(record):
-    """A server that the store knows to drain gets nothing after a while."""
+    """A server that the store knows to leave gets nothing after a while."""
+    host_of = {asked.request: asked.host for asked in record.asked}
     for run in record.runs:
-        since = record.drains.get(run["server"])
-        if since is None or run["at"] < since + DRAIN_S + DRAIN_SLACK_S:
+        since, at = record.drains.get(run["server"]), run["arrived"]
+        if since is None or at < since + DRAIN_S:
             continue
-        if not _touched(record, since - TOUCH_S, run["at"], ("store", "host")):
-            after = round(run["at"] - since, 2)
+        # A batch item may come from any host.
+        host = host_of.get(run["request"])
+        near = [t for t in record.touched if host is None or t[0] == host]
+        harmed = _touched(near, at - TOUCH_S, at, ("host",))
+        if not harmed and not _touched(record.touched, since - TOUCH_S, at, ("store",)):
+            after = round(at - since, 2)
             yield f"{run['request']} reached {run['server']} {after} s after its drain"
 
 
@@ -185,7 +188,8 @@
             continue
         served = asked.status == 200
         near = ("store", asked.host)
-        if served and not _touched(record, asked.at - TOUCH_S, asked.at, near):
+        start = asked.at - TOUCH_S
+        if served and not _touched(record.touched, start, asked.at, near):
             after = round(asked.at - since, 2)
             yield f"{asked.request} was served {after} s after its key was withdrawn"
 
@@ -220,9 +224,9 @@
             yield f"{usage['host']} logged {usage['log_bytes_per_s']} bytes a second"
 
 
-def _touched(record, start, end, targets):
+def _touched(touched, start, end, targets):
     """Return whether a fault on one of the targets fell into a time."""
     return any(
         begun < end and over > start and target.startswith(targets)
-        for target, begun, over in record.touched
+        for target, begun, over in touched
     )
--- a/turmerictally/tests/soak/faults.py
+++ b/turmerictally/tests/soak/faults.py
@@ -157,10 +157,16 @@
         self.world.servers[n].wake()
 
     async def server_term(self, n, for_s):
+        await self._end_server(n, signal.SIGTERM)
+
+    async def server_leave(self, n, for_s):
+        await self._end_server(n, signal.SIGUSR1)
+
+    async def _end_server(self, n, number):
         program = self.world.servers[n]
         program.told = True
         program.wake()
-        program.signal(signal.SIGTERM)
+        program.signal(number)
         with trio.move_on_after(processes.GRACE_S):
             await program.ended()
         await program.kill()
--- a/turmerictally/tests/soak/schedule.py
+++ b/turmerictally/tests/soak/schedule.py
@@ -30,6 +30,7 @@
     "configuration_key",
     "configuration_route",
     "configuration_quota",
+    "server_leave",
 )
 FIRST_S = 2.0  # of traffic before the first fault
 CALM_S = 14.0  # at the end, so that service must be back
--- a/turmerictally/tests/soak/server.py
+++ b/turmerictally/tests/soak/server.py
@@ -1,7 +1,8 @@
 """Run a stand-in of a model server as a process of its own.
 
 It writes a JSON line for each request that it begins or ends to work on. On SIGTERM it
-registers as draining, serves on for a while and leaves.
+registers as draining, serves on for a while and leaves; on SIGUSR1 it leaves in the
+same way without saying so before.
 """
 
 import base64
@@ -19,8 +20,9 @@
 from turmerictally.tests.support import users_platform
 
 HEARTBEAT_S = 0.5
+RETRY_S = 0.1
 DRAIN_S = 2.0  # promised after the store knows that it drains
-LINGER_S = 0.5  # that it serves beyond that
+LINGER_S = 2.0  # that it serves beyond that, so that late requests are seen
 
 
 def note(event, **fields):
@@ -28,7 +30,15 @@
 
 
 class Server(users_platform.Server):
-    """Log what it works on."""
+    """Log what it works on, with the time at which it came."""
+
+    def __init__(self, *given, **more):
+        super().__init__(*given, **more)
+        self.arrived = {}
+
+    async def answer(self, stream, parser, request, headers, body):
+        self.arrived[headers["x-request-id"]] = time.monotonic()
+        return await super().answer(stream, parser, request, headers, body)
 
     async def work(self, stream, parser, run):
         note(
@@ -39,6 +49,7 @@
             target=run.target,
             body=base64.b64encode(run.body).decode(),
             after=run.resumed_after,
+            arrived=self.arrived[run.request],
         )
         try:
             return await super().work(stream, parser, run)
@@ -66,22 +77,42 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(server.run)
             note("serving", server=name)
-            with trio.open_signal_receiver(signal.SIGTERM) as stops:
-                nursery.start_soon(beat, server, store)
-                async for _ in stops:
-                    break
-            server.state = "draining"
-            while not await change_state(server, store):
-                await trio.sleep(0.1)
-            note("draining", server=name)
-            await trio.sleep(DRAIN_S + LINGER_S)
-            await change(
-                store, remove=[{"table": "servers", "part": "", "key": server.name}]
-            )
+            if await serve_until_told(server, store):
+                server.state = "draining"
+                await leave(server, lambda: change_state(server, store))
+                await unregister(server, store)
+            else:
+                await leave(server, lambda: unregister(server, store))
+            await trio.sleep(LINGER_S)
             nursery.cancel_scope.cancel()
     note("left", server=name)
 
 
+async def serve_until_told(server, store):
+    """Keep the server registered; return whether it shall say that it leaves."""
+    told = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(beat, server, store, told)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGUSR1) as signals:
+            number = await anext(aiter(signals))
+        # The last heartbeat must not come after what is written next.
+        told.set()
+    return number == signal.SIGTERM
+
+
+async def leave(server, tell):
+    """Tell the store, note when it knew, and serve on for as long as is promised."""
+    while not await tell():
+        await trio.sleep(RETRY_S)
+    note("leaving", server=server.name)
+    await trio.sleep(DRAIN_S)
+
+
+async def unregister(server, store):
+    row = {"table": "servers", "part": "", "key": server.name}
+    return await change(store, remove=[row])
+
+
 async def change_state(server, store):
     value = {
         "service": server.service,
@@ -96,10 +127,11 @@
     return await change(store, put=[row])
 
 
-async def beat(server, store):
-    while True:
+async def beat(server, store, told):
+    while not told.is_set():
         await change_state(server, store)
-        await trio.sleep(HEARTBEAT_S)
+        with trio.move_on_after(HEARTBEAT_S):
+            await told.wait()
 
 
 if __name__ == "__main__":
