Let the store's own answers outweigh what a peer's copy lacks

What callers saw: nothing that was traced; a mistake that the memory of removals would have made lasting: a live server left out until its registration changes.

Cause: a copy from a peer may name a newer version than all its rows are from, so that it lacks one. The missing row was noted as removed at the copy's version, told to the other hosts, and refused when the store had it with its older version.

Evidence: the new scenario fails before: the other hosts are told of s0, which lives.

Change: what only a peer's copy lacks is neither noted nor told, and an answer of the store as of a moment after a noted removal takes the row back.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -314,7 +314,7 @@
 
     def _on_servers(self, changed: list[rows.Row]) -> None:
         before = dict(self.registry.servers)
-        self.registry.update(changed)
+        self.registry.update(changed, second_hand=self.servers_watch.second_hand)
         after = self.registry.servers
         for name, server in before.items():
             if name in after and after[name].born_ms != server.born_ms:
--- a/turmerictally/entry/registry.py
+++ b/turmerictally/entry/registry.py
@@ -50,12 +50,14 @@
 class Lapsed:
     """Hold since when a registration is missing, and until when its server is kept.
 
-    Both are monotonic seconds; ``version`` is the store's version without it.
+    Both are monotonic seconds; ``version`` is the store's version without it, and
+    ``second_hand`` tells that only a peer's copy lacked it.
     """
 
     since: float
     until: float
     version: int
+    second_hand: bool
 
 
 @attrs.frozen
@@ -84,14 +86,14 @@
     lapsed: dict[str, Lapsed] = attrs.Factory(dict)
     removed: dict[str, Removed] = attrs.Factory(dict)
 
-    def update(self, changed: list[rows.Row]) -> None:
-        """Take changed rows of the servers' table."""
+    def update(self, changed: list[rows.Row], *, second_hand: bool = False) -> None:
+        """Take changed rows of the servers' table; second-hand ones aren't told on."""
         for row in changed:
             name = row.address.key
             found = None if row.value is None else self.read(name, row.value)
             if found is None:
                 # Only a registration that is missing can have lapsed.
-                self._remove(name, row.version, lapses=row.value is None)
+                self._remove(row, second_hand)
                 continue
             self.lapsed.pop(name, None)
             before = self.servers.get(name)
@@ -112,7 +114,8 @@
         now = self.clock.monotonic()
         for name, lapsed in list(self.lapsed.items()):
             if now >= max(lapsed.until, self.contact.back_at + LAPSE_S):
-                self._note_removal(name, lapsed.version)
+                if not lapsed.second_hand:
+                    self._note_removal(name, lapsed.version)
                 self._drop(name, lapsed.version, "not back")
 
     def usable(self, service: str) -> list[model.Server]:
@@ -161,7 +164,8 @@
             "lapsed": len(self.lapsed),
         }
 
-    def _remove(self, name: str, version: int, *, lapses: bool) -> None:
+    def _remove(self, row: rows.Row, second_hand: bool) -> None:
+        name = row.address.key
         server = self.servers.get(name)
         if server is None:
             return
@@ -169,19 +173,20 @@
         # A peer's copy may tell of it while the store is away from this host.
         returned_at = now if self.contact.failing else self.contact.back_at
         until = returned_at + LAPSE_S
-        if lapses and now < until and not server.draining:
+        if row.value is None and now < until and not server.draining:
             if name not in self.lapsed:
-                self.lapsed[name] = Lapsed(now, until, version)
+                self.lapsed[name] = Lapsed(now, until, row.version, second_hand)
                 self.trace.emit(
                     "server_lapsed",
                     server=name,
                     registered=self.versions[name],
-                    version=version,
+                    version=row.version,
                     kept_s=round(until - now, 2),
                 )
             return
-        self._note_removal(name, version)
-        self._drop(name, version, "removed")
+        if not second_hand:
+            self._note_removal(name, row.version)
+        self._drop(name, row.version, "removed")
 
     def _note_removal(self, name: str, version: int) -> None:
         self.removed.pop(name, None)
--- a/turmerictally/entry/watch.py
+++ b/turmerictally/entry/watch.py
@@ -34,7 +34,8 @@
     A row never goes back to an older version, nor does a removed one come back with
     one; ``removed`` holds the versions of the newest removals. ``fresh_at`` is the
     local monotonic time as of which the copy is known to be complete, from the store or
-    a peer.
+    a peer. ``second_hand`` tells while a change is passed on that a peer's copy, which
+    may lack rows, is the only source of it.
     """
 
     store: rows.RowStore
@@ -47,6 +48,7 @@
     interval_s: collections.abc.Callable[[], float] = lambda: 0.0
     known: dict[rows.Address, rows.Row] = attrs.Factory(dict)
     removed: dict[rows.Address, int] = attrs.Factory(dict)
+    second_hand: bool = False
     version: int = 0
     fresh_at: float = float("-inf")
     store_at: float = float("-inf")
@@ -170,14 +172,16 @@
             if old is not None and old.version > row.version:
                 continue
             if row.value is None:
-                self._note_removal(row)
+                if not self.second_hand:
+                    self._note_removal(row)
                 if old is None:
                     continue
                 del self.known[row.address]
             else:
                 if old is not None and old.version == row.version:
                     continue
-                if self.removed.get(row.address, 0) >= row.version:
+                removed = self.removed.get(row.address, 0)
+                if row.version <= removed and (self.second_hand or version < removed):
                     past += 1
                     continue
                 self.known[row.address] = row
@@ -243,7 +247,11 @@
                 for part, key, version, value in given["rows"]
             ]
             if int(given["version"]) >= self.version:
-                self.replace(found, int(given["version"]))
+                self.second_hand = True
+                try:
+                    self.replace(found, int(given["version"]))
+                finally:
+                    self.second_hand = False
             self.fresh_at = max(self.fresh_at, self.clock.monotonic() - age_s)
             return
         self.trace.emit("peer_copy_unreadable", table=self.name)
--- a/turmerictally/tests/features/entry_store.feature
+++ b/turmerictally/tests/features/entry_store.feature
@@ -27,6 +27,13 @@
     When a row is removed and a peer's copy holds it at an older version
     Then the row stays removed, and comes back with a newer version
 
+  # Guards against the opposite: a live server was left out for good, as another host's
+  # copy lacked its row.
+  Scenario: A row that a peer's copy lacks is back with the next answer of the store
+    When a peer's newer copy lacks a row that the store still has
+    Then no other host is told of a removal
+    And the row is back after a full read of the store
+
   Scenario: Registrations that lapse during an outage are kept until they are back
     When the store is down and comes back without its registrations
     Then requests are served all the while
--- a/turmerictally/tests/features/steps/entry_store_steps.py
+++ b/turmerictally/tests/features/steps/entry_store_steps.py
@@ -317,6 +317,44 @@
     play(context, main)
 
 
+@behave.when("a peer's newer copy lacks a row that the store still has")
+def copy_lacks(context):
+    async def main(world):
+        served = world.hosts[0]
+        followed = served.servers_watch
+        address = servers_row(world, "s0")
+        others = [
+            [a.part, a.key, r.version, base64.b64encode(r.value).decode()]
+            for a, r in followed.known.items()
+            if a != address
+        ]
+        given = {"version": world.store.version, "rows": others}
+        followed.adopt(json.dumps(given).encode(), 0.1)
+        assert address not in followed.known
+        await trio.sleep(3.0)
+        context.told = [h.registry.tell() for h in world.hosts.values()]
+        # A change wakes the feeds, whose history is gone by then.
+        world.store.forget_history()
+        world.store.kept_from = world.store.version + 1
+        world.store.put("servers", "other", b"[]")
+        await trio.sleep(0.1)
+        world.store.kept_from = 0
+        await trio.sleep(3.0)
+        context.known = [address in followed.known, "s0" in served.registry.servers]
+
+    play(context, main)
+
+
+@behave.then("no other host is told of a removal")
+def none_told(context):
+    assert context.told == [{}, {}], context.told
+
+
+@behave.then("the row is back after a full read of the store")
+def row_back(context):
+    assert context.known == [True, True], context.known
+
+
 @behave.then("the row stays removed, and comes back with a newer version")
 def stays_removed(context):
     assert context.known == [False, False, True], context.known
