Do not take others for gone while the host is not told of them

A host cut off for over 30 s admitted each team's whole quota by itself; one that was told of no hosts took jobs from owners that live, and deleted their rows after two minutes.

It compared the age of a row's last renewal with times that depend on the host being told of renewals.

Change: time through which the copy of the hosts' table is older than its reads allow does not count as a missed renewal, for the quotas, for taking jobs over, and for deleting rows.

--- a/turmerictally/entry/collector.py
+++ b/turmerictally/entry/collector.py
@@ -65,11 +65,11 @@
     def gone_hosts(self) -> list[str]:
         """Return the hosts whose rows this one deletes."""
         worker = self.takeover.worker
-        since = worker.clock.monotonic() - HOST_GONE_S
+        hosts = worker.hosts
         return [
             name
-            for name, found in worker.hosts.listed.items()
-            if found.seen_at < since and name not in worker.hosts.peers
+            for name, found in hosts.listed.items()
+            if not hosts.is_renewed(found, HOST_GONE_S) and name not in hosts.peers
             if name != worker.host_id and self.takeover.rank(name) == 0
         ]
 
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -42,6 +42,9 @@
 # has itself given up its share before, as it cannot renew.
 EXPIRE_S = 30.0
 TABLE = "hosts"
+# A copy of the hosts' table older than this misses renewals; it is read each second, by
+# a call that may take 1.5 s.
+STALE_S = 2.6
 
 
 @attrs.define
@@ -194,6 +197,7 @@
     trace: traces.Trace
     on_silent: collections.abc.Callable[[str], None] = lambda host: None
     on_heard: collections.abc.Callable[[], None] = lambda: None
+    table_age_s: collections.abc.Callable[[], float] = lambda: 0.0
     listed: dict[str, Listed] = attrs.Factory(dict)
     peers: dict[str, Peer] = attrs.Factory(dict)
     totals: Totals = attrs.Factory(Totals)
@@ -294,13 +298,21 @@
             return False
         return peer.digest.instance == instance
 
+    def is_renewed(self, listed: Listed, seconds: float) -> bool:
+        """Return whether a host renewed its row within so many seconds.
+
+        Time through which this host was not told of renewals does not count.
+        """
+        table_age_s = self.table_age_s()
+        missed_s = table_age_s if table_age_s > STALE_S else 0.0
+        return self.clock.monotonic() - missed_s - listed.seen_at < seconds
+
     def counted(self) -> tuple[int, int]:
         """Return how many hosts are heard, and how many share the quotas."""
-        now = self.clock.monotonic()
         names = {
             name
             for name, found in self.listed.items()
-            if now - found.seen_at < EXPIRE_S
+            if self.is_renewed(found, EXPIRE_S)
         }
         heard = {digest.host for digest in self.audible()}
         names |= heard | {self.host_id}
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -122,6 +122,7 @@
         self.hosts_watch = follow(
             gossip.TABLE, self.hosts.update, interval_s=lambda: HOSTS_INTERVAL_S
         )
+        self.hosts.table_age_s = self.hosts_watch.age_s
         self.states_watch = follow(
             jobs.STATES,
             self._on_states,
--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -45,7 +45,7 @@
             if not kept.state.open:
                 continue
             job = kept.state.job
-            if job in self.worker.owned or self._owner_lives(kept.state, now):
+            if job in self.worker.owned or self._owner_lives(kept.state):
                 continue
             seen.add(job)
             since = self.orphaned_at.setdefault(job, now)
@@ -55,7 +55,7 @@
             del self.orphaned_at[job]
         return found
 
-    def _owner_lives(self, state: jobs.State, now: float) -> bool:
+    def _owner_lives(self, state: jobs.State) -> bool:
         if not state.owner or state.owner == self.worker.host_id:
             return False
         hosts = self.worker.hosts
@@ -65,7 +65,7 @@
             return heard
         if heard:
             return hosts.peers[state.owner].digest.store_age_s < STORELESS_S
-        return now - listed.seen_at < DEAD_AFTER_S
+        return hosts.is_renewed(listed, DEAD_AFTER_S)
 
     def rank(self, job: str) -> int:
         """Return how many other live hosts come before this one for a job."""
--- a/turmerictally/standins/rows.py
+++ b/turmerictally/standins/rows.py
@@ -19,7 +19,8 @@
     ``late_s`` delays transactions whose answer is lost, in seconds, which then apply
     if their conditions still hold. ``stale_by`` makes reads answer as of an earlier
     version. ``refused`` names callers (see ``view``) that are turned away,
-    ``silenced`` those that get no answer.
+    ``silenced`` those that get no answer, ``refused_tables`` pairs of a caller and a
+    table of which it is told nothing.
     """
 
     def __init__(self) -> None:
@@ -32,6 +33,7 @@
         self.stale_at: int | None = None
         self.refused: set[str] = set()
         self.silenced: set[str] = set()
+        self.refused_tables: set[tuple[str, str]] = set()
         self.hung: collections.Counter[str] = collections.Counter()
         self.changed = trio.Event()
         self.calls = 0
@@ -168,7 +170,8 @@
                 if found:
                     break
                 await store.changed.wait()
-        if self.caller in store.refused or store.faults.down:
+        refused = (self.caller, name) in store.refused_tables
+        if refused or self.caller in store.refused or store.faults.down:
             raise rows.UnavailableError("outage")
         await call.answer()
         return rows.Page(found, store.version, trio.current_time())
--- /dev/null
+++ b/turmerictally/tests/features/entry_cut_off.feature
@@ -0,0 +1,16 @@
+Feature: An entry host that was cut off does not take the others for gone
+  # Guards against a host that takes its own lack of contact for the others' absence, as
+  # in the DRAIN incident: here it would hold the whole of each quota.
+  Scenario: A host that is cut off for long holds no more than its own share of the quotas
+    When one of three hosts is cut off from the store and the others for 45 s
+    Then it never holds more than a third of the quotas meanwhile
+
+  # The same class: jobs would change their owner, and items would run again.
+  Scenario: A host that hears no other host takes no job from an owner that lives
+    When one of three hosts is cut off from the others and told of no hosts for 10 s
+    Then it takes no job that another host runs
+
+  # The same class: the others would not be told of requests in flight for a while.
+  Scenario: A host that hears no other host deletes no row of a host that lives
+    When one of three hosts is cut off from the others and told of no hosts for 130 s
+    Then no host's row is deleted
