Let a host that is cut off give up its share before the others divide it

In a cut of more than 30 s teams could get a third more than their quota from three hosts.

Cause: hosts release the share of a host whose row is not renewed for 30 s; a comment said that such a host has given it up before, and nothing did so.

Change: where not all hosts are heard, those whose renewals are 25 s old hold no share. Hosts that all hear each other hold the whole, so an outage of the store alone costs nothing.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -38,9 +38,11 @@
 FORGET_SILENCES = 2  # the same, with many hosts
 MAX_BYTES = 60_000  # of a datagram that can be sent
 RENEW_S = 1.5  # between renewals of this host's row
-# A host whose row was not renewed for this long no longer counts for the quotas; it
-# has itself given up its share before, as it cannot renew.
+# A host whose row was not renewed for this long no longer counts for the quotas.
 EXPIRE_S = 30.0
+# It gives its share up before that, by as much as hosts may see a renewal later than
+# others: some seconds.
+GIVE_UP_S = 25.0
 TABLE = "hosts"
 # A copy of the hosts' table older than this misses renewals; it is read each second, by
 # a call that may take 1.5 s.
@@ -308,15 +310,28 @@
         return self.clock.monotonic() - missed_s - listed.seen_at < seconds
 
     def counted(self) -> tuple[int, int]:
-        """Return how many hosts are heard, and how many share the quotas."""
+        """Return how many hosts hold a share of the quotas here, and how many share.
+
+        Hosts that hear all others hold the whole. Otherwise those that are not heard
+        release the shares of hosts whose rows are not renewed, which therefore do not
+        count here either.
+        """
         names = {
             name
             for name, found in self.listed.items()
             if self.is_renewed(found, EXPIRE_S)
         }
-        heard = {digest.host for digest in self.audible()}
-        names |= heard | {self.host_id}
-        return 1 + len(heard), len(names)
+        members = {digest.host for digest in self.audible()} | {self.host_id}
+        names |= members
+        if members == names:
+            return len(members), len(names)
+        now = self.clock.monotonic()
+        holding = [
+            name
+            for name in members & self.listed.keys()
+            if now - self.listed[name].seen_at < GIVE_UP_S
+        ]
+        return len(holding), len(names)
 
     def addresses(self) -> list[str]:
         """Return where the other hosts listen."""
--- a/turmerictally/tests/features/steps/entry_cut_off_steps.py
+++ b/turmerictally/tests/features/steps/entry_cut_off_steps.py
@@ -30,6 +30,32 @@
         users_platform.play(main, hosts=3, seed=seed)
 
 
+@behave.when("the store is away from three hosts for {seconds:d} s")
+def store_away(context, seconds):
+    context.shares = []
+
+    async def main(world):
+        world.store.faults.down = True
+        for _ in range(round(seconds / LOOK_S)):
+            await trio.sleep(LOOK_S)
+            context.shares.append([h.allowances.share for h in world.hosts.values()])
+
+    users_platform.play(main, hosts=3)
+
+
+@behave.then("they hold the whole of the quotas meanwhile")
+def whole_share(context):
+    assert context.shares
+    assert all(shares == [1.0, 1.0, 1.0] for shares in context.shares)
+
+
+@behave.then("both sides never hold more than the whole together")
+def whole_together(context):
+    # The two that hear each other hold one share.
+    together = [alone + pair for alone, pair, _ in context.shares]
+    assert max(together) < 1.0 + 1e-9, max(together)
+
+
 @behave.then("it never holds more than a third of the quotas meanwhile")
 def own_share(context):
     most = max(shares[0] for shares in context.shares)
