Say in the digest's description when removals are told

Cause: the sentence could be read as if they stayed as told last.

What callers saw: nothing.

Change: wording only.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -56,9 +56,10 @@
     ``failing`` names the servers it leaves out, ``outcomes`` counts by server the
     requests that were answered and that failed lately; ``ages`` gives for each followed
     table its version and age in seconds. Unless ``full``, these two are left out and
-    stay as they were told last; so is ``removed``, the versions at which the host saw
-    registrations of servers removed. Unless ``base``, teams without requests lately are
-    left out; ``lacking`` names the hosts whose base this one asks for.
+    stay as they were told last. Unless ``base``, teams without requests lately are
+    left out; ``lacking`` names the hosts whose base this one asks for. ``removed``,
+    in full digests only, gives for each server whose registration the host saw removed
+    the store's version of that.
     """
 
     host: str
