--- a/turmerictally/tests/features/entry_leaving.feature
+++ b/turmerictally/tests/features/entry_leaving.feature
@@ -1,6 +1,5 @@
 Feature: An entry host stops using a server that leaves, whatever it met at the store
-  # Guards against DRAIN: a host that had trouble with the store took a server's removal
-  # for the store's outage and sent requests there past the 2 s that it serves on.
+  # Guards against DRAIN: after a host's own trouble with the store, a removal was taken for an outage's.
   Scenario Outline: After a host's own trouble with the store, a server that leaves gets nothing 2 s later
     When <count> of four hosts are <trouble> by the store for <for_s> s, and a server <leaves> <after_s> s after that
     Then nothing reaches it 2 s after that, from hosts whose trouble is 3 s past
@@ -19,19 +18,17 @@
       | 4     | silenced | 3.0   | is removed | -0.5    |
       | 4     | cut off  | 0.1   | is removed | 0.5     |
 
-  # Guards against DRAIN: the wait for a lapsed registration was counted from when the
-  # host saw it missing, and looked at four times a second only.
+  # Guards against DRAIN: the wait was counted from when the registration was seen missing.
   Scenario: The wait for a missing registration counts from the store's return
     When a registration goes missing 1.5 s after the store's return
     Then its server is used 2.1 s after the return and not 2.3 s after it
 
-  # Guards against DRAIN: a host without the store went on using a server whose removal
-  # the other hosts had seen.
+  # Guards against DRAIN: a host without the store used a server that the others had seen removed.
   Scenario: A host that the store turns away hears of a removal from the others
     When a server is removed while the store turns 2 of four hosts away for 8 s
     Then nothing reaches it 2 s after that, from any host
 
-  # Guards against the opposite: a removal that is none, told from host to host.
+  # Guards against a lapse that is told from host to host as a removal.
   Scenario: Hosts whose store comes back later keep what lapsed in the outage
     When registrations lapse in an outage of 4 s that lasts 1 s longer for two of four hosts
     Then every request is served until the servers are registered again
@@ -41,13 +38,12 @@
     When a registration is overwritten by another writer just after the store's return
     Then its server is not used
 
-  # Guards against the opposite of DRAIN: a host that was paused through an outage saw
-  # no call fail and took what had lapsed for removed, and told the others so.
+  # Guards against a lapse that a paused host, which saw no call fail, takes for a removal.
   Scenario Outline: A host that was paused through an outage keeps what lapsed in it
     When a registration lapses in an outage through which the host was <paused>
     Then its server is used 2.1 s after the return and not 2.3 s after it
 
     Examples:
-      | paused                             |
-      | stopped while its clock went on    |
+      | paused                              |
+      | stopped while its clock went on     |
       | suspended and its clock stood still |
--- a/turmerictally/tests/features/entry_store.feature
+++ b/turmerictally/tests/features/entry_store.feature
@@ -17,18 +17,17 @@
     When a server drains, history is dropped and reads answer from before that
     Then that server gets no request after it drained
 
-  # Guards against DRAIN: deleted rows left no trace, so that a read from an earlier moment
-  # or another host's older copy brought a server back that had left.
+  # Guards against DRAIN: an older read or copy brought a server back that had left.
   Scenario: A server that was removed is not used again after reads from an earlier moment
     When a server is removed, history is dropped and reads answer from before that
     Then that server gets no request after it drained
 
+  # Guards against DRAIN in the same way, in the copy itself.
   Scenario: A removed row does not come back with a copy that holds it at an older version
     When a row is removed and a peer's copy holds it at an older version
     Then the row stays removed, and comes back with a newer version
 
-  # Guards against the opposite: a live server was left out for good, as another host's
-  # copy lacked its row.
+  # Guards against a live server that is left out for good as a peer's copy lacked its row.
   Scenario: A row that a peer's copy lacks is back with the next answer of the store
     When a peer's newer copy lacks a row that the store still has
     Then no other host is told of a removal
