Move decisions on placing into a package of their own and agree on its parts

Cause: the entry package holds what decides, what acts and what is sent in one room, and two new customers need decisions under load that must run without a network.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -60,7 +60,9 @@
     left out; ``lacking`` names the hosts whose base this one asks for. ``removed``,
     in full digests only, gives for each server whose registration the host saw removed
     the store's version of that, ``leaving`` for each server whose own answers said that
-    it leaves its birth.
+    it leaves its birth. ``work`` counts by team the tokens of its requests that servers
+    work on or that wait here, ``speeds`` gives for each server what
+    ``scheduling.speeds.Evidence`` holds.
     """
 
     host: str
@@ -83,6 +85,8 @@
     stopping: bool = False
     removed: dict[str, int] = attrs.Factory(dict)
     leaving: dict[str, int] = attrs.Factory(dict)
+    work: dict[str, int] = attrs.Factory(dict)
+    speeds: dict[str, list[float]] = attrs.Factory(dict)
 
     def has_load_of(self, other: "Digest") -> bool:
         """Return whether both tell the same of what is in flight and left out."""
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -6,10 +6,11 @@
 import attrs
 
 from turmerictally import clock as clocks
-from turmerictally.entry import balance, ejection, gossip, model
+from turmerictally.entry import ejection, gossip, model
 from turmerictally.entry import registry as registries
 from turmerictally.entry import trace as traces
 from turmerictally.routing import health
+from turmerictally.scheduling import placing
 
 # Failures in a row before a server is left out: one in fifty answers may be spoilt by
 # a sound server, two in a row are rare.
@@ -38,7 +39,7 @@
     on_failure: collections.abc.Callable[[], None] = lambda: None
     on_change: collections.abc.Callable[[], None] = lambda: None
     judged_at: float = float("-inf")
-    peaks: balance.Peaks = attrs.field(factory=balance.Peaks)
+    peaks: placing.Peaks = attrs.field(factory=placing.Peaks)
     recent: ejection.Recent = attrs.field(factory=ejection.Recent)
     circuits: health.Health = attrs.field(
         factory=lambda: health.Health(UNHEALTHY_AFTER, PROBE_S)
@@ -46,7 +47,7 @@
 
     def loads(
         self, service: str, *, but: frozenset[str] = frozenset()
-    ) -> list[balance.Load]:
+    ) -> list[placing.Load]:
         """Return the load of each server that may get a request now."""
         usable = self.registry.usable(service)
         now = self.clock.monotonic()
@@ -154,14 +155,14 @@
 
     def _load(
         self, server: model.Server, own: dict[str, list[int]], now: float
-    ) -> balance.Load:
+    ) -> placing.Load:
         name = server.instance
         batch = self.hosts.totals.batch.get(name, {})
         if self.batch[name]:
             batch = batch | {self.hosts.host_id: self.batch[name]}
         trial = self.ejector.on_trial(name, now)
         online = self.online[name] + self.hosts.totals.online[name]
-        return balance.Load(
+        return placing.Load(
             name=name,
             domain=server.domain,
             # One request at a time tests a server that was left out.
@@ -202,7 +203,7 @@
         )
         return online + batch - slots
 
-    def load(self, name: str) -> balance.Load | None:
+    def load(self, name: str) -> placing.Load | None:
         """Return the load of one server."""
         server = self.registry.servers.get(name)
         if server is None:
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -10,8 +10,9 @@
 import trio
 
 from turmerictally import clock as clocks
-from turmerictally.entry import balance, events, inflight, messages, model, pool
+from turmerictally.entry import events, inflight, messages, model, pool
 from turmerictally.entry import trace as traces
+from turmerictally.scheduling import placing
 
 # Taken off the time handed to a server, for the way there and back.
 DEADLINE_MARGIN_S = 0.02
@@ -144,7 +145,7 @@
         loads = self.inflight.loads(service, but=frozenset(job.tried))
         servers = self.inflight.registry.servers
         idle = self.pool.idle
-        chosen = balance.choose(
+        chosen = placing.choose(
             loads,
             domain=self.domain,
             prompt_parts=job.ask.prompt_parts,
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -8,10 +8,8 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import (
-    balance,
     gossip,
     inflight,
-    itemorder,
     itemrun,
     jobs,
     model,
@@ -20,6 +18,7 @@
     watch,
 )
 from turmerictally.entry import trace as traces
+from turmerictally.scheduling import itemorder, placing
 from turmerictally.store import rows
 
 TICK_S = 0.1  # between looks for free slots; as often as the hosts tell theirs
@@ -151,7 +150,7 @@
             if self.inflight.excess(name) <= 0:
                 continue
             load = self.inflight.load(name)
-            count = balance.batch_stops(load, self.host_id) if load else 0
+            count = placing.batch_stops(load, self.host_id) if load else 0
             if count:
                 self._stop_on(name, count)
 
@@ -255,7 +254,7 @@
         elsewhere = self.hosts.totals.waiting
         for service, pairs in groups.items():
             loads = self.inflight.loads(service)
-            starts = balance.batch_starts(
+            starts = placing.batch_starts(
                 loads,
                 waiting=len(pairs),
                 waiting_elsewhere=elsewhere,
--- /dev/null
+++ b/turmerictally/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decide who is served where and when; everything here runs without a network."""
--- a/turmerictally/tests/features/steps/entry_ejection_steps.py
+++ b/turmerictally/tests/features/steps/entry_ejection_steps.py
@@ -5,7 +5,8 @@
 
 import behave
 
-from turmerictally.entry import balance, ejection
+from turmerictally.entry import ejection
+from turmerictally.scheduling import placing
 
 STEP_S = 0.005
 TOLD_S = 0.25
@@ -49,13 +50,13 @@
     def loads(self, domain):
         if self.former:
             return [
-                balance.Load(n, "a", self.slots, len(self.running[n]))
+                placing.Load(n, "a", self.slots, len(self.running[n]))
                 for n in self.names
             ]
         ejector = self.ejectors[domain]
         out = ejector.left_out(self.names, self.now)
         return [
-            balance.Load(
+            placing.Load(
                 n,
                 "a",
                 1 if ejector.on_trial(n, self.now) else self.slots,
@@ -70,7 +71,7 @@
     def ask(self):
         domain = self.rng.choice(self.domains)
         once = self.rng.random() < ONCE
-        chosen = balance.choose(
+        chosen = placing.choose(
             self.loads(domain),
             domain="a",
             prompt_parts=(),
--- a/turmerictally/tests/features/steps/entry_itemorder_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_itemorder_steps.py
@@ -4,7 +4,7 @@
 
 import behave
 
-from turmerictally.entry import itemorder
+from turmerictally.scheduling import itemorder
 
 ITEM_S = 5.0
 DUE_S = 18.0
--- a/turmerictally/tests/features/steps/entry_balance_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_placing_steps.py
@@ -5,7 +5,8 @@
 
 import behave
 
-from turmerictally.entry import balance, gossip
+from turmerictally.entry import gossip
+from turmerictally.scheduling import placing
 
 STEP_S = 0.005
 TOLD_S = 0.05
@@ -25,7 +26,7 @@
         self.told_s = told_s
         # Whether items take slots that are free at the moment, as among few hosts.
         self.momentary = hosts <= gossip.DIRECT_HOSTS
-        self.peaks = [balance.Peaks() for _ in range(hosts)]
+        self.peaks = [placing.Peaks() for _ in range(hosts)]
         self.runs = self.short_runs = 0
         self.hosts, self.slots = hosts, slots
         self.names = [f"s{n}" for n in range(servers)]
@@ -56,12 +57,12 @@
             peak = self.peaks[host].note(name, online, self.now)
             peak = online if self.momentary else peak
             found.append(
-                balance.Load(name, "abcd"[n % 4], self.slots, online, batch, peak)
+                placing.Load(name, "abcd"[n % 4], self.slots, online, batch, peak)
             )
         return found
 
     def choose(self, host, parts):
-        chosen = balance.choose(
+        chosen = placing.choose(
             self.loads(host),
             domain="abcd"[host % 4],
             prompt_parts=parts,
@@ -110,7 +111,7 @@
             self.give_way(host)
             if not batch:
                 continue
-            for name in balance.batch_starts(
+            for name in placing.batch_starts(
                 self.loads(host),
                 waiting=50,
                 waiting_elsewhere=50 * (self.hosts - 1),
@@ -122,7 +123,7 @@
 
     def give_way(self, host):
         for load in self.loads(host):
-            for _ in range(balance.batch_stops(load, str(host))):
+            for _ in range(placing.batch_stops(load, str(host))):
                 self.stop_one(host, load.name)
 
     def stop_one(self, host, name):
