Give evacuated failure domains nothing new

The operator asks by a row that nothing be sent to a domain's servers until it is removed; hosts did not know such rows, and callers' requests, retries, resumed streams and batch items went on to servers that were about to go away.

entry/places.py takes the rows of the table that is followed for the configuration, also from a peer's copy; scheduling/evacuation.py holds which domains are evacuated since which version. InFlight.loads leaves their servers out before all other judgements. What runs ends in place. With all domains evacuated callers get 503 at once with a Retry-After of 1 to 2 s.

When an evacuation ends, the domain's servers count as cold.

The scenario on the template of settings is now rendered with and without the new bound.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -28,6 +28,7 @@
     model,
     network,
     peers,
+    places,
     pool,
     registry,
     relay,
@@ -62,6 +63,7 @@
     servers_table: str
     read_configuration: model.ReadConfiguration
     read_server: model.ReadServer
+    read_evacuation: model.ReadEvacuation
 
 
 class Host:
@@ -102,6 +104,15 @@
         self.hosts = gossip.Hosts(
             config.host_id, self.instance, clock, trace, domain=config.failure_domain
         )
+        self.places = places.Places(
+            names.read_evacuation,
+            self.configured,
+            self.registry,
+            self.hosts,
+            clock,
+            trace,
+            config.cold.overshoot,
+        )
         self.allowances = allowance.Allowances(clock)
         self.hosts.on_silent = self.allowances.forget
 
@@ -159,6 +170,7 @@
             clock,
             trace,
             ejection.Ejector(config.failure_domain),
+            self.places,
         )
         self.jobs = jobs.Jobs(self.store)
         self.known_jobs = jobs.Known()
@@ -173,7 +185,9 @@
             configured=self.configured,
             hosts=self.hosts,
             inflight=self.inflight,
-            runner=itemrun.Runner(self.pool, wire, self.registry.note_leaving),
+            runner=itemrun.Runner(
+                self.pool, wire, self.registry.note_leaving, self.inflight.sending
+            ),
             clock=clock,
             trace=trace,
             rng=self.rng,
@@ -314,6 +328,9 @@
 
     def _on_configuration(self, changed: list[rows.Row]) -> None:
         self.configured.update(changed)
+        self.places.take_operator_rows(
+            changed, second_hand=self.configuration_watch.second_hand
+        )
         if self.configured.current is not None:
             self.allowances.configure(self.configured.current.teams)
 
@@ -324,6 +341,7 @@
         for name, server in before.items():
             if name in after and after[name].born_ms != server.born_ms:
                 self.inflight.replaced(name)
+        self.places.take_servers(before, first=not self.servers_watch.complete)
         self._close_connections(before)
 
     def _close_connections(self, before: dict[str, model.Server]) -> None:
@@ -423,8 +441,10 @@
                 "domain": self.settings.failure_domain,
                 "cores": self.settings.processor.cores,
             }
+            started_at = self.clock.monotonic()
             try:
                 await self.store.transact({}, {where: json.dumps(value).encode()})
+                self.places.row_written(started_at)
                 renewals += 1
                 pause = self.hosts.renew_s()
             except rows.UnavailableError as error:
@@ -436,6 +456,7 @@
         while True:
             await trio.sleep(HOUSEKEEPING_S)
             self.registry.expire()
+            self.places.keep()
             self.pool.sweep()
             for name in [n for n, count in self.inflight.online.items() if not count]:
                 if name not in self.registry.servers:
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -7,6 +7,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import ejection, gossip, model
+from turmerictally.entry import places as placed
 from turmerictally.entry import registry as registries
 from turmerictally.entry import trace as traces
 from turmerictally.routing import health
@@ -33,6 +34,7 @@
     clock: clocks.Clock
     trace: traces.Trace
     ejector: ejection.Ejector
+    places: placed.Places
     online: collections.Counter[str] = attrs.field(factory=collections.Counter)
     batch: collections.Counter[str] = attrs.field(factory=collections.Counter)
     succeeded_at: dict[str, float] = attrs.Factory(dict)
@@ -49,8 +51,12 @@
         self, service: str, *, but: frozenset[str] = frozenset()
     ) -> list[placing.Load]:
         """Return the load of each server that may get a request now."""
-        usable = self.registry.usable(service)
         now = self.clock.monotonic()
+        usable = [
+            server
+            for server in self.registry.usable(service)
+            if self.places.takes_new(server, now)
+        ]
         left_out = self.ejector.left_out([s.instance for s in usable], now)
         servers = [s for s in usable if s.instance not in but]
         healthy = [
@@ -71,6 +77,14 @@
             self._load(server, own, now) for server in trusted or healthy or servers
         ]
 
+    def reserve(self, name: str) -> None:
+        """Count a request that is about to be sent to a server."""
+        self.places.budgets.spend(name, self.clock.monotonic())
+
+    def sending(self, name: str) -> None:
+        """Note that a reserved request is sent now, or given up."""
+        self.places.budgets.send(name, self.clock.monotonic())
+
     def count_online(self, name: str, more: int) -> None:
         """Count a request of a caller that begins at a server, or ends (-1)."""
         self.online[name] += more
@@ -172,8 +186,16 @@
             batch_by_host=batch,
             reliability=self.ejector.reliability(self._outcomes(name, own)),
             trial=trial,
+            item_room=self._item_room(name, now),
         )
 
+    def _item_room(self, name: str, now: float) -> int | None:
+        """Return how many batch items a server may get, or None for no bound."""
+        budgets = self.places.budgets
+        if not budgets.is_cold(name, now):
+            return None
+        return int(budgets.is_idle(name, now) and budgets.allows(name, now))
+
     def _peak(self, name: str, online: int, now: float) -> int:
         """Return the most online requests lately, where counts are told through relays.
 
--- a/turmerictally/entry/itemrun.py
+++ b/turmerictally/entry/itemrun.py
@@ -51,6 +51,7 @@
     on_leaving: collections.abc.Callable[[model.Server, str], None] = (
         lambda server, source: None
     )
+    on_sending: collections.abc.Callable[[str], None] = lambda server: None
 
     async def run(self, state: jobs.State, task: Task, server: model.Server) -> str:
         """Run an item on one server; return how that ended."""
@@ -58,6 +59,8 @@
             connection = await self.pool.acquire(server.address)
         except pool.ConnectError:
             return NOT_CONNECTED
+        finally:
+            self.on_sending(server.instance)
         kept = False
         try:
             with trio.fail_after(SILENCE_S) as silence:
--- a/turmerictally/entry/model.py
+++ b/turmerictally/entry/model.py
@@ -57,11 +57,17 @@
 
 @attrs.frozen
 class Service:
-    """Describe a service's backend servers; ``slots`` requests run at once on each."""
+    """Describe a service's backend servers; ``slots`` requests run at once on each.
+
+    A server that started is cold for ``warm_up_s`` and bears ``cold_per_s`` requests a
+    second meanwhile, over all hosts; 0 is no bound.
+    """
 
     name: str
     slots: int
     max_connections: int
+    warm_up_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -127,7 +133,8 @@
     """Describe one incarnation of a backend server.
 
     ``instance`` is the name it answers to; ``born_ms`` tells restarts under one name
-    apart, in Unix milliseconds.
+    apart, in Unix milliseconds. ``cold_s`` is for how much longer it says to be cold,
+    None when what it says can't be read.
     """
 
     instance: str
@@ -137,7 +144,11 @@
     slots: int
     draining: bool = False
     born_ms: int = 0
+    cold_s: float | None = 0.0
 
 
 ReadServer = collections.abc.Callable[[str, bytes], Server | None]
 ReadConfiguration = collections.abc.Callable[[bytes], Configuration | None]
+# Takes a row's key and returns the failure domain that the row evacuates, "" when it
+# names none, or None for a row of another kind.
+ReadEvacuation = collections.abc.Callable[[str], str | None]
--- /dev/null
+++ b/turmerictally/entry/places.py
@@ -0,0 +1,199 @@
+"""Follow which failure domains are evacuated and which servers are cold."""
+
+import collections
+import collections.abc
+import typing
+
+import attrs
+
+from turmerictally import clock as clocks
+from turmerictally.entry import gossip, model, registry
+from turmerictally.entry import trace as traces
+from turmerictally.scheduling import cold, evacuation
+from turmerictally.store import rows
+
+# A process that slept for longer finds copies older than their age says.
+MAX_ASLEEP_S = 0.5
+EVACUATED = "domains evacuated"  # the reason of a refusal
+
+
+@attrs.define(eq=False)
+class Places:
+    """Apply the operator's and the servers' rows to what may get something new.
+
+    ``written_at`` and ``renewed_at`` tell when this process wrote the host's own row
+    first and last, in monotonic seconds.
+    """
+
+    read: model.ReadEvacuation
+    configured: registry.Configured
+    registry: registry.Registry
+    hosts: gossip.Hosts
+    clock: clocks.Clock
+    trace: traces.Trace
+    overshoot: float
+    evacuations: evacuation.Evacuations = attrs.field(factory=evacuation.Evacuations)
+    budgets: cold.Budgets = attrs.field(init=False)
+    written_at: float = float("inf")
+    renewed_at: float = float("-inf")
+    asleep_s: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.asleep_s = self.clock.suspended()
+        self.budgets = cold.Budgets(
+            self.hosts.host_id, self._rate_of, self._view, self.overshoot
+        )
+
+    def takes_new(self, server: model.Server, now: float) -> bool:
+        """Return whether a server may get one more request."""
+        return not self.evacuations.covers(server.domain) and self.budgets.allows(
+            server.instance, now
+        )
+
+    def why_none(self, service: str) -> str:
+        """Return why no server of a service may get a request now."""
+        usable = self.registry.usable(service)
+        if not usable:
+            return "no server"
+        if all(self.evacuations.covers(server.domain) for server in usable):
+            return EVACUATED
+        return "servers warm up"
+
+    def take_operator_rows(self, changed: list[rows.Row], *, second_hand: bool) -> None:
+        """Take changed rows of the operator's table."""
+        for row in changed:
+            domain = self.read(row.address.key)
+            if domain is None:
+                continue
+            if not domain:
+                self.trace.emit("evacuation_unreadable", version=row.version)
+            elif row.value is None:
+                self._end(domain, row.version, second_hand)
+            else:
+                self._begin(domain, row.version, second_hand)
+
+    def _begin(self, domain: str, version: int, second_hand: bool) -> None:
+        before = self.evacuations.current.get(domain)
+        if not self.evacuations.begin(domain, version, self.clock.monotonic()):
+            return
+        self.trace.emit(
+            "domain_evacuated",
+            domain=domain,
+            version=version,
+            before=before.version if before else None,
+            known=domain in self._domains(),
+            servers=len(self._servers_in(domain)),
+            second_hand=second_hand,
+        )
+
+    def _end(self, domain: str, version: int, second_hand: bool) -> None:
+        ended = self.evacuations.end(domain, version, sure=not second_hand)
+        if ended is None:
+            return
+        now = self.clock.monotonic()
+        self.trace.emit(
+            "evacuation_ended",
+            domain=domain,
+            version=version,
+            since=ended.version,
+            lasted_s=round(now - ended.seen_at, 2),
+            second_hand=second_hand,
+        )
+        for server in self._servers_in(domain):
+            warm_up_s = self._service_of(server).warm_up_s
+            self._note(server, warm_up_s, "evacuation ended", in_use=False)
+
+    def take_servers(
+        self, before: collections.abc.Mapping[str, model.Server], *, first: bool
+    ) -> None:
+        """Take changed registrations; the ``first`` ones may have started long ago."""
+        for name, server in self.registry.servers.items():
+            old = before.get(name)
+            if old is server:
+                continue
+            if server.cold_s is None and (old is None or old.cold_s is not None):
+                self.trace.emit(
+                    "cold_time_unreadable",
+                    server=name,
+                    registered=self.registry.versions.get(name),
+                )
+            is_new = self.budgets.is_new(name, server.born_ms)
+            if is_new and not first:
+                reason = "new" if old is None else "started again"
+                warm_up_s = max(
+                    server.cold_s or 0.0, self._service_of(server).warm_up_s
+                )
+                self._note(server, warm_up_s, reason, in_use=old is not None)
+            elif server.cold_s:
+                self._note(server, server.cold_s, "says so", in_use=old is not None)
+
+    def _note(
+        self, server: model.Server, seconds: float, reason: str, *, in_use: bool
+    ) -> None:
+        now = self.clock.monotonic()
+        if not self.budgets.note(server.instance, seconds, now, in_use=in_use):
+            return
+        self.trace.emit(
+            "server_cold",
+            server=server.instance,
+            born_ms=server.born_ms,
+            registered=self.registry.versions.get(server.instance),
+            reason=reason,
+            for_s=round(min(seconds, cold.MAX_COLD_S), 2),
+            said_s=server.cold_s,
+            per_s=self._rate_of(server.instance),
+        )
+
+    def row_written(self, started_at: float) -> None:
+        """Note that the host's own row was written by a call begun then."""
+        self.renewed_at = started_at
+        self.written_at = min(self.written_at, self.clock.monotonic())
+
+    def keep(self) -> None:
+        """Drop what is over, and begin anew after a sleep."""
+        now = self.clock.monotonic()
+        asleep_s = self.clock.suspended()
+        if asleep_s - self.asleep_s > MAX_ASLEEP_S and self.written_at < now:
+            self.written_at = now
+        self.asleep_s = asleep_s
+        for name, found in self.budgets.expire(now):
+            if name in self.registry.servers:
+                self.trace.emit("server_warm", server=name, sent=found.sent)
+
+    def running_there(self, domain: str, counts: collections.Counter[str]) -> int:
+        """Return how many of the counted requests run in a domain."""
+        return sum(counts[server.instance] for server in self._servers_in(domain))
+
+    def confirmed(self, table: str, version: int) -> int:
+        """Return how many other hosts have a table as of a version, as they told."""
+        return sum(
+            digest.ages.get(table, (0, 0.0))[0] >= version
+            for digest in self.hosts.audible()
+        )
+
+    def _servers_in(self, domain: str) -> list[model.Server]:
+        servers = self.registry.servers.values()
+        return [server for server in servers if server.domain == domain]
+
+    def _domains(self) -> set[str]:
+        found = {server.domain for server in self.registry.servers.values()}
+        found |= {listed.domain for listed in self.hosts.listed.values()}
+        return found | {self.hosts.domain}
+
+    def _service_of(self, server: model.Server) -> model.Service:
+        view = self.configured.current
+        services: dict[str, typing.Any] = view.services if view else {}
+        return services.get(server.service) or model.Service(server.service, 0, 0)
+
+    def _rate_of(self, name: str) -> float:
+        server = self.registry.servers.get(name)
+        return self._service_of(server).cold_per_s if server else 0.0
+
+    def _view(self) -> cold.View:
+        now = self.clock.monotonic()
+        return cold.View(
+            frozenset(self.hosts.listed),
+            self.hosts.table_age_s(),
+            now - self.written_at,
+            now - self.renewed_at,
+        )
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -11,6 +11,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import events, inflight, messages, model, pool
+from turmerictally.entry import places as placed
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import placing
 
@@ -32,6 +33,8 @@
 # When to come back after a refusal: about half of a request's usual service time,
 # spread so that callers do not return together.
 RETRY_AFTER_S = (0.15, 0.45)
+# The same with all domains evacuated, which an operator ends after seconds at least.
+EVACUATED_RETRY_AFTER_S = (1.0, 2.0)
 
 
 class Refusal(enum.Enum):
@@ -156,7 +159,9 @@
             },
         )
         if chosen is None:
-            job.reason = "servers full" if loads else "no server"
+            job.reason = (
+                "servers full" if loads else self.inflight.places.why_none(service)
+            )
             return None
         server = servers[chosen.name]
         self.trace.emit(
@@ -187,6 +192,7 @@
         job.sends += 1
         job.head = None
         self.inflight.circuits.started(name, started)
+        self.inflight.reserve(name)
         self.inflight.count_online(name, 1)
         seen = job.last_event
         try:
@@ -233,6 +239,8 @@
         except pool.ConnectError as error:
             job.reason = f"not connected: {error}"
             return Result.UNSENT
+        finally:
+            self.inflight.sending(server.instance)
         kept = False
         job.runs += 1
         try:
@@ -356,7 +364,10 @@
         elif job.runs:
             await answer.refuse(Refusal.BROKEN, job.reason)
         else:
-            wait = self.rng.uniform(*RETRY_AFTER_S)
+            evacuated = job.reason == placed.EVACUATED
+            wait = self.rng.uniform(
+                *(EVACUATED_RETRY_AFTER_S if evacuated else RETRY_AFTER_S)
+            )
             await answer.refuse(Refusal.UNAVAILABLE, job.reason, wait)
         self.trace.emit(
             "given_up",
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -22,6 +22,7 @@
     "batch": {"keep_s": 120.0},
     "stop": {"grace_s": 8.0, "unready_s": 2.6},
     "processor": {"cores": 1.0},
+    "cold": {"overshoot": 1.0},
 }
 
 
@@ -70,6 +71,13 @@
     cores: float
 
 
+@attrs.frozen
+class Cold:
+    """Hold the factor by which a cold server's rate may be exceeded."""
+
+    overshoot: float
+
+
 @attrs.frozen
 class Settings:
     """Hold every setting of one entry host."""
@@ -81,6 +89,7 @@
     batch: Batch
     stop: Stop
     processor: Processor = Processor(1.0)
+    cold: Cold = Cold(1.0)
 
 
 def load(path: str) -> Settings:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -271,6 +271,7 @@
         task.server = name
         task.counted = True
         self.inflight.count_batch(name, 1)
+        self.inflight.reserve(name)
         self.trace.emit(
             "item_placed",
             task.item.id,
--- a/turmerictally/platform/configuration.py
+++ b/turmerictally/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import math
 import typing
 
 from turmerictally.entry import model
@@ -10,6 +11,7 @@
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 SERVERS_TABLE = "servers"
 
 KINDS = {
@@ -59,12 +61,23 @@
             slots=_positive(given["slots"]),
             draining=state == "draining",
             born_ms=born,
+            cold_s=_cold_s(given.get("coldRemainingMs", 0)),
         )
     except MALFORMED as error:
         logger.info("Registration %s is left out: %r.", key, error)
         return None
 
 
+def read_evacuation(key: str) -> str | None:
+    """Return the failure domain that a row of the operator's evacuates, if any.
+
+    The row's value holds nothing.
+    """
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(EVACUATION_PREFIX)
+
+
 def _route(given: dict) -> model.Route:
     targets = given.get("weightedBackends") or [
         {"service": given["service"], "weight": 1}
@@ -97,6 +110,8 @@
         name=given["name"],
         slots=int(engine.get("slots", 0)),
         max_connections=int(given.get("maxConnections", 0)),
+        warm_up_s=_amount(given.get("coldStartS")),
+        cold_per_s=_amount(given.get("coldPerS")),
     )
 
 
@@ -121,6 +136,32 @@
     )
 
 
+def _cold_s(milliseconds: typing.Any) -> float | None:
+    """Return the seconds, or None for what is no time."""
+    found = _figure(milliseconds)
+    return None if found is None else found / 1000
+
+
+def _amount(value: typing.Any) -> float:
+    """Return a figure that may be left out; what is none counts as left out."""
+    found = 0.0 if value is None else _figure(value)
+    if found is None:
+        logger.warning("A service's figure is left out: %.100r.", value)
+        return 0.0
+    return found
+
+
+def _figure(value: typing.Any) -> float | None:
+    """Return a finite figure of 0 or more, or None."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return None
+    try:
+        found = float(value)
+    except OverflowError:
+        return None
+    return found if 0 <= found < math.inf else None
+
+
 def _text(value: typing.Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError("expected a text")
--- a/turmerictally/platform/deployment.py
+++ b/turmerictally/platform/deployment.py
@@ -24,6 +24,7 @@
     servers_table=configuration.SERVERS_TABLE,
     read_configuration=configuration.read_configuration,
     read_server=configuration.read_server,
+    read_evacuation=configuration.read_evacuation,
 )
 
 
--- a/turmerictally/scheduling/placing.py
+++ b/turmerictally/scheduling/placing.py
@@ -40,7 +40,8 @@
     ``batch_by_host`` counts the batch items of each host that has any, ``online_peak``
     is the most online requests in flight lately.
     ``reliability`` is the share of its requests that it is expected to answer; on
-    ``trial`` it was left out before and takes one request at a time.
+    ``trial`` it was left out before and takes one request at a time. ``item_room``
+    bounds the batch items that may start, where the server is cold.
     """
 
     name: str
@@ -51,6 +52,7 @@
     online_peak: int = 0
     reliability: float = 1.0
     trial: bool = False
+    item_room: int | None = None
 
     @property
     def batch(self) -> int:
@@ -65,7 +67,8 @@
     @property
     def lasting_free(self) -> int:
         """Return the slots that have been free for a while."""
-        return max(0, self.slots - max(self.online, self.online_peak) - self.batch)
+        free = max(0, self.slots - max(self.online, self.online_peak) - self.batch)
+        return free if self.item_room is None else min(free, self.item_room)
 
 
 @attrs.define
--- a/turmerictally/tests/features/settings.feature
+++ b/turmerictally/tests/features/settings.feature
@@ -39,8 +39,13 @@
     Then docs/settings.md has a row for each key and default
     And docs/settings-entry.md has a row for each key and default
 
-  Scenario: The users' platform renders the settings of an entry host
-    Then the template of the users' platform gives valid settings
+  Scenario Outline: The users' platform renders the settings of an entry host
+    Then the template of the users' platform gives valid settings <where> a bound for cold servers
+
+    Examples:
+      | where   |
+      | with    |
+      | without |
 
   Scenario: Every error kind has an answer
     Then each kind has a row in the table and in docs/callers.md
--- a/turmerictally/tests/features/steps/settings_steps.py
+++ b/turmerictally/tests/features/steps/settings_steps.py
@@ -84,8 +84,11 @@
     check_page("settings-entry.md", entry_settings.DEFAULTS)
 
 
-@behave.then("the template of the users' platform gives valid settings")
-def template(context):
+@behave.then(
+    "the template of the users' platform gives valid settings {where} a bound for cold "
+    "servers"
+)
+def template(context, where):
     text = (DOCS.parent / "deploy" / "entry.yaml").read_text(encoding="utf-8")
     given = {
         "nodeName": "edge-1",
@@ -99,11 +102,17 @@
         "bounds.statusS": 120,
         "limits.cpuShare": 0.717,
     }
+    if where == "with":
+        given["bounds.coldOvershoot"] = 1.5
+
+    def section(match):
+        return match[2] if match[1] in given else ""
 
     def fill(match):
         name, _, form = match[1].partition("|")
         return json.dumps(given[name]) if form == "json" else str(given[name])
 
+    text = re.sub(r"(?s)\{\{#(.*?)\}\}\n(.*?)\{\{/\1\}\}\n", section, text)
     filled = re.sub(r"\{\{(.*?)\}\}", fill, text)
     with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
         file.write(filled)
@@ -111,6 +120,7 @@
         found = entry_settings.load(file.name)
     assert found.listen.peers == "10.1.0.21:7360"
     assert found.stop.grace_s == 8.0
+    assert found.cold.overshoot == (1.5 if where == "with" else 1.0)
 
 
 def check_page(name, defaults):
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -87,6 +87,7 @@
         self.drips = False  # each stream stalls, but for a byte now and then
         self.copies_answers = False  # each answer comes again when the next is due
         self.born = 1
+        self.cold_ms = None  # as its registration tells, which may be of any type
         self.keep_alive_s = None  # for which it names to keep idle connections
         self.answers = {}  # by connection, the last one's copy
         self.arrivals = 0
@@ -102,6 +103,8 @@
             "state": self.state,
             "born": self.born,
         }
+        if self.cold_ms is not None:
+            value["coldRemainingMs"] = self.cold_ms
         self.world.store.put("servers", self.name, json.dumps(value).encode())
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
