Learn servers' speeds from answers and place by what free slots are worth

Change: hosts note the time to first events and between events of answers that pass through and tell each other in digests; a slot counts by what it is worth, requests wait where the wait is shortest, items go to the slowest server on which they end in time, and a host runs as many items as suit its processor. Only with scheduling.learned_speeds.

No load was measured yet.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -39,6 +39,7 @@
 )
 from turmerictally.entry import trace as traces
 from turmerictally.metrics import latency
+from turmerictally.scheduling import placing, speeds
 from turmerictally.store import rows
 
 MAX_TEAM_HISTOGRAMS = 20  # the busiest teams' own; the rest share one
@@ -160,6 +161,8 @@
             trace,
             ejection.Ejector(config.failure_domain),
         )
+        learns = config.scheduling.learned_speeds
+        self.inflight.learner = speeds.Speeds() if learns else None
         self.jobs = jobs.Jobs(self.store)
         self.known_jobs = jobs.Known()
         self.inflight.on_failure = self.spread.tell_outcomes
@@ -173,11 +176,14 @@
             configured=self.configured,
             hosts=self.hosts,
             inflight=self.inflight,
-            runner=itemrun.Runner(self.pool, wire, self.registry.note_leaving),
+            runner=itemrun.Runner(
+                self.pool, wire, self.registry.note_leaving, self.inflight.note_events
+            ),
             clock=clock,
             trace=trace,
             rng=self.rng,
             nudge=self.spread.nudge,
+            most_items=(placing.most_items(config.processor.cores) if learns else None),
         )
         self.registry.on_leaving = self._on_leaving
         self.takeover = takeover.Takeover(self.worker)
@@ -364,6 +370,9 @@
             self._on_removed(digest.host, digest.removed)
         if digest.leaving:
             self.registry.take_leaving(digest.host, digest.leaving)
+        if digest.speeds and self.inflight.learner is not None:
+            now = self.clock.monotonic()
+            self.inflight.learner.take(digest.host, digest.speeds, now)
 
     def _on_told(self) -> None:
         self.worker.give_way()
@@ -400,6 +409,7 @@
             stopping=self.stopping,
             removed=self.registry.tell() if full else {},
             leaving=self.registry.tell_leaving() if full else {},
+            speeds=self._speeds(),
         )
 
     def _ages(self) -> dict[str, tuple[int, float]]:
@@ -411,6 +421,10 @@
     def _outcomes(self) -> dict[str, list[int]]:
         return self.inflight.recent.counts(self.clock.monotonic())
 
+    def _speeds(self) -> dict[str, list[float]]:
+        learner = self.inflight.learner
+        return learner.tell(self.clock.monotonic()) if learner is not None else {}
+
     async def _register(self) -> None:
         """Renew this host's row."""
         where = rows.Address(gossip.TABLE, "", self.settings.host_id)
@@ -437,6 +451,8 @@
             await trio.sleep(HOUSEKEEPING_S)
             self.registry.expire()
             self.pool.sweep()
+            if self.inflight.learner is not None:
+                self.inflight.learner.retain(self.registry.servers)
             for name in [n for n, count in self.inflight.online.items() if not count]:
                 if name not in self.registry.servers:
                     self.inflight.forget(name)
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import typing
 
 import attrs
 
@@ -10,7 +11,7 @@
 from turmerictally.entry import registry as registries
 from turmerictally.entry import trace as traces
 from turmerictally.routing import health
-from turmerictally.scheduling import placing
+from turmerictally.scheduling import placing, speeds
 
 # Failures in a row before a server is left out: one in fifty answers may be spoilt by
 # a sound server, two in a row are rare.
@@ -39,6 +40,7 @@
     on_failure: collections.abc.Callable[[], None] = lambda: None
     on_change: collections.abc.Callable[[], None] = lambda: None
     judged_at: float = float("-inf")
+    learner: speeds.Speeds | None = None
     peaks: placing.Peaks = attrs.field(factory=placing.Peaks)
     recent: ejection.Recent = attrs.field(factory=ejection.Recent)
     circuits: health.Health = attrs.field(
@@ -67,8 +69,10 @@
         ]
         # With none left, a server that failed is better than no answer.
         own = self.recent.counts(now)
+        learned = self._learned(usable, now)
         return [
-            self._load(server, own, now) for server in trusted or healthy or servers
+            self._load(server, own, now, learned)
+            for server in trusted or healthy or servers
         ]
 
     def count_online(self, name: str, more: int) -> None:
@@ -81,6 +85,32 @@
         self.batch[name] += more
         self.on_change()
 
+    def note_first(self, name: str, seconds: float) -> None:
+        """Note the time from a request to its first event."""
+        if self.learner is not None and self.excess(name) <= 0:
+            # With no slot free it is the time that the request waited for one.
+            self.learner.note_first(name, seconds, self.clock.monotonic())
+
+    def note_events(self, name: str, events: int, seconds: float) -> None:
+        """Note the time that a server took for so many events."""
+        server = self.registry.servers.get(name)
+        if self.learner is None or server is None:
+            return
+        taken = min(1.0, 1.0 + self.excess(name) / server.slots)
+        now = self.clock.monotonic()
+        self.learner.note_events(name, taken, events, seconds, now)
+
+    def speed_evidence(self, name: str) -> dict[str, typing.Any]:
+        """Return the log fields that tell what a server's learned speed rests on."""
+        found = None if self.learner is None else self.learner.found.get(name)
+        if found is None:
+            return {}
+        return {
+            "slowness": round(found.slowness, 2),
+            "speed_hosts": found.hosts,
+            "speed_age_s": round(found.age_s, 2),
+        }
+
     def succeeded(self, name: str) -> None:
         """Note that a server answered."""
         now = self.clock.monotonic()
@@ -145,6 +175,8 @@
         self.circuits.forget(name)
         self.peaks.forget(name)
         self.ejector.forget(name)
+        if self.learner is not None:
+            self.learner.forget(name)
 
     def _outcomes(self, name: str, own: dict[str, list[int]]) -> ejection.Outcomes:
         counts = collections.Counter(self.hosts.totals.outcomes.get(name, ()))
@@ -153,10 +185,23 @@
         counts[self.ejector.domain, False] += failed
         return counts
 
+    def _learned(
+        self, servers: list[model.Server], now: float
+    ) -> dict[str, speeds.Learned]:
+        """Return what is expected of one service's servers, nothing when off."""
+        if self.learner is None:
+            return {}
+        return self.learner.learned([server.instance for server in servers], now)
+
     def _load(
-        self, server: model.Server, own: dict[str, list[int]], now: float
+        self,
+        server: model.Server,
+        own: dict[str, list[int]],
+        now: float,
+        learned: dict[str, speeds.Learned],
     ) -> placing.Load:
         name = server.instance
+        expected = learned.get(name, speeds.USUAL)
         batch = self.hosts.totals.batch.get(name, {})
         if self.batch[name]:
             batch = batch | {self.hosts.host_id: self.batch[name]}
@@ -172,6 +217,9 @@
             batch_by_host=batch,
             reliability=self.ejector.reliability(self._outcomes(name, own)),
             trial=trial,
+            slowness=expected.slowness,
+            first_s=expected.first_s,
+            event_s=expected.event_s,
         )
 
     def _peak(self, name: str, online: int, now: float) -> int:
@@ -209,4 +257,4 @@
         if server is None:
             return None
         now = self.clock.monotonic()
-        return self._load(server, self.recent.counts(now), now)
+        return self._load(server, self.recent.counts(now), now, {})
--- a/turmerictally/entry/itemrun.py
+++ b/turmerictally/entry/itemrun.py
@@ -6,6 +6,7 @@
 import trio
 
 from turmerictally.entry import events, jobs, messages, model, pool, relay
+from turmerictally.scheduling import speeds
 
 ITEM_TIMEOUT_S = 30.0  # several times the longest item on a slow server
 NOT_CONNECTED = "broken: not connected"
@@ -51,6 +52,9 @@
     on_leaving: collections.abc.Callable[[model.Server, str], None] = (
         lambda server, source: None
     )
+    on_events: collections.abc.Callable[[str, int, float], None] = (
+        lambda server, events, seconds: None
+    )
 
     async def run(self, state: jobs.State, task: Task, server: model.Server) -> str:
         """Run an item on one server; return how that ended."""
@@ -108,9 +112,14 @@
         if not head.signed or not head.events:
             raise pool.BrokenError("answer is no signed stream")
         splitter = events.Splitter(task.last_event)
+        meter = speeds.Meter(server.instance, self.on_events)
+        had = len(task.parts)
         while (data := await connection.data()) is not None:
             if _collect(task, splitter, data):
-                silence.deadline = trio.current_time() + SILENCE_S
+                now = trio.current_time()
+                silence.deadline = now + SILENCE_S
+                meter.add(len(task.parts) - had, now)
+                had = len(task.parts)
             try:
                 await trio.sleep(READ_PAUSE_S)
             except trio.Cancelled:
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -12,7 +12,7 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import events, inflight, messages, model, pool
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import placing
+from turmerictally.scheduling import placing, speeds
 
 # Taken off the time handed to a server, for the way there and back.
 DEADLINE_MARGIN_S = 0.02
@@ -154,6 +154,8 @@
             connected={
                 load.name for load in loads if servers[load.name].address in idle
             },
+            objective_s=job.route.objective_s or math.inf,
+            max_gap_s=job.route.max_gap_s or math.inf,
         )
         if chosen is None:
             job.reason = "servers full" if loads else "no server"
@@ -166,6 +168,7 @@
             online=chosen.online,
             batch=chosen.batch,
             reliability=round(chosen.reliability, 2),
+            **self.inflight.speed_evidence(chosen.name),
             of=len(loads),
             sends=job.sends,
             **self.inflight.registry.evidence(server.instance),
@@ -257,6 +260,7 @@
         resumed = job.last_event if job.last_event != job.ask.resume_after else None
         onward = messages.Onward(server.instance, left, job.team, resumed)
         headers = self.wire.onward(job.ask, onward, len(job.body))
+        sent_at = trio.current_time()
         with trio.fail_at(self._silence_ends(job, first=True)):
             await connection.request(job.ask.method, job.ask.target, headers, job.body)
             head = await read_head(self.wire, connection, job.ask.request_id)
@@ -271,7 +275,7 @@
             return await self._whole(job, connection, head)
         if not head.signed:
             raise pool.BrokenError("answer without the server's signature")
-        await self._stream(job, connection, head)
+        await self._stream(job, server, connection, head, sent_at)
         return Result.DONE, head
 
     async def _whole(
@@ -295,10 +299,16 @@
         return Result.DONE, head
 
     async def _stream(
-        self, job: Job, connection: pool.Connection, head: messages.Head
+        self,
+        job: Job,
+        server: model.Server,
+        connection: pool.Connection,
+        head: messages.Head,
+        sent_at: float,
     ) -> None:
         splitter = events.Splitter(job.last_event)
         passed_at = -math.inf
+        meter = speeds.Meter(server.instance, self.inflight.note_events)
         ends = self._silence_ends(job, first=not job.answer.started)
         with trio.CancelScope() as silence:
             while True:
@@ -318,6 +328,8 @@
                 job.last_event = splitter.last
                 ends = self._silence_ends(job, first=False)
                 before, passed_at = passed_at, trio.current_time()
+                if meter.add(len(found), passed_at):
+                    self.inflight.note_first(server.instance, passed_at - sent_at)
                 fast = len(found) > 1 or passed_at < before + GATHER_S
                 if fast and connection.waiting:
                     await trio.sleep(GATHER_S)
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -22,6 +22,7 @@
     "batch": {"keep_s": 120.0},
     "stop": {"grace_s": 8.0, "unready_s": 2.6},
     "processor": {"cores": 1.0},
+    "scheduling": {"learned_speeds": False},
 }
 
 
@@ -70,6 +71,13 @@
     cores: float
 
 
+@attrs.frozen
+class Scheduling:
+    """Hold which decisions under load are switched on."""
+
+    learned_speeds: bool = False
+
+
 @attrs.frozen
 class Settings:
     """Hold every setting of one entry host."""
@@ -81,6 +89,7 @@
     batch: Batch
     stop: Stop
     processor: Processor = Processor(1.0)
+    scheduling: Scheduling = Scheduling()
 
 
 def load(path: str) -> Settings:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -66,6 +66,7 @@
     stopping: bool = False
     expected: itemorder.Expected = attrs.field(factory=itemorder.Expected)
     nursery: trio.Nursery | None = None
+    most_items: int | None = None  # that this host runs at once; None is any
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -259,12 +260,36 @@
                 waiting=len(pairs),
                 waiting_elsewhere=elsewhere,
                 rng=self.rng,
+                most=self._may_start(),
             )
+            slowness = {load.name: load.slowness for load in loads}
+            needs = [self._need(*pair) for pair in pairs[: len(starts)]]
+            starts = placing.match_items(needs, starts, slowness)
             for (owned, task), name in zip(pairs, starts, strict=False):
                 self._start(owned, task, name)
             if starts:
                 self.nudge()
 
+    def _may_start(self) -> int | None:
+        """Return how many items more this host may run, None when any."""
+        if self.most_items is None:
+            return None
+        running = sum(
+            task.running
+            for owned in self.owned.values()
+            for task in owned.tasks.values()
+        )
+        return max(0, self.most_items - running)
+
+    def _need(self, owned: Owned, task: itemrun.Task) -> placing.Need:
+        state = owned.kept.state
+        due_s = state.created_s + state.completion_s
+        now_s = self.states.store_now_s()
+        left_s = self.expected.left_s(len(task.parts))
+        return placing.Need(
+            left_s, due_s - (state.created_s if now_s is None else now_s)
+        )
+
     def _start(self, owned: Owned, task: itemrun.Task, name: str) -> None:
         server = self.inflight.registry.servers[name]
         task.scope = trio.CancelScope()
--- a/turmerictally/scheduling/placing.py
+++ b/turmerictally/scheduling/placing.py
@@ -5,6 +5,7 @@
 
 import collections.abc
 import hashlib
+import math
 import random
 
 import attrs
@@ -31,6 +32,11 @@
 # A slot is free for a batch item when no online request needed it for this long:
 # several times that in which a server's count moves by chance and by its age.
 PEAK_S = 1.0
+# Batch items that one core may run: reading an item's events several times a second
+# takes up to half a hundredth of a core, and callers' requests need the larger part.
+ITEMS_PER_CORE = 32
+# Kept back from an item's time to its due time, for saving its result.
+SAVING_S = 1.0
 
 
 @attrs.frozen
@@ -41,6 +47,9 @@
     is the most online requests in flight lately.
     ``reliability`` is the share of its requests that it is expected to answer; on
     ``trial`` it was left out before and takes one request at a time.
+    ``slowness`` is 1.0 when usual, 2.0 when it takes twice as long; ``first_s`` and
+    ``event_s`` are the expected time to the first event and between events, 0 when
+    unknown.
     """
 
     name: str
@@ -51,6 +60,9 @@
     online_peak: int = 0
     reliability: float = 1.0
     trial: bool = False
+    slowness: float = 1.0
+    first_s: float = 0.0
+    event_s: float = 0.0
 
     @property
     def batch(self) -> int:
@@ -67,6 +79,29 @@
         """Return the slots that have been free for a while."""
         return max(0, self.slots - max(self.online, self.online_peak) - self.batch)
 
+    @property
+    def worth_free(self) -> float:
+        """Return the free slots, in those of a usual server."""
+        return (self.slots - self.total) / self.slowness
+
+    @property
+    def most_online(self) -> float:
+        """Return the callers' requests below which one more may wait here."""
+        waiting = self.slots * MAX_WAITING_RATIO / self.slowness
+        return self.slots + max(1, waiting)
+
+    def is_timely(self, objective_s: float, max_gap_s: float) -> bool:
+        """Return whether a first event and the pauses are expected to be on time."""
+        return self.first_s <= objective_s and self.event_s <= max_gap_s
+
+
+@attrs.frozen
+class Need:
+    """Hold the seconds that an item needs at a usual server, and until it is due."""
+
+    left_s: float
+    due_in_s: float
+
 
 @attrs.define
 class Peaks:
@@ -95,40 +130,42 @@
     rng: random.Random,
     repeatable: bool = True,
     connected: collections.abc.Set[str] = frozenset(),
+    objective_s: float = math.inf,
+    max_gap_s: float = math.inf,
 ) -> Load | None:
     """Return the server for an online request, or None when all are full.
 
-    One is drawn by its free slots, sooner where a connection is open. With none free,
+    One is drawn by what its free slots are worth, sooner where a connection is open,
+    among those that are expected to be on time if there are any. With none free,
     batch items give way: they do not fill a server. A request that is not
     ``repeatable`` tries no server.
     """
     if not repeatable:
         loads = [load for load in loads if not load.trial] or loads
-    open_to = [
-        load
-        for load in loads
-        if load.online < load.slots + max(1, load.slots * MAX_WAITING_RATIO)
-    ]
+    open_to = [load for load in loads if load.online < load.most_online]
     free = [load for load in open_to if load.total < load.slots]
     if not free:
         return min(open_to, key=lambda load: _crowding(load, rng), default=None)
+    free = [each for each in free if each.is_timely(objective_s, max_gap_s)] or free
     preferred = _preferred(open_to, prompt_parts)
-    if preferred is not None:
-        least_free = preferred.slots * AFFINITY_FREE_RATIO
-        if preferred.slots - preferred.total >= least_free:
-            return preferred
+    if (
+        preferred is not None
+        and preferred.is_timely(objective_s, max_gap_s)
+        and preferred.worth_free >= preferred.slots * AFFINITY_FREE_RATIO
+    ):
+        return preferred
 
     def weight(load: Load) -> float:
-        slots = load.slots - load.total + DOMAIN_SLOTS * (load.domain == domain)
+        slots = load.worth_free + DOMAIN_SLOTS * (load.domain == domain)
         found = slots**FREE_POWER * (CONNECTED if load.name in connected else 1.0)
         return found * load.reliability ** (1.0 if repeatable else ONCE_POWER)
 
     return rng.choices(free, [weight(load) for load in free])[0]
 
 
-def _crowding(load: Load, rng: random.Random) -> tuple[int, int, float]:
+def _crowding(load: Load, rng: random.Random) -> tuple[float, int, float]:
     must_wait = max(0, load.online + 1 - load.slots)
-    return must_wait, load.total - load.slots, rng.random()
+    return must_wait * load.slowness, load.total - load.slots, rng.random()
 
 
 def _preferred(loads: list[Load], prompt_parts: tuple[str, ...]) -> Load | None:
@@ -146,8 +183,9 @@
     waiting: int,
     waiting_elsewhere: int,
     rng: random.Random,
+    most: int | None = None,
 ) -> list[str]:
-    """Return the servers, one for each batch item to start now.
+    """Return the servers, one for each batch item to start now, at most so many.
 
     Slots that are free for a moment only are left to online requests: an item would
     give way before it has made anything. Hosts see the same free slots at once, so each
@@ -159,7 +197,33 @@
     part = len(free) * waiting / (waiting + waiting_elsewhere)
     count = int(part) + (rng.random() < part - int(part))
     rng.shuffle(free)
-    return free[: min(count, waiting)]
+    return free[: min(count, waiting, count if most is None else most)]
+
+
+def most_items(cores: float) -> int:
+    """Return how many batch items a host with so many processor cores runs."""
+    return max(1, int(cores * ITEMS_PER_CORE))
+
+
+def match_items(
+    needs: collections.abc.Sequence[Need],
+    starts: collections.abc.Sequence[str],
+    slowness: collections.abc.Mapping[str, float],
+) -> list[str]:
+    """Return the servers in the order of the items that start there.
+
+    Each item gets the slowest server on which it ends in time, which leaves the fast
+    ones to those that are nearly due; one that is late everywhere gets the fastest.
+    """
+    if len({slowness[name] for name in starts}) <= 1:
+        return list(starts)
+    left = sorted(starts, key=lambda name: slowness[name])
+    found = []
+    for need in needs[: len(starts)]:
+        time_s = need.due_in_s - SAVING_S
+        timely = [n for n, s in enumerate(left) if need.left_s * slowness[s] <= time_s]
+        found.append(left.pop(timely[-1] if timely else 0))
+    return found
 
 
 def batch_stops(load: Load, host: str) -> int:
--- /dev/null
+++ b/turmerictally/scheduling/speeds.py
@@ -0,0 +1,273 @@
+"""Learn how fast each backend server is from answers that pass through anyway."""
+
+import collections
+import collections.abc
+import math
+
+import attrs
+
+# What a host saw of a server counts for so long: several answers of a usual service
+# time, so that a disturbance of half a second is the smaller part of it.
+WINDOW_S = 2.0
+NEWS_S = 1.0  # a server without an observation for this long is not told
+# Entries of other hosts count for so long after they came: their digests come each
+# second at least, and tell what is up to 2 s old.
+KEEP_S = 3.0
+OBSERVED_S = 0.25  # of events make an observation; several in a usual answer
+MAX_TOLD = 16  # servers in a digest, some 500 bytes
+MIN_OBSERVATIONS = 3  # of all hosts; fewer leave a server's slowness as it was
+# After ``KEEP_S`` without enough observations a server counts as usual again by and by.
+FORGET_S = 8.0
+# Part of the hosts' entries that are faster than a server's pace: what is slow for a
+# moment only is seen by fewer of them.
+PACE_QUANTILE = 1 / 3
+# Paces within this ratio of the usual one differ by chance.
+USUAL_RATIO = 1.3
+MAX_SLOWNESS = 10.0
+REVIEW_S = 0.1  # between two estimates of all servers
+# Weight of a new observation in how much a full server is slower than an idle one.
+CROWDING_SMOOTHING = 0.02
+MAX_CROWDING = 2.0  # in the logarithm: a full server is 2.7 times slower than half full
+HALF = 0.5  # the share of taken slots to which paces are scaled
+
+
+@attrs.frozen
+class Evidence:
+    """Hold what one host saw of a server lately.
+
+    ``first_s`` is the time to the first event where a slot was free, ``event_s`` the
+    time an event at half-taken slots, both in seconds, 0 when unknown.
+    """
+
+    count: int
+    first_s: float
+    event_s: float
+
+    def told(self) -> list[float]:
+        """Return the entry of a digest."""
+        return [self.count, round(self.first_s, 3), round(self.event_s, 5)]
+
+
+@attrs.frozen
+class Learned:
+    """Hold what is expected of a server.
+
+    ``slowness`` is 1.0 when usual and 2.0 when it takes twice as long; ``hosts``
+    counts the entries behind it and ``age_s`` tells how long ago they sufficed.
+    """
+
+    slowness: float = 1.0
+    first_s: float = 0.0
+    event_s: float = 0.0
+    hosts: int = 0
+    age_s: float = 0.0
+
+
+USUAL = Learned()
+
+
+@attrs.define
+class Meter:
+    """Turn the events of one answer into observations of its server's speed."""
+
+    server: str
+    note: collections.abc.Callable[[str, int, float], None]
+    events: int = 0
+    since: float = math.inf
+
+    def add(self, events: int, now: float) -> bool:
+        """Take events that came now; return whether they are the first."""
+        if self.since == math.inf:
+            # How long these took is the time to the first event.
+            self.since = now
+            return True
+        self.events += events
+        if now >= self.since + OBSERVED_S:
+            self.note(self.server, self.events, now - self.since)
+            self.events, self.since = 0, now
+        return False
+
+
+@attrs.define
+class Crowding:
+    """Learn by how much a server is slower the more of its slots are taken."""
+
+    products: float = 0.0
+    squares: float = 1.0
+
+    def learn(self, taken: float, ratio: float) -> None:
+        """Take a pace at a share of taken slots, against the pace at half of them."""
+        x, y = taken - HALF, math.log(ratio)
+        self.products += CROWDING_SMOOTHING * (x * y - self.products)
+        self.squares += CROWDING_SMOOTHING * (x * x - self.squares)
+
+    def ratio(self, taken: float) -> float:
+        """Return the expected pace against that at half-taken slots."""
+        slope = self.products / self.squares if self.squares > 0.0 else 0.0
+        return math.exp(min(MAX_CROWDING, max(0.0, slope)) * (taken - HALF))
+
+
+@attrs.define
+class Own:
+    """Keep this host's observations of one server, with their monotonic times."""
+
+    firsts: collections.deque[tuple[float, float]] = attrs.field(
+        factory=collections.deque
+    )
+    paces: collections.deque[tuple[float, int, float]] = attrs.field(
+        factory=collections.deque
+    )
+    newest: float = -math.inf
+
+    def evidence(self, now: float) -> Evidence:
+        """Return what is younger than ``WINDOW_S``."""
+        for kept in (self.firsts, self.paces):
+            while kept and kept[0][0] <= now - WINDOW_S:
+                kept.popleft()
+        firsts = [seconds for _, seconds in self.firsts]
+        events = sum(events for _, events, _ in self.paces)
+        seconds = sum(seconds for _, _, seconds in self.paces)
+        return Evidence(
+            count=max(len(self.paces), len(firsts)),
+            first_s=_quantile(firsts, HALF) if firsts else 0.0,
+            event_s=seconds / events if events else 0.0,
+        )
+
+
+@attrs.define
+class Known:
+    """Hold the last estimate that rested on enough observations, and its time."""
+
+    learned: Learned
+    at: float
+
+
+@attrs.define(eq=False)
+class Speeds:
+    """Combine this host's observations with those that other hosts tell."""
+
+    own: dict[str, Own] = attrs.Factory(dict)
+    heard: dict[str, dict[str, tuple[Evidence, float]]] = attrs.Factory(dict)
+    known: dict[str, Known] = attrs.Factory(dict)
+    crowding: Crowding = attrs.Factory(Crowding)
+    reviewed: tuple[tuple[str, ...], float] = ((), -math.inf)
+    found: dict[str, Learned] = attrs.Factory(dict)
+
+    def note_first(self, server: str, seconds: float, now: float) -> None:
+        """Note the time to a first event at a server that had a free slot."""
+        own = self.own.setdefault(server, Own())
+        own.firsts.append((now, seconds))
+        own.newest = now
+
+    def note_events(
+        self, server: str, taken: float, events: int, seconds: float, now: float
+    ) -> None:
+        """Note the seconds of so many events, with the share of taken slots."""
+        if events <= 0 or seconds <= 0.0:
+            return
+        own = self.own.setdefault(server, Own())
+        known = self.known.get(server)
+        if known is not None and known.learned.event_s:
+            pace = seconds / events
+            self.crowding.learn(taken, pace / known.learned.event_s)
+        own.paces.append((now, events, seconds / self.crowding.ratio(taken)))
+        own.newest = now
+
+    def tell(self, now: float) -> dict[str, list[float]]:
+        """Return the digest's entries: the servers with the newest observations."""
+        news = [name for name, own in self.own.items() if now - own.newest < NEWS_S]
+        news.sort(key=lambda name: self.own[name].newest, reverse=True)
+        return {name: self.own[name].evidence(now).told() for name in news[:MAX_TOLD]}
+
+    def take(self, host: str, told: dict[str, list[float]], now: float) -> None:
+        """Take the entries of another host's digest."""
+        for server, (count, first_s, event_s) in told.items():
+            evidence = Evidence(int(count), float(first_s), float(event_s))
+            self.heard.setdefault(server, {})[host] = evidence, now
+
+    def forget(self, server: str) -> None:
+        """Drop what is known of a server that is gone or was started again."""
+        for kept in (self.own, self.heard, self.known, self.found):
+            kept.pop(server, None)
+        self.reviewed = (), -math.inf
+
+    def retain(self, servers: collections.abc.Collection[str]) -> None:
+        """Drop the servers that are not among these."""
+        for name in (self.own.keys() | self.heard.keys()) - set(servers):
+            self.forget(name)
+
+    def learned(
+        self, servers: collections.abc.Sequence[str], now: float
+    ) -> dict[str, Learned]:
+        """Return what is expected of each of one service's servers."""
+        asked, at = self.reviewed
+        names = tuple(servers)
+        if names != asked or not at <= now < at + REVIEW_S:
+            self.found = self._review(names, now)
+            self.reviewed = names, now
+        return self.found
+
+    def _review(self, servers: tuple[str, ...], now: float) -> dict[str, Learned]:
+        sure = {}
+        for name in servers:
+            entries = self._entries(name, now)
+            if sum(each.count for each in entries) >= MIN_OBSERVATIONS:
+                sure[name] = entries
+        paces = {name: _pace(entries) for name, entries in sure.items()}
+        usual = _quantile([pace for pace in paces.values() if pace], HALF)
+        for name, entries in sure.items():
+            firsts = [each.first_s for each in entries if each.first_s]
+            learned = Learned(
+                slowness=_slowness(paces[name], usual),
+                first_s=_quantile(firsts, PACE_QUANTILE),
+                event_s=paces[name],
+                hosts=len(entries),
+            )
+            self.known[name] = Known(learned, now)
+        return {name: self._remembered(name, now) for name in servers}
+
+    def _remembered(self, server: str, now: float) -> Learned:
+        known = self.known.get(server)
+        if known is None:
+            return USUAL
+        age_s = now - known.at
+        left = min(1.0, max(0.0, 1.0 - (age_s - KEEP_S) / FORGET_S))
+        if not left:
+            del self.known[server]
+            return USUAL
+        slowness = 1.0 + left * (known.learned.slowness - 1.0)
+        if age_s > KEEP_S:
+            return Learned(slowness, age_s=age_s, hosts=known.learned.hosts)
+        return attrs.evolve(known.learned, age_s=age_s)
+
+    def _entries(self, server: str, now: float) -> list[Evidence]:
+        heard = self.heard.get(server, {})
+        for host, (_, at) in list(heard.items()):
+            if now - at >= KEEP_S:
+                del heard[host]
+        found = [evidence for evidence, _ in heard.values()]
+        if server in self.own:
+            found.append(self.own[server].evidence(now))
+            if now - self.own[server].newest >= KEEP_S:
+                del self.own[server]
+        return found
+
+
+def _pace(entries: list[Evidence]) -> float:
+    return _quantile([each.event_s for each in entries if each.event_s], PACE_QUANTILE)
+
+
+def _slowness(pace: float, usual: float) -> float:
+    if not pace or not usual:
+        return 1.0
+    ratio = pace / usual
+    if 1 / USUAL_RATIO <= ratio <= USUAL_RATIO:
+        return 1.0
+    return min(MAX_SLOWNESS, max(1 / MAX_SLOWNESS, ratio))
+
+
+def _quantile(values: collections.abc.Sequence[float], part: float) -> float:
+    """Return the value that so many others are below, 0.0 of none."""
+    if not values:
+        return 0.0
+    return sorted(values)[int(part * (len(values) - 1) + HALF)]
