--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -23,6 +23,7 @@
     "stop": {"grace_s": 8.0, "unready_s": 2.6},
     "processor": {"cores": 1.0},
     "cold": {"overshoot": 1.0},
+    "scheduling": {"learned_speeds": False},
 }
 
 
@@ -78,6 +79,13 @@
     overshoot: float
 
 
+@attrs.frozen
+class Scheduling:
+    """Hold which decisions under load are switched on."""
+
+    learned_speeds: bool = False
+
+
 @attrs.frozen
 class Settings:
     """Hold every setting of one entry host."""
@@ -90,6 +98,7 @@
     stop: Stop
     processor: Processor = Processor(1.0)
     cold: Cold = Cold(1.0)
+    scheduling: Scheduling = Scheduling()
 
 
 def load(path: str) -> Settings:
