--- a/turmerictally/entry/network.py
+++ b/turmerictally/entry/network.py
@@ -1,10 +1,10 @@
 """Reach other processes over TCP and UDP, behind what tests can replace."""
 
+import collections.abc
 import contextlib
 import errno
 import logging
 import os
-import select
 import socket
 import struct
 import typing
@@ -16,6 +16,15 @@
 
 BACKLOG = 1024
 READ_BYTES = 64 * 1024
+# Calls of one connection that find the socket ready, before other tasks have their
+# turn; each moves 64 kB at most.
+MAX_AT_ONCE = 16
+# A reader that is slow stops its sender here, not after megabytes of socket buffers.
+MAX_UNSENT_BYTES = 16 * 1024
+# Of connections that ended before they were accepted.
+LOST_CONNECTION_ERRORS = frozenset(
+    {errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN}
+)
 MAX_DATAGRAMS = 100  # read at once, before other tasks have their turn
 # Closing drops what was not delivered; the kernel would go on sending it, also for a
 # process that has ended, and a partition that heals would let it through.
@@ -88,65 +97,128 @@
         """Bind a datagram socket."""
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class SocketStream:
-    """Implement ``Stream`` on a TCP connection."""
+    """Implement ``Stream`` on a TCP socket that does not block.
+
+    ``at_once`` counts the calls in a row that did not wait.
+    """
 
-    inner: trio.SocketStream
+    sock: socket.socket
+    at_once: int = 0
 
     async def send_all(self, data: bytes) -> None:
         """Send bytes, without a task switch when the socket takes them at once."""
+        sent = self._send(data)
+        if sent == len(data):
+            await self._give_turns()
+            return
+        view = memoryview(data)
+        while sent < len(data):
+            await self._wait(trio.lowlevel.wait_writable)
+            sent += self._send(view[sent:])
+
+    def _send(self, data: bytes | memoryview) -> int:
         try:
-            sent = os.write(self.inner.socket.fileno(), data)
+            return self.sock.send(data)
         except BlockingIOError:
-            sent = 0
+            return 0
         except OSError as error:
-            if error.errno == errno.EBADF:
-                raise trio.ClosedResourceError from error
-            raise trio.BrokenResourceError from error
-        if sent < len(data):
-            await self.inner.send_all(data[sent:])
+            raise _broken(error) from error
 
     async def receive_some(self) -> bytes:
-        """Return the next bytes."""
-        return bytes(await self.inner.receive_some(READ_BYTES))
+        """Return the next bytes, without a task switch when they are here."""
+        while True:
+            try:
+                data = self.sock.recv(READ_BYTES)
+            except BlockingIOError:
+                await self._wait(trio.lowlevel.wait_readable)
+                continue
+            except OSError as error:
+                raise _broken(error) from error
+            await self._give_turns()
+            return data
+
+    async def _wait(
+        self,
+        until: collections.abc.Callable[
+            [socket.socket], collections.abc.Awaitable[None]
+        ],
+    ) -> None:
+        self.at_once = 0
+        await until(self.sock)
+
+    async def _give_turns(self) -> None:
+        """Let other tasks run after many calls that did not wait."""
+        self.at_once += 1
+        if self.at_once >= MAX_AT_ONCE:
+            self.at_once = 0
+            await trio.lowlevel.checkpoint()
 
     async def send_eof(self) -> None:
         """Tell the other end that nothing more is sent."""
-        await self.inner.send_eof()
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            raise _broken(error) from error
 
     def close(self) -> None:
         """Close at once."""
-        self.inner.socket.close()
+        _close(self.sock)
 
     def is_quiet(self) -> bool:
         """Return whether the connection is open and has nothing to read."""
-        poll = select.poll()
-        poll.register(self.inner.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            # Reset or closed.
+            return False
+        return False
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class SocketListener:
-    """Implement ``Listener`` on a TCP socket."""
+    """Implement ``Listener`` on a TCP socket that does not block."""
 
-    inner: trio.SocketListener
+    sock: socket.socket
     address: str
+    at_once: int = 0
 
     async def accept(self) -> SocketStream:
         """Return the next connection."""
         while True:
             try:
-                return SocketStream(await self.inner.accept())
+                accepted, _ = self.sock.accept()
+            except BlockingIOError:
+                self.at_once = 0
+                await trio.lowlevel.wait_readable(self.sock)
             except OSError as error:
+                if error.errno == errno.EBADF:
+                    raise trio.ClosedResourceError from error
+                if error.errno in LOST_CONNECTION_ERRORS:
+                    continue
                 if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS):
                     raise
                 logger.warning("A connection cannot be accepted: %s.", error)
                 await trio.sleep(ACCEPT_PAUSE_S)
+            else:
+                break
+        self.at_once += 1
+        if self.at_once >= MAX_AT_ONCE:
+            self.at_once = 0
+            try:
+                await trio.lowlevel.checkpoint()
+            except trio.Cancelled:
+                accepted.close()
+                raise
+        _set_up(accepted)
+        return SocketStream(accepted)
 
     def close(self) -> None:
         """Stop accepting."""
-        self.inner.socket.close()
+        _close(self.sock)
 
 
 @attrs.frozen
@@ -181,25 +253,39 @@
 
     async def connect(self, address: str) -> SocketStream:
         """Return a connection."""
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            _set_up(sock)
             sock.setsockopt(
                 socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
             )
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
-            await sock.connect(_split(address))
+            try:
+                sock.connect(_split(address))
+            except BlockingIOError:
+                await trio.lowlevel.wait_writable(sock)
+                error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if error:
+                    raise OSError(error, os.strerror(error)) from None
         except BaseException:
             sock.close()
             raise
-        return SocketStream(trio.SocketStream(sock))
+        return SocketStream(sock)
 
     async def listen(self, address: str) -> SocketListener:
         """Listen at an address."""
-        host, port = _split(address)
-        found = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
-        bound = found[0].socket.getsockname()
-        return SocketListener(found[0], f"{bound[0]}:{bound[1]}")
+        await trio.lowlevel.checkpoint()
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(_split(address))
+            sock.listen(BACKLOG)
+        except BaseException:
+            sock.close()
+            raise
+        bound = sock.getsockname()
+        return SocketListener(sock, f"{bound[0]}:{bound[1]}")
 
     async def datagrams(self, address: str) -> SocketDatagrams:
         """Bind a datagram socket."""
@@ -210,6 +296,25 @@
         return SocketDatagrams(sock)
 
 
+def _set_up(sock: socket.socket) -> None:
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_BYTES)
+
+
+def _close(sock: socket.socket) -> None:
+    if sock.fileno() >= 0:
+        # Tasks that wait for the socket learn that it is closed.
+        trio.lowlevel.notify_closing(sock)
+        sock.close()
+
+
+def _broken(error: OSError) -> Exception:
+    if error.errno == errno.EBADF:
+        return trio.ClosedResourceError()
+    return trio.BrokenResourceError(str(error))
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/turmerictally/tests/soak/proxy.py
+++ b/turmerictally/tests/soak/proxy.py
@@ -58,9 +58,11 @@
                 if self.refusing:
                     return
                 try:
-                    far = (await network.Sockets().connect(self.target)).inner
+                    stream = await network.Sockets().connect(self.target)
                 except OSError:
                     return
+                sock = trio.socket.from_stdlib_socket(stream.sock)
+                far = trio.SocketStream(sock)
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._pump, near, far, "up", nursery)
                     nursery.start_soon(self._pump, far, near, "down", nursery)
