Hold teams to fair shares and let requests wait for room

Where every server has its slots taken, an entry host refused at once or filled a server's own queue, whoever asked. Now each host works out the teams' shares from what all hosts tell (weighted max-min of slots held), refuses at once what is above them or cannot start in time, and keeps the rest in order of share and deadline until a server has room.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -60,9 +60,10 @@
     left out; ``lacking`` names the hosts whose base this one asks for. ``removed``,
     in full digests only, gives for each server whose registration the host saw removed
     the store's version of that, ``leaving`` for each server whose own answers said that
-    it leaves its birth. ``work`` counts by team the tokens of its requests that servers
-    work on or that wait here, ``speeds`` gives for each server what
-    ``scheduling.speeds.Evidence`` holds.
+    it leaves its birth. ``work`` counts by service and team the slots that its requests
+    hold or ask for, ``speeds`` gives for each server what
+    ``scheduling.speeds.Evidence`` holds. ``callers_waiting`` counts requests of
+    callers that wait here for a server, ``waiting`` batch items.
     """
 
     host: str
@@ -87,6 +88,7 @@
     leaving: dict[str, int] = attrs.Factory(dict)
     work: dict[str, int] = attrs.Factory(dict)
     speeds: dict[str, list[float]] = attrs.Factory(dict)
+    callers_waiting: int = 0
 
     def has_load_of(self, other: "Digest") -> bool:
         """Return whether both tell the same of what is in flight and left out."""
@@ -95,6 +97,8 @@
             and self.batch == other.batch
             and self.waiting == other.waiting
             and self.failing == other.failing
+            and self.work == other.work
+            and self.callers_waiting == other.callers_waiting
         )
 
     def encode(self) -> bytes:
@@ -168,10 +172,13 @@
         factory=lambda: collections.defaultdict(collections.Counter)
     )
     failed: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    work: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    callers_waiting: int = 0
 
     def add(self, digest: Digest) -> None:
         """Count a host's newest digest, without its outcomes."""
         self.waiting += digest.waiting
+        self.callers_waiting += digest.callers_waiting
         self._count(digest, 1)
         for name, count in digest.batch.items():
             self.batch[name][digest.host] = count
@@ -179,6 +186,7 @@
     def drop(self, digest: Digest) -> None:
         """Count it no more, without its outcomes."""
         self.waiting -= digest.waiting
+        self.callers_waiting -= digest.callers_waiting
         self._count(digest, -1)
         for name in digest.batch:
             del self.batch[name][digest.host]
@@ -187,6 +195,7 @@
 
     def _count(self, digest: Digest, sign: int) -> None:
         _add(self.online, digest.online.items(), sign)
+        _add(self.work, digest.work.items(), sign)
         if digest.failing:
             _add(self.failing, ((name, 1) for name in digest.failing), sign)
 
@@ -349,10 +358,13 @@
             age = now - peer.heard_at
             if age > silent_s and not peer.silent:
                 peer.silent = True
-                # Its requests still run; its judgement of servers is out of date.
+                # Its requests still run; its judgement of servers is out of date, and
+                # its callers' claims must not keep room from others.
                 self.totals.drop(peer.digest)
                 self.totals.take_outcomes(peer.digest, None)
-                peer.digest = attrs.evolve(peer.digest, failing=[], outcomes={})
+                peer.digest = attrs.evolve(
+                    peer.digest, failing=[], outcomes={}, work={}, callers_waiting=0
+                )
                 self.totals.add(peer.digest)
                 self.on_silent(name)
                 self.trace.emit("peer_silent", host=name, age_s=round(age, 2))
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -34,6 +34,7 @@
     settings,
     spread,
     takeover,
+    turns,
     watch,
     worker,
 )
@@ -163,7 +164,7 @@
         self.jobs = jobs.Jobs(self.store)
         self.known_jobs = jobs.Known()
         self.inflight.on_failure = self.spread.tell_outcomes
-        self.inflight.on_change = self.spread.changed
+        self.inflight.on_change = self._on_load
         self.worker = worker.Worker(
             host_id=config.host_id,
             instance=self.instance,
@@ -182,6 +183,7 @@
         self.registry.on_leaving = self._on_leaving
         self.takeover = takeover.Takeover(self.worker)
         self.collector = collector.Collector(self.takeover, config.batch.keep_s)
+        self.turns = self._make_turns()
         self.relay = relay.Relay(
             inflight=self.inflight,
             pool=self.pool,
@@ -191,6 +193,7 @@
             domain=config.failure_domain,
             rng=self.rng,
             crowded=self._crowded,
+            waiters=self.turns,
         )
         self.desk = desk.Desk(
             configured=self.configured,
@@ -208,6 +211,20 @@
             rng=self.rng,
         )
 
+    def _make_turns(self) -> turns.Turns | None:
+        given = self.settings.scheduling
+        if not (given.fair_shares or given.waiting_room):
+            return None
+        return turns.Turns(
+            inflight=self.inflight,
+            hosts=self.hosts,
+            room=turns.make_room(self.hosts, self.rng),
+            clock=self.clock,
+            trace=self.trace,
+            limited=given.fair_shares,
+            room_on=given.waiting_room,
+        )
+
     def _build_listeners(self) -> None:
         listen = self.settings.listen
 
@@ -315,7 +332,11 @@
     def _on_configuration(self, changed: list[rows.Row]) -> None:
         self.configured.update(changed)
         if self.configured.current is not None:
-            self.allowances.configure(self.configured.current.teams)
+            teams = self.configured.current.teams
+            self.allowances.configure(teams)
+            if self.turns is not None:
+                weights = {team.name: team.rate_per_s for team in teams}
+                self.turns.room.work.weights = weights
 
     def _on_servers(self, changed: list[rows.Row]) -> None:
         before = dict(self.registry.servers)
@@ -368,6 +389,14 @@
     def _on_told(self) -> None:
         self.worker.give_way()
         self.inflight.heard()
+        if self.turns is not None:
+            self.turns.heard()
+
+    def _on_load(self) -> None:
+        """Tell that own requests began or ended, and use the room they left."""
+        self.spread.changed()
+        if self.turns is not None:
+            self.turns.freed()
 
     def _crowded(self, server: str) -> None:
         """Let batch items leave a server that got more than its slots."""
@@ -400,8 +429,15 @@
             stopping=self.stopping,
             removed=self.registry.tell() if full else {},
             leaving=self.registry.tell_leaving() if full else {},
+            work=self._work(),
+            callers_waiting=len(self.turns.room.requests) if self.turns else 0,
         )
 
+    def _work(self) -> dict[str, int]:
+        if self.turns is None:
+            return {}
+        return self.turns.room.work.told(self.clock.monotonic())
+
     def _ages(self) -> dict[str, tuple[int, float]]:
         return {
             name: (each.version, round(min(each.age_s(), 1e6), 2))
--- a/turmerictally/entry/messages.py
+++ b/turmerictally/entry/messages.py
@@ -15,6 +15,7 @@
 
     ``wait_s`` is how long the caller will wait, ``resume_after`` the last event it
     has. ``prompt_parts`` names the prompt's parts in order, the shared ones first.
+    ``output_tokens`` are the expected ones.
     """
 
     method: bytes
@@ -27,6 +28,8 @@
     resume_after: int | None = None
     prompt_parts: tuple[str, ...] = ()
     poll_wait_s: float = 0.0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
     @property
     def path(self) -> str:
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -10,9 +10,9 @@
 import trio
 
 from turmerictally import clock as clocks
-from turmerictally.entry import events, inflight, messages, model, pool
+from turmerictally.entry import events, inflight, messages, model, pool, turns
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import placing
+from turmerictally.scheduling import placing, shares, waiting
 
 # Taken off the time handed to a server, for the way there and back.
 DEADLINE_MARGIN_S = 0.02
@@ -101,6 +101,13 @@
     head: messages.Head | None = None
     failure: tuple[messages.Head, bytes] | None = None
     reason: str = ""
+    service: str = ""
+    refusal: waiting.Refusal | None = None
+
+    @property
+    def size(self) -> int:
+        """Return its size for the expected time at a server."""
+        return shares.size_of(self.ask.prompt_tokens, self.ask.output_tokens)
 
 
 @attrs.define(eq=False)
@@ -115,9 +122,17 @@
     domain: str
     rng: random.Random
     crowded: collections.abc.Callable[[str], None]
+    waiters: turns.Turns | None = None
 
     async def run(self, job: Job) -> str:
         """Answer one request; return the outcome for logs and metrics."""
+        if self.waiters is None:
+            return await self._run(job)
+        job.service = choose_service(job.route, self.rng)
+        with self.waiters.counted(job.service, job.team):
+            return await self._run(job)
+
+    async def _run(self, job: Job) -> str:
         left = job.deadline - self.clock.monotonic()
         with trio.move_on_after(max(0.0, left)):
             return await self._attempts(job)
@@ -127,7 +142,7 @@
     async def _attempts(self, job: Job) -> str:
         job.last_event = job.ask.resume_after
         while True:
-            server = self._place(job)
+            server = await self._find(job)
             if server is None:
                 return await self._give_up(job)
             result = await self._attempt(job, server)
@@ -137,12 +152,43 @@
             if not self._may_go_on(job, result):
                 return await self._give_up(job)
 
-    def _place(self, job: Job) -> model.Server | None:
+    async def _find(self, job: Job) -> model.Server | None:
+        """Return the server to send to, once one has room."""
         if job.deadline - self.clock.monotonic() < MIN_SEND_S:
             job.reason = job.reason or "too little time"
             return None
-        service = choose_service(job.route, self.rng)
-        loads = self.inflight.loads(service, but=frozenset(job.tried))
+        if self.waiters is None:
+            return self._place(job, self._loads(job))
+        found = await self.waiters.take(
+            self._request(job), job.ask.request_id, lambda: self._loads(job)
+        )
+        if isinstance(found, waiting.Refusal):
+            job.refusal, job.reason = found, found.reason
+            return None
+        return self._place(job, found)
+
+    def _loads(self, job: Job) -> list[placing.Load]:
+        service = job.service or choose_service(job.route, self.rng)
+        return self.inflight.loads(service, but=frozenset(job.tried))
+
+    def _request(self, job: Job) -> waiting.Request:
+        now = self.clock.monotonic()
+        objective_s = job.route.objective_s * waiting.START_RATIO
+        start_by = job.deadline - MIN_SEND_S
+        if objective_s and not job.answer.started:
+            start_by = min(start_by, now + objective_s)
+        return waiting.Request(
+            service=job.service,
+            team=job.team,
+            # One that a server began already must not be refused for its rank.
+            rank=0.0 if job.runs else shares.rank_of(job.ask.request_id),
+            size=job.size,
+            bytes=len(job.body),
+            start_by=start_by,
+            deadline=job.deadline,
+        )
+
+    def _place(self, job: Job, loads: list[placing.Load]) -> model.Server | None:
         servers = self.inflight.registry.servers
         idle = self.pool.idle
         chosen = placing.choose(
@@ -208,6 +254,8 @@
         finally:
             self.inflight.count_online(name, -1)
         now = self.clock.monotonic()
+        if result is Result.DONE and seen is None and self.waiters is not None:
+            self.waiters.room.durations.learn(now - started, job.size)
         if result in (Result.BROKEN, Result.UNSENT):
             self.inflight.failed(name, refused=result is Result.UNSENT)
         elif result is Result.NOT_RUN or job.head.status < 500:
@@ -357,6 +405,8 @@
             await answer.refuse(Refusal.BROKEN, job.reason)
         else:
             wait = self.rng.uniform(*RETRY_AFTER_S)
+            if job.refusal is not None:
+                wait = job.refusal.retry_after_s
             await answer.refuse(Refusal.UNAVAILABLE, job.reason, wait)
         self.trace.emit(
             "given_up",
@@ -366,10 +416,22 @@
             may_have_run=job.runs,
             last_event=job.last_event,
             outcome=outcome,
+            **(_inputs(job.refusal) if job.refusal else {}),
         )
         return outcome
 
 
+def _inputs(refusal: waiting.Refusal) -> dict[str, float]:
+    """Return what a refusal rests on, for its log line."""
+    return {
+        "share": round(refusal.share, 3),
+        "ahead": refusal.ahead,
+        "wait_s": round(refusal.wait_s, 3),
+        "retry_after_s": round(refusal.retry_after_s, 3),
+        "age_s": refusal.age_s,
+    }
+
+
 def choose_service(route: model.Route, rng: random.Random) -> str:
     """Return a service by the route's weights."""
     if len(route.targets) == 1:
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -22,6 +22,7 @@
     "batch": {"keep_s": 120.0},
     "stop": {"grace_s": 8.0, "unready_s": 2.6},
     "processor": {"cores": 1.0},
+    "scheduling": {"fair_shares": False, "waiting_room": False},
 }
 
 
@@ -70,6 +71,14 @@
     cores: float
 
 
+@attrs.frozen
+class Scheduling:
+    """Switch on how requests are treated where room is short."""
+
+    fair_shares: bool = False
+    waiting_room: bool = False
+
+
 @attrs.frozen
 class Settings:
     """Hold every setting of one entry host."""
@@ -81,6 +90,7 @@
     batch: Batch
     stop: Stop
     processor: Processor = Processor(1.0)
+    scheduling: Scheduling = Scheduling()
 
 
 def load(path: str) -> Settings:
--- a/turmerictally/platform/requests.py
+++ b/turmerictally/platform/requests.py
@@ -37,6 +37,8 @@
 BEARER = re.compile(r"(?i)bearer +(\S+)$")
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 NUMBER = re.compile(r"\d{1,15}$")
+# Tokens of the prompt, and the most of the output.
+USAGE = re.compile(r"(\d{1,9}) *, *(\d{1,9})$")
 
 
 def read_ask(method: bytes, target: bytes, headers: messages.Headers) -> messages.Ask:
@@ -44,6 +46,9 @@
     named = {name.lower(): value for name, value in headers}
     found = BEARER.match(_text(named, b"authorization"))
     wait_ms = _number(named, b"x-deadline-ms")
+    usage = USAGE.match(_text(named, b"x-token-usage").strip())
+    prompt_tokens, output_tokens = map(int, usage.groups()) if usage else (0, 0)
+    hint = _number(named, b"x-length-hint")
     return messages.Ask(
         method=method,
         target=target,
@@ -59,6 +64,8 @@
             if part.strip()
         ),
         poll_wait_s=(_number(named, b"x-wait-ms") or 0) / 1000,
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens if hint is None else min(hint, output_tokens),
     )
 
 
