--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -23,7 +23,11 @@
     "stop": {"grace_s": 8.0, "unready_s": 2.6},
     "processor": {"cores": 1.0},
     "cold": {"overshoot": 1.0},
-    "scheduling": {"learned_speeds": False},
+    "scheduling": {
+        "fair_shares": False,
+        "waiting_room": False,
+        "learned_speeds": False,
+    },
 }
 
 
@@ -81,8 +85,10 @@
 
 @attrs.frozen
 class Scheduling:
-    """Hold which decisions under load are switched on."""
+    """Switch on how requests are treated where room is short or servers differ."""
 
+    fair_shares: bool = False
+    waiting_room: bool = False
     learned_speeds: bool = False
 
 
