--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -458,7 +458,7 @@
             stopping=self.stopping,
             removed=self.registry.tell() if full else {},
             leaving=self.registry.tell_leaving() if full else {},
-            speeds=self._speeds(),
+            speeds=self._speeds() if full else {},
             work=self._work(),
             callers_waiting=len(self.turns.room.requests) if self.turns else 0,
         )
--- a/turmerictally/scheduling/speeds.py
+++ b/turmerictally/scheduling/speeds.py
@@ -24,7 +24,8 @@
 # Paces within this ratio of the usual one differ by chance.
 USUAL_RATIO = 1.3
 MAX_SLOWNESS = 10.0
-REVIEW_S = 0.1  # between two estimates of all servers
+# Between two estimates of all servers; a part of the time for which observations count.
+REVIEW_S = 0.5
 # Weight of a new observation in how much a full server is slower than an idle one.
 CROWDING_SMOOTHING = 0.02
 MAX_CROWDING = 2.0  # in the logarithm: a full server is 2.7 times slower than half full
