Measure evacuated domains and cold servers

Operators saw neither which hosts know of an evacuation nor what still runs there, nor what a cold server was sent. A request that has tried every server is no longer told that servers warm up.

--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -60,4 +60,44 @@
             "Reset in the middle of an exchange.",
             served.pool.abandoned,
         ),
+        *_evacuated(served),
+        *_cold(served),
     ]
+
+
+def _evacuated(served: "host.Host") -> list[prometheus_client.core.Metric]:
+    def family(name: str, text: str) -> prometheus_client.core.Metric:
+        return prometheus_client.core.GaugeMetricFamily(
+            f"{exposition.PREFIX}_evacuated_domain_{name}", text, labels=["domain"]
+        )
+
+    ages = family("age_seconds", "Since this host knows of the evacuation.")
+    running = family("requests", "This host's requests and items that run there.")
+    confirmed = family("hosts", "Hosts, with this one, that know of it.")
+    now = served.clock.monotonic()
+    table = served.configuration_watch.name
+    for domain, found in served.places.evacuations.current.items():
+        ages.add_metric([domain], now - found.seen_at)
+        running.add_metric([domain], served.places.running_in(domain, served.inflight))
+        hosts = 1 + served.places.confirmed(table, found.version)
+        confirmed.add_metric([domain], hosts)
+    return [ages, running, confirmed]
+
+
+def _cold(served: "host.Host") -> list[prometheus_client.core.Metric]:
+    def family(name: str, text: str) -> prometheus_client.core.Metric:
+        return prometheus_client.core.GaugeMetricFamily(
+            f"{exposition.PREFIX}_cold_server_{name}", text, labels=["server"]
+        )
+
+    permits = family("permits", "This host's sends a period, at most.")
+    sent = family("sent", "What this host sent since the server is cold.")
+    left = family("left_seconds", "Until the server counts as warm.")
+    now = served.clock.monotonic()
+    budgets = served.places.budgets
+    for name, found in budgets.cold.items():
+        if budgets.is_cold(name, now):
+            permits.add_metric([name], budgets.permits(name, now))
+            sent.add_metric([name], found.sent)
+            left.add_metric([name], found.until - now)
+    return [permits, sent, left]
--- a/turmerictally/entry/places.py
+++ b/turmerictally/entry/places.py
@@ -1,6 +1,5 @@
 """Follow which failure domains are evacuated and which servers are cold."""
 
-import collections
 import collections.abc
 import typing
 
@@ -12,6 +11,9 @@
 from turmerictally.scheduling import cold, evacuation
 from turmerictally.store import rows
 
+if typing.TYPE_CHECKING:
+    from turmerictally.entry import inflight
+
 # A process that slept for longer finds copies older than their age says.
 MAX_ASLEEP_S = 0.5
 EVACUATED = "domains evacuated"  # the reason of a refusal
@@ -53,11 +55,13 @@
     def why_none(self, service: str) -> str:
         """Return why no server of a service may get a request now."""
         usable = self.registry.usable(service)
-        if not usable:
-            return "no server"
-        if all(self.evacuations.covers(server.domain) for server in usable):
+        left = [x for x in usable if not self.evacuations.covers(x.domain)]
+        if usable and not left:
             return EVACUATED
-        return "servers warm up"
+        now = self.clock.monotonic()
+        if any(not self.budgets.allows(server.instance, now) for server in left):
+            return "servers warm up"
+        return "no server"
 
     def take_operator_rows(self, changed: list[rows.Row], *, second_hand: bool) -> None:
         """Take changed rows of the operator's table."""
@@ -160,9 +164,12 @@
             if name in self.registry.servers:
                 self.trace.emit("server_warm", server=name, sent=found.sent)
 
-    def running_there(self, domain: str, counts: collections.Counter[str]) -> int:
-        """Return how many of the counted requests run in a domain."""
-        return sum(counts[server.instance] for server in self._servers_in(domain))
+    def running_in(self, domain: str, running: "inflight.InFlight") -> int:
+        """Return how many requests and items of this host run in a domain."""
+        return sum(
+            running.online[server.instance] + running.batch[server.instance]
+            for server in self._servers_in(domain)
+        )
 
     def confirmed(self, table: str, version: int) -> int:
         """Return how many other hosts have a table as of a version, as they told."""
--- a/turmerictally/tests/features/entry_evacuation.feature
+++ b/turmerictally/tests/features/entry_evacuation.feature
@@ -29,6 +29,11 @@
     When an evacuation is taken back while the store turns two hosts away
     Then each host uses the domain again within 4 s, and goes on using it when the store is back
 
+  Scenario: Metrics tell what is evacuated and cold
+    When a domain is evacuated while a stream runs there, and another domain's server is cold
+    Then each host's metrics tell the domain's age, what runs there, and that all hosts know
+    And they tell the cold server's permits, what was sent and when it is warm
+
   Scenario Outline: Odd rows of the operator change nothing else
     When the operator writes <row>
     Then each host tells <line>, and serves from all servers
--- a/turmerictally/tests/features/steps/entry_evacuation_steps.py
+++ b/turmerictally/tests/features/steps/entry_evacuation_steps.py
@@ -3,6 +3,7 @@
 import behave
 import trio
 
+from turmerictally.entry import metrics
 from turmerictally.scheduling import evacuation
 from turmerictally.tests.support import users_platform
 
@@ -273,3 +274,52 @@
 @behave.then("the domain is {state}")
 def domain_is(context, state):
     assert context.found.covers("a") == (state == "evacuated")
+
+
+@behave.when(
+    "a domain is evacuated while a stream runs there, and another domain's server is "
+    "cold"
+)
+def measured(context):
+    async def main(world):
+        world.configure(
+            services=[{"name": "llm", "coldStartS": 3.0, "coldPerS": 4.0}],
+        )
+        world.servers["s0"].events = 200
+        world.servers["s1"].cold_ms = 30000
+        await trio.sleep(13.0)
+        world.servers["s1"].register()
+        await trio.sleep(0.5)
+        world.nursery.start_soon(users_platform.Caller(world, 0).ask)
+        await trio.sleep(0.5)
+        evacuate(world)
+        await trio.sleep(2.5)
+        context.texts = [metrics.text(h).decode() for h in world.hosts.values()]
+
+    users_platform.play(main, hosts=2, servers=2)
+
+
+def value(text, name, label):
+    lines = [x for x in text.splitlines() if x.startswith(f"turmerictally_{name}{{")]
+    return next(float(x.split()[1]) for x in lines if f'"{label}"' in x)
+
+
+@behave.then(
+    "each host's metrics tell the domain's age, what runs there, and that all hosts "
+    "know"
+)
+def evacuated_metrics(context):
+    for text in context.texts:
+        assert 2.0 < value(text, "evacuated_domain_age_seconds", "a") < 2.6
+        assert value(text, "evacuated_domain_hosts", "a") == 2
+    running = [value(t, "evacuated_domain_requests", "a") for t in context.texts]
+    assert running == [1, 0], running
+
+
+@behave.then("they tell the cold server's permits, what was sent and when it is warm")
+def cold_metrics(context):
+    permits = [value(t, "cold_server_permits", "s1") for t in context.texts]
+    assert sum(permits) == 4, permits
+    for text in context.texts:
+        assert value(text, "cold_server_sent", "s1") == 0
+        assert 25 < value(text, "cold_server_left_seconds", "s1") < 28
