Answer a poll of the stand-in store with rows and version of one moment

Cause: a poll that ended by its wait in the moment of a change told the newer version without the changed row, which the platform's store does not do. A host then missed a configuration for good.

--- a/turmerictally/standins/rows.py
+++ b/turmerictally/standins/rows.py
@@ -81,6 +81,14 @@
         """Drop what changed before now."""
         self.kept_from = self.version
 
+    def since(self, name: str, version: int) -> list[rows.Row]:
+        """Return what changed in a table after a version."""
+        return [
+            row
+            for row in self.log
+            if row.version > version and row.address.table == name
+        ]
+
     def as_of(self, version: int) -> dict[rows.Address, rows.Row]:
         """Return the rows as they were at a version."""
         found: dict[rows.Address, rows.Row] = {}
@@ -162,19 +170,16 @@
             while True:
                 if after < store.kept_from:
                     raise rows.HistoryLostError(name)
-                found = [
-                    row
-                    for row in store.log
-                    if row.version > after and row.address.table == name
-                ]
-                if found:
+                if store.since(name, after):
                     break
                 await store.changed.wait()
+        # Rows and version are of one moment, also at the end of the wait.
+        found, version = store.since(name, after), store.version
         refused = (self.caller, name) in store.refused_tables
         if refused or self.caller in store.refused or store.faults.down:
             raise rows.UnavailableError("outage")
         await call.answer()
-        return rows.Page(found, store.version, trio.current_time())
+        return rows.Page(found, version, trio.current_time())
 
     async def _before(self, wait_s: float = 0.0) -> "Call":
         self.store.calls += 1
