--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -160,6 +160,7 @@
             self._digest,
             self._on_digest,
             self._on_told,
+            self._on_sign,
         )
         self.hosts.on_heard = self.spread.introduce
 
@@ -402,9 +403,7 @@
         self.worker.adopt(changed)
 
     def _on_digest(self, digest: gossip.Digest) -> None:
-        self.allowances.observe(
-            digest.host, digest.instance, digest.spent, digest.asked, digest.base
-        )
+        self._on_sign(digest)
         if self.settings.host_id in digest.lacking:
             self.spread.answer(digest.host)
         if digest.removed:
@@ -415,6 +414,11 @@
             now = self.clock.monotonic()
             self.inflight.learner.take(digest.host, digest.speeds, now)
 
+    def _on_sign(self, digest: gossip.Digest) -> None:
+        self.allowances.observe(
+            digest.host, digest.instance, digest.spent, digest.asked, digest.base
+        )
+
     def _on_told(self) -> None:
         self.worker.give_way()
         self.inflight.heard()
