--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -164,7 +164,7 @@
         self.jobs = jobs.Jobs(self.store)
         self.known_jobs = jobs.Known()
         self.inflight.on_failure = self.spread.tell_outcomes
-        self.inflight.on_change = self._on_load
+        self.inflight.on_change = self.spread.changed
         self.worker = worker.Worker(
             host_id=config.host_id,
             instance=self.instance,
@@ -215,7 +215,7 @@
         given = self.settings.scheduling
         if not (given.fair_shares or given.waiting_room):
             return None
-        return turns.Turns(
+        found = turns.Turns(
             inflight=self.inflight,
             hosts=self.hosts,
             room=turns.make_room(self.hosts, self.rng),
@@ -224,6 +224,8 @@
             limited=given.fair_shares,
             room_on=given.waiting_room,
         )
+        self.inflight.on_end = found.freed
+        return found
 
     def _build_listeners(self) -> None:
         listen = self.settings.listen
@@ -392,12 +394,6 @@
         if self.turns is not None:
             self.turns.heard()
 
-    def _on_load(self) -> None:
-        """Tell that own requests began or ended, and use the room they left."""
-        self.spread.changed()
-        if self.turns is not None:
-            self.turns.freed()
-
     def _crowded(self, server: str) -> None:
         """Let batch items leave a server that got more than its slots."""
         self.worker.give_way()
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -38,6 +38,7 @@
     succeeded_at: dict[str, float] = attrs.Factory(dict)
     on_failure: collections.abc.Callable[[], None] = lambda: None
     on_change: collections.abc.Callable[[], None] = lambda: None
+    on_end: collections.abc.Callable[[str], None] = lambda server: None
     judged_at: float = float("-inf")
     peaks: placing.Peaks = attrs.field(factory=placing.Peaks)
     recent: ejection.Recent = attrs.field(factory=ejection.Recent)
@@ -75,11 +76,15 @@
         """Count a request of a caller that begins at a server, or ends (-1)."""
         self.online[name] += more
         self.on_change()
+        if more < 0:
+            self.on_end(name)
 
     def count_batch(self, name: str, more: int) -> None:
         """Count a batch item that begins at a server, or ends (-1)."""
         self.batch[name] += more
         self.on_change()
+        if more < 0:
+            self.on_end(name)
 
     def succeeded(self, name: str) -> None:
         """Note that a server answered."""
--- a/turmerictally/entry/turns.py
+++ b/turmerictally/entry/turns.py
@@ -12,6 +12,8 @@
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import placing, shares, waiting
 
+RELAY_S = 0.1  # two bundles of relays, on the way between hosts
+
 Look = collections.abc.Callable[[], list[placing.Load]]
 
 
@@ -54,25 +56,41 @@
         loads = look()
         if not loads:
             return loads
-        limit = self.limit(loads)
+        begins = self._part_to_begin(request.service, loads)
         others = self.room.waiting(request.service)
-        if not others and waiting.free_slots(loads):
-            return limit
+        if begins == 1 and not others:
+            return self.limit(loads)
         now = self.clock.monotonic()
         situation = self.situation(loads)
         if not self.limited:
             request.rank = 0.0
         refusal = self.room.admits(request, situation, now)
-        if refusal is None and not others and limit:
-            return limit
-        if refusal is None:
-            return await self._wait(request, request_id, look)
-        return self._refuse(request, refusal)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        if not self.room_on:
+            return loads
+        if not others and self.room.rng.random() < begins:
+            return self.limit(loads)
+        return await self._wait(request, request_id, look)
 
     def limit(self, loads: list[placing.Load]) -> list[placing.Load]:
         """Return the servers that may get a request more."""
         return waiting.open_to(loads) if self.room_on else loads
 
+    def _part_to_begin(self, service: str, loads: list[placing.Load]) -> float:
+        places = waiting.places(loads)
+        if not self.room_on:
+            return float(places > 0)
+        online = sum(load.online for load in loads)
+        now = self.clock.monotonic()
+        return self.room.part_to_begin(service, places, online, self.told_s(), now)
+
+    def told_s(self) -> float:
+        """Return the seconds until the others know what this host sends."""
+        if self.hosts.relayed:
+            return self.hosts.nudge_s() + RELAY_S
+        return self.hosts.period_s()
+
     def situation(self, loads: list[placing.Load]) -> waiting.Situation:
         """Return what decisions on a service rest on."""
         now = self.clock.monotonic()
@@ -89,8 +107,6 @@
     ) -> list[placing.Load] | waiting.Refusal:
         since = self.clock.monotonic()
         self.room.add(request)
-        # Those who came before may take what room there is.
-        self._offer(request.service, look(), 1)
         loads = None
         try:
             with trio.move_on_after(max(0.0, request.start_by - since)):
@@ -125,8 +141,9 @@
                 await turn.wait()
             request.offered = False
             found = self.limit(look())
-            if found:
-                return found
+            freed = [load for load in found if load.name == request.server]
+            if freed or found:
+                return freed or found
 
     def _refuse(
         self, request: waiting.Request, refusal: waiting.Refusal
@@ -134,34 +151,37 @@
         self.refused[request.team] += 1
         return refusal
 
-    def freed(self) -> None:
-        """Offer the room that an own request left."""
-        for service in {request.service for request in self.room.requests}:
-            self._offer(service, self.inflight.loads(service), 1)
+    def freed(self, server: str) -> None:
+        """Offer the slot that an own request left, which no other host knows of."""
+        found = self.inflight.registry.servers.get(server)
+        if found is None or not self.room.waiting(found.service):
+            return
+        loads = self.inflight.loads(found.service)
+        if any(load.name == server for load in self.limit(loads)):
+            self._offer(found.service, loads, 1, server)
 
     def heard(self) -> None:
         """Offer the room that other hosts tell of, once for each of their digests."""
         now = self.clock.monotonic()
-        if not self.room.requests or now < self.looked_at + self.hosts.period_s():
+        if not self.room.requests or now < self.looked_at + self.told_s():
             return
         self.looked_at = now
         for service in {request.service for request in self.room.requests}:
             loads = self.inflight.loads(service)
             situation = self.situation(loads)
-            free = waiting.free_slots(loads)
-            count = self.room.part_of(free, service, situation)
+            count = self.room.part_of(waiting.places(loads), service, situation)
             self._offer(service, loads, count)
 
-    def _offer(self, service: str, loads: list[placing.Load], count: int) -> None:
-        if not self.limit(loads):
-            return
+    def _offer(
+        self, service: str, loads: list[placing.Load], count: int, server: str = ""
+    ) -> None:
         situation = self.situation(loads)
         now = self.clock.monotonic()
         for _ in range(count):
             request = self.room.next(service, situation, now)
             if request is None:
                 return
-            request.offered = True
+            request.offered, request.server = True, server
             request.turn()
 
 
--- a/turmerictally/scheduling/waiting.py
+++ b/turmerictally/scheduling/waiting.py
@@ -8,14 +8,15 @@
 
 from turmerictally.scheduling import placing, shares
 
-# Requests in a server's own queue, which knows neither teams nor deadlines: one covers
-# the time until other hosts hear of a free slot.
-SERVER_QUEUE = 1
 MAX_WAITING = 256  # requests of one host; a tenth of its usual connections
 MAX_BYTES = 16 * 1024 * 1024  # of their bodies; a twelfth of a small host's memory
 # Part of the latency objective within which a request must start; the rest is for its
 # first event.
 START_RATIO = 0.75
+# Weight of the latest shortage in the usual length of one, of which the last few tell
+# more than the older ones; shorter ones are chance.
+SMOOTHING = 0.4
+MIN_SHORTAGE_S = 0.3
 # Part of its time left that a caller is told to wait at most: callers honour no more.
 MAX_RETURN_RATIO = 1 / 3
 SPREAD = 0.25  # of the time told to callers, either way
@@ -27,7 +28,8 @@
     """Hold one request; ``start_by`` and ``deadline`` are monotonic seconds.
 
     ``rank`` is its place among its team's requests, in [0, 1). ``turn`` is called when
-    it may start. An ``offered`` one was told so and has not taken it yet.
+    it may start. An ``offered`` one was told so and has not taken it yet; ``server`` is
+    the one that has room, or nothing for any.
     """
 
     service: str
@@ -39,6 +41,7 @@
     deadline: float
     turn: typing.Callable[[], None] = lambda: None
     offered: bool = False
+    server: str = ""
 
 
 @attrs.frozen
@@ -58,8 +61,8 @@
 class Refusal:
     """Tell why a request is refused and when to come back.
 
-    ``share`` is the part of its team's requests that may start, ``ahead`` the callers
-    that wait over all hosts, ``wait_s`` the expected wait.
+    ``share`` is the part of its team's requests that may start, ``ahead`` counts the
+    callers before it on this host, ``wait_s`` is the expected wait.
     """
 
     reason: str
@@ -70,6 +73,37 @@
     age_s: float
 
 
+@attrs.define
+class Shortage:
+    """Follow for how long room is short at a time, as load comes in waves.
+
+    ``usual_s`` is learned from those before; ``began`` is monotonic seconds.
+    """
+
+    usual_s: float = 0.0
+    began: float | None = None
+
+    def note(self, short: bool, now: float) -> None:
+        """Take whether room is short now."""
+        if short and self.began is None:
+            self.began = now
+        elif not short and self.began is not None:
+            lasted, self.began = now - self.began, None
+            if lasted >= MIN_SHORTAGE_S:
+                before = self.usual_s or lasted
+                self.usual_s = before + SMOOTHING * (lasted - before)
+
+    def left_s(self, now: float) -> float:
+        """Return for how long it will probably go on.
+
+        One that outlasts the usual is taken to last as long again.
+        """
+        if self.began is None:
+            return 0.0
+        lasted = now - self.began
+        return self.usual_s - lasted if lasted < self.usual_s else lasted
+
+
 @attrs.define(eq=False)
 class Room:
     """Hold the requests of this host that wait for a server."""
@@ -79,6 +113,9 @@
     rng: random.Random
     requests: list[Request] = attrs.Factory(list)
     returns_at: dict[str, float] = attrs.Factory(dict)
+    shortages: dict[str, Shortage] = attrs.field(
+        factory=lambda: collections.defaultdict(Shortage)
+    )
 
     @property
     def bytes(self) -> int:
@@ -94,9 +131,7 @@
     ) -> Refusal | None:
         """Return None when a request may wait, or why it must not."""
         share = self.work.part(request.service, request.team, situation.slots, now)
-        here = len(self.waiting(request.service))
-        ahead = here + situation.waiting_elsewhere
-        wait_s = (ahead + 1) * self.slot_interval_s(situation)
+        _, wait_s = self.expect(request, situation)
         if request.rank >= share:
             reason = "above the team's share"
         elif len(self.requests) >= MAX_WAITING:
@@ -119,13 +154,13 @@
     ) -> Refusal:
         """Refuse a request, with a time of return at which a slot is expected.
 
-        Each takes a turn after those that wait and those told to return before.
+        That is once the shortage is over, and then one return after the other as slots
+        become free.
         """
-        here = len(self.waiting(request.service))
-        ahead = here + situation.waiting_elsewhere
+        ahead, wait_s = self.expect(request, situation)
         interval_s = self.slot_interval_s(situation)
-        wait_s = (ahead + 1) * interval_s
-        turn = max(now + wait_s, self.returns_at.get(request.service, now))
+        over_s = self.shortages[request.service].left_s(now)
+        turn = max(now + max(wait_s, over_s), self.returns_at.get(request.service, now))
         most = max(0.0, request.deadline - now) * MAX_RETURN_RATIO
         # Beyond what callers honour there are no turns to give.
         turn = min(turn, now + most)
@@ -138,6 +173,19 @@
         retry = min(max(MIN_RETRY_AFTER_S, found), max(MIN_RETRY_AFTER_S, most))
         return Refusal(reason, share, ahead, wait_s, retry, situation.age_s)
 
+    def expect(self, request: Request, situation: Situation) -> tuple[int, float]:
+        """Return how many here are before a request that comes now, and its wait.
+
+        This host gets the part of the freed slots that its callers are of all who wait.
+        """
+        waiting = self.waiting(request.service)
+        counts = collections.Counter(each.team for each in waiting)
+        own = counts.pop(request.team, 0)
+        ahead = own + sum(min(count, own + 1) for count in counts.values())
+        here = len(waiting) + 1
+        part = here / (here + situation.waiting_elsewhere)
+        return ahead, (ahead + 1) * self.slot_interval_s(situation) / part
+
     def slot_interval_s(self, situation: Situation) -> float:
         """Return the expected seconds between two slots that become free."""
         return self.durations.mean_s / max(1, situation.slots)
@@ -163,24 +211,42 @@
         ahead: collections.Counter[str] = collections.Counter()
         keys = {}
         for each in sorted(waiting, key=lambda request: request.deadline):
-            keys[each] = each.rank >= part[each.team], ahead[each.team], each.deadline
+            below = each.rank < part[each.team]
+            # A team that asks for no more than its share has the first claim.
+            keys[each] = not below, part[each.team] < 1, ahead[each.team], each.deadline
             ahead[each.team] += 1
         return min(waiting, key=keys.__getitem__)
 
-    def part_of(self, free: int, service: str, situation: Situation) -> int:
-        """Return how many of the slots that all hosts see free this one takes."""
+    def part_of(self, places: int, service: str, situation: Situation) -> int:
+        """Return how many of the places that all hosts see this one takes."""
         here = len(self.waiting(service))
         if not here:
             return 0
-        part = free * here / (here + situation.waiting_elsewhere)
+        part = places * here / (here + situation.waiting_elsewhere)
         return min(here, int(part) + (self.rng.random() < part % 1))
 
+    def part_to_begin(
+        self, service: str, places: int, online: int, told_s: float, now: float
+    ) -> float:
+        """Return the part of requests that may begin in the places seen, 1 for all.
+
+        All hosts see the same ones for ``told_s``. Where more requests come meanwhile,
+        each takes its part of the places, and the others wait for a slot that this
+        host's own requests leave, which no other host knows of yet.
+        """
+        come = online / self.durations.mean_s * told_s
+        self.shortages[service].note(come > places, now)
+        return min(1.0, places / come) if come else float(places > 0)
+
 
 def open_to(loads: list[placing.Load]) -> list[placing.Load]:
-    """Return the servers that take one more request, without a queue of their own."""
-    return [load for load in loads if load.online < load.slots + SERVER_QUEUE]
+    """Return the servers with a slot that no online request has.
+
+    Batch items give way. A server's own queue knows neither teams nor deadlines.
+    """
+    return [load for load in loads if load.online < load.slots]
 
 
-def free_slots(loads: list[placing.Load]) -> int:
-    """Return the slots that online requests leave; batch items give way."""
-    return sum(max(0, load.slots - load.online) for load in loads)
+def places(loads: list[placing.Load]) -> int:
+    """Return how many online requests more the servers' slots take."""
+    return sum(load.slots - load.online for load in open_to(loads))
