--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -180,7 +180,7 @@
         self.jobs = jobs.Jobs(self.store)
         self.known_jobs = jobs.Known()
         self.inflight.on_failure = self.spread.tell_outcomes
-        self.inflight.on_change = self._on_load
+        self.inflight.on_change = self.spread.changed
         self.worker = worker.Worker(
             host_id=config.host_id,
             instance=self.instance,
@@ -238,7 +238,7 @@
         given = self.settings.scheduling
         if not (given.fair_shares or given.waiting_room):
             return None
-        return turns.Turns(
+        found = turns.Turns(
             inflight=self.inflight,
             hosts=self.hosts,
             room=turns.make_room(self.hosts, self.rng),
@@ -247,6 +247,8 @@
             limited=given.fair_shares,
             room_on=given.waiting_room,
         )
+        self.inflight.on_end = found.freed
+        return found
 
     def _build_listeners(self) -> None:
         listen = self.settings.listen
@@ -425,12 +427,6 @@
         if self.turns is not None:
             self.turns.heard()
 
-    def _on_load(self) -> None:
-        """Tell that own requests began or ended, and use the room they left."""
-        self.spread.changed()
-        if self.turns is not None:
-            self.turns.freed()
-
     def _crowded(self, server: str) -> None:
         """Let batch items leave a server that got more than its slots."""
         self.worker.give_way()
