--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -220,6 +220,7 @@
             slowness=expected.slowness,
             first_s=expected.first_s,
             event_s=expected.event_s,
+            stale=expected.stale,
         )
 
     def _peak(self, name: str, online: int, now: float) -> int:
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -36,11 +36,28 @@
     servers = gauge(f"{prefix}_servers", "Registered, by state.", labels=["state"])
     for state, count in served.registry.counts().items():
         servers.add_metric([state], count)
+    slowness = gauge(
+        f"{prefix}_server_slowness", "Learned, 1 is usual.", labels=["server"]
+    )
+    told = gauge(
+        f"{prefix}_server_speed_hosts", "Hosts that timed it.", labels=["server"]
+    )
+    speed_age = gauge(
+        f"{prefix}_server_speed_age_seconds", "Since learned.", labels=["server"]
+    )
+    learner = served.inflight.learner
+    for name, found in learner.found.items() if learner is not None else ():
+        slowness.add_metric([name], found.slowness)
+        told.add_metric([name], found.hosts)
+        speed_age.add_metric([name], found.age_s)
     view = served.configured.current
     return [
         events,
         ages,
         servers,
+        slowness,
+        told,
+        speed_age,
         exposition.latency_family(served.latencies.histograms),
         gauge(
             f"{prefix}_configuration_version", "Version.", view.version if view else 0
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -303,6 +303,7 @@
             server=name,
             last_event=task.last_event,
             errors=task.errors,
+            **self.inflight.speed_evidence(name),
             **self.inflight.registry.evidence(name),
         )
         self.nursery.start_soon(self._run_item, owned, task, server)
--- a/turmerictally/scheduling/placing.py
+++ b/turmerictally/scheduling/placing.py
@@ -49,7 +49,7 @@
     ``trial`` it was left out before and takes one request at a time.
     ``slowness`` is 1.0 when usual, 2.0 when it takes twice as long; ``first_s`` and
     ``event_s`` are the expected time to the first event and between events, 0 when
-    unknown.
+    unknown; ``stale`` tells that this was learned a while ago.
     """
 
     name: str
@@ -63,6 +63,7 @@
     slowness: float = 1.0
     first_s: float = 0.0
     event_s: float = 0.0
+    stale: bool = False
 
     @property
     def batch(self) -> int:
@@ -79,19 +80,13 @@
         """Return the slots that have been free for a while."""
         return max(0, self.slots - max(self.online, self.online_peak) - self.batch)
 
-    @property
-    def worth_free(self) -> float:
-        """Return the free slots, in those of a usual server."""
-        return (self.slots - self.total) / self.slowness
-
-    @property
-    def most_online(self) -> float:
-        """Return the callers' requests below which one more may wait here."""
-        waiting = self.slots * MAX_WAITING_RATIO / self.slowness
-        return self.slots + max(1, waiting)
-
     def is_timely(self, objective_s: float, max_gap_s: float) -> bool:
-        """Return whether a first event and the pauses are expected to be on time."""
+        """Return whether a first event and the pauses are expected to be on time.
+
+        What was learned a while ago is tested by one request at a time.
+        """
+        if self.stale and not self.online:
+            return True
         return self.first_s <= objective_s and self.event_s <= max_gap_s
 
 
@@ -135,37 +130,39 @@
 ) -> Load | None:
     """Return the server for an online request, or None when all are full.
 
-    One is drawn by what its free slots are worth, sooner where a connection is open,
-    among those that are expected to be on time if there are any. With none free,
-    batch items give way: they do not fill a server. A request that is not
-    ``repeatable`` tries no server.
+    One is drawn by its free slots, sooner where a connection is open, among those that
+    are expected to be on time if there are any. With none free, batch items give way:
+    they do not fill a server. A request that is not ``repeatable`` tries no server.
     """
     if not repeatable:
         loads = [load for load in loads if not load.trial] or loads
-    open_to = [load for load in loads if load.online < load.most_online]
+    open_to = [
+        load
+        for load in loads
+        if load.online < load.slots + max(1, load.slots * MAX_WAITING_RATIO)
+    ]
+    # Waiting a little on one that is on time is better than being late for sure.
+    open_to = [e for e in open_to if e.is_timely(objective_s, max_gap_s)] or open_to
     free = [load for load in open_to if load.total < load.slots]
     if not free:
         return min(open_to, key=lambda load: _crowding(load, rng), default=None)
-    free = [each for each in free if each.is_timely(objective_s, max_gap_s)] or free
     preferred = _preferred(open_to, prompt_parts)
-    if (
-        preferred is not None
-        and preferred.is_timely(objective_s, max_gap_s)
-        and preferred.worth_free >= preferred.slots * AFFINITY_FREE_RATIO
-    ):
-        return preferred
+    if preferred is not None:
+        least_free = preferred.slots * AFFINITY_FREE_RATIO
+        if preferred.slots - preferred.total >= least_free:
+            return preferred
 
     def weight(load: Load) -> float:
-        slots = load.worth_free + DOMAIN_SLOTS * (load.domain == domain)
+        slots = load.slots - load.total + DOMAIN_SLOTS * (load.domain == domain)
         found = slots**FREE_POWER * (CONNECTED if load.name in connected else 1.0)
         return found * load.reliability ** (1.0 if repeatable else ONCE_POWER)
 
     return rng.choices(free, [weight(load) for load in free])[0]
 
 
-def _crowding(load: Load, rng: random.Random) -> tuple[float, int, float]:
+def _crowding(load: Load, rng: random.Random) -> tuple[int, int, float]:
     must_wait = max(0, load.online + 1 - load.slots)
-    return must_wait * load.slowness, load.total - load.slots, rng.random()
+    return must_wait, load.total - load.slots, rng.random()
 
 
 def _preferred(loads: list[Load], prompt_parts: tuple[str, ...]) -> Load | None:
--- a/turmerictally/scheduling/speeds.py
+++ b/turmerictally/scheduling/speeds.py
@@ -6,21 +6,21 @@
 
 import attrs
 
-# What a host saw of a server counts for so long: several answers of a usual service
-# time, so that a disturbance of half a second is the smaller part of it.
-WINDOW_S = 2.0
-NEWS_S = 1.0  # a server without an observation for this long is not told
-# Entries of other hosts count for so long after they came: their digests come each
-# second at least, and tell what is up to 2 s old.
-KEEP_S = 3.0
+# What a host saw of a server counts for so long. A disturbance of half a second leaves
+# some of it as it was, and a server that turned slow shows soon after.
+WINDOW_S = 1.0
+TELL_S = 0.25  # between two digests that hold entries
+NEWS_S = 0.5  # a server without an observation for this long is not told
+KEEP_S = 1.2  # entries of other hosts count for so long after they came
 OBSERVED_S = 0.25  # of events make an observation; several in a usual answer
 MAX_TOLD = 16  # servers in a digest, some 500 bytes
 MIN_OBSERVATIONS = 3  # of all hosts; fewer leave a server's slowness as it was
-# After ``KEEP_S`` without enough observations a server counts as usual again by and by.
-FORGET_S = 8.0
+# Without new observations for this long, an estimate is to be tested.
+STALE_S = 3.0
+MIN_TEST_OBSERVATIONS = 2  # that replace a stale estimate: those of one answer
 # Part of the hosts' entries that are faster than a server's pace: what is slow for a
-# moment only is seen by fewer of them.
-PACE_QUANTILE = 1 / 3
+# moment only is not seen by all of them.
+PACE_QUANTILE = 0.25
 # Paces within this ratio of the usual one differ by chance.
 USUAL_RATIO = 1.3
 MAX_SLOWNESS = 10.0
@@ -35,8 +35,9 @@
 class Evidence:
     """Hold what one host saw of a server lately.
 
-    ``first_s`` is the time to the first event where a slot was free, ``event_s`` the
-    time an event at half-taken slots, both in seconds, 0 when unknown.
+    ``count`` is how often events were timed, ``event_s`` the least time between two
+    of them at half-taken slots, and ``first_s`` the time to the first event where a
+    slot was free, both in seconds, 0 when unknown.
     """
 
     count: int
@@ -62,6 +63,11 @@
     hosts: int = 0
     age_s: float = 0.0
 
+    @property
+    def stale(self) -> bool:
+        """Return whether a request should test this again."""
+        return self.age_s >= STALE_S
+
 
 USUAL = Learned()
 
@@ -114,7 +120,7 @@
     firsts: collections.deque[tuple[float, float]] = attrs.field(
         factory=collections.deque
     )
-    paces: collections.deque[tuple[float, int, float]] = attrs.field(
+    paces: collections.deque[tuple[float, float]] = attrs.field(
         factory=collections.deque
     )
     newest: float = -math.inf
@@ -125,12 +131,10 @@
             while kept and kept[0][0] <= now - WINDOW_S:
                 kept.popleft()
         firsts = [seconds for _, seconds in self.firsts]
-        events = sum(events for _, events, _ in self.paces)
-        seconds = sum(seconds for _, _, seconds in self.paces)
         return Evidence(
-            count=max(len(self.paces), len(firsts)),
-            first_s=_quantile(firsts, HALF) if firsts else 0.0,
-            event_s=seconds / events if events else 0.0,
+            count=len(self.paces),
+            first_s=min(firsts, default=0.0),
+            event_s=min((pace for _, pace in self.paces), default=0.0),
         )
 
 
@@ -152,6 +156,7 @@
     crowding: Crowding = attrs.Factory(Crowding)
     reviewed: tuple[tuple[str, ...], float] = ((), -math.inf)
     found: dict[str, Learned] = attrs.Factory(dict)
+    tell_due: float = -math.inf
 
     def note_first(self, server: str, seconds: float, now: float) -> None:
         """Note the time to a first event at a server that had a free slot."""
@@ -166,15 +171,21 @@
         if events <= 0 or seconds <= 0.0:
             return
         own = self.own.setdefault(server, Own())
+        pace = seconds / events
         known = self.known.get(server)
         if known is not None and known.learned.event_s:
-            pace = seconds / events
             self.crowding.learn(taken, pace / known.learned.event_s)
-        own.paces.append((now, events, seconds / self.crowding.ratio(taken)))
+        own.paces.append((now, pace / self.crowding.ratio(taken)))
         own.newest = now
 
     def tell(self, now: float) -> dict[str, list[float]]:
-        """Return the digest's entries: the servers with the newest observations."""
+        """Return the digest's entries: the servers with the newest observations.
+
+        Between two times that they are told, none are: counts are told more often.
+        """
+        if now < self.tell_due:
+            return {}
+        self.tell_due = now + TELL_S
         news = [name for name, own in self.own.items() if now - own.newest < NEWS_S]
         news.sort(key=lambda name: self.own[name].newest, reverse=True)
         return {name: self.own[name].evidence(now).told() for name in news[:MAX_TOLD]}
@@ -211,10 +222,11 @@
         sure = {}
         for name in servers:
             entries = self._entries(name, now)
-            if sum(each.count for each in entries) >= MIN_OBSERVATIONS:
+            if sum(each.count for each in entries) >= self._least(name, now):
                 sure[name] = entries
         paces = {name: _pace(entries) for name, entries in sure.items()}
-        usual = _quantile([pace for pace in paces.values() if pace], HALF)
+        before = {n: self.known[n].learned.event_s for n in servers if n in self.known}
+        usual = _quantile(list((before | paces).values()), HALF)
         for name, entries in sure.items():
             firsts = [each.first_s for each in entries if each.first_s]
             learned = Learned(
@@ -230,15 +242,13 @@
         known = self.known.get(server)
         if known is None:
             return USUAL
-        age_s = now - known.at
-        left = min(1.0, max(0.0, 1.0 - (age_s - KEEP_S) / FORGET_S))
-        if not left:
-            del self.known[server]
-            return USUAL
-        slowness = 1.0 + left * (known.learned.slowness - 1.0)
-        if age_s > KEEP_S:
-            return Learned(slowness, age_s=age_s, hosts=known.learned.hosts)
-        return attrs.evolve(known.learned, age_s=age_s)
+        return attrs.evolve(known.learned, age_s=now - known.at)
+
+    def _least(self, server: str, now: float) -> int:
+        """Return how many observations make a new estimate."""
+        known = self.known.get(server)
+        stale = known is not None and now - known.at >= STALE_S
+        return MIN_TEST_OBSERVATIONS if stale else MIN_OBSERVATIONS
 
     def _entries(self, server: str, now: float) -> list[Evidence]:
         heard = self.heard.get(server, {})
@@ -254,12 +264,10 @@
 
 
 def _pace(entries: list[Evidence]) -> float:
-    return _quantile([each.event_s for each in entries if each.event_s], PACE_QUANTILE)
+    return _quantile([each.event_s for each in entries if each.count], PACE_QUANTILE)
 
 
 def _slowness(pace: float, usual: float) -> float:
-    if not pace or not usual:
-        return 1.0
     ratio = pace / usual
     if 1 / USUAL_RATIO <= ratio <= USUAL_RATIO:
         return 1.0
