--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -240,6 +240,7 @@
             slowness=expected.slowness,
             first_s=expected.first_s,
             event_s=expected.event_s,
+            stale=expected.stale,
         )
 
     def _item_room(self, name: str, now: float) -> int | None:
