Let the soak evacuate a domain and start servers cold

Two checks: evacuated and cold_servers, each shown to find what it is for. The evacuation is drawn apart, so that the other faults of a seed come as before, which a scenario checks.

--- a/turmerictally/tests/features/soak.feature
+++ b/turmerictally/tests/features/soak.feature
@@ -27,6 +27,9 @@
       | a server gets a request 2.1 s after it leaves      | draining       |
       | a server that left gets a request after another host's fault | draining |
       | a server that left gets a request 3 s after its host's fault | draining |
+      | an evacuated server gets a request 5.1 s later     | evacuated      |
+      | an evacuated server gets a request after another host's fault | evacuated |
+      | a cold server gets ten requests at once            | cold_servers   |
       | a withdrawn key is served                          | withdrawn_keys |
       | a team runs more than its quota                    | quota          |
       | a host takes too much memory                       | bounded        |
@@ -34,6 +37,9 @@
   Scenario: A schedule depends on its seed only and leaves the end calm
     Then two draws of one seed are the same and no fault begins in the last 14 s
 
+  Scenario: A run with more kinds of faults plays the former ones at the same times
+    Then an evacuation comes beside the same other faults, and ends before the calm end
+
   Scenario: Faults on one host never overlap
     When a host is killed while all hosts are stopped in turn
     Then each host is harmed by one fault at a time
--- a/turmerictally/tests/features/steps/soak_steps.py
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -144,6 +144,17 @@
         r.drains.update({"s0-1": 7.9}),
         r.touched.append(("host0", 6.0, 6.9)),
     ),
+    "an evacuated server gets a request 5.1 s later": lambda r: r.evacuations.append(
+        ("a", 4.9, 12.0)
+    ),
+    "an evacuated server gets a request after another host's fault": lambda r: (
+        r.evacuations.append(("a", 4.9, 12.0)),
+        r.touched.append(("host1", 9.0, 9.5)),
+    ),
+    "a cold server gets ten requests at once": lambda r: (
+        r.serving.update({"s0-1": 9.0}),
+        r.runs.extend(ran() for _ in range(10)),
+    ),
     "a withdrawn key is served": lambda r: r.withdrawn.update({"key-1": 5.0}),
     "a team runs more than its quota": _hot,
     "a host takes too much memory": lambda r: r.usage.append(
@@ -173,6 +184,21 @@
         assert max(fault.at for fault in plan) <= 40.0 - 14.0 + 0.6
 
 
+@behave.then(
+    "an evacuation comes beside the same other faults, and ends before the calm end"
+)
+def beside(context):
+    for seed in range(20):
+        plan = schedule.draw(seed, 40.0)
+        # Another evacuation, or none, moves no other fault.
+        without = schedule.draw(seed, 20.0)
+        early = [fault for fault in plan if fault.at < 4.0]
+        rest = [fault for fault in early if fault.kind != schedule.EVACUATE]
+        assert rest == [fault for fault in without if fault.at < 4.0]
+        (found,) = [fault for fault in plan if fault.kind == schedule.EVACUATE]
+        assert found.at + found.for_s <= 40.0 - schedule.CALM_S, found
+
+
 class Noting(faults.Injector):
     """Note who is harmed when, in place of harming anybody."""
 
--- a/turmerictally/tests/soak/__main__.py
+++ b/turmerictally/tests/soak/__main__.py
@@ -81,6 +81,8 @@
                 record.runs.append(found)
             elif found["event"] == "end":
                 record.ends.append(found)
+            elif found["event"] == "serving":
+                record.serving[found["server"]] = found["at"]
             elif found["event"] == "leaving":
                 record.drains[found["server"]] = found["at"]
     record.runs.sort(key=lambda run: run["at"])
--- a/turmerictally/tests/soak/checks.py
+++ b/turmerictally/tests/soak/checks.py
@@ -4,8 +4,11 @@
 
 import attrs
 
+from turmerictally.tests.soak import world
 from turmerictally.tests.support import users_platform
 
+EVACUATE_S = 5.0  # the same after an evacuation
+COLD_SLACK = 5  # requests in a second beyond a cold server's rate
 DRAIN_S = 2.0  # after the store knows of it, no request may reach a server
 # Within this time of a withdrawn key's acknowledgement it stops working.
 APPLY_S = 2.0
@@ -62,6 +65,8 @@
     ends: list = attrs.Factory(list)
     drains: dict = attrs.Factory(dict)
     withdrawn: dict = attrs.Factory(dict)
+    evacuations: list = attrs.Factory(list)  # domain, acknowledged, asked to end
+    serving: dict = attrs.Factory(dict)  # when each server began to
     touched: list = attrs.Factory(list)
     exits: list = attrs.Factory(list)
     usage: list = attrs.Factory(list)
@@ -74,7 +79,7 @@
     found = []
     checks = [whole_answers, once, not_run, unasked, kept_jobs, recovered, exits]
     if timed:
-        checks += [draining, withdrawn_keys, quota, bounded]
+        checks += [draining, evacuated, cold_servers, withdrawn_keys, quota, bounded]
     for check in checks:
         found += [f"{check.__name__}: {line}" for line in check(record)]
     return found
@@ -180,6 +185,50 @@
             yield f"{run['request']} reached {run['server']} {after} s after its drain"
 
 
+def evacuated(record):
+    """Nothing reaches an evacuated domain's servers after a while."""
+    host_of = {asked.request: asked.host for asked in record.asked}
+    for run in record.runs:
+        at = run["arrived"]
+        for domain, since, over in record.evacuations:
+            if _domain(run["server"]) != domain or not since + EVACUATE_S < at < over:
+                continue
+            host = host_of.get(run["request"])
+            near = [t for t in record.touched if host is None or t[0] == host]
+            harmed = _touched(near, at - TOUCH_S, at, ("host",))
+            store = _touched(record.touched, since - TOUCH_S, at, ("store",))
+            if not harmed and not store:
+                after = round(at - since, 2)
+                yield f"{run['request']} reached {run['server']} {after} s late"
+
+
+def cold_servers(record):
+    """A server that just started gets few requests a second, over all hosts."""
+    most = world.COLD_PER_S + COLD_SLACK
+    arrivals = collections.defaultdict(list)
+    for run in record.runs:
+        since = record.serving.get(run["server"], float("-inf"))
+        if since <= run["arrived"] < since + world.COLD_S:
+            arrivals[run["server"]].append(run["arrived"])
+    for server, times in arrivals.items():
+        since = record.serving[server]
+        # What a paused server or a slow way holds back comes together.
+        way = f"server{server[1:].partition('-')[0]}"
+        if _touched(record.touched, since, since + world.COLD_S, (way,)):
+            continue
+        times.sort()
+        for n, at in enumerate(times):
+            count = sum(at <= each < at + 1.0 for each in times[n:])
+            if count > most:
+                yield f"{server} got {count} requests in a second while cold"
+                break
+
+
+def _domain(server):
+    number = int(server[1:].partition("-")[0])
+    return world.DOMAINS[number % len(world.DOMAINS)]
+
+
 def withdrawn_keys(record):
     """A withdrawn key stops working in time."""
     for asked in record.asked:
--- a/turmerictally/tests/soak/faults.py
+++ b/turmerictally/tests/soak/faults.py
@@ -58,6 +58,8 @@
             return {f"way{n}"}, n
         if group == "configuration":
             return {"operator"}, fault.pick
+        if group == "domain":
+            return {"domain"}, fault.pick
         return {group}, None
 
     # Hosts.
@@ -214,3 +216,14 @@
     async def configuration_quota(self, pick, for_s):
         # The same quota in a new version.
         await self.world.configure()
+
+    async def domain_evacuate(self, pick, for_s):
+        domain = self.world.domains[int(pick * len(self.world.domains))]
+        at = await self.world.evacuate(domain)
+        await trio.sleep(for_s)
+        over = time.monotonic()
+        # Also when the answer was lost, as the row may be there.
+        while await self.world.take_back(domain) is None:
+            await trio.sleep(RESTART_S)
+        if at is not None:
+            self.record.evacuations.append((domain, at, over))
--- a/turmerictally/tests/soak/server.py
+++ b/turmerictally/tests/soak/server.py
@@ -17,6 +17,7 @@
 
 from turmerictally import httpclient
 from turmerictally.entry import network
+from turmerictally.tests.soak import world
 from turmerictally.tests.support import users_platform
 
 HEARTBEAT_S = 0.5
@@ -35,6 +36,10 @@
     def __init__(self, *given, **more):
         super().__init__(*given, **more)
         self.arrived = {}
+        self.cold_until = time.monotonic() + world.COLD_S
+
+    def remaining_ms(self):
+        return max(0.0, self.cold_until - time.monotonic()) * 1000
 
     async def answer(self, stream, parser, request, headers, body):
         self.arrived[headers["x-request-id"]] = time.monotonic()
@@ -121,6 +126,7 @@
         "slots": server.slots,
         "state": server.state,
         "born": server.born,
+        "coldRemainingMs": server.remaining_ms(),
     }
     row = {"table": "servers", "part": "", "key": server.name}
     row["value"] = base64.b64encode(json.dumps(value).encode()).decode()
--- a/turmerictally/tests/soak/world.py
+++ b/turmerictally/tests/soak/world.py
@@ -21,6 +21,8 @@
 HOT_RATE = 10.0
 HOT_BURST = 10.0
 HOT_KEY = "key-of-the-hot-team"
+COLD_S = 2.0  # after a server's start
+COLD_PER_S = 4.0
 READY_S = 20.0  # for all hosts to start, on a busy machine
 STORE_TIMEOUT_S = 3.0
 BALANCER_S = 0.5
@@ -33,6 +35,7 @@
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.host_count, self.server_count = hosts, servers
+        self.domains = DOMAINS[: min(servers, len(DOMAINS))]
         self.hosts = {}
         self.servers = {}
         self.caller_ways = {}  # proxies from callers to each host
@@ -183,8 +186,10 @@
             for n in range(self.extra_routes)
         ]
         usable = [key for key in self.keys if key not in self.withdrawn]
+        cold = {"coldStartS": COLD_S, "coldPerS": COLD_PER_S}
         self.template.configure(
             routes=[once, *more],
+            services=[{"name": "llm", "maxConnections": 200} | cold],
             tenants=[
                 {"name": "counter", "apiKeys": usable},
                 {
@@ -198,7 +203,10 @@
         table, key, value = self.written[-1]
         row = {"table": table, "part": "", "key": key}
         row["value"] = base64.b64encode(value).decode()
-        body = {"expect": [], "put": [row], "remove": []}
+        return await self._write(put=[row])
+
+    async def _write(self, put=(), remove=()):
+        body = {"expect": [], "put": list(put), "remove": list(remove)}
         try:
             answer = await self.client.post("/-/rows-tx", json=body)
         except httpx.HTTPError:
@@ -206,6 +214,17 @@
             return False
         return answer.status_code == 200
 
+    async def evacuate(self, domain):
+        """Evacuate a domain; return when the store acknowledged it, or None."""
+        row = {"table": "op", "part": "", "key": f"evacuate/{domain}"}
+        row["value"] = base64.b64encode(b"{}").decode()
+        return time.monotonic() if await self._write(put=[row]) else None
+
+    async def take_back(self, domain):
+        """End an evacuation; return when the store acknowledged it, or None."""
+        row = {"table": "op", "part": "", "key": f"evacuate/{domain}"}
+        return time.monotonic() if await self._write(remove=[row]) else None
+
     async def withdraw(self, key):
         """Take a key away; return when the store acknowledged it, or None."""
         self.withdrawn[key] = float("inf")
