Count servers as new also after the store lost its history

A re-read of the whole table was taken for a host's first one, so that a server which registered meanwhile got as much as a warm one. Deployments whose services name no rate get no lines about cold servers.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -341,7 +341,7 @@
         for name, server in before.items():
             if name in after and after[name].born_ms != server.born_ms:
                 self.inflight.replaced(name)
-        self.places.take_servers(before, first=not self.servers_watch.complete)
+        self.places.take_servers(before, complete=self.servers_watch.complete)
         self._close_connections(before)
 
     def _close_connections(self, before: dict[str, model.Server]) -> None:
--- a/turmerictally/entry/places.py
+++ b/turmerictally/entry/places.py
@@ -36,6 +36,7 @@
     overshoot: float
     evacuations: evacuation.Evacuations = attrs.field(factory=evacuation.Evacuations)
     budgets: cold.Budgets = attrs.field(init=False)
+    has_servers: bool = False
     written_at: float = float("inf")
     renewed_at: float = float("-inf")
     asleep_s: float = attrs.field(init=False)
@@ -108,9 +109,14 @@
             self._note(server, warm_up_s, "evacuation ended", in_use=False)
 
     def take_servers(
-        self, before: collections.abc.Mapping[str, model.Server], *, first: bool
+        self, before: collections.abc.Mapping[str, model.Server], *, complete: bool
     ) -> None:
-        """Take changed registrations; the ``first`` ones may have started long ago."""
+        """Take changed registrations; ``complete`` tells that others came before.
+
+        The first ones may have started long ago.
+        """
+        first = not (complete or self.has_servers)
+        self.has_servers = True
         for name, server in self.registry.servers.items():
             old = before.get(name)
             if old is server:
@@ -135,7 +141,8 @@
         self, server: model.Server, seconds: float, reason: str, *, in_use: bool
     ) -> None:
         now = self.clock.monotonic()
-        if not self.budgets.note(server.instance, seconds, now, in_use=in_use):
+        is_news = self.budgets.note(server.instance, seconds, now, in_use=in_use)
+        if not is_news or not self._rate_of(server.instance):
             return
         self.trace.emit(
             "server_cold",
@@ -161,7 +168,7 @@
             self.written_at = now
         self.asleep_s = asleep_s
         for name, found in self.budgets.expire(now):
-            if name in self.registry.servers:
+            if self._rate_of(name):
                 self.trace.emit("server_warm", server=name, sent=found.sent)
 
     def running_in(self, domain: str, running: "inflight.InFlight") -> int:
--- a/turmerictally/tests/features/entry_cold.feature
+++ b/turmerictally/tests/features/entry_cold.feature
@@ -19,6 +19,7 @@
     Examples:
       | event                                          | state    |
       | registers for the first time                   | cold     |
+      | registers for the first time, history is lost  | cold     |
       | starts again under its name                    | cold     |
       | says that it is cold for 2 s                   | cold     |
       | is back from an evacuation                     | cold     |
--- a/turmerictally/tests/features/steps/entry_cold_steps.py
+++ b/turmerictally/tests/features/steps/entry_cold_steps.py
@@ -92,6 +92,8 @@
         world.configure(**service(**given))
         await trio.sleep(1.0)
         if event.startswith("registers for the first time"):
+            if "history" in event:
+                world.store.forget_history()
             server = users_platform.Server(world, "s9", "10.9.0.9:80")
             server.register()
         elif event.startswith("starts again"):
