--- a/turmerictally/entry/places.py
+++ b/turmerictally/entry/places.py
@@ -153,6 +153,7 @@
             for_s=round(min(seconds, cold.MAX_COLD_S), 2),
             said_s=server.cold_s,
             per_s=self._rate_of(server.instance),
+            permits=self.budgets.permits(server.instance, now),
         )
 
     def row_written(self, started_at: float) -> None:
