--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -12,6 +12,7 @@
 if typing.TYPE_CHECKING:
     from turmerictally.entry import host
 
+MAX_TEAMS = 20  # of which metrics are shown, those with the most
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
 
@@ -49,6 +50,7 @@
         gauge(f"{prefix}_requests_running", "Running.", served.callers.busy),
         gauge(f"{prefix}_items_waiting", "Batch.", len(served.worker.waiting())),
         gauge(f"{prefix}_quota_share", "Of all hosts.", served.allowances.share),
+        *_team_families(served),
         prometheus_client.core.CounterMetricFamily(
             f"{prefix}_process_cpu_seconds", "Processor.", time.process_time()
         ),
@@ -61,3 +63,37 @@
             served.pool.abandoned,
         ),
     ]
+
+
+def _team_families(served: "host.Host") -> list[prometheus_client.core.Metric]:
+    """Return what teams ask for, may hold, waited and were refused."""
+    turns = served.turns
+    if turns is None:
+        return []
+    prefix = exposition.PREFIX
+    gauge = prometheus_client.core.GaugeMetricFamily
+    counter = prometheus_client.core.CounterMetricFamily
+    labels = ["service", "team"]
+    demand = gauge(f"{prefix}_team_demand_slots", "Over all hosts.", labels=labels)
+    share = gauge(f"{prefix}_team_share_slots", "Of all slots.", labels=labels)
+    now = served.clock.monotonic()
+    work = turns.room.work
+    for service in work.services():
+        slots = sum(load.slots for load in served.inflight.loads(service))
+        demands, shares = work.demands(service, now), work.shares(service, slots, now)
+        for team in sorted(demands, key=demands.get, reverse=True)[:MAX_TEAMS]:
+            demand.add_metric([service, team], demands[team])
+            share.add_metric([service, team], shares[team])
+    waited = counter(f"{prefix}_team_waited_seconds", "Here.", labels=["team"])
+    refused = counter(f"{prefix}_team_refused", "For want of room.", labels=["team"])
+    for family, counts in ((waited, turns.waited_s), (refused, turns.refused)):
+        for team, count in counts.most_common(MAX_TEAMS):
+            family.add_metric([team], count)
+    waiting = len(turns.room.requests)
+    return [
+        demand,
+        share,
+        waited,
+        refused,
+        gauge(f"{prefix}_callers_waiting", "For a server.", waiting),
+    ]
--- a/turmerictally/entry/turns.py
+++ b/turmerictally/entry/turns.py
@@ -61,6 +61,10 @@
         if begins == 1 and not others:
             return self.limit(loads)
         now = self.clock.monotonic()
+        if self.room.work.is_rare(request.service, request.team, now):
+            # A rare request takes a place in a server's own queue: this host may have
+            # no other request there whose end would make room.
+            return loads
         situation = self.situation(loads)
         if not self.limited:
             request.rank = 0.0
--- a/turmerictally/scheduling/shares.py
+++ b/turmerictally/scheduling/shares.py
@@ -129,6 +129,11 @@
                 found[key.removeprefix(prefix)] += count
         return dict(found)
 
+    def services(self) -> set[str]:
+        """Return the services that anybody asks for now."""
+        found = {service for service, _ in self.held}
+        return found | {key.partition("/")[0] for key in self.elsewhere}
+
     def shares(self, service: str, room: float, now: float) -> dict[str, float]:
         """Return the slots of ``room`` that each team may hold."""
         demands = self.demands(service, now)
@@ -144,6 +149,10 @@
             return 1.0
         return self.shares(service, room, now)[team] / demand
 
+    def is_rare(self, service: str, team: str, now: float) -> bool:
+        """Return whether a team asks for no more than each team's first slot."""
+        return self.demands(service, now).get(team, 0.0) <= FIRST_SLOTS
+
     def _own(self, now: float) -> collections.Counter[tuple[str, str]]:
         while self.refused and self.refused[0][0] <= now:
             heapq.heappop(self.refused)
