--- a/turmerictally/tests/features/scheduling_shares.feature
+++ b/turmerictally/tests/features/scheduling_shares.feature
@@ -5,7 +5,7 @@
   on time, 0.57 for one on time after a refusal, 0.15 for a late one.
 
   Scenario Outline: Other teams keep their own share's worth
-    When <load> for 12 s
+    When 12 s pass with <load>
     Then the other teams' requests are worth at least <worth> and in each second <worst>
     And the former policy gives them at most <former>
 
@@ -15,7 +15,7 @@
       | three teams ask for 7.5 times their usual in a crest    | 0.6   | 0.45  | 0.4    |
 
   Scenario Outline: Nobody pays for the skew of 73 teams, nor for waves
-    When <load> for 14 s
+    When 14 s pass with <load>
     Then all requests are worth at least <worth> and those of no group less than <group>
     And the former policy gives at most <former> to all
 
--- a/turmerictally/tests/features/steps/scheduling_shares_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_shares_steps.py
@@ -40,7 +40,7 @@
 GROUPS.append(USUAL.keys() - GROUPS[0] - GROUPS[1])
 
 
-@behave.when("{load} for {seconds:d} s")
+@behave.when("{seconds:d} s pass with {load}")
 def plays(context, load, seconds):
     rates_at, events = LOADS[load]
     context.played, context.former = (
