--- a/turmerictally/tests/features/entry_quota.feature
+++ b/turmerictally/tests/features/entry_quota.feature
@@ -39,3 +39,12 @@
     Given 10 hosts and a team of 34 a second, burst 34
     When the team sends 0.9 times its rate to one host that does not hear the others
     Then most of its requests are refused
+
+  Scenario: A team that turns hot is admitted what its quota holds
+    The pattern: 7.5 times the usual, with a quota of 1.6 times the usual, on 61 hosts that
+    tell each other through relays.
+    Given 61 hosts and a team of 48 a second, burst 48
+    When it sends 0.6 of its rate, then 4.7 times for 6.5 s, told 0.15 s late
+    Then before it turns hot none is refused
+    And at least 0.95 of what one bucket would admit is admitted
+    And in each 5 s window at most a tenth and 20 more than the quota are admitted
--- a/turmerictally/tests/features/steps/entry_quota_steps.py
+++ b/turmerictally/tests/features/steps/entry_quota_steps.py
@@ -94,9 +94,12 @@
         self.admitted = []
         self.refused = 0
         self.cut = lambda a, b: False
+        self.told_s, self.late_s = gossip.PERIOD_S, 0.003
+        self.asked = []
 
     def run(self, factor, trouble=lambda fleet: None, only=None):
-        period = round(gossip.PERIOD_S / STEP_S)
+        period = round(self.told_s / STEP_S)
+        factor_at = factor if callable(factor) else lambda now: factor
         carry = 0.0
         for tick in range(round((SECONDS + 5) / STEP_S)):
             self.time.now = tick * STEP_S
@@ -108,7 +111,7 @@
                 member.step()
             if self.time.now < 5.0:
                 continue
-            carry += factor * self.rate * STEP_S
+            carry += factor_at(self.time.now) * self.rate * STEP_S
             while carry >= 1.0:
                 carry -= 1.0
                 if running:
@@ -124,11 +127,12 @@
             apart = self.cut(member.number, other.number)
             if other is member or not other.alive or apart or lost:
                 continue
-            due = self.time.now + 0.003
+            due = self.time.now + self.late_s
             sender = str(member.number)
             other.inbox.append((due, sender, str(member.starts), told))
 
     def ask(self, member):
+        self.asked.append(self.time.now)
         if member.allowances.admit("hot") is None:
             self.admitted.append(self.time.now)
         else:
@@ -240,6 +244,36 @@
     assert context.fleet.admitted
 
 
+@behave.when(
+    "it sends {calm:g} of its rate, then {hot:g} times for 6.5 s, "
+    "told {late_s:g} s late"
+)
+def turns_hot(context, calm, hot, late_s):
+    fleet = context.fleet
+    fleet.told_s = fleet.late_s = late_s
+    fleet.run(lambda now: hot if 10.0 <= now < 16.5 else calm)
+
+
+@behave.then("at least {part:g} of what one bucket would admit is admitted")
+def as_one_bucket(context, part):
+    fleet = context.fleet
+    level, at, admits = fleet.burst, 0.0, 0
+    for now in fleet.asked:
+        level, at = min(fleet.burst, level + fleet.rate * (now - at)), now
+        if level >= 1:
+            level, admits = level - 1, admits + 1
+    assert len(fleet.admitted) >= part * admits, (len(fleet.admitted), admits)
+
+
+@behave.then("before it turns hot none is refused")
+def none_before(context):
+    fleet = context.fleet
+    asked, admitted = (
+        sum(at < 10.0 for at in times) for times in (fleet.asked, fleet.admitted)
+    )
+    assert asked == admitted > 0, (asked, admitted)
+
+
 @behave.then("most of its requests are refused")
 def most_refused(context):
     assert context.fleet.refused > len(context.fleet.admitted)
