--- a/turmerictally/tests/features/scheduling_shares.feature
+++ b/turmerictally/tests/features/scheduling_shares.feature
@@ -11,8 +11,8 @@
 
     Examples: One hot team; three hot teams at once
       | load                                                    | worth | worst | former |
-      | one team asks for 7.5 times its usual in a crest        | 0.6   | 0.45  | 0.4    |
-      | three teams ask for 7.5 times their usual in a crest    | 0.6   | 0.45  | 0.4    |
+      | one team asks for 7.5 times its usual in a crest        | 0.75  | 0.65  | 0.4    |
+      | three teams ask for 7.5 times their usual in a crest    | 0.75  | 0.65  | 0.4    |
 
   Scenario Outline: Nobody pays for the skew of 73 teams, nor for waves
     When <load> for 14 s
