--- a/turmerictally/scheduling/shares.py
+++ b/turmerictally/scheduling/shares.py
@@ -19,6 +19,7 @@
 # Slots of each team that asks before shares are weighed, as slots cannot be divided.
 FIRST_SLOTS = 1.0
 RANK_BYTES = 8
+SEPARATOR = "\n"  # of service and team in keys that are told; names hold none
 
 
 def size_of(prompt_tokens: int, output_tokens: int) -> int:
@@ -115,7 +116,8 @@
 
     def told(self, now: float) -> dict[str, int]:
         """Return this host's part of the demand, by service and team."""
-        return {f"{s}/{t}": count for (s, t), count in self._own(now).items()}
+        own = self._own(now).items()
+        return {f"{s}{SEPARATOR}{t}": count for (s, t), count in own}
 
     def demands(self, service: str, now: float) -> dict[str, float]:
         """Return the slots that each team asks for, over all hosts."""
@@ -123,7 +125,7 @@
         for (of, team), count in self._own(now).items():
             if of == service:
                 found[team] += count
-        prefix = f"{service}/"
+        prefix = f"{service}{SEPARATOR}"
         for key, count in self.elsewhere.items():
             if key.startswith(prefix):
                 found[key.removeprefix(prefix)] += count
@@ -132,7 +134,7 @@
     def services(self) -> set[str]:
         """Return the services that anybody asks for now."""
         found = {service for service, _ in self.held}
-        return found | {key.partition("/")[0] for key in self.elsewhere}
+        return found | {key.partition(SEPARATOR)[0] for key in self.elsewhere}
 
     def shares(self, service: str, room: float, now: float) -> dict[str, float]:
         """Return the slots of ``room`` that each team may hold."""
--- a/turmerictally/tests/features/platform_adapter.feature
+++ b/turmerictally/tests/features/platform_adapter.feature
@@ -29,3 +29,15 @@
   Scenario: Authorities are loaded only for a store behind TLS
     When connections are prepared to "http://store" and to "https://store"
     Then only the second one loads the authorities
+
+  Scenario Outline: A request's size is what its caller says, or unknown
+    When a request says "<usage>" tokens and hints at "<hint>"
+    Then it has <prompt> prompt tokens and <output> expected output tokens
+
+    Examples:
+      | usage     | hint | prompt | output |
+      | 1460,80   |      | 1460   | 80     |
+      | 1460, 80  | 30   | 1460   | 30     |
+      | 1460,80   | 900  | 1460   | 80     |
+      | 1460      | 30   | 0      | 0      |
+      | -1,x      | y    | 0      | 0      |
--- a/turmerictally/tests/features/steps/entry_waiting_steps.py
+++ b/turmerictally/tests/features/steps/entry_waiting_steps.py
@@ -217,7 +217,7 @@
     work = shares.TeamWork(hosts.totals.work)
     for _ in range(60):
         work.begin("llm", "small")
-    told = {"llm/large": 1000}
+    told = {f"llm{shares.SEPARATOR}large": 1000}
     hosts.hear(
         gossip.Digest(
             "h1",
--- a/turmerictally/tests/features/steps/platform_adapter_steps.py
+++ b/turmerictally/tests/features/steps/platform_adapter_steps.py
@@ -274,3 +274,20 @@
 @behave.then("only the second one loads the authorities")
 def loads(context):
     assert context.loads == [0, 1], context.loads
+
+
+@behave.when('a request says "{usage}" tokens and hints at "{hint}"')
+def says(context, usage, hint):
+    given = [(b"X-Token-Usage", usage.encode()), (b"X-Length-Hint", hint.encode())]
+    context.ask = requests.read_ask(b"POST", b"/a", given)
+
+
+@behave.when('a request says "{usage}" tokens and hints at ""')
+def says_no_hint(context, usage):
+    says(context, usage, "")
+
+
+@behave.then("it has {prompt:d} prompt tokens and {output:d} expected output tokens")
+def has_tokens(context, prompt, output):
+    found = context.ask.prompt_tokens, context.ask.output_tokens
+    assert found == (prompt, output), found
