--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -202,6 +202,7 @@
             rng=self.rng,
             nudge=self.spread.nudge,
             most_items=(placing.most_items(config.processor.cores) if learns else None),
+            fair=config.scheduling.fair_shares,
         )
         self.registry.on_leaving = self._on_leaving
         self.takeover = takeover.Takeover(self.worker)
