--- a/turmerictally/entry/network.py
+++ b/turmerictally/entry/network.py
@@ -109,9 +109,9 @@
 
     async def send_all(self, data: bytes) -> None:
         """Send bytes, without a task switch when the socket takes them at once."""
+        await self._give_turns()
         sent = self._send(data)
         if sent == len(data):
-            await self._give_turns()
             return
         view = memoryview(data)
         while sent < len(data):
@@ -128,16 +128,14 @@
 
     async def receive_some(self) -> bytes:
         """Return the next bytes, without a task switch when they are here."""
+        await self._give_turns()
         while True:
             try:
-                data = self.sock.recv(READ_BYTES)
+                return self.sock.recv(READ_BYTES)
             except BlockingIOError:
                 await self._wait(trio.lowlevel.wait_readable)
-                continue
             except OSError as error:
                 raise _broken(error) from error
-            await self._give_turns()
-            return data
 
     async def _wait(
         self,
@@ -149,11 +147,14 @@
         await until(self.sock)
 
     async def _give_turns(self) -> None:
-        """Let other tasks run after many calls that did not wait."""
-        self.at_once += 1
+        """Let other tasks run after many calls that did not wait.
+
+        This comes before a call, so that a cancelled one has moved no bytes.
+        """
         if self.at_once >= MAX_AT_ONCE:
             self.at_once = 0
             await trio.lowlevel.checkpoint()
+        self.at_once += 1
 
     async def send_eof(self) -> None:
         """Tell the other end that nothing more is sent."""
@@ -188,6 +189,10 @@
 
     async def accept(self) -> SocketStream:
         """Return the next connection."""
+        if self.at_once >= MAX_AT_ONCE:
+            self.at_once = 0
+            await trio.lowlevel.checkpoint()
+        self.at_once += 1
         while True:
             try:
                 accepted, _ = self.sock.accept()
@@ -205,14 +210,6 @@
                 await trio.sleep(ACCEPT_PAUSE_S)
             else:
                 break
-        self.at_once += 1
-        if self.at_once >= MAX_AT_ONCE:
-            self.at_once = 0
-            try:
-                await trio.lowlevel.checkpoint()
-            except trio.Cancelled:
-                accepted.close()
-                raise
         _set_up(accepted)
         return SocketStream(accepted)
 
