Tell jobs' states in digests, and tick only where something waits

Cause: at 61 to 78 hosts each read the jobs' table four times a second while any job changed, and the hosts' table once a second for rows of which digests tell more and sooner; a host without jobs woke ten times a second for them, and for copies, takeovers and lapsed servers by three more timers.

Change: through relays, an owner's digest holds the states it wrote, and the tables are read each 0.9 s and 3.5 s; the batch tick waits for a job; copies and takeovers are begun from the housekeeping's look; wake-ups are counted. Fleets of up to 24 hosts read as before.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -45,6 +45,9 @@
 TABLE = "hosts"
 COUNT_S = 0.25  # between two counts of many hosts, a part of the time to fall silent
 READ_S = 1.0  # between reads of the hosts' rows, at least
+# The same through relays, where digests tell who lives; well within the seconds between
+# GIVE_UP_S and EXPIRE_S.
+RELAYED_READ_S = 3.5
 MAX_READS_PER_S = 100.0  # of all hosts
 # A copy of the hosts' table that is this much older than the pause between its reads
 # misses renewals: a call may take 1.5 s.
@@ -64,7 +67,8 @@
     the store's version of that, ``leaving`` for each server whose own answers said that
     it leaves its birth. ``work`` counts by team the tokens of its requests that servers
     work on or that wait here, ``speeds`` gives for each server what
-    ``scheduling.speeds.Evidence`` holds.
+    ``scheduling.speeds.Evidence`` holds. ``jobs`` gives rows of jobs' states that this
+    host wrote lately, each with its version.
     """
 
     host: str
@@ -89,6 +93,7 @@
     leaving: dict[str, int] = attrs.Factory(dict)
     work: dict[str, int] = attrs.Factory(dict)
     speeds: dict[str, list[float]] = attrs.Factory(dict)
+    jobs: dict[str, tuple[int, bytes]] = attrs.Factory(dict)
 
     def has_load_of(self, other: "Digest") -> bool:
         """Return whether both tell the same of what is in flight and left out."""
@@ -109,6 +114,7 @@
             and self.lacking == other.lacking
             and self.work == other.work
             and self.speeds == other.speeds
+            and self.jobs == other.jobs
         )
 
     def encode(self) -> bytes:
@@ -365,7 +371,8 @@
 
     def read_s(self) -> float:
         """Return the seconds between two reads of the hosts' rows."""
-        return max(READ_S, len(self.listed) / MAX_READS_PER_S)
+        least_s = RELAYED_READ_S if self.relayed else READ_S
+        return max(least_s, len(self.listed) / MAX_READS_PER_S)
 
     def is_stopping(self, host: str) -> bool:
         """Return whether a host said that it stops."""
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -45,8 +45,11 @@
 # Between reads of job changes, so that they come together; with many hosts so long that
 # all hosts together make about 400 reads a second.
 JOBS_INTERVAL_S = 0.25
+# The same where digests tell of changes: with a poll's wait, less than the age at which
+# callers' reads go past the copy.
+RELAYED_JOBS_INTERVAL_S = 0.9
 MAX_JOBS_READS_PER_S = 400.0
-HOUSEKEEPING_S = 0.25
+HOUSEKEEPING_S = 0.25  # between looks at what lapsed, fell behind or lost its owner
 MAX_LACKING = 64  # hosts that are asked for their counts at once; 1 kB of a digest
 # Time kept back from the grace period for the last writes of a stop.
 LAST_WRITES_S = 1.2
@@ -64,6 +67,17 @@
     read_server: model.ReadServer
 
 
+class WakeUps(trio.abc.Instrument):
+    """Count how often the process went on after a wait for events or time."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Count one, unless other tasks were ready anyway."""
+        self.count += timeout > 0
+
+
 class Host:
     """Run one entry host; ``stop`` drains it."""
 
@@ -88,6 +102,7 @@
         self.network = reach
         self.stop_requested = trio.Event()
         self.stopping = False
+        self.wake_ups = WakeUps()
         self.latencies = latency.Latencies(MAX_TEAM_HISTOGRAMS, self.clock)
         self._build_knowledge(names)
         self._build_path(wire)
@@ -179,6 +194,7 @@
             trace=trace,
             rng=self.rng,
             nudge=self.spread.nudge,
+            on_change=self._on_job,
         )
         self.registry.on_leaving = self._on_leaving
         self.takeover = takeover.Takeover(self.worker)
@@ -232,6 +248,7 @@
 
     async def run(self) -> None:
         """Serve until stopped."""
+        trio.lowlevel.add_instrument(self.wake_ups)
         self.trace.emit(
             "started",
             host=self.settings.host_id,
@@ -257,10 +274,8 @@
         for each in self.watches.values():
             nursery.start_soon(each.run)
         nursery.start_soon(self._register)
-        nursery.start_soon(self._keep_house)
-        nursery.start_soon(self.copies.run)
+        nursery.start_soon(self._keep_house, nursery)
         nursery.start_soon(self.worker.run)
-        nursery.start_soon(self.takeover.run)
         nursery.start_soon(self.collector.run)
 
     def stop(self) -> None:
@@ -311,7 +326,8 @@
         return view.limits if view else model.CallerLimits()
 
     def _jobs_interval_s(self) -> float:
-        return max(JOBS_INTERVAL_S, len(self.hosts.listed) / MAX_JOBS_READS_PER_S)
+        least_s = RELAYED_JOBS_INTERVAL_S if self.hosts.relayed else JOBS_INTERVAL_S
+        return max(least_s, len(self.hosts.listed) / MAX_JOBS_READS_PER_S)
 
     def _on_configuration(self, changed: list[rows.Row]) -> None:
         self.configured.update(changed)
@@ -355,12 +371,22 @@
         self.known_jobs.update(changed)
         self.worker.adopt(changed)
 
+    def _on_job(self, kept: jobs.Kept) -> None:
+        state = kept.state
+        self.spread.tell_job(state.job, kept.version, state.encode())
+
     def _on_digest(self, digest: gossip.Digest) -> None:
         self._on_sign(digest)
         if self.settings.host_id in digest.lacking:
             self.spread.answer(digest.host)
         if digest.removed:
             self._on_removed(digest.host, digest.removed)
+        if digest.jobs:
+            told = [
+                rows.Row(jobs.state_address(job), value, version)
+                for job, (version, value) in digest.jobs.items()
+            ]
+            self.states_watch.apply(told, 0)
         if digest.leaving:
             self.registry.take_leaving(digest.host, digest.leaving)
 
@@ -436,9 +462,11 @@
                 pause = watch.MAX_RETRY_S
             await trio.sleep(pause * self.rng.uniform(0.8, 1.2))
 
-    async def _keep_house(self) -> None:
+    async def _keep_house(self, nursery: trio.Nursery) -> None:
         while True:
-            await trio.sleep(HOUSEKEEPING_S)
+            await trio.sleep(HOUSEKEEPING_S * self.rng.uniform(0.8, 1.2))
+            self.copies.check(nursery)
+            self.takeover.check(nursery)
             self.registry.expire()
             self.pool.sweep()
             for name in [n for n, count in self.inflight.online.items() if not count]:
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -52,6 +52,9 @@
         prometheus_client.core.CounterMetricFamily(
             f"{prefix}_process_cpu_seconds", "Processor.", time.process_time()
         ),
+        prometheus_client.core.CounterMetricFamily(
+            f"{prefix}_wake_ups", "Of the process.", served.wake_ups.count
+        ),
         prometheus_client.core.CounterMetricFamily(
             f"{prefix}_server_connections", "Opened.", served.pool.opened
         ),
--- a/turmerictally/entry/peers.py
+++ b/turmerictally/entry/peers.py
@@ -10,8 +10,7 @@
 from turmerictally.entry import trace as traces
 
 PATH = "/copies/"
-TICK_S = 0.25
-STALE_S = 2.2  # a followed table that is older than its poll allows
+STALE_S = 2.2  # a table older than its poll allows, beside the pause between reads
 FRESHER_S = 0.5  # how much fresher a peer's copy must be to be worth a call
 TIMEOUT_S = 1.0
 AGE_HEADER = b"age-ms"
@@ -29,6 +28,7 @@
     clock: clocks.Clock
     trace: traces.Trace
     rng: random.Random
+    fetching: bool = False
 
     async def serve(self, exchange: front.Exchange) -> None:
         """Answer a peer that asks for a table."""
@@ -40,13 +40,26 @@
         age_ms = max(0, round(found.age_s() * 1000))
         await exchange.reply(200, found.encode(), [(AGE_HEADER, b"%d" % age_ms)])
 
-    async def run(self) -> None:
-        """Fetch tables that the store does not tell of."""
-        while True:
-            await trio.sleep(TICK_S)
-            for name, each in self.watches.items():
-                if each.age_s() > STALE_S:
-                    await self._fetch(name, each)
+    def stale(self) -> list[str]:
+        """Return the tables that the store does not tell of."""
+        return [
+            name
+            for name, each in self.watches.items()
+            if each.age_s() > STALE_S + each.interval_s()
+        ]
+
+    def check(self, nursery: trio.Nursery) -> None:
+        """Begin to fetch stale tables, unless that goes on already."""
+        if not self.fetching and (names := self.stale()):
+            self.fetching = True
+            nursery.start_soon(self._fetch_all, names)
+
+    async def _fetch_all(self, names: list[str]) -> None:
+        try:
+            for name in names:
+                await self._fetch(name, self.watches[name])
+        finally:
+            self.fetching = False
 
     async def _fetch(self, name: str, own: watch.Watch) -> None:
         """Ask the freshest peer."""
--- a/turmerictally/entry/spread.py
+++ b/turmerictally/entry/spread.py
@@ -10,6 +10,7 @@
 import enum
 import functools
 import hashlib
+import itertools
 
 import attrs
 import msgspec
@@ -32,6 +33,7 @@
 BASE_S = 5.0
 FULL_PERIODS = 2  # the same with many hosts, in periods
 BASE_PERIODS = 10
+MAX_JOBS = 20  # rows of jobs' states in one digest, 10 kB; more go with the next
 MAX_BASES_PER_S = 20  # answers to hosts that lack this one's counts
 # A relay that is asked has sent a digest back after two bundles and the ways; a lost
 # datagram must not look like a lost relay.
@@ -325,6 +327,7 @@
     sequence: int = 0
     told: gossip.Digest | None = None
     told_times: int = 0
+    jobs: dict[str, tuple[int, bytes]] = attrs.Factory(dict)
     full_due: float = float("-inf")
     base_due: float = float("-inf")
     base_answers: int = 0
@@ -361,6 +364,20 @@
         if self.hosts.relayed:
             self.urgent.set()
 
+    def tell_job(self, job: str, version: int, value: bytes) -> None:
+        """Tell all hosts of a job's state that this one wrote, with the next digest.
+
+        A few hosts read it from the store as soon.
+        """
+        if self.hosts.relayed:
+            self.jobs[job] = version, value
+            self.urgent.set()
+
+    def _take_jobs(self) -> dict[str, tuple[int, bytes]]:
+        """Return the next jobs' states to tell; each is told once."""
+        names = list(itertools.islice(self.jobs, MAX_JOBS))
+        return {name: self.jobs.pop(name) for name in names}
+
     def introduce(self) -> None:
         """Send all there is to tell next, as to a host that was not heard before."""
         if self.hosts.relayed:
@@ -412,6 +429,7 @@
         if base:
             self.base_due = now + max(BASE_S, BASE_PERIODS * period_s)
         digest = self.make_digest(self.sequence, full, base)
+        digest.jobs = self._take_jobs()
         datagram = self._datagram(digest)
         if not self.hosts.relayed:
             self._send(Parcel(self.hosts.addresses(), [datagram.encode()]))
@@ -436,7 +454,7 @@
                 digest.host, digest.instance, digest.sequence, before.sequence
             )
             return Datagram(*here, (), (sign,), urgent=False)
-        urgent = before is None or not digest.has_load_of(before)
+        urgent = before is None or not digest.has_load_of(before) or bool(digest.jobs)
         if not same:
             self.told = digest
         return Datagram(*here, (digest.encode(),), urgent=urgent)
--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -10,7 +10,6 @@
 from turmerictally.entry import worker as workers
 from turmerictally.store import rows
 
-TAKEOVER_TICK_S = 0.3
 RANK_DELAY_S = 0.6  # between the hosts that may take a job over
 # A host whose row was not renewed for this long and that is not heard is taken for
 # dead: two renewals missed.
@@ -26,16 +25,22 @@
 
     worker: workers.Worker
     orphaned_at: dict[str, float] = attrs.Factory(dict)
+    taking: bool = False
 
-    async def run(self) -> None:
-        """Look for jobs to take until cancelled."""
+    def check(self, nursery: trio.Nursery) -> None:
+        """Begin to take jobs over, unless that goes on already."""
         states = self.worker.states
-        while True:
-            await trio.sleep(TAKEOVER_TICK_S * self.worker.rng.uniform(0.8, 1.2))
-            if self.worker.stopping or states.lost or not states.complete:
-                continue
-            for kept in self.orphans():
+        away = self.worker.stopping or states.lost or not states.complete
+        if not away and not self.taking and (found := self.orphans()):
+            self.taking = True
+            nursery.start_soon(self._take_all, found)
+
+    async def _take_all(self, found: list[jobs.Kept]) -> None:
+        try:
+            for kept in found:
                 await self._take(kept)
+        finally:
+            self.taking = False
 
     def orphans(self) -> list[jobs.Kept]:
         """Return jobs without a live owner whose turn to be taken here has come."""
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -62,8 +62,10 @@
     trace: traces.Trace
     rng: random.Random
     nudge: collections.abc.Callable[[], None]
+    on_change: collections.abc.Callable[[jobs.Kept], None] = lambda kept: None
     owned: dict[str, Owned] = attrs.Factory(dict)
     stopping: bool = False
+    some: trio.Event = attrs.field(factory=trio.Event)
     expected: itemorder.Expected = attrs.field(factory=itemorder.Expected)
     nursery: trio.Nursery | None = None
 
@@ -76,6 +78,9 @@
                 if not self.stopping:
                     self._start_items()
                     self.give_way()
+                if not self.owned:
+                    self.some = trio.Event()
+                    await self.some.wait()
                 await trio.sleep(TICK_S * self.rng.uniform(0.8, 1.2))
 
     def own(self, kept: jobs.Kept, items: list[jobs.Item], listed: set[str]) -> None:
@@ -99,6 +104,7 @@
             if item.id not in listed
         }
         self.owned[kept.state.job] = Owned(kept, kept.version, tasks)
+        self.some.set()
         self.publish(kept)
 
     def _forget(self, owned: Owned) -> None:
@@ -110,6 +116,7 @@
         """Take an own change into the followed copy at once."""
         where = jobs.state_address(kept.state.job)
         self.states.apply([rows.Row(where, kept.state.encode(), kept.version)], 0)
+        self.on_change(kept)
 
     def waiting(self) -> list[tuple[Owned, itemrun.Task]]:
         """Return the items that could run now."""
@@ -203,7 +210,7 @@
         free = attrs.evolve(state, owner="", instance="")
         try:
             puts, _ = _unsaved_progress(owned, 1)
-            await self.jobs.change(owned.kept, free, puts)
+            self.on_change(await self.jobs.change(owned.kept, free, puts))
         except (rows.ConflictError, rows.UnavailableError) as error:
             # The others find this host gone and take the job over a little later.
             self.trace.emit("job_not_released", job=state.job, reason=str(error))
