Pass a turn on that nobody takes, and hold nobody back where all fit

A request that left between its turn and its start took the turn with it; requests that waited when room became ample went on waiting for single slots.

--- a/turmerictally/entry/turns.py
+++ b/turmerictally/entry/turns.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import contextlib
+import random
 
 import attrs
 import trio
@@ -58,7 +59,8 @@
             return loads
         begins = self._part_to_begin(request.service, loads)
         others = self.room.waiting(request.service)
-        if begins == 1 and not others:
+        if begins == 1:
+            self._offer(request.service, loads, len(others))
             return self.limit(loads)
         now = self.clock.monotonic()
         queues = [load for load in loads if load.online <= load.slots]
@@ -92,6 +94,8 @@
 
     def told_s(self) -> float:
         """Return the seconds until the others know what this host sends."""
+        if not self.hosts.peers:
+            return 0.0
         if self.hosts.relayed:
             return self.hosts.nudge_s() + RELAY_S
         return self.hosts.period_s()
@@ -118,6 +122,9 @@
                 loads = await self._turn(request, look)
         finally:
             self.room.drop(request)
+            if loads is None and request.offered:
+                # Its caller left, or its time was up, before it took its turn.
+                self.freed(request.server)
             waited_s = self.clock.monotonic() - since
             self.waited_s[request.team] += waited_s
             self.trace.emit(
@@ -190,7 +197,7 @@
             request.turn()
 
 
-def make_room(hosts: gossip.Hosts, rng) -> waiting.Room:
+def make_room(hosts: gossip.Hosts, rng: random.Random) -> waiting.Room:
     """Return an empty waiting room that knows the other hosts' work."""
     work = shares.TeamWork(hosts.totals.work)
     return waiting.Room(work, shares.Durations(), rng)
