--- a/turmerictally/bench/path.py
+++ b/turmerictally/bench/path.py
@@ -25,6 +25,7 @@
     gossip,
     inflight,
     model,
+    places,
     network,
     pool,
     registry,
@@ -123,7 +124,18 @@
     )
     known.servers["s0"] = model.Server("s0", server, "llm", "a", 10 * STREAMS)
     hosts = gossip.Hosts("h0", "i0", clock, trace, domain="a")
-    loads = inflight.InFlight(known, hosts, clock, trace, ejection.Ejector("a"))
+    nowhere = places.Places(
+        configuration.read_evacuation,
+        registry.Configured("", configuration.read_configuration, trace),
+        known,
+        hosts,
+        clock,
+        trace,
+        1.0,
+    )
+    loads = inflight.InFlight(
+        known, hosts, clock, trace, ejection.Ejector("a"), nowhere
+    )
     carrier = relay.Relay(
         inflight=loads,
         pool=pool.Pool(reach, clock),
