--- a/turmerictally/entry/spread.py
+++ b/turmerictally/entry/spread.py
@@ -95,7 +95,7 @@
 
 
 @attrs.define
-class Batch:
+class Contents:
     """Hold what a relay collects between two bundles."""
 
     digests: list[bytes] = attrs.Factory(list)
@@ -111,9 +111,9 @@
     def __bool__(self) -> bool:
         return bool(self.digests or self.signs)
 
-    def joined(self, other: "Batch") -> "Batch":
+    def joined(self, other: "Contents") -> "Contents":
         """Return both."""
-        return Batch(
+        return Contents(
             self.digests + other.digests,
             self.signs + other.signs,
             self.urgent or other.urgent,
@@ -241,8 +241,8 @@
     asked_by: dict[str, tuple[str, float]] = attrs.Factory(dict)
     heard_from: dict[str, tuple[str, float]] = attrs.Factory(dict)
     missed_since: dict[str, float] = attrs.Factory(dict)
-    own: Batch = attrs.Factory(Batch)
-    foreign: Batch = attrs.Factory(Batch)
+    own: Contents = attrs.Factory(Contents)
+    foreign: Contents = attrs.Factory(Contents)
     some: trio.Event = attrs.field(factory=trio.Event)
     urgent: trio.Event = attrs.field(factory=trio.Event)
 
@@ -267,16 +267,27 @@
 
     def active(self) -> bool:
         """Return whether this host relays."""
+        self._forget_past()
+        now = self.hosts.clock.monotonic()
+        handed_on = any(now - at <= ASKED_S for _, at in self.heard_from.values())
+        return bool(self.asked_by) or handed_on
+
+    def _forget_past(self) -> None:
+        """Drop the hosts that have not asked lately."""
         now = self.hosts.clock.monotonic()
         for name, (_, at) in list(self.asked_by.items()):
             if now - at > ASKED_S:
                 del self.asked_by[name]
-        handed_on = any(now - at <= ASKED_S for _, at in self.heard_from.values())
-        return bool(self.asked_by) or handed_on
 
     def flush(self, relays: Relays) -> list[Parcel]:
         """Return what is to be sent where, and begin anew."""
-        own, foreign, self.own, self.foreign = self.own, self.foreign, Batch(), Batch()
+        self._forget_past()
+        own, foreign, self.own, self.foreign = (
+            self.own,
+            self.foreign,
+            Contents(),
+            Contents(),
+        )
         self.some, self.urgent = trio.Event(), trio.Event()
         domain = self.hosts.domain
         members = {
@@ -403,7 +414,7 @@
         self.base_answers += 1
         self.sequence += 1
         data = self.make_digest(self.sequence, True, True).encode()
-        given = Batch([data]).datagrams(
+        given = Contents([data]).datagrams(
             Kind.TAKE, self.hosts.host_id, self.hosts.domain
         )
         self._send(Parcel([peer.digest.address], given))
@@ -463,9 +474,8 @@
         """Send bundles while this host is asked to."""
         while True:
             await self.bundler.wait()
-            if self.bundler.active():
-                for parcel in self.bundler.flush(self.relays):
-                    self._send(parcel)
+            for parcel in self.bundler.flush(self.relays):
+                self._send(parcel)
             await trio.sleep(BUNDLE_S)
 
     def _send(self, parcel: Parcel) -> None:
