Bound what a host holds for slow callers, and end those that read nothing

Change: memory.limit_mb bounds the bytes held for bodies and long answers; what would pass the bound is refused unread with 503 and a time to come back. A write that waits for 4 s ends the connection with a line. Long bodies go to servers uncopied, long answers in pieces. The settings test fills in the template's new name.

--- a/turmerictally/entry/front.py
+++ b/turmerictally/entry/front.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import logging
+import math
 
 import attrs
 import h11
@@ -11,6 +12,8 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import messages, model, network, relay
+from turmerictally.entry import trace as traces
+from turmerictally.scheduling import pressure
 
 logger = logging.getLogger(__name__)
 
@@ -20,6 +23,7 @@
 LAST_ACCEPTS_S = 0.05  # for connections that the system took before the stop
 # A new connection is not idle before this: its first request is on the way.
 FIRST_BYTES_S = 0.3
+MEMORY_RETRY_AFTER_S = 0.3  # about half of a request's usual service time
 MAX_CHUNK_READS = 4  # reads of bytes that follow a request still being answered
 
 
@@ -30,8 +34,14 @@
 class UnacceptableError(Exception):
     """Report a request that is refused before it is handled."""
 
-    def __init__(self, refusal: relay.Refusal, reason: str) -> None:
+    def __init__(
+        self,
+        refusal: relay.Refusal,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
         self.refusal = refusal
+        self.retry_after_s = retry_after_s
         super().__init__(reason)
 
 
@@ -39,7 +49,9 @@
 class Exchange:
     """Hold one request and write its answer; implements ``relay.Answer``.
 
-    ``arrived`` is the monotonic time at which the request was read whole.
+    ``arrived`` is the monotonic time at which the request was read whole, ``share``
+    counts what is held for it, and ``stalled_at`` is the time on trio's clock at which
+    the write that waits now counts as stalled.
     """
 
     method: bytes
@@ -54,6 +66,9 @@
     finished: bool = False
     aborted: bool = False
     status: int = 0
+    share: pressure.Share | None = None
+    stalled_at: float = math.inf
+    scope: trio.CancelScope | None = None
 
     async def start(
         self, status: int, headers: messages.Headers, length: int | None
@@ -70,8 +85,16 @@
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
-        if data:
-            await self._write(h11.Data(data=data))
+        if len(data) <= pressure.PIECE_BYTES:
+            if data:
+                await self._write(h11.Data(data=data))
+            return
+        if self.share is not None:
+            self.share.take(len(data))
+        whole = memoryview(data)
+        for first in range(0, len(data), pressure.PIECE_BYTES):
+            piece = whole[first : first + pressure.PIECE_BYTES]
+            await self._write(h11.Data(data=piece))
 
     async def finish(self) -> None:
         """End a whole answer."""
@@ -114,10 +137,12 @@
     async def _write(self, event) -> None:
         data = self.parser.send(event)
         if data:
+            self.stalled_at = trio.current_time() + pressure.STALLED_S
             try:
                 await self.stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise LeftError from error
+            self.stalled_at = math.inf
 
 
 Handler = collections.abc.Callable[[Exchange], collections.abc.Awaitable[None]]
@@ -137,6 +162,9 @@
     limits: collections.abc.Callable[[], model.CallerLimits]
     clock: clocks.Clock
     max_connections: int
+    trace: traces.Trace
+    held: pressure.Held = attrs.field(factory=pressure.Held)
+    running: set[Exchange] = attrs.Factory(set)
     stopping: bool = False
     accepting: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     open: int = 0
@@ -183,6 +211,20 @@
         for scope in list(self.idle):
             scope.cancel()
 
+    def end_stalled(self) -> None:
+        """Close the connections of callers that take nothing of their answers."""
+        now = trio.current_time()
+        for exchange in [each for each in self.running if now >= each.stalled_at]:
+            self.trace.emit(
+                "caller_stalled",
+                status=exchange.status,
+                held_bytes=exchange.share.bytes if exchange.share else 0,
+                stalled_s=pressure.STALLED_S,
+                outcome="closed",
+            )
+            exchange.abort()
+            exchange.scope.cancel()
+
     async def _serve(self, stream: network.Stream) -> None:
         linger = False
         try:
@@ -207,16 +249,21 @@
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes + 1024
         )
         used = False
+        share = self.held.share()
         while True:
             exchange = None
             try:
-                exchange = await self._read(stream, parser, used=used)
+                exchange = await self._read(stream, parser, share, used=used)
             except UnacceptableError as error:
+                share.close()
                 exchange = Exchange(b"", b"", [], b"", 0.0, stream, parser, True)
                 if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
                     return True
-                await exchange.refuse(error.refusal, str(error))
+                await exchange.refuse(error.refusal, str(error), error.retry_after_s)
                 return True
+            except BaseException:
+                share.close()
+                raise
             if exchange is None:
                 return False
             self.busy += 1
@@ -224,6 +271,7 @@
                 await self._handle(exchange)
             finally:
                 self.busy -= 1
+                share.close()
             if exchange.aborted or not exchange.finished:
                 return False
             if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
@@ -232,7 +280,12 @@
             used = True
 
     async def _read(
-        self, stream: network.Stream, parser: h11.Connection, *, used: bool
+        self,
+        stream: network.Stream,
+        parser: h11.Connection,
+        share: pressure.Share,
+        *,
+        used: bool,
     ) -> Exchange | None:
         """Return the next request, or None when none comes.
 
@@ -260,7 +313,8 @@
         with trio.move_on_after(limits.header_timeout_s) as reading:
             request = await self._head(stream, parser, data)
             reading.deadline = trio.current_time() + limits.idle_timeout_s
-            body = await self._body(stream, parser, request, limits.max_body_bytes)
+            most = limits.max_body_bytes
+            body = await self._body(stream, parser, request, most, share)
             close = self.stopping or _wants_close(request)
             return Exchange(
                 method=request.method,
@@ -271,6 +325,7 @@
                 stream=stream,
                 parser=parser,
                 close_after=close,
+                share=share,
             )
         raise UnacceptableError(relay.Refusal.TIMEOUT, "request not read in time")
 
@@ -295,10 +350,14 @@
         parser: h11.Connection,
         request: h11.Request,
         most: int,
+        share: pressure.Share,
     ) -> bytes:
         for name, value in request.headers:
-            if name == b"content-length" and int(value) > most:
+            if name != b"content-length":
+                continue
+            if int(value) > most:
                 raise UnacceptableError(relay.Refusal.TOO_LARGE, "body too large")
+            self._hold(share, int(value))
         if parser.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await stream.send_all(parser.send(go_on))
@@ -313,16 +372,38 @@
             size += len(event.data)
             if size > most:
                 raise UnacceptableError(relay.Refusal.TOO_LARGE, "body too large")
+            if size > share.bytes:
+                self._hold(share, size - share.bytes)
             parts.append(bytes(event.data))
 
+    def _hold(self, share: pressure.Share, size: int) -> None:
+        """Count bytes of a body before they are read, or refuse them."""
+        if share.admit(size):
+            return
+        self.trace.emit(
+            "memory_full",
+            wanted_bytes=size,
+            held_bytes=self.held.bytes,
+            bound_bytes=self.held.bound,
+            outcome="refused",
+        )
+        raise UnacceptableError(
+            relay.Refusal.UNAVAILABLE, "memory full", MEMORY_RETRY_AFTER_S
+        )
+
     async def _handle(self, exchange: Exchange) -> None:
         """Run the handler; end it when the caller leaves."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._notice_leaving, exchange, nursery.cancel_scope)
-            # An answer that cannot be written has no reader any more.
-            with contextlib.suppress(LeftError):
-                await self.handle(exchange)
-            nursery.cancel_scope.cancel()
+        self.running.add(exchange)
+        try:
+            async with trio.open_nursery() as nursery:
+                exchange.scope = nursery.cancel_scope
+                nursery.start_soon(self._notice_leaving, exchange, nursery.cancel_scope)
+                # An answer that cannot be written has no reader any more.
+                with contextlib.suppress(LeftError):
+                    await self.handle(exchange)
+                nursery.cancel_scope.cancel()
+        finally:
+            self.running.discard(exchange)
 
     async def _notice_leaving(
         self, exchange: Exchange, scope: trio.CancelScope
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -39,7 +39,7 @@
 )
 from turmerictally.entry import trace as traces
 from turmerictally.metrics import latency
-from turmerictally.scheduling import placing, speeds
+from turmerictally.scheduling import placing, pressure, speeds
 from turmerictally.store import rows
 
 MAX_TEAM_HISTOGRAMS = 20  # the busiest teams' own; the rest share one
@@ -225,9 +225,11 @@
                 self._limits,
                 self.clock,
                 listen.max_connections,
+                self.trace,
             )
 
         self.callers = make(listen.callers, self.desk.handle)
+        self.callers.held.bound = pressure.bound_bytes(self.settings.memory.limit_mb)
         self.health = make(listen.health, self._health)
         self.copies = peers.Copies(
             self.watches, self.hosts, self.pool, self.clock, self.trace, self.rng
@@ -451,6 +453,7 @@
             await trio.sleep(HOUSEKEEPING_S)
             self.registry.expire()
             self.pool.sweep()
+            self.callers.end_stalled()
             if self.inflight.learner is not None:
                 self.inflight.learner.retain(self.registry.servers)
             for name in [n for n, count in self.inflight.online.items() if not count]:
--- a/turmerictally/entry/network.py
+++ b/turmerictally/entry/network.py
@@ -105,7 +105,7 @@
                 raise trio.ClosedResourceError from error
             raise trio.BrokenResourceError from error
         if sent < len(data):
-            await self.inner.send_all(data[sent:])
+            await self.inner.send_all(memoryview(data)[sent:])
 
     async def receive_some(self) -> bytes:
         """Return the next bytes."""
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -10,6 +10,8 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import messages, network
 
+# A body up to this long goes out with its head; a longer one isn't copied for that.
+MAX_JOINED_BYTES = 16 * 1024
 CONNECT_TIMEOUT_S = 0.4  # a hundred times the longest way between failure domains
 MAX_IDLE_PER_SERVER = 16  # twice a server's slots
 IDLE_S = 4.0  # when the server names no time of its own
@@ -57,14 +59,18 @@
             data = self.parser.send(
                 h11.Request(method=method, target=target, headers=headers)
             )
-            if body:
-                data += self.parser.send(h11.Data(data=body))
-            data += self.parser.send(h11.EndOfMessage()) or b""
+            # Of a body with a length the parser returns the bytes as they are.
+            rest = self.parser.send(h11.Data(data=body)) if body else b""
+            self.parser.send(h11.EndOfMessage())
         except h11.LocalProtocolError as error:
             raise BrokenError(f"request cannot be sent: {error}") from error
         self.used += 1
         try:
+            if len(rest) <= MAX_JOINED_BYTES:
+                data, rest = data + rest, b""
             await self.stream.send_all(data)
+            if rest:
+                await self.stream.send_all(rest)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The server may have answered before it read all of it.
             return
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -22,6 +22,7 @@
     "batch": {"keep_s": 120.0},
     "stop": {"grace_s": 8.0, "unready_s": 2.6},
     "processor": {"cores": 1.0},
+    "memory": {"limit_mb": 0.0},
     "scheduling": {"learned_speeds": False},
 }
 
@@ -71,6 +72,13 @@
     cores: float
 
 
+@attrs.frozen
+class Memory:
+    """Hold the memory that this host may take, in megabytes; 0 is no limit."""
+
+    limit_mb: float = 0.0
+
+
 @attrs.frozen
 class Scheduling:
     """Hold which decisions under load are switched on."""
@@ -89,6 +97,7 @@
     batch: Batch
     stop: Stop
     processor: Processor = Processor(1.0)
+    memory: Memory = Memory()
     scheduling: Scheduling = Scheduling()
 
 
@@ -99,7 +108,10 @@
 
 def check(merged: dict) -> list[checks.Fault]:
     """Return the faults of settings whose keys and types are right."""
-    faults = checks.check_numbers(merged)
+    limit_mb = merged["memory"]["limit_mb"]
+    # Without a limit there is no number to check.
+    limited = {k: v for k, v in merged.items() if k != "memory" or limit_mb}
+    faults = checks.check_numbers(limited)
     for name in ("callers", "health", "peers", "metrics"):
         fault = checks.check_address(merged["listen"][name])
         if fault:
--- a/turmerictally/standins/fabric.py
+++ b/turmerictally/standins/fabric.py
@@ -45,8 +45,17 @@
         if self.other.closed and not self.fabric.is_cut(self.local, self.remote):
             self._push_back_reset()
             return
+        while self._is_behind():
+            await trio.sleep(self.fabric.delay_s)
         self._push(bytes(data))
 
+    def _is_behind(self) -> bool:
+        """Return whether the other end has left more than a window unread."""
+        if self.fabric.window_bytes is None or self.closed or self.other.closed:
+            return False
+        unread = sum(len(data) for _, data in self.other.inbox if data is not RESET)
+        return unread > self.fabric.window_bytes
+
     async def receive_some(self) -> bytes:
         """Return the next bytes."""
         await trio.lowlevel.checkpoint()
@@ -212,10 +221,12 @@
 class Fabric:
     """Connect hosts by their IP addresses.
 
-    ``cuts`` holds ordered pairs of IP addresses between which nothing passes.
+    ``cuts`` holds ordered pairs of IP addresses between which nothing passes. A writer
+    waits while more than ``window_bytes`` are unread, unless that is None.
     """
 
     delay_s: float = DELAY_S
+    window_bytes: int | None = None
     listeners: dict[str, Listener] = attrs.Factory(dict)
     bound: dict[str, Datagrams] = attrs.Factory(dict)
     cuts: set[tuple[str, str]] = attrs.Factory(set)
--- a/turmerictally/tests/features/steps/settings_steps.py
+++ b/turmerictally/tests/features/steps/settings_steps.py
@@ -98,6 +98,7 @@
         "bounds.graceS": 8,
         "bounds.statusS": 120,
         "limits.cpuShare": 0.717,
+        "limits.memoryMb": 330,
     }
 
     def fill(match):
--- a/turmerictally/tests/soak/store.py
+++ b/turmerictally/tests/soak/store.py
@@ -13,6 +13,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import front, model, network
+from turmerictally.entry import trace as traces
 from turmerictally.standins import rows as standin
 from turmerictally.store import rows
 
@@ -127,6 +128,7 @@
         model.CallerLimits,
         clocks.Clock(),
         MAX_CONNECTIONS,
+        traces.Trace("store", sys.stderr.fileno()),
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(served.run)
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -321,7 +321,8 @@
 class World:
     """Hold a deployment on the users' platform."""
 
-    def __init__(self, hosts=2, servers=2, seed=0, **route):
+    def __init__(self, hosts=2, servers=2, seed=0, settings=None, **route):
+        self.settings = settings or {}
         self.fabric = fabric.Fabric()
         self.store = rows.RowStore()
         self.rng = random.Random(seed)
@@ -401,6 +402,7 @@
             store=settings.Store("http://store", 1.0),
             batch=settings.Batch(120.0),
             stop=settings.Stop(8.0, 2.6),
+            **self.settings,
         )
         served = Quiet(
             config,
