--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -39,7 +39,7 @@
 )
 from turmerictally.entry import trace as traces
 from turmerictally.metrics import latency
-from turmerictally.scheduling import placing, pressure, speeds
+from turmerictally.scheduling import placing, pressure, speeds, switching
 from turmerictally.store import rows
 
 MAX_TEAM_HISTOGRAMS = 20  # the busiest teams' own; the rest share one
@@ -197,6 +197,7 @@
             domain=config.failure_domain,
             rng=self.rng,
             crowded=self._crowded,
+            switches=switching.Budget() if config.scheduling.switch_late else None,
         )
         self.desk = desk.Desk(
             configured=self.configured,
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -100,6 +100,11 @@
         now = self.clock.monotonic()
         self.learner.note_events(name, taken, events, seconds, now)
 
+    def expected_first_s(self, name: str) -> float:
+        """Return the learned time to a server's first event, 0 when unknown."""
+        found = None if self.learner is None else self.learner.found.get(name)
+        return 0.0 if found is None else found.first_s
+
     def speed_evidence(self, name: str) -> dict[str, typing.Any]:
         """Return the log fields that tell what a server's learned speed rests on."""
         found = None if self.learner is None else self.learner.found.get(name)
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -50,6 +50,7 @@
         slowness.add_metric([name], found.slowness)
         told.add_metric([name], found.hosts)
         speed_age.add_metric([name], found.age_s)
+    switches = served.relay.switches
     view = served.configured.current
     return [
         events,
@@ -69,6 +70,11 @@
         prometheus_client.core.CounterMetricFamily(
             f"{prefix}_refused_for_memory", "Unread.", served.callers.held.refused
         ),
+        prometheus_client.core.CounterMetricFamily(
+            f"{prefix}_streams_switched",
+            "Begun late and offered to another server.",
+            switches.switched if switches else 0,
+        ),
         gauge(f"{prefix}_quota_share", "Of all hosts.", served.allowances.share),
         prometheus_client.core.CounterMetricFamily(
             f"{prefix}_process_cpu_seconds", "Processor.", time.process_time()
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -12,7 +12,7 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import events, inflight, messages, model, pool
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import placing, speeds
+from turmerictally.scheduling import placing, speeds, switching
 
 # Taken off the time handed to a server, for the way there and back.
 DEADLINE_MARGIN_S = 0.02
@@ -82,6 +82,11 @@
     UNSENT = "unsent"
     FAILED = "failed"
     BROKEN = "broken"
+    LATE = "late to begin"
+
+
+class LateError(Exception):
+    """Report that a server did not begin and another one may be asked."""
 
 
 @attrs.define(eq=False)
@@ -101,6 +106,7 @@
     head: messages.Head | None = None
     failure: tuple[messages.Head, bytes] | None = None
     reason: str = ""
+    switched: bool = False
 
 
 @attrs.define(eq=False)
@@ -115,9 +121,12 @@
     domain: str
     rng: random.Random
     crowded: collections.abc.Callable[[str], None]
+    switches: switching.Budget | None = None
 
     async def run(self, job: Job) -> str:
         """Answer one request; return the outcome for logs and metrics."""
+        if self.switches is not None:
+            self.switches.note_request()
         left = job.deadline - self.clock.monotonic()
         with trio.move_on_after(max(0.0, left)):
             return await self._attempts(job)
@@ -213,6 +222,9 @@
         now = self.clock.monotonic()
         if result in (Result.BROKEN, Result.UNSENT):
             self.inflight.failed(name, refused=result is Result.UNSENT)
+        elif result is Result.LATE:
+            # A server that never begins is left out by what all hosts see.
+            self.inflight.answered_error(name)
         elif result is Result.NOT_RUN or job.head.status < 500:
             self.inflight.succeeded(name)
         else:
@@ -243,6 +255,9 @@
             if connection.reusable():
                 self.pool.release(connection, head.idle_s)
                 kept = True
+        except LateError:
+            job.reason = Result.LATE.value
+            return Result.LATE
         except (pool.BrokenError, events.SequenceError, trio.TooSlowError) as error:
             job.reason = str(error) or "silent"
             return Result.BROKEN
@@ -263,7 +278,7 @@
         sent_at = trio.current_time()
         with trio.fail_at(self._silence_ends(job, first=True)):
             await connection.request(job.ask.method, job.ask.target, headers, job.body)
-            head = await read_head(self.wire, connection, job.ask.request_id)
+            head = await self._read_head(job, server, connection)
         job.head = head
         if head.leaving:
             self.inflight.registry.note_leaving(server, "its answer")
@@ -278,6 +293,30 @@
         await self._stream(job, server, connection, head, sent_at)
         return Result.DONE, head
 
+    async def _read_head(
+        self, job: Job, server: model.Server, connection: pool.Connection
+    ) -> messages.Head:
+        """Return the head of a server's answer; raises ``LateError``."""
+        with trio.move_on_at(self._late_at(job, server)):
+            return await read_head(self.wire, connection, job.ask.request_id)
+        but = frozenset(job.tried | {server.instance})
+        loads = self.inflight.loads(server.service, but=but)
+        if self.switches.spend(loads):
+            job.switched = True
+            raise LateError
+        return await read_head(self.wire, connection, job.ask.request_id)
+
+    def _late_at(self, job: Job, server: model.Server) -> float:
+        """Return when a stream that has not begun may be offered elsewhere."""
+        route = job.route
+        may_run_again = route.repeatable and job.runs < route.max_attempts
+        if self.switches is None or job.switched or not may_run_again:
+            return math.inf
+        if route.kind is not model.Kind.STREAM or not route.objective_s:
+            return math.inf
+        first_s = self.inflight.expected_first_s(server.instance)
+        return trio.current_time() + switching.patience_s(route.objective_s, first_s)
+
     async def _whole(
         self, job: Job, connection: pool.Connection, head: messages.Head
     ) -> tuple[Result, messages.Head]:
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -23,7 +23,7 @@
     "stop": {"grace_s": 8.0, "unready_s": 2.6},
     "processor": {"cores": 1.0},
     "memory": {"limit_mb": 0.0},
-    "scheduling": {"learned_speeds": False},
+    "scheduling": {"learned_speeds": False, "switch_late": False},
 }
 
 
@@ -84,6 +84,7 @@
     """Hold which decisions under load are switched on."""
 
     learned_speeds: bool = False
+    switch_late: bool = False
 
 
 @attrs.frozen
--- a/turmerictally/tests/features/entry_speeds.feature
+++ b/turmerictally/tests/features/entry_speeds.feature
@@ -7,3 +7,18 @@
   Scenario: Nothing is learned unless it is switched on
     When the same happens without learned speeds
     Then no digest tells speeds and no line does
+
+  Scenario Outline: A stream that does not begin goes on elsewhere
+    When a host with streams that <may> switch late meets one silent server of four
+    Then each of 20 callers has its whole answer, <late> of them with a late first event
+    And no request runs on two servers at once
+
+    Examples:
+      | may     | late |
+      | may     | none |
+      | may not | some |
+
+  Scenario: A full fleet takes no second offers
+    Given a budget for streams that begin late
+    Then of 1000 requests at most 55 are offered again while others have room
+    And none is while one server of ten has room
--- a/turmerictally/tests/features/steps/entry_speeds_steps.py
+++ b/turmerictally/tests/features/steps/entry_speeds_steps.py
@@ -4,6 +4,7 @@
 import trio
 
 from turmerictally.entry import settings
+from turmerictally.scheduling import placing, switching
 from turmerictally.tests.support import users_platform
 
 
@@ -60,3 +61,65 @@
     assert not context.told
     assert not any("slowness" in line for line in context.lines)
     assert all(load.slowness == 1.0 for loads in context.learned for load in loads)
+
+
+@behave.when(
+    "a host with streams that {may} switch late meets one silent server of four"
+)
+def silent(context, may):
+    async def main(world):
+        world.servers["s1"].silent = True
+        context.replies = []
+
+        async def one():
+            context.replies.append(await users_platform.Caller(world).ask())
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(one)
+                await trio.sleep(0.3)
+        context.runs = world.runs
+
+    scheduling = settings.Scheduling(switch_late=may == "may")
+    users_platform.play(main, hosts=1, servers=4, settings={"scheduling": scheduling})
+
+
+@behave.then(
+    "each of 20 callers has its whole answer, {count} of them with a late first event"
+)
+def begun(context, count):
+    assert len(context.replies) == 20 and all(r.whole for r in context.replies)
+    late = sum(r.event_times[0] - r.asked_at > 0.3 for r in context.replies)
+    assert bool(late) == (count == "some"), late
+
+
+@behave.then("no request runs on two servers at once")
+def one_at_a_time(context):
+    twice = [run for run in context.runs if run.server == "s1"]
+    assert twice and all(run.ended == "cut" for run in twice)
+    for run in twice:
+        later = [r for r in context.runs if r.request == run.request and r is not run]
+        assert all(other.at >= run.at + 0.1 for other in later)
+
+
+@behave.given("a budget for streams that begin late")
+def budget(context):
+    context.budget = switching.Budget()
+
+
+@behave.then(
+    "of {count:d} requests at most {most:d} are offered again while others have room"
+)
+def share_of(context, count, most):
+    loads = [placing.Load(f"s{n}", "a", 8) for n in range(10)]
+    for _ in range(count):
+        context.budget.note_request()
+        context.budget.spend(loads)
+    assert 0 < context.budget.switched <= most, context.budget.switched
+
+
+@behave.then("none is while one server of ten has room")
+def none_when_full(context):
+    loads = [placing.Load(f"s{n}", "a", 8, 8 if n else 0) for n in range(10)]
+    context.budget.saved = switching.MAX_SAVED
+    assert not context.budget.spend(loads)
