Leave out the scaling of speeds by taken slots, and count items' seconds at a usual server

Items that run on slow servers taught a length that was then multiplied by the slowness once more.

Change: the scaling is gone; the seconds of an item are divided by its server's slowness.

Result: the features of speeds and item order pass (18 scenarios).

--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -93,23 +93,20 @@
 
     def note_events(self, name: str, events: int, seconds: float) -> None:
         """Note the time that a server took for so many events."""
-        server = self.registry.servers.get(name)
-        if self.learner is None or server is None:
-            return
-        taken = min(1.0, 1.0 + self.excess(name) / server.slots)
-        now = self.clock.monotonic()
-        self.learner.note_events(name, taken, events, seconds, now)
+        if self.learner is not None:
+            now = self.clock.monotonic()
+            self.learner.note_events(name, events, seconds, now)
 
-    def expected_first_s(self, name: str) -> float:
-        """Return the learned time to a server's first event, 0 when unknown."""
-        found = None if self.learner is None else self.learner.found.get(name)
-        return 0.0 if found is None else found.first_s
+    def expected(self, name: str) -> speeds.Learned:
+        """Return what was learned of a server last."""
+        found = {} if self.learner is None else self.learner.found
+        return found.get(name, speeds.USUAL)
 
     def speed_evidence(self, name: str) -> dict[str, typing.Any]:
         """Return the log fields that tell what a server's learned speed rests on."""
-        found = None if self.learner is None else self.learner.found.get(name)
-        if found is None:
+        if self.learner is None:
             return {}
+        found = self.expected(name)
         return {
             "slowness": round(found.slowness, 2),
             "speed_hosts": found.hosts,
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -314,7 +314,7 @@
             return math.inf
         if route.kind is not model.Kind.STREAM or not route.objective_s:
             return math.inf
-        first_s = self.inflight.expected_first_s(server.instance)
+        first_s = self.inflight.expected(server.instance).first_s
         return trio.current_time() + switching.patience_s(route.objective_s, first_s)
 
     async def _whole(
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -335,7 +335,7 @@
             task.scope = None
             task.server = ""
         now = self.clock.monotonic()
-        task.worked_s += now - started
+        task.worked_s += (now - started) / self.inflight.expected(name).slowness
         if outcome == "done":
             self.inflight.succeeded(name)
             self.expected.learn(task.worked_s, len(task.parts))
--- a/turmerictally/scheduling/itemorder.py
+++ b/turmerictally/scheduling/itemorder.py
@@ -16,7 +16,7 @@
     events: float = 0.0
 
     def learn(self, seconds: float, events: int) -> None:
-        """Take an item that ended whole, with the seconds that servers worked."""
+        """Take an item that ended whole, with its seconds at a usual server."""
         if not events:
             return
         if not self.events:
--- a/turmerictally/scheduling/speeds.py
+++ b/turmerictally/scheduling/speeds.py
@@ -25,10 +25,7 @@
 USUAL_RATIO = 1.3
 MAX_SLOWNESS = 10.0
 REVIEW_S = 0.1  # between two estimates of all servers
-# Weight of a new observation in how much a full server is slower than an idle one.
-CROWDING_SMOOTHING = 0.02
-MAX_CROWDING = 2.0  # in the logarithm: a full server is 2.7 times slower than half full
-HALF = 0.5  # the share of taken slots to which paces are scaled
+HALF = 0.5  # of the values are below a median
 
 
 @attrs.frozen
@@ -36,8 +33,8 @@
     """Hold what one host saw of a server lately.
 
     ``count`` is how often events were timed, ``event_s`` the least time between two
-    of them at half-taken slots, and ``first_s`` the time to the first event where a
-    slot was free, both in seconds, 0 when unknown.
+    of them, and ``first_s`` the time to the first event where a slot was free, both in
+    seconds, 0 when unknown.
     """
 
     count: int
@@ -94,25 +91,6 @@
         return False
 
 
-@attrs.define
-class Crowding:
-    """Learn by how much a server is slower the more of its slots are taken."""
-
-    products: float = 0.0
-    squares: float = 1.0
-
-    def learn(self, taken: float, ratio: float) -> None:
-        """Take a pace at a share of taken slots, against the pace at half of them."""
-        x, y = taken - HALF, math.log(ratio)
-        self.products += CROWDING_SMOOTHING * (x * y - self.products)
-        self.squares += CROWDING_SMOOTHING * (x * x - self.squares)
-
-    def ratio(self, taken: float) -> float:
-        """Return the expected pace against that at half-taken slots."""
-        slope = self.products / self.squares if self.squares > 0.0 else 0.0
-        return math.exp(min(MAX_CROWDING, max(0.0, slope)) * (taken - HALF))
-
-
 @attrs.define
 class Own:
     """Keep this host's observations of one server, with their monotonic times."""
@@ -153,7 +131,6 @@
     own: dict[str, Own] = attrs.Factory(dict)
     heard: dict[str, dict[str, tuple[Evidence, float]]] = attrs.Factory(dict)
     known: dict[str, Known] = attrs.Factory(dict)
-    crowding: Crowding = attrs.Factory(Crowding)
     reviewed: tuple[tuple[str, ...], float] = ((), -math.inf)
     found: dict[str, Learned] = attrs.Factory(dict)
     tell_due: float = -math.inf
@@ -164,18 +141,12 @@
         own.firsts.append((now, seconds))
         own.newest = now
 
-    def note_events(
-        self, server: str, taken: float, events: int, seconds: float, now: float
-    ) -> None:
-        """Note the seconds of so many events, with the share of taken slots."""
+    def note_events(self, server: str, events: int, seconds: float, now: float) -> None:
+        """Note the seconds that a server took for so many events."""
         if events <= 0 or seconds <= 0.0:
             return
         own = self.own.setdefault(server, Own())
-        pace = seconds / events
-        known = self.known.get(server)
-        if known is not None and known.learned.event_s:
-            self.crowding.learn(taken, pace / known.learned.event_s)
-        own.paces.append((now, pace / self.crowding.ratio(taken)))
+        own.paces.append((now, seconds / events))
         own.newest = now
 
     def tell(self, now: float) -> dict[str, list[float]]:
@@ -204,7 +175,8 @@
 
     def retain(self, servers: collections.abc.Collection[str]) -> None:
         """Drop the servers that are not among these."""
-        for name in (self.own.keys() | self.heard.keys()) - set(servers):
+        held = self.own.keys() | self.heard.keys() | self.known.keys()
+        for name in held - set(servers):
             self.forget(name)
 
     def learned(
--- a/turmerictally/tests/features/steps/scheduling_speeds_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_speeds_steps.py
@@ -121,9 +121,9 @@
         for request in list(running):
             request.left_s -= work
             if request.left_s <= 0:
-                self.make_event(name, request, len(running) / SLOTS)
+                self.make_event(name, request)
 
-    def make_event(self, name, request, taken):
+    def make_event(self, name, request):
         learner = self.learners[request.host]
         if request.meter is None:
             first_s = self.now - request.asked
@@ -133,7 +133,7 @@
 
             def note(server, events, seconds):
                 self.learners[request.host].note_events(
-                    server, taken, events, seconds, self.now
+                    server, events, seconds, self.now
                 )
 
             request.meter = speeds.Meter(name, note)
