Take items off servers on which they would end too late

Cause: an item on a server that turned slow held its slot until its due time was over, though others had free slots.

Result: a job of six items, one of three servers 12 times slower meanwhile, is whole within its 8 s, and isn't without learned speeds; both run as examples.

--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -77,6 +77,7 @@
                 if not self.stopping:
                     self._start_items()
                     self.give_way()
+                    self._leave_slow()
                 await trio.sleep(TICK_S * self.rng.uniform(0.8, 1.2))
 
     def own(self, kept: jobs.Kept, items: list[jobs.Item], listed: set[str]) -> None:
@@ -235,6 +236,40 @@
             task.scope.cancel()
             self._uncount(task)
 
+    def _leave_slow(self) -> None:
+        """Stop an item that ends too late on its slow server, to go on elsewhere.
+
+        One at a time: each takes a free slot that others see too.
+        """
+        for owned in self.owned.values():
+            for task in owned.tasks.values():
+                running = task.scope is not None and not task.scope.cancel_called
+                slowness = self.inflight.expected(task.server).slowness
+                if running and slowness > 1.0 and self._leaves(owned, task):
+                    task.scope.cancel()
+                    self._uncount(task)
+                    return
+
+    def _leaves(self, owned: Owned, task: itemrun.Task) -> bool:
+        server = self.inflight.registry.servers.get(task.server)
+        if server is None:
+            return False
+        loads = {load.name: load for load in self.inflight.loads(server.service)}
+        here = loads.pop(task.server, None)
+        need = self._need(owned, task)
+        if here is None or not placing.should_leave(need, here, loads.values()):
+            return False
+        self.trace.emit(
+            "item_leaves",
+            task.item.id,
+            server=task.server,
+            last_event=task.last_event,
+            left_s=round(need.left_s, 2),
+            due_in_s=round(need.due_in_s, 2),
+            **self.inflight.speed_evidence(task.server),
+        )
+        return True
+
     def _uncount(self, task: itemrun.Task) -> None:
         """Take an item off its server's count, once."""
         if task.counted:
@@ -262,11 +297,13 @@
                 rng=self.rng,
                 most=self._may_start(),
             )
-            slowness = {load.name: load.slowness for load in loads}
+            by_name = {load.name: load for load in loads}
+            slowness = {name: load.slowness for name, load in by_name.items()}
             needs = [self._need(*pair) for pair in pairs[: len(starts)]]
             starts = placing.match_items(needs, starts, slowness)
-            for (owned, task), name in zip(pairs, starts, strict=False):
-                self._start(owned, task, name)
+            for pair, need, name in zip(pairs, needs, starts, strict=False):
+                if not placing.should_leave(need, by_name[name], loads):
+                    self._start(*pair, name)
             if starts:
                 self.nudge()
 
--- a/turmerictally/scheduling/placing.py
+++ b/turmerictally/scheduling/placing.py
@@ -223,6 +223,18 @@
     return found
 
 
+def should_leave(
+    need: Need, load: Load, others: collections.abc.Iterable[Load]
+) -> bool:
+    """Return whether a running item misses its due time here and not elsewhere."""
+    time_s = need.due_in_s - SAVING_S
+    if need.left_s * load.slowness <= time_s:
+        return False
+    return any(
+        each.lasting_free and need.left_s * each.slowness <= time_s for each in others
+    )
+
+
 def batch_stops(load: Load, host: str) -> int:
     """Return how many of a host's batch items must leave a server over its slots.
 
--- a/turmerictally/tests/features/entry_speeds.feature
+++ b/turmerictally/tests/features/entry_speeds.feature
@@ -22,3 +22,12 @@
     Given a budget for streams that begin late
     Then of 1000 requests at most 55 are offered again while others have room
     And none is while one server of ten has room
+
+  Scenario Outline: Items leave a server on which they would end too late
+    When one of three servers turns 12 times slower while items run and a host <learns> learned speeds
+    Then the job is <done> within its 8 s
+
+    Examples:
+      | learns | done      |
+      | uses   | whole     |
+      | lacks  | not whole |
--- a/turmerictally/tests/features/steps/entry_speeds_steps.py
+++ b/turmerictally/tests/features/steps/entry_speeds_steps.py
@@ -123,3 +123,44 @@
     loads = [placing.Load(f"s{n}", "a", 8, 8 if n else 0) for n in range(10)]
     context.budget.saved = switching.MAX_SAVED
     assert not context.budget.spend(loads)
+
+
+@behave.when(
+    "one of three servers turns 12 times slower while items run and a host {learns} "
+    "learned speeds"
+)
+def turns_slow(context, learns):
+    async def main(world):
+        world.configure(batch={"completionTargetMs": 8000})
+        for server in world.servers.values():
+            server.events = 100
+        async with trio.open_nursery() as nursery:
+
+            async def ask():
+                while True:
+                    nursery.start_soon(users_platform.Caller(world).ask)
+                    await trio.sleep(0.4)
+
+            nursery.start_soon(ask)
+            await trio.sleep(2.0)
+            body, ids = users_platform.lot(world, 6)
+            due = trio.current_time() + 8.0
+            await users_platform.Caller(world).ask(
+                "/night/x", body=body, request_id="j1"
+            )
+            await trio.sleep(0.5)
+            world.slowness["s1"] = 12.0
+            await trio.sleep_until(due)
+            nursery.cancel_scope.cancel()
+        kept = world.hosts[0].known_jobs.kept["j1"]
+        context.whole = kept.state.listed == len(ids)
+        context.leaving = world.lines("item_leaves")
+
+    scheduling = settings.Scheduling(learned_speeds=learns == "uses")
+    users_platform.play(main, hosts=1, servers=3, settings={"scheduling": scheduling})
+
+
+@behave.then("the job is {done} within its 8 s")
+def job_done(context, done):
+    assert context.whole == (done == "whole")
+    assert bool(context.leaving) == context.whole
