Keep estimates of each service, and give back bytes of a long part once it is written

Cause: found in reading: estimates of one service replaced those of another, and a stream with parts above 64 kB would have counted them until its end.

--- a/turmerictally/entry/front.py
+++ b/turmerictally/entry/front.py
@@ -90,11 +90,14 @@
                 await self._write(h11.Data(data=data))
             return
         if self.share is not None:
+            # Given back below, or with the rest when the exchange ends.
             self.share.take(len(data))
         whole = memoryview(data)
         for first in range(0, len(data), pressure.PIECE_BYTES):
             piece = whole[first : first + pressure.PIECE_BYTES]
             await self._write(h11.Data(data=piece))
+        if self.share is not None:
+            self.share.take(-len(data))
 
     async def finish(self) -> None:
         """End a whole answer."""
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -99,8 +99,8 @@
 
     def expected(self, name: str) -> speeds.Learned:
         """Return what was learned of a server last."""
-        found = {} if self.learner is None else self.learner.found
-        return found.get(name, speeds.USUAL)
+        known = {} if self.learner is None else self.learner.known
+        return known.get(name, speeds.USUAL)
 
     def speed_evidence(self, name: str) -> dict[str, typing.Any]:
         """Return the log fields that tell what a server's learned speed rests on."""
--- a/turmerictally/scheduling/placing.py
+++ b/turmerictally/scheduling/placing.py
@@ -231,7 +231,7 @@
     if need.left_s * load.slowness <= time_s:
         return False
     return any(
-        each.lasting_free and need.left_s * each.slowness <= time_s for each in others
+        need.left_s * each.slowness <= time_s and each.lasting_free for each in others
     )
 
 
--- a/turmerictally/scheduling/speeds.py
+++ b/turmerictally/scheduling/speeds.py
@@ -25,6 +25,7 @@
 USUAL_RATIO = 1.3
 MAX_SLOWNESS = 10.0
 REVIEW_S = 0.5  # between two estimates, which go through the entries of all hosts
+MAX_REVIEWS = 16  # that are kept, one for each service and set of its servers
 HALF = 0.5  # of the values are below a median
 
 
@@ -127,8 +128,9 @@
     own: dict[str, Own] = attrs.Factory(dict)
     heard: dict[str, dict[str, tuple[list[float], float]]] = attrs.Factory(dict)
     known: dict[str, Learned] = attrs.Factory(dict)
-    reviewed: tuple[tuple[str, ...], float] = ((), -math.inf)
-    found: dict[str, Learned] = attrs.Factory(dict)
+    reviews: dict[tuple[str, ...], tuple[float, dict[str, Learned]]] = attrs.Factory(
+        dict
+    )
     tell_due: float = -math.inf
 
     def note_first(self, server: str, seconds: float, now: float) -> None:
@@ -167,9 +169,9 @@
 
     def forget(self, server: str) -> None:
         """Drop what is known of a server that is gone or was started again."""
-        for kept in (self.own, self.heard, self.known, self.found):
+        for kept in (self.own, self.heard, self.known):
             kept.pop(server, None)
-        self.reviewed = (), -math.inf
+        self.reviews.clear()
 
     def retain(self, servers: collections.abc.Collection[str]) -> None:
         """Drop the servers that are not among these."""
@@ -181,12 +183,15 @@
         self, servers: collections.abc.Sequence[str], now: float
     ) -> dict[str, Learned]:
         """Return what is expected of each of one service's servers."""
-        asked, at = self.reviewed
         names = tuple(servers)
-        if names != asked or not at <= now < at + REVIEW_S:
-            self.found = self._review(names, now)
-            self.reviewed = names, now
-        return self.found
+        at, found = self.reviews.get(names, (-math.inf, {}))
+        if now < at + REVIEW_S:
+            return found
+        if len(self.reviews) >= MAX_REVIEWS:
+            self.reviews.clear()
+        found = self._review(names, now)
+        self.reviews[names] = now, found
+        return found
 
     def _review(self, servers: tuple[str, ...], now: float) -> dict[str, Learned]:
         sure = {}
