--- a/turmerictally/bench/path.py
+++ b/turmerictally/bench/path.py
@@ -155,7 +155,8 @@
         await carrier.run(job)
 
     limits = model.CallerLimits
-    return front.Front(reach, "127.0.0.1:0", handle, limits, clock, 10 * STREAMS)
+    most = 10 * STREAMS
+    return front.Front(reach, "127.0.0.1:0", handle, limits, clock, most, trace)
 
 
 async def _call(address: str, rounds: int, number: int) -> None:
--- a/turmerictally/entry/front.py
+++ b/turmerictally/entry/front.py
@@ -4,12 +4,15 @@
 import contextlib
 import json
 import logging
+import math
 
 import attrs
 import trio
 
 from turmerictally import clock as clocks
 from turmerictally.entry import http1, messages, model, network, relay
+from turmerictally.entry import trace as traces
+from turmerictally.scheduling import pressure
 
 logger = logging.getLogger(__name__)
 
@@ -21,6 +24,7 @@
 FIRST_BYTES_S = 0.3
 REQUEST_LINE_BYTES = 1024  # beyond the limit of the headers
 GO_ON = b"HTTP/1.1 100 Continue\r\n\r\n"
+MEMORY_RETRY_AFTER_S = 0.3  # about half of a request's usual service time
 MAX_CHUNK_READS = 4  # reads of bytes that follow a request still being answered
 
 
@@ -31,8 +35,14 @@
 class UnacceptableError(Exception):
     """Report a request that is refused before it is handled."""
 
-    def __init__(self, refusal: relay.Refusal, reason: str) -> None:
+    def __init__(
+        self,
+        refusal: relay.Refusal,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
         self.refusal = refusal
+        self.retry_after_s = retry_after_s
         super().__init__(reason)
 
 
@@ -41,7 +51,9 @@
     """Hold one request and write its answer; implements ``relay.Answer``.
 
     ``arrived`` is the monotonic time at which the request was read whole. The head is
-    sent with the first part of the body.
+    sent with the first part of the body. ``share`` counts what is held for it, and
+    ``stalled_at`` is the time on trio's clock at which the write that waits now counts
+    as stalled.
     """
 
     method: bytes
@@ -60,6 +72,9 @@
     finished: bool = False
     aborted: bool = False
     status: int = 0
+    share: pressure.Share | None = None
+    stalled_at: float = math.inf
+    scope: trio.CancelScope | None = None
 
     async def start(
         self, status: int, headers: messages.Headers, length: int | None
@@ -81,6 +96,19 @@
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
+        if len(data) <= pressure.PIECE_BYTES:
+            await self._write_part(data)
+            return
+        if self.share is not None:
+            # Given back below, or with the rest when the exchange ends.
+            self.share.take(len(data))
+        whole = memoryview(data)
+        for first in range(0, len(data), pressure.PIECE_BYTES):
+            await self._write_part(whole[first : first + pressure.PIECE_BYTES])
+        if self.share is not None:
+            self.share.take(-len(data))
+
+    async def _write_part(self, data: bytes | memoryview) -> None:
         if self.chunked and data:
             data = http1.write_chunk(data)
         await self._write(data)
@@ -130,10 +158,12 @@
             data = b""
         data, self.head = self.head + data, b""
         if data:
+            self.stalled_at = trio.current_time() + pressure.STALLED_S
             try:
                 await self.stream.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise LeftError from error
+            self.stalled_at = math.inf
 
 
 Handler = collections.abc.Callable[[Exchange], collections.abc.Awaitable[None]]
@@ -153,6 +183,9 @@
     limits: collections.abc.Callable[[], model.CallerLimits]
     clock: clocks.Clock
     max_connections: int
+    trace: traces.Trace
+    held: pressure.Held = attrs.field(factory=pressure.Held)
+    running: set[Exchange] = attrs.Factory(set)
     stopping: bool = False
     accepting: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     open: int = 0
@@ -199,6 +232,20 @@
         for scope in list(self.idle):
             scope.cancel()
 
+    def end_stalled(self) -> None:
+        """Close the connections of callers that take nothing of their answers."""
+        now = trio.current_time()
+        for exchange in [each for each in self.running if now >= each.stalled_at]:
+            self.trace.emit(
+                "caller_stalled",
+                status=exchange.status,
+                held_bytes=exchange.share.bytes if exchange.share else 0,
+                stalled_s=pressure.STALLED_S,
+                outcome="closed",
+            )
+            exchange.abort()
+            exchange.scope.cancel()
+
     async def _serve(self, stream: network.Stream) -> None:
         linger = False
         try:
@@ -221,14 +268,19 @@
         limits = self.limits()
         reader = http1.Reader(limits.max_header_bytes + REQUEST_LINE_BYTES, False)
         used = False
+        share = self.held.share()
         while True:
             exchange = None
             try:
-                exchange = await self._read(stream, reader, used=used)
+                exchange = await self._read(stream, reader, share, used=used)
             except UnacceptableError as error:
+                share.close()
                 exchange = Exchange(b"", b"", [], b"", 0.0, stream, reader, True)
-                await exchange.refuse(error.refusal, str(error))
+                await exchange.refuse(error.refusal, str(error), error.retry_after_s)
                 return True
+            except BaseException:
+                share.close()
+                raise
             if exchange is None:
                 return False
             self.busy += 1
@@ -236,6 +288,7 @@
                 await self._handle(exchange)
             finally:
                 self.busy -= 1
+                share.close()
             if exchange.aborted or not exchange.finished:
                 return False
             if exchange.close_after:
@@ -243,7 +296,12 @@
             used = True
 
     async def _read(
-        self, stream: network.Stream, reader: http1.Reader, *, used: bool
+        self,
+        stream: network.Stream,
+        reader: http1.Reader,
+        share: pressure.Share,
+        *,
+        used: bool,
     ) -> Exchange | None:
         """Return the next request, or None when none comes.
 
@@ -273,7 +331,8 @@
                 reader.feed(data)
             request = await self._head(stream, reader)
             reading.deadline = trio.current_time() + limits.idle_timeout_s
-            body = await self._body(stream, reader, request, limits.max_body_bytes)
+            most = limits.max_body_bytes
+            body = await self._body(stream, reader, request, most, share)
             return Exchange(
                 method=request.method,
                 target=request.target,
@@ -284,6 +343,7 @@
                 reader=reader,
                 close_after=self.stopping or request.closes,
                 version=request.version,
+                share=share,
             )
         raise UnacceptableError(relay.Refusal.TIMEOUT, "request not read in time")
 
@@ -303,9 +363,12 @@
         reader: http1.Reader,
         request: http1.Head,
         most: int,
+        share: pressure.Share,
     ) -> bytes:
         if request.length is not None and request.length > most:
             raise UnacceptableError(relay.Refusal.TOO_LARGE, "body too large")
+        if request.length is not None:
+            self._hold(share, request.length)
         expected = request.named.get(b"expect", b"").lower()
         if expected == b"100-continue" and not reader.complete and not reader.rest:
             await stream.send_all(GO_ON)
@@ -319,20 +382,42 @@
             size += len(data)
             if size > most:
                 raise UnacceptableError(relay.Refusal.TOO_LARGE, "body too large")
+            if size > share.bytes:
+                self._hold(share, size - share.bytes)
             if data:
                 parts.append(data)
             elif not reader.complete:
                 reader.feed(await stream.receive_some())
         return b"".join(parts)
 
+    def _hold(self, share: pressure.Share, size: int) -> None:
+        """Count bytes of a body before they are read, or refuse them."""
+        if share.admit(size):
+            return
+        self.trace.emit(
+            "memory_full",
+            wanted_bytes=size,
+            held_bytes=self.held.bytes,
+            bound_bytes=self.held.bound,
+            outcome="refused",
+        )
+        raise UnacceptableError(
+            relay.Refusal.UNAVAILABLE, "memory full", MEMORY_RETRY_AFTER_S
+        )
+
     async def _handle(self, exchange: Exchange) -> None:
         """Run the handler; end it when the caller leaves."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._notice_leaving, exchange, nursery.cancel_scope)
-            # An answer that cannot be written has no reader any more.
-            with contextlib.suppress(LeftError):
-                await self.handle(exchange)
-            nursery.cancel_scope.cancel()
+        self.running.add(exchange)
+        try:
+            async with trio.open_nursery() as nursery:
+                exchange.scope = nursery.cancel_scope
+                nursery.start_soon(self._notice_leaving, exchange, nursery.cancel_scope)
+                # An answer that cannot be written has no reader any more.
+                with contextlib.suppress(LeftError):
+                    await self.handle(exchange)
+                nursery.cancel_scope.cancel()
+        finally:
+            self.running.discard(exchange)
 
     async def _notice_leaving(
         self, exchange: Exchange, scope: trio.CancelScope
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -42,7 +42,7 @@
 )
 from turmerictally.entry import trace as traces
 from turmerictally.metrics import latency
-from turmerictally.scheduling import placing, speeds
+from turmerictally.scheduling import placing, pressure, speeds, switching
 from turmerictally.store import rows
 
 MAX_TEAM_HISTOGRAMS = 20  # the busiest teams' own; the rest share one
@@ -237,6 +237,7 @@
             crowded=self._crowded,
             waiters=self.turns,
             sweep=self.sweep,
+            switches=switching.Budget() if config.scheduling.switch_late else None,
         )
         self.desk = desk.Desk(
             configured=self.configured,
@@ -281,9 +282,11 @@
                 self._limits,
                 self.clock,
                 listen.max_connections,
+                self.trace,
             )
 
         self.callers = make(listen.callers, self.desk.handle)
+        self.callers.held.bound = pressure.bound_bytes(self.settings.memory.limit_mb)
         self.health = make(listen.health, self._health)
         self.copies = peers.Copies(
             self.watches, self.hosts, self.pool, self.clock, self.trace, self.rng
@@ -543,6 +546,7 @@
             self.registry.expire()
             self.places.keep()
             self.pool.sweep()
+            self.callers.end_stalled()
             if self.inflight.learner is not None:
                 self.inflight.learner.retain(self.registry.servers)
             for name in [n for n, count in self.inflight.online.items() if not count]:
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -112,22 +112,24 @@
 
     def note_events(self, name: str, events: int, seconds: float) -> None:
         """Note the time that a server took for so many events."""
-        server = self.registry.servers.get(name)
-        if self.learner is None or server is None:
-            return
-        taken = min(1.0, 1.0 + self.excess(name) / server.slots)
-        now = self.clock.monotonic()
-        self.learner.note_events(name, taken, events, seconds, now)
+        if self.learner is not None:
+            now = self.clock.monotonic()
+            self.learner.note_events(name, events, seconds, now)
+
+    def expected(self, name: str) -> speeds.Learned:
+        """Return what was learned of a server last."""
+        known = {} if self.learner is None else self.learner.known
+        return known.get(name, speeds.USUAL)
 
     def speed_evidence(self, name: str) -> dict[str, typing.Any]:
         """Return the log fields that tell what a server's learned speed rests on."""
-        found = None if self.learner is None else self.learner.found.get(name)
-        if found is None:
+        if self.learner is None:
             return {}
+        found = self.expected(name)
         return {
             "slowness": round(found.slowness, 2),
             "speed_hosts": found.hosts,
-            "speed_age_s": round(found.age_s, 2),
+            "speed_age_s": round(found.age_s(self.clock.monotonic()), 2),
         }
 
     def succeeded(self, name: str) -> None:
@@ -240,7 +242,7 @@
             slowness=expected.slowness,
             first_s=expected.first_s,
             event_s=expected.event_s,
-            stale=expected.stale,
+            stale=expected.is_stale(now),
         )
 
     def _item_room(self, name: str, now: float) -> int | None:
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -47,10 +47,11 @@
         f"{prefix}_server_speed_age_seconds", "Since learned.", labels=["server"]
     )
     learner = served.inflight.learner
-    for name, found in learner.found.items() if learner is not None else ():
+    for name, found in learner.known.items() if learner is not None else ():
         slowness.add_metric([name], found.slowness)
         told.add_metric([name], found.hosts)
-        speed_age.add_metric([name], found.age_s)
+        speed_age.add_metric([name], found.age_s(served.clock.monotonic()))
+    switches = served.relay.switches
     view = served.configured.current
     return [
         events,
@@ -66,6 +67,15 @@
         gauge(f"{prefix}_caller_connections", "Open.", served.callers.open),
         gauge(f"{prefix}_requests_running", "Running.", served.callers.busy),
         gauge(f"{prefix}_items_waiting", "Batch.", len(served.worker.waiting())),
+        gauge(f"{prefix}_held_bytes", "For others.", served.callers.held.bytes),
+        prometheus_client.core.CounterMetricFamily(
+            f"{prefix}_refused_for_memory", "Unread.", served.callers.held.refused
+        ),
+        prometheus_client.core.CounterMetricFamily(
+            f"{prefix}_streams_switched",
+            "Begun late and offered to another server.",
+            switches.switched if switches else 0,
+        ),
         gauge(f"{prefix}_quota_share", "Of all hosts.", served.allowances.share),
         *_team_families(served),
         prometheus_client.core.CounterMetricFamily(
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -8,6 +8,8 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import http1, messages, network
 
+# A body up to this long goes out with its head; a longer one isn't copied for that.
+MAX_JOINED_BYTES = 16 * 1024
 CONNECT_TIMEOUT_S = 0.4  # a hundred times the longest way between failure domains
 MAX_IDLE_PER_SERVER = 16  # twice a server's slots
 IDLE_S = 4.0  # when the server names no time of its own
@@ -49,13 +51,17 @@
     ) -> None:
         """Send a whole request; raises ``BrokenError``."""
         try:
-            data = http1.write_request(method, target, headers) + body
+            data = http1.write_request(method, target, headers)
         except http1.ProtocolError as error:
             raise BrokenError(f"request cannot be sent: {error}") from error
         self.used += 1
         self.reader.expect(method)
         try:
+            if len(body) <= MAX_JOINED_BYTES:
+                await self.stream.send_all(data + body)
+                return
             await self.stream.send_all(data)
+            await self.stream.send_all(body)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The server may have answered before it read all of it.
             return
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -13,7 +13,7 @@
 from turmerictally.entry import events, inflight, messages, model, pool, sweep, turns
 from turmerictally.entry import places as placed
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import placing, shares, speeds, waiting
+from turmerictally.scheduling import placing, shares, speeds, switching, waiting
 
 # Taken off the time handed to a server, for the way there and back.
 DEADLINE_MARGIN_S = 0.02
@@ -85,6 +85,11 @@
     UNSENT = "unsent"
     FAILED = "failed"
     BROKEN = "broken"
+    LATE = "late to begin"
+
+
+class LateError(Exception):
+    """Report that a server did not begin and another one may be asked."""
 
 
 @attrs.define(eq=False)
@@ -106,6 +111,7 @@
     reason: str = ""
     service: str = ""
     refusal: waiting.Refusal | None = None
+    switched: bool = False
 
     @property
     def size(self) -> int:
@@ -127,9 +133,12 @@
     crowded: collections.abc.Callable[[str], None]
     sweep: sweep.Sweep
     waiters: turns.Turns | None = None
+    switches: switching.Budget | None = None
 
     async def run(self, job: Job) -> str:
         """Answer one request; return the outcome for logs and metrics."""
+        if self.switches is not None:
+            self.switches.note_request()
         if self.waiters is None:
             return await self._run(job)
         job.service = choose_service(job.route, self.rng)
@@ -269,6 +278,9 @@
             self.waiters.room.durations.learn(now - started, job.size)
         if result in (Result.BROKEN, Result.UNSENT):
             self.inflight.failed(name, refused=result is Result.UNSENT)
+        elif result is Result.LATE:
+            # A server that never begins is left out by what all hosts see.
+            self.inflight.answered_error(name)
         elif result is Result.NOT_RUN or job.head.status < 500:
             self.inflight.succeeded(name)
         else:
@@ -305,6 +317,9 @@
             if connection.reusable():
                 self.pool.release(connection, head.idle_s)
                 kept = True
+        except LateError:
+            job.reason = Result.LATE.value
+            return Result.LATE
         except (pool.BrokenError, events.SequenceError, trio.TooSlowError) as error:
             job.reason = str(error) or "silent"
             return Result.BROKEN
@@ -328,7 +343,7 @@
         headers = self.wire.onward(job.ask, onward, len(job.body))
         sent_at = trio.current_time()
         await connection.request(job.ask.method, job.ask.target, headers, job.body)
-        head = await read_head(self.wire, connection, job.ask.request_id)
+        head = await self._read_head(job, server, connection)
         silence.move(math.inf)
         job.head = head
         if head.leaving:
@@ -344,6 +359,33 @@
         await self._stream(job, server, connection, head, silence, sent_at)
         return Result.DONE, head
 
+    async def _read_head(
+        self, job: Job, server: model.Server, connection: pool.Connection
+    ) -> messages.Head:
+        """Return the head of a server's answer; raises ``LateError``."""
+        late_at = self._late_at(job, server)
+        if late_at == math.inf:
+            return await read_head(self.wire, connection, job.ask.request_id)
+        with trio.move_on_at(late_at):
+            return await read_head(self.wire, connection, job.ask.request_id)
+        but = frozenset(job.tried | {server.instance})
+        loads = self.inflight.loads(server.service, but=but)
+        if self.switches.spend(loads):
+            job.switched = True
+            raise LateError
+        return await read_head(self.wire, connection, job.ask.request_id)
+
+    def _late_at(self, job: Job, server: model.Server) -> float:
+        """Return when a stream that has not begun may be offered elsewhere."""
+        route = job.route
+        may_run_again = route.repeatable and job.runs < route.max_attempts
+        if self.switches is None or job.switched or not may_run_again:
+            return math.inf
+        if route.kind is not model.Kind.STREAM or not route.objective_s:
+            return math.inf
+        first_s = self.inflight.expected(server.instance).first_s
+        return trio.current_time() + switching.patience_s(route.objective_s, first_s)
+
     async def _whole(
         self, job: Job, connection: pool.Connection, head: messages.Head
     ) -> tuple[Result, messages.Head]:
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -27,7 +27,9 @@
         "fair_shares": False,
         "waiting_room": False,
         "learned_speeds": False,
+        "switch_late": False,
     },
+    "memory": {"limit_mb": 0.0},
 }
 
 
@@ -83,6 +85,13 @@
     overshoot: float
 
 
+@attrs.frozen
+class Memory:
+    """Hold the memory that this host may take, in megabytes; 0 is no limit."""
+
+    limit_mb: float = 0.0
+
+
 @attrs.frozen
 class Scheduling:
     """Switch on how requests are treated where room is short or servers differ."""
@@ -90,6 +99,7 @@
     fair_shares: bool = False
     waiting_room: bool = False
     learned_speeds: bool = False
+    switch_late: bool = False
 
 
 @attrs.frozen
@@ -104,6 +114,7 @@
     stop: Stop
     processor: Processor = Processor(1.0)
     cold: Cold = Cold(1.0)
+    memory: Memory = Memory()
     scheduling: Scheduling = Scheduling()
 
 
@@ -114,7 +125,10 @@
 
 def check(merged: dict) -> list[checks.Fault]:
     """Return the faults of settings whose keys and types are right."""
-    faults = checks.check_numbers(merged)
+    limit_mb = merged["memory"]["limit_mb"]
+    # Without a limit there is no number to check.
+    limited = {k: v for k, v in merged.items() if k != "memory" or limit_mb}
+    faults = checks.check_numbers(limited)
     for name in ("callers", "health", "peers", "metrics"):
         fault = checks.check_address(merged["listen"][name])
         if fault:
--- a/turmerictally/tests/features/steps/entry_path_steps.py
+++ b/turmerictally/tests/features/steps/entry_path_steps.py
@@ -1,5 +1,7 @@
 """Steps for the data path's counts and forms."""
 
+import os
+
 import behave
 import trio
 import trio.testing
@@ -7,6 +9,7 @@
 from turmerictally import clock as clocks
 from turmerictally.bench import path
 from turmerictally.entry import front, model, network, sweep
+from turmerictally.entry import trace as traces
 from turmerictally.standins import fabric
 from turmerictally.tests.support import users_platform
 
@@ -218,6 +221,7 @@
             model.CallerLimits,
             clocks.Clock(),
             100,
+            traces.Trace("h0", os.open(os.devnull, os.O_WRONLY)),
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(served.run)
--- a/turmerictally/tests/features/steps/settings_steps.py
+++ b/turmerictally/tests/features/steps/settings_steps.py
@@ -101,6 +101,7 @@
         "bounds.graceS": 8,
         "bounds.statusS": 120,
         "limits.cpuShare": 0.717,
+        "limits.memoryMb": 330,
     }
     if where == "with":
         given["bounds.coldOvershoot"] = 1.5
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -326,8 +326,11 @@
 class World:
     """Hold a deployment on the users' platform."""
 
-    def __init__(self, hosts=2, servers=2, seed=0, scheduling=None, **route):
-        self.scheduling = scheduling or settings.Scheduling()
+    def __init__(
+        self, hosts=2, servers=2, seed=0, scheduling=None, settings=None, **route
+    ):
+        self.settings = {} if scheduling is None else {"scheduling": scheduling}
+        self.settings |= settings or {}
         self.fabric = fabric.Fabric()
         self.store = rows.RowStore()
         self.rng = random.Random(seed)
@@ -407,7 +410,7 @@
             store=settings.Store("http://store", 1.0),
             batch=settings.Batch(120.0),
             stop=settings.Stop(8.0, 2.6),
-            scheduling=self.scheduling,
+            **self.settings,
         )
         served = Quiet(
             config,
