Play the crowd of callers in a fixed order of tasks

Change: the crowd runs in the order that the simulated limits have, which depends on the seed alone. Its servers take something new anywhere, as the parts are joined now.

--- a/turmerictally/tests/support/crowd.py
+++ b/turmerictally/tests/support/crowd.py
@@ -10,7 +10,8 @@
 import trio.testing
 
 from turmerictally.entry import ejection, gossip, inflight, model, turns
-from turmerictally.scheduling import placing, waiting
+from turmerictally.scheduling import cold, placing, waiting
+from turmerictally.tests.support import limits_fleet
 
 SERVICE_S = 0.72
 TOLD_S = 0.1  # between two digests of a host, as the hosts of a test have it
@@ -38,6 +39,15 @@
         pass
 
 
+class Anywhere:
+    """Let each server take something new."""
+
+    budgets = cold.Budgets()
+
+    def takes_new(self, server, now):
+        return True
+
+
 @attrs.define
 class Servers:
     """List the servers as a registry does; those ``lost`` are not listed."""
@@ -86,8 +96,9 @@
         self.hosts = gossip.Hosts(self.name, "i", clock, trace, domain="a")
         for n in range(crowd.size):
             self.hosts.listed[f"h{n}"] = gossip.Listed(f"h{n}", "i", "", 0, 0.0)
+        ejector = ejection.Ejector("a")
         self.inflight = inflight.InFlight(
-            crowd.servers, self.hosts, clock, trace, ejection.Ejector("a")
+            crowd.servers, self.hosts, clock, trace, ejector, Anywhere()
         )
         room = turns.make_room(self.hosts, crowd.rng)
         room.work.weights = crowd.weights
@@ -141,8 +152,8 @@
                 await trio.sleep(WAIT_S)
                 nursery.cancel_scope.cancel()
 
-        trio._core._run._r.seed(0)
-        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        with limits_fleet.fixed_order(0):
+            trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         return self
 
     async def later(self, at, event):
