--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -3,9 +3,11 @@
 import collections
 import collections.abc
 import json
+import operator
 import typing
 
 import attrs
+import msgspec
 
 from turmerictally import clock as clocks
 from turmerictally.entry import trace as traces
@@ -43,6 +45,9 @@
 TABLE = "hosts"
 COUNT_S = 0.25  # between two counts of many hosts, a part of the time to fall silent
 READ_S = 1.0  # between reads of the hosts' rows, at least
+# The same through relays, where digests tell who lives; well within the seconds between
+# GIVE_UP_S and EXPIRE_S.
+RELAYED_READ_S = 3.5
 MAX_READS_PER_S = 100.0  # of all hosts
 # A copy of the hosts' table that is this much older than the pause between its reads
 # misses renewals: a call may take 1.5 s.
@@ -60,9 +65,11 @@
     left out; ``lacking`` names the hosts whose base this one asks for. ``removed``,
     in full digests only, gives for each server whose registration the host saw removed
     the store's version of that, ``leaving`` for each server whose own answers said that
-    it leaves its birth. ``work`` counts by team the tokens of its requests that servers
-    work on or that wait here, ``speeds`` gives for each server what
-    ``scheduling.speeds.Evidence`` holds.
+    it leaves its birth. ``work`` counts by service and team the slots that its requests
+    hold or ask for, ``speeds`` gives for each server what
+    ``scheduling.speeds.Evidence`` holds. ``callers_waiting`` counts requests of
+    callers that wait here for a server, ``waiting`` batch items. ``jobs`` gives rows of
+    jobs' states that this host wrote lately, each with its version.
     """
 
     host: str
@@ -87,6 +94,8 @@
     leaving: dict[str, int] = attrs.Factory(dict)
     work: dict[str, int] = attrs.Factory(dict)
     speeds: dict[str, list[float]] = attrs.Factory(dict)
+    callers_waiting: int = 0
+    jobs: dict[str, tuple[int, bytes]] = attrs.Factory(dict)
 
     def has_load_of(self, other: "Digest") -> bool:
         """Return whether both tell the same of what is in flight and left out."""
@@ -95,47 +104,61 @@
             and self.batch == other.batch
             and self.waiting == other.waiting
             and self.failing == other.failing
+            and self.work == other.work
+            and self.callers_waiting == other.callers_waiting
+        )
+
+    def tells_as(self, other: "Digest") -> bool:
+        """Return whether both tell the same, apart from when and how completely."""
+        return (
+            self.has_load_of(other)
+            and self.stopping == other.stopping
+            and self.spent == other.spent
+            and self.asked == other.asked
+            and self.lacking == other.lacking
+            and self.jobs == other.jobs
         )
 
     def encode(self) -> bytes:
-        """Return the digest's bytes, without a line feed."""
-        fields = attrs.astuple(self, recurse=False)
-        return json.dumps(fields, separators=(",", ":")).encode()
+        """Return the digest's bytes."""
+        return _ENCODER.encode(_VALUES(self))
 
 
-def decode(data: collections.abc.Sequence[bytes]) -> list[Digest]:
-    """Return the digests among encoded ones; other bytes are left out."""
-    try:
-        # One call of the decoder costs as much as a digest.
-        fields = json.loads((b"[" + b",".join(data) + b"]").decode())
-    except ValueError:
-        if len(data) <= 1:
-            return []
-        return [digest for each in data for digest in decode([each])]
-    return [digest for digest in map(_structure, fields) if digest is not None]
+_VALUES = operator.attrgetter(*(field.name for field in attrs.fields(Digest)))
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(tuple[*typing.get_type_hints(Digest).values()])
 
 
-def _structure(fields: typing.Any) -> Digest | None:
+def decode(data: bytes) -> Digest | None:
+    """Return an encoded digest, or None for other bytes."""
     try:
-        digest = Digest(*fields)
-        if not isinstance(digest.host, str) or not isinstance(digest.sequence, int):
-            return None
-        return digest
-    except (ValueError, TypeError):
+        return Digest(*_DECODER.decode(data))
+    except ValueError:
         return None
 
 
+class Sign(typing.NamedTuple):
+    """Say that a host lives and tells nothing new since its digest ``since``."""
+
+    host: str
+    instance: str
+    sequence: int
+    since: int
+
+
 @attrs.define
 class Peer:
     """Hold the last digest of another host.
 
     ``heard_at`` and ``full_at``, of the last full one, are monotonic seconds.
+    ``sequence`` is the newest that was heard, of a digest or a sign of life.
     """
 
     digest: Digest
     heard_at: float
     full_at: float
     silent: bool = False
+    sequence: int = 0
 
 
 @attrs.frozen
@@ -168,28 +191,54 @@
         factory=lambda: collections.defaultdict(collections.Counter)
     )
     failed: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    work: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    callers_waiting: int = 0
 
     def add(self, digest: Digest) -> None:
         """Count a host's newest digest, without its outcomes."""
         self.waiting += digest.waiting
-        self._count(digest, 1)
-        for name, count in digest.batch.items():
-            self.batch[name][digest.host] = count
+        self.callers_waiting += digest.callers_waiting
+        _add(self.online, digest.online.items(), 1)
+        _add(self.work, digest.work.items(), 1)
+        _add(self.failing, ((name, 1) for name in digest.failing), 1)
+        self._add_batch(digest)
 
     def drop(self, digest: Digest) -> None:
         """Count it no more, without its outcomes."""
         self.waiting -= digest.waiting
-        self._count(digest, -1)
+        self.callers_waiting -= digest.callers_waiting
+        _add(self.online, digest.online.items(), -1)
+        _add(self.work, digest.work.items(), -1)
+        _add(self.failing, ((name, 1) for name in digest.failing), -1)
+        self._drop_batch(digest)
+
+    def replace(self, before: Digest, after: Digest) -> None:
+        """Count a host's newest digest in place of the one before, by what changed."""
+        self.waiting += after.waiting - before.waiting
+        self.callers_waiting += after.callers_waiting - before.callers_waiting
+        if before.work != after.work:
+            _add(self.work, before.work.items(), -1)
+            _add(self.work, after.work.items(), 1)
+        if before.online != after.online:
+            _add(self.online, before.online.items(), -1)
+            _add(self.online, after.online.items(), 1)
+        if before.failing != after.failing:
+            _add(self.failing, ((name, 1) for name in before.failing), -1)
+            _add(self.failing, ((name, 1) for name in after.failing), 1)
+        if before.batch != after.batch:
+            self._drop_batch(before)
+            self._add_batch(after)
+
+    def _add_batch(self, digest: Digest) -> None:
+        for name, count in digest.batch.items():
+            self.batch[name][digest.host] = count
+
+    def _drop_batch(self, digest: Digest) -> None:
         for name in digest.batch:
             del self.batch[name][digest.host]
             if not self.batch[name]:
                 del self.batch[name]
 
-    def _count(self, digest: Digest, sign: int) -> None:
-        _add(self.online, digest.online.items(), sign)
-        if digest.failing:
-            _add(self.failing, ((name, 1) for name in digest.failing), sign)
-
     def take_outcomes(self, before: Digest | None, after: Digest | None) -> None:
         """Replace what a host told of its requests' outcomes."""
         for digest, sign in ((before, -1), (after, 1)):
@@ -271,28 +320,52 @@
         if digest.host == self.host_id:
             return False
         peer = self.peers.get(digest.host)
-        same = peer is not None and peer.digest.instance == digest.instance
-        if same and peer.digest.sequence >= digest.sequence:
+        if peer is None or peer.digest.instance != digest.instance:
+            self._meet(peer, digest)
+            return True
+        if peer.sequence >= digest.sequence:
             return False
-        if peer is None or peer.silent or not same:
-            self.trace.emit("peer_heard", host=digest.host, instance=digest.instance)
-            self.on_heard()
-        now = self.clock.monotonic()
-        full_at = now
-        before = None if peer is None else peer.digest
-        same_load = before is not None and before.has_load_of(digest)
-        if before is not None and not same_load:
-            self.totals.drop(before)
-        if same and not digest.full:
-            full_at = peer.full_at
+        if peer.silent:
+            self._note_heard(digest)
+        before, now = peer.digest, self.clock.monotonic()
+        if not digest.full:
             digest.ages, digest.outcomes = before.ages, before.outcomes
         else:
-            self.totals.take_outcomes(before, digest)
-        self.peers[digest.host] = Peer(digest, now, full_at)
-        if not same_load:
-            self.totals.add(digest)
+            peer.full_at = now
+            if before.outcomes != digest.outcomes:
+                self.totals.take_outcomes(before, digest)
+        self.totals.replace(before, digest)
+        peer.digest, peer.sequence, peer.heard_at = digest, digest.sequence, now
+        peer.silent = False
         return True
 
+    def _meet(self, before: Peer | None, digest: Digest) -> None:
+        """Take the first digest of a host's incarnation."""
+        if before is not None:
+            self.totals.drop(before.digest)
+        self.totals.take_outcomes(before and before.digest, digest)
+        self.totals.add(digest)
+        now = self.clock.monotonic()
+        self.peers[digest.host] = Peer(digest, now, now, sequence=digest.sequence)
+        self._note_heard(digest)
+
+    def _note_heard(self, digest: Digest) -> None:
+        self.trace.emit("peer_heard", host=digest.host, instance=digest.instance)
+        self.on_heard()
+
+    def hear_sign(self, sign: Sign) -> Digest | None:
+        """Take a sign of life; return the digest that it confirms, if that is here.
+
+        Of a host that is silent or unknown here, the next digest tells more.
+        """
+        peer = self.peers.get(sign.host)
+        if peer is None or peer.silent or peer.digest.instance != sign.instance:
+            return None
+        if peer.sequence >= sign.sequence:
+            return None
+        peer.sequence, peer.heard_at = sign.sequence, self.clock.monotonic()
+        return peer.digest if peer.digest.sequence >= sign.since else None
+
     @property
     def relayed(self) -> bool:
         """Return whether digests go through relays, as hosts are many."""
@@ -310,7 +383,8 @@
 
     def read_s(self) -> float:
         """Return the seconds between two reads of the hosts' rows."""
-        return max(READ_S, len(self.listed) / MAX_READS_PER_S)
+        least_s = RELAYED_READ_S if self.relayed else READ_S
+        return max(least_s, len(self.listed) / MAX_READS_PER_S)
 
     def is_stopping(self, host: str) -> bool:
         """Return whether a host said that it stops."""
@@ -349,10 +423,13 @@
             age = now - peer.heard_at
             if age > silent_s and not peer.silent:
                 peer.silent = True
-                # Its requests still run; its judgement of servers is out of date.
+                # Its requests still run; its judgement of servers is out of date, and
+                # its callers' claims must not keep room from others.
                 self.totals.drop(peer.digest)
                 self.totals.take_outcomes(peer.digest, None)
-                peer.digest = attrs.evolve(peer.digest, failing=[], outcomes={})
+                peer.digest = attrs.evolve(
+                    peer.digest, failing=[], outcomes={}, work={}, callers_waiting=0
+                )
                 self.totals.add(peer.digest)
                 self.on_silent(name)
                 self.trace.emit("peer_silent", host=name, age_s=round(age, 2))
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -28,25 +28,32 @@
     model,
     network,
     peers,
+    places,
     pool,
     registry,
     relay,
     settings,
     spread,
+    sweep,
     takeover,
+    turns,
     watch,
     worker,
 )
 from turmerictally.entry import trace as traces
 from turmerictally.metrics import latency
+from turmerictally.scheduling import placing, pressure, speeds, switching
 from turmerictally.store import rows
 
 MAX_TEAM_HISTOGRAMS = 20  # the busiest teams' own; the rest share one
 # Between reads of job changes, so that they come together; with many hosts so long that
 # all hosts together make about 400 reads a second.
 JOBS_INTERVAL_S = 0.25
+# The same where digests tell of changes: with a poll's wait, less than the age at which
+# callers' reads go past the copy.
+RELAYED_JOBS_INTERVAL_S = 0.9
 MAX_JOBS_READS_PER_S = 400.0
-HOUSEKEEPING_S = 0.25
+HOUSEKEEPING_S = 0.25  # between looks at what lapsed, fell behind or lost its owner
 MAX_LACKING = 64  # hosts that are asked for their counts at once; 1 kB of a digest
 # Time kept back from the grace period for the last writes of a stop.
 LAST_WRITES_S = 1.2
@@ -62,6 +69,18 @@
     servers_table: str
     read_configuration: model.ReadConfiguration
     read_server: model.ReadServer
+    read_evacuation: model.ReadEvacuation
+
+
+class WakeUps(trio.abc.Instrument):
+    """Count how often the process went on after a wait for events or time."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Count one, unless other tasks were ready anyway."""
+        self.count += timeout > 0
 
 
 class Host:
@@ -88,6 +107,7 @@
         self.network = reach
         self.stop_requested = trio.Event()
         self.stopping = False
+        self.wake_ups = WakeUps()
         self.latencies = latency.Latencies(MAX_TEAM_HISTOGRAMS, self.clock)
         self._build_knowledge(names)
         self._build_path(wire)
@@ -102,6 +122,15 @@
         self.hosts = gossip.Hosts(
             config.host_id, self.instance, clock, trace, domain=config.failure_domain
         )
+        self.places = places.Places(
+            names.read_evacuation,
+            self.configured,
+            self.registry,
+            self.hosts,
+            clock,
+            trace,
+            config.cold.overshoot,
+        )
         self.allowances = allowance.Allowances(clock)
         self.hosts.on_silent = self.allowances.forget
 
@@ -147,19 +176,24 @@
             self._digest,
             self._on_digest,
             self._on_told,
+            self._on_sign,
         )
         self.hosts.on_heard = self.spread.introduce
 
     def _build_path(self, wire: messages.Wire) -> None:
         config, clock, trace = self.settings, self.clock, self.trace
         self.pool = pool.Pool(self.network, clock)
+        self.sweep = sweep.Sweep()
         self.inflight = inflight.InFlight(
             self.registry,
             self.hosts,
             clock,
             trace,
             ejection.Ejector(config.failure_domain),
+            self.places,
         )
+        learns = config.scheduling.learned_speeds
+        self.inflight.learner = speeds.Speeds() if learns else None
         self.jobs = jobs.Jobs(self.store)
         self.known_jobs = jobs.Known()
         self.inflight.on_failure = self.spread.tell_outcomes
@@ -173,15 +207,25 @@
             configured=self.configured,
             hosts=self.hosts,
             inflight=self.inflight,
-            runner=itemrun.Runner(self.pool, wire, self.registry.note_leaving),
+            runner=itemrun.Runner(
+                self.pool,
+                wire,
+                self.registry.note_leaving,
+                self.inflight.sending,
+                self.inflight.note_events,
+            ),
             clock=clock,
             trace=trace,
             rng=self.rng,
             nudge=self.spread.nudge,
+            most_items=(placing.most_items(config.processor.cores) if learns else None),
+            fair=config.scheduling.fair_shares,
+            on_change=self._on_job,
         )
         self.registry.on_leaving = self._on_leaving
         self.takeover = takeover.Takeover(self.worker)
         self.collector = collector.Collector(self.takeover, config.batch.keep_s)
+        self.turns = self._make_turns()
         self.relay = relay.Relay(
             inflight=self.inflight,
             pool=self.pool,
@@ -191,6 +235,9 @@
             domain=config.failure_domain,
             rng=self.rng,
             crowded=self._crowded,
+            waiters=self.turns,
+            sweep=self.sweep,
+            switches=switching.Budget() if config.scheduling.switch_late else None,
         )
         self.desk = desk.Desk(
             configured=self.configured,
@@ -208,6 +255,22 @@
             rng=self.rng,
         )
 
+    def _make_turns(self) -> turns.Turns | None:
+        given = self.settings.scheduling
+        if not (given.fair_shares or given.waiting_room):
+            return None
+        found = turns.Turns(
+            inflight=self.inflight,
+            hosts=self.hosts,
+            room=turns.make_room(self.hosts, self.rng),
+            clock=self.clock,
+            trace=self.trace,
+            limited=given.fair_shares,
+            room_on=given.waiting_room,
+        )
+        self.inflight.on_end = found.freed
+        return found
+
     def _build_listeners(self) -> None:
         listen = self.settings.listen
 
@@ -219,9 +282,11 @@
                 self._limits,
                 self.clock,
                 listen.max_connections,
+                self.trace,
             )
 
         self.callers = make(listen.callers, self.desk.handle)
+        self.callers.held.bound = pressure.bound_bytes(self.settings.memory.limit_mb)
         self.health = make(listen.health, self._health)
         self.copies = peers.Copies(
             self.watches, self.hosts, self.pool, self.clock, self.trace, self.rng
@@ -231,6 +296,7 @@
 
     async def run(self) -> None:
         """Serve until stopped."""
+        trio.lowlevel.add_instrument(self.wake_ups)
         self.trace.emit(
             "started",
             host=self.settings.host_id,
@@ -255,11 +321,10 @@
         await nursery.start(self.spread.run)
         for each in self.watches.values():
             nursery.start_soon(each.run)
+        nursery.start_soon(self.sweep.run)
         nursery.start_soon(self._register)
-        nursery.start_soon(self._keep_house)
-        nursery.start_soon(self.copies.run)
+        nursery.start_soon(self._keep_house, nursery)
         nursery.start_soon(self.worker.run)
-        nursery.start_soon(self.takeover.run)
         nursery.start_soon(self.collector.run)
 
     def stop(self) -> None:
@@ -310,12 +375,20 @@
         return view.limits if view else model.CallerLimits()
 
     def _jobs_interval_s(self) -> float:
-        return max(JOBS_INTERVAL_S, len(self.hosts.listed) / MAX_JOBS_READS_PER_S)
+        least_s = RELAYED_JOBS_INTERVAL_S if self.hosts.relayed else JOBS_INTERVAL_S
+        return max(least_s, len(self.hosts.listed) / MAX_JOBS_READS_PER_S)
 
     def _on_configuration(self, changed: list[rows.Row]) -> None:
         self.configured.update(changed)
+        self.places.take_operator_rows(
+            changed, second_hand=self.configuration_watch.second_hand
+        )
         if self.configured.current is not None:
-            self.allowances.configure(self.configured.current.teams)
+            teams = self.configured.current.teams
+            self.allowances.configure(teams)
+            if self.turns is not None:
+                weights = {team.name: team.rate_per_s for team in teams}
+                self.turns.room.work.weights = weights
 
     def _on_servers(self, changed: list[rows.Row]) -> None:
         before = dict(self.registry.servers)
@@ -324,6 +397,7 @@
         for name, server in before.items():
             if name in after and after[name].born_ms != server.born_ms:
                 self.inflight.replaced(name)
+        self.places.take_servers(before, complete=self.servers_watch.complete)
         self._close_connections(before)
 
     def _close_connections(self, before: dict[str, model.Server]) -> None:
@@ -354,20 +428,38 @@
         self.known_jobs.update(changed)
         self.worker.adopt(changed)
 
+    def _on_job(self, kept: jobs.Kept) -> None:
+        state = kept.state
+        self.spread.tell_job(state.job, kept.version, state.encode())
+
     def _on_digest(self, digest: gossip.Digest) -> None:
-        self.allowances.observe(
-            digest.host, digest.instance, digest.spent, digest.asked, digest.base
-        )
+        self._on_sign(digest)
         if self.settings.host_id in digest.lacking:
             self.spread.answer(digest.host)
         if digest.removed:
             self._on_removed(digest.host, digest.removed)
+        if digest.jobs:
+            told = [
+                rows.Row(jobs.state_address(job), value, version)
+                for job, (version, value) in digest.jobs.items()
+            ]
+            self.states_watch.apply(told, 0)
         if digest.leaving:
             self.registry.take_leaving(digest.host, digest.leaving)
+        if digest.speeds and self.inflight.learner is not None:
+            now = self.clock.monotonic()
+            self.inflight.learner.take(digest.host, digest.speeds, now)
+
+    def _on_sign(self, digest: gossip.Digest) -> None:
+        self.allowances.observe(
+            digest.host, digest.instance, digest.spent, digest.asked, digest.base
+        )
 
     def _on_told(self) -> None:
         self.worker.give_way()
         self.inflight.heard()
+        if self.turns is not None:
+            self.turns.heard()
 
     def _crowded(self, server: str) -> None:
         """Let batch items leave a server that got more than its slots."""
@@ -400,8 +492,16 @@
             stopping=self.stopping,
             removed=self.registry.tell() if full else {},
             leaving=self.registry.tell_leaving() if full else {},
+            speeds=self._speeds() if full else {},
+            work=self._work(),
+            callers_waiting=len(self.turns.room.requests) if self.turns else 0,
         )
 
+    def _work(self) -> dict[str, int]:
+        if self.turns is None:
+            return {}
+        return self.turns.room.work.told(self.clock.monotonic())
+
     def _ages(self) -> dict[str, tuple[int, float]]:
         return {
             name: (each.version, round(min(each.age_s(), 1e6), 2))
@@ -411,6 +511,10 @@
     def _outcomes(self) -> dict[str, list[int]]:
         return self.inflight.recent.counts(self.clock.monotonic())
 
+    def _speeds(self) -> dict[str, list[float]]:
+        learner = self.inflight.learner
+        return learner.tell(self.clock.monotonic()) if learner is not None else {}
+
     async def _register(self) -> None:
         """Renew this host's row."""
         where = rows.Address(gossip.TABLE, "", self.settings.host_id)
@@ -423,8 +527,10 @@
                 "domain": self.settings.failure_domain,
                 "cores": self.settings.processor.cores,
             }
+            started_at = self.clock.monotonic()
             try:
                 await self.store.transact({}, {where: json.dumps(value).encode()})
+                self.places.row_written(started_at)
                 renewals += 1
                 pause = self.hosts.renew_s()
             except rows.UnavailableError as error:
@@ -432,11 +538,17 @@
                 pause = watch.MAX_RETRY_S
             await trio.sleep(pause * self.rng.uniform(0.8, 1.2))
 
-    async def _keep_house(self) -> None:
+    async def _keep_house(self, nursery: trio.Nursery) -> None:
         while True:
-            await trio.sleep(HOUSEKEEPING_S)
+            await trio.sleep(HOUSEKEEPING_S * self.rng.uniform(0.8, 1.2))
+            self.copies.check(nursery)
+            self.takeover.check(nursery)
             self.registry.expire()
+            self.places.keep()
             self.pool.sweep()
+            self.callers.end_stalled()
+            if self.inflight.learner is not None:
+                self.inflight.learner.retain(self.registry.servers)
             for name in [n for n, count in self.inflight.online.items() if not count]:
                 if name not in self.registry.servers:
                     self.inflight.forget(name)
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -2,15 +2,17 @@
 
 import collections
 import collections.abc
+import typing
 
 import attrs
 
 from turmerictally import clock as clocks
 from turmerictally.entry import ejection, gossip, model
+from turmerictally.entry import places as placed
 from turmerictally.entry import registry as registries
 from turmerictally.entry import trace as traces
 from turmerictally.routing import health
-from turmerictally.scheduling import placing
+from turmerictally.scheduling import placing, speeds
 
 # Failures in a row before a server is left out: one in fifty answers may be spoilt by
 # a sound server, two in a row are rare.
@@ -33,12 +35,15 @@
     clock: clocks.Clock
     trace: traces.Trace
     ejector: ejection.Ejector
+    places: placed.Places
     online: collections.Counter[str] = attrs.field(factory=collections.Counter)
     batch: collections.Counter[str] = attrs.field(factory=collections.Counter)
     succeeded_at: dict[str, float] = attrs.Factory(dict)
     on_failure: collections.abc.Callable[[], None] = lambda: None
     on_change: collections.abc.Callable[[], None] = lambda: None
+    on_end: collections.abc.Callable[[str], None] = lambda server: None
     judged_at: float = float("-inf")
+    learner: speeds.Speeds | None = None
     peaks: placing.Peaks = attrs.field(factory=placing.Peaks)
     recent: ejection.Recent = attrs.field(factory=ejection.Recent)
     circuits: health.Health = attrs.field(
@@ -49,8 +54,12 @@
         self, service: str, *, but: frozenset[str] = frozenset()
     ) -> list[placing.Load]:
         """Return the load of each server that may get a request now."""
-        usable = self.registry.usable(service)
         now = self.clock.monotonic()
+        usable = [
+            server
+            for server in self.registry.usable(service)
+            if self.places.takes_new(server, now)
+        ]
         left_out = self.ejector.left_out([s.instance for s in usable], now)
         servers = [s for s in usable if s.instance not in but]
         healthy = [
@@ -67,19 +76,61 @@
         ]
         # With none left, a server that failed is better than no answer.
         own = self.recent.counts(now)
+        learned = self._learned(usable, now)
         return [
-            self._load(server, own, now) for server in trusted or healthy or servers
+            self._load(server, own, now, learned)
+            for server in trusted or healthy or servers
         ]
 
+    def reserve(self, name: str) -> None:
+        """Count a request that is about to be sent to a server."""
+        self.places.budgets.spend(name, self.clock.monotonic())
+
+    def sending(self, name: str) -> None:
+        """Note that a reserved request is sent now, or given up."""
+        self.places.budgets.send(name, self.clock.monotonic())
+
     def count_online(self, name: str, more: int) -> None:
         """Count a request of a caller that begins at a server, or ends (-1)."""
         self.online[name] += more
         self.on_change()
+        if more < 0:
+            self.on_end(name)
 
     def count_batch(self, name: str, more: int) -> None:
         """Count a batch item that begins at a server, or ends (-1)."""
         self.batch[name] += more
         self.on_change()
+        if more < 0:
+            self.on_end(name)
+
+    def note_first(self, name: str, seconds: float) -> None:
+        """Note the time from a request to its first event."""
+        if self.learner is not None and self.excess(name) <= 0:
+            # With no slot free it is the time that the request waited for one.
+            self.learner.note_first(name, seconds, self.clock.monotonic())
+
+    def note_events(self, name: str, events: int, seconds: float) -> None:
+        """Note the time that a server took for so many events."""
+        if self.learner is not None:
+            now = self.clock.monotonic()
+            self.learner.note_events(name, events, seconds, now)
+
+    def expected(self, name: str) -> speeds.Learned:
+        """Return what was learned of a server last."""
+        known = {} if self.learner is None else self.learner.known
+        return known.get(name, speeds.USUAL)
+
+    def speed_evidence(self, name: str) -> dict[str, typing.Any]:
+        """Return the log fields that tell what a server's learned speed rests on."""
+        if self.learner is None:
+            return {}
+        found = self.expected(name)
+        return {
+            "slowness": round(found.slowness, 2),
+            "speed_hosts": found.hosts,
+            "speed_age_s": round(found.age_s(self.clock.monotonic()), 2),
+        }
 
     def succeeded(self, name: str) -> None:
         """Note that a server answered."""
@@ -145,6 +196,8 @@
         self.circuits.forget(name)
         self.peaks.forget(name)
         self.ejector.forget(name)
+        if self.learner is not None:
+            self.learner.forget(name)
 
     def _outcomes(self, name: str, own: dict[str, list[int]]) -> ejection.Outcomes:
         counts = collections.Counter(self.hosts.totals.outcomes.get(name, ()))
@@ -153,10 +206,23 @@
         counts[self.ejector.domain, False] += failed
         return counts
 
+    def _learned(
+        self, servers: list[model.Server], now: float
+    ) -> dict[str, speeds.Learned]:
+        """Return what is expected of one service's servers, nothing when off."""
+        if self.learner is None:
+            return {}
+        return self.learner.learned([server.instance for server in servers], now)
+
     def _load(
-        self, server: model.Server, own: dict[str, list[int]], now: float
+        self,
+        server: model.Server,
+        own: dict[str, list[int]],
+        now: float,
+        learned: dict[str, speeds.Learned],
     ) -> placing.Load:
         name = server.instance
+        expected = learned.get(name, speeds.USUAL)
         batch = self.hosts.totals.batch.get(name, {})
         if self.batch[name]:
             batch = batch | {self.hosts.host_id: self.batch[name]}
@@ -172,8 +238,20 @@
             batch_by_host=batch,
             reliability=self.ejector.reliability(self._outcomes(name, own)),
             trial=trial,
+            item_room=self._item_room(name, now),
+            slowness=expected.slowness,
+            first_s=expected.first_s,
+            event_s=expected.event_s,
+            stale=expected.is_stale(now),
         )
 
+    def _item_room(self, name: str, now: float) -> int | None:
+        """Return how many batch items a server may get, or None for no bound."""
+        budgets = self.places.budgets
+        if not budgets.is_cold(name, now):
+            return None
+        return int(budgets.is_idle(name, now) and budgets.allows(name, now))
+
     def _peak(self, name: str, online: int, now: float) -> int:
         """Return the most online requests lately, where counts are told through relays.
 
@@ -209,4 +287,4 @@
         if server is None:
             return None
         now = self.clock.monotonic()
-        return self._load(server, self.recent.counts(now), now)
+        return self._load(server, self.recent.counts(now), now, {})
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -12,6 +12,7 @@
 if typing.TYPE_CHECKING:
     from turmerictally.entry import host
 
+MAX_TEAMS = 20  # of which metrics are shown, those with the most
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
 
@@ -36,11 +37,29 @@
     servers = gauge(f"{prefix}_servers", "Registered, by state.", labels=["state"])
     for state, count in served.registry.counts().items():
         servers.add_metric([state], count)
+    slowness = gauge(
+        f"{prefix}_server_slowness", "Learned, 1 is usual.", labels=["server"]
+    )
+    told = gauge(
+        f"{prefix}_server_speed_hosts", "Hosts that timed it.", labels=["server"]
+    )
+    speed_age = gauge(
+        f"{prefix}_server_speed_age_seconds", "Since learned.", labels=["server"]
+    )
+    learner = served.inflight.learner
+    for name, found in learner.known.items() if learner is not None else ():
+        slowness.add_metric([name], found.slowness)
+        told.add_metric([name], found.hosts)
+        speed_age.add_metric([name], found.age_s(served.clock.monotonic()))
+    switches = served.relay.switches
     view = served.configured.current
     return [
         events,
         ages,
         servers,
+        slowness,
+        told,
+        speed_age,
         exposition.latency_family(served.latencies.histograms),
         gauge(
             f"{prefix}_configuration_version", "Version.", view.version if view else 0
@@ -48,10 +67,23 @@
         gauge(f"{prefix}_caller_connections", "Open.", served.callers.open),
         gauge(f"{prefix}_requests_running", "Running.", served.callers.busy),
         gauge(f"{prefix}_items_waiting", "Batch.", len(served.worker.waiting())),
+        gauge(f"{prefix}_held_bytes", "For others.", served.callers.held.bytes),
+        prometheus_client.core.CounterMetricFamily(
+            f"{prefix}_refused_for_memory", "Unread.", served.callers.held.refused
+        ),
+        prometheus_client.core.CounterMetricFamily(
+            f"{prefix}_streams_switched",
+            "Begun late and offered to another server.",
+            switches.switched if switches else 0,
+        ),
         gauge(f"{prefix}_quota_share", "Of all hosts.", served.allowances.share),
+        *_team_families(served),
         prometheus_client.core.CounterMetricFamily(
             f"{prefix}_process_cpu_seconds", "Processor.", time.process_time()
         ),
+        prometheus_client.core.CounterMetricFamily(
+            f"{prefix}_wake_ups", "Of the process.", served.wake_ups.count
+        ),
         prometheus_client.core.CounterMetricFamily(
             f"{prefix}_server_connections", "Opened.", served.pool.opened
         ),
@@ -60,4 +92,78 @@
             "Reset in the middle of an exchange.",
             served.pool.abandoned,
         ),
+        *_evacuated(served),
+        *_cold(served),
+    ]
+
+
+def _evacuated(served: "host.Host") -> list[prometheus_client.core.Metric]:
+    def family(name: str, text: str) -> prometheus_client.core.Metric:
+        return prometheus_client.core.GaugeMetricFamily(
+            f"{exposition.PREFIX}_evacuated_domain_{name}", text, labels=["domain"]
+        )
+
+    ages = family("age_seconds", "Since this host knows of the evacuation.")
+    running = family("requests", "This host's requests and items that run there.")
+    confirmed = family("hosts", "Hosts, with this one, that know of it.")
+    now = served.clock.monotonic()
+    table = served.configuration_watch.name
+    for domain, found in served.places.evacuations.current.items():
+        ages.add_metric([domain], now - found.seen_at)
+        running.add_metric([domain], served.places.running_in(domain, served.inflight))
+        hosts = 1 + served.places.confirmed(table, found.version)
+        confirmed.add_metric([domain], hosts)
+    return [ages, running, confirmed]
+
+
+def _cold(served: "host.Host") -> list[prometheus_client.core.Metric]:
+    def family(name: str, text: str) -> prometheus_client.core.Metric:
+        return prometheus_client.core.GaugeMetricFamily(
+            f"{exposition.PREFIX}_cold_server_{name}", text, labels=["server"]
+        )
+
+    permits = family("permits", "This host's sends a period, at most.")
+    sent = family("sent", "What this host sent since the server is cold.")
+    left = family("left_seconds", "Until the server counts as warm.")
+    now = served.clock.monotonic()
+    budgets = served.places.budgets
+    for name, found in budgets.cold.items():
+        if budgets.is_cold(name, now):
+            permits.add_metric([name], budgets.permits(name, now))
+            sent.add_metric([name], found.sent)
+            left.add_metric([name], found.until - now)
+    return [permits, sent, left]
+
+
+def _team_families(served: "host.Host") -> list[prometheus_client.core.Metric]:
+    """Return what teams ask for, may hold, waited and were refused."""
+    turns = served.turns
+    if turns is None:
+        return []
+    prefix = exposition.PREFIX
+    gauge = prometheus_client.core.GaugeMetricFamily
+    counter = prometheus_client.core.CounterMetricFamily
+    labels = ["service", "team"]
+    demand = gauge(f"{prefix}_team_demand_slots", "Over all hosts.", labels=labels)
+    share = gauge(f"{prefix}_team_share_slots", "Of all slots.", labels=labels)
+    now = served.clock.monotonic()
+    work = turns.room.work
+    for service in work.services():
+        slots = sum(load.slots for load in served.inflight.loads(service))
+        demands, shares = work.demands(service, now), work.shares(service, slots, now)
+        for team in sorted(demands, key=demands.get, reverse=True)[:MAX_TEAMS]:
+            demand.add_metric([service, team], demands[team])
+            share.add_metric([service, team], shares[team])
+    waited = counter(f"{prefix}_team_waited_seconds", "Here.", labels=["team"])
+    refused = counter(f"{prefix}_team_refused", "For want of room.", labels=["team"])
+    for family, counts in ((waited, turns.waited_s), (refused, turns.refused)):
+        for team, count in counts.most_common(MAX_TEAMS):
+            family.add_metric([team], count)
+    waiting = len(turns.room.requests)
+    return [
+        demand,
+        share,
+        waited,
+        refused,
+        gauge(f"{prefix}_callers_waiting", "For a server.", waiting),
     ]
--- a/turmerictally/entry/relay.py
+++ b/turmerictally/entry/relay.py
@@ -10,9 +10,10 @@
 import trio
 
 from turmerictally import clock as clocks
-from turmerictally.entry import events, inflight, messages, model, pool
+from turmerictally.entry import events, inflight, messages, model, pool, sweep, turns
+from turmerictally.entry import places as placed
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import placing
+from turmerictally.scheduling import placing, shares, speeds, switching, waiting
 
 # Taken off the time handed to a server, for the way there and back.
 DEADLINE_MARGIN_S = 0.02
@@ -32,6 +33,8 @@
 # When to come back after a refusal: about half of a request's usual service time,
 # spread so that callers do not return together.
 RETRY_AFTER_S = (0.15, 0.45)
+# The same with all domains evacuated, which an operator ends after seconds at least.
+EVACUATED_RETRY_AFTER_S = (1.0, 2.0)
 
 
 class Refusal(enum.Enum):
@@ -62,8 +65,8 @@
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
 
-    async def finish(self) -> None:
-        """End a whole answer."""
+    async def finish(self, data: bytes = b"") -> None:
+        """Send the last part of the body and end a whole answer."""
 
     def abort(self) -> None:
         """End an answer that is not whole, so that the caller sees it."""
@@ -82,6 +85,11 @@
     UNSENT = "unsent"
     FAILED = "failed"
     BROKEN = "broken"
+    LATE = "late to begin"
+
+
+class LateError(Exception):
+    """Report that a server did not begin and another one may be asked."""
 
 
 @attrs.define(eq=False)
@@ -101,6 +109,14 @@
     head: messages.Head | None = None
     failure: tuple[messages.Head, bytes] | None = None
     reason: str = ""
+    service: str = ""
+    refusal: waiting.Refusal | None = None
+    switched: bool = False
+
+    @property
+    def size(self) -> int:
+        """Return its size for the expected time at a server."""
+        return shares.size_of(self.ask.prompt_tokens, self.ask.output_tokens)
 
 
 @attrs.define(eq=False)
@@ -115,11 +131,23 @@
     domain: str
     rng: random.Random
     crowded: collections.abc.Callable[[str], None]
+    sweep: sweep.Sweep
+    waiters: turns.Turns | None = None
+    switches: switching.Budget | None = None
 
     async def run(self, job: Job) -> str:
         """Answer one request; return the outcome for logs and metrics."""
+        if self.switches is not None:
+            self.switches.note_request()
+        if self.waiters is None:
+            return await self._run(job)
+        job.service = choose_service(job.route, self.rng)
+        with self.waiters.counted(job.service, job.team):
+            return await self._run(job)
+
+    async def _run(self, job: Job) -> str:
         left = job.deadline - self.clock.monotonic()
-        with trio.move_on_after(max(0.0, left)):
+        with self.sweep.timer(trio.current_time() + left):
             return await self._attempts(job)
         job.reason = job.reason or "deadline"
         return await self._give_up(job, at_deadline=True)
@@ -127,7 +155,7 @@
     async def _attempts(self, job: Job) -> str:
         job.last_event = job.ask.resume_after
         while True:
-            server = self._place(job)
+            server = await self._find(job)
             if server is None:
                 return await self._give_up(job)
             result = await self._attempt(job, server)
@@ -137,12 +165,44 @@
             if not self._may_go_on(job, result):
                 return await self._give_up(job)
 
-    def _place(self, job: Job) -> model.Server | None:
+    async def _find(self, job: Job) -> model.Server | None:
+        """Return the server to send to, once one has room."""
         if job.deadline - self.clock.monotonic() < MIN_SEND_S:
             job.reason = job.reason or "too little time"
             return None
-        service = choose_service(job.route, self.rng)
-        loads = self.inflight.loads(service, but=frozenset(job.tried))
+        if self.waiters is None:
+            return self._place(job, self._loads(job))
+        found = await self.waiters.take(
+            self._request(job), job.ask.request_id, lambda: self._loads(job)
+        )
+        if isinstance(found, waiting.Refusal):
+            job.refusal, job.reason = found, found.reason
+            return None
+        return self._place(job, found)
+
+    def _loads(self, job: Job) -> list[placing.Load]:
+        if self.waiters is None:
+            job.service = choose_service(job.route, self.rng)
+        return self.inflight.loads(job.service, but=frozenset(job.tried))
+
+    def _request(self, job: Job) -> waiting.Request:
+        now = self.clock.monotonic()
+        objective_s = job.route.objective_s * waiting.START_RATIO
+        start_by = job.deadline - MIN_SEND_S
+        if objective_s and not job.answer.started:
+            start_by = min(start_by, now + objective_s)
+        return waiting.Request(
+            service=job.service,
+            team=job.team,
+            # One that a server began already must not be refused for its rank.
+            rank=0.0 if job.runs else shares.rank_of(job.ask.request_id),
+            size=job.size,
+            bytes=len(job.body),
+            start_by=start_by,
+            deadline=job.deadline,
+        )
+
+    def _place(self, job: Job, loads: list[placing.Load]) -> model.Server | None:
         servers = self.inflight.registry.servers
         idle = self.pool.idle
         chosen = placing.choose(
@@ -154,9 +214,13 @@
             connected={
                 load.name for load in loads if servers[load.name].address in idle
             },
+            objective_s=job.route.objective_s or math.inf,
+            max_gap_s=job.route.max_gap_s or math.inf,
         )
         if chosen is None:
-            job.reason = "servers full" if loads else "no server"
+            job.reason = "servers full"
+            if not loads:
+                job.reason = self.inflight.places.why_none(job.service)
             return None
         server = servers[chosen.name]
         self.trace.emit(
@@ -166,6 +230,7 @@
             online=chosen.online,
             batch=chosen.batch,
             reliability=round(chosen.reliability, 2),
+            **self.inflight.speed_evidence(chosen.name),
             of=len(loads),
             sends=job.sends,
             **self.inflight.registry.evidence(server.instance),
@@ -187,6 +252,7 @@
         job.sends += 1
         job.head = None
         self.inflight.circuits.started(name, started)
+        self.inflight.reserve(name)
         self.inflight.count_online(name, 1)
         seen = job.last_event
         try:
@@ -208,8 +274,13 @@
         finally:
             self.inflight.count_online(name, -1)
         now = self.clock.monotonic()
+        if result is Result.DONE and seen is None and self.waiters is not None:
+            self.waiters.room.durations.learn(now - started, job.size)
         if result in (Result.BROKEN, Result.UNSENT):
             self.inflight.failed(name, refused=result is Result.UNSENT)
+        elif result is Result.LATE:
+            # A server that never begins is left out by what all hosts see.
+            self.inflight.answered_error(name)
         elif result is Result.NOT_RUN or job.head.status < 500:
             self.inflight.succeeded(name)
         else:
@@ -233,13 +304,22 @@
         except pool.ConnectError as error:
             job.reason = f"not connected: {error}"
             return Result.UNSENT
+        finally:
+            self.inflight.sending(server.instance)
         kept = False
         job.runs += 1
         try:
-            result, head = await self._converse(job, server, connection)
+            ends = trio.current_time() + self._silence_s(job, first=True)
+            with self.sweep.timer(ends) as silence:
+                result, head = await self._converse(job, server, connection, silence)
+            if silence.overdue:
+                raise trio.TooSlowError
             if connection.reusable():
                 self.pool.release(connection, head.idle_s)
                 kept = True
+        except LateError:
+            job.reason = Result.LATE.value
+            return Result.LATE
         except (pool.BrokenError, events.SequenceError, trio.TooSlowError) as error:
             job.reason = str(error) or "silent"
             return Result.BROKEN
@@ -251,15 +331,20 @@
         return result
 
     async def _converse(
-        self, job: Job, server: model.Server, connection: pool.Connection
+        self,
+        job: Job,
+        server: model.Server,
+        connection: pool.Connection,
+        silence: sweep.Timer,
     ) -> tuple[Result, messages.Head]:
         left = job.deadline - self.clock.monotonic() - DEADLINE_MARGIN_S
         resumed = job.last_event if job.last_event != job.ask.resume_after else None
         onward = messages.Onward(server.instance, left, job.team, resumed)
         headers = self.wire.onward(job.ask, onward, len(job.body))
-        with trio.fail_at(self._silence_ends(job, first=True)):
-            await connection.request(job.ask.method, job.ask.target, headers, job.body)
-            head = await read_head(self.wire, connection, job.ask.request_id)
+        sent_at = trio.current_time()
+        await connection.request(job.ask.method, job.ask.target, headers, job.body)
+        head = await self._read_head(job, server, connection)
+        silence.move(math.inf)
         job.head = head
         if head.leaving:
             self.inflight.registry.note_leaving(server, "its answer")
@@ -271,9 +356,36 @@
             return await self._whole(job, connection, head)
         if not head.signed:
             raise pool.BrokenError("answer without the server's signature")
-        await self._stream(job, connection, head)
+        await self._stream(job, server, connection, head, silence, sent_at)
         return Result.DONE, head
 
+    async def _read_head(
+        self, job: Job, server: model.Server, connection: pool.Connection
+    ) -> messages.Head:
+        """Return the head of a server's answer; raises ``LateError``."""
+        late_at = self._late_at(job, server)
+        if late_at == math.inf:
+            return await read_head(self.wire, connection, job.ask.request_id)
+        with trio.move_on_at(late_at):
+            return await read_head(self.wire, connection, job.ask.request_id)
+        but = frozenset(job.tried | {server.instance})
+        loads = self.inflight.loads(server.service, but=but)
+        if self.switches.spend(loads):
+            job.switched = True
+            raise LateError
+        return await read_head(self.wire, connection, job.ask.request_id)
+
+    def _late_at(self, job: Job, server: model.Server) -> float:
+        """Return when a stream that has not begun may be offered elsewhere."""
+        route = job.route
+        may_run_again = route.repeatable and job.runs < route.max_attempts
+        if self.switches is None or job.switched or not may_run_again:
+            return math.inf
+        if route.kind is not model.Kind.STREAM or not route.objective_s:
+            return math.inf
+        first_s = self.inflight.expected(server.instance).first_s
+        return trio.current_time() + switching.patience_s(route.objective_s, first_s)
+
     async def _whole(
         self, job: Job, connection: pool.Connection, head: messages.Head
     ) -> tuple[Result, messages.Head]:
@@ -290,47 +402,60 @@
         if job.answer.started:
             raise pool.BrokenError("resumed stream is no stream")
         await job.answer.start(head.status, self.wire.to_caller(head), len(body))
-        await job.answer.send(body)
-        await job.answer.finish()
+        await job.answer.finish(body)
         return Result.DONE, head
 
     async def _stream(
-        self, job: Job, connection: pool.Connection, head: messages.Head
+        self,
+        job: Job,
+        server: model.Server,
+        connection: pool.Connection,
+        head: messages.Head,
+        silence: sweep.Timer,
+        sent_at: float,
     ) -> None:
         splitter = events.Splitter(job.last_event)
         passed_at = -math.inf
-        ends = self._silence_ends(job, first=not job.answer.started)
-        with trio.CancelScope() as silence:
-            while True:
-                # Bytes that complete no event do not end a silence.
-                silence.deadline = ends
-                data = await connection.data()
-                if data is None:
-                    break
-                # A reader that is slow is no silence of the server.
-                silence.deadline = math.inf
-                found = splitter.feed(data)
-                if not found:
-                    continue
-                if not job.answer.started:
-                    await job.answer.start(head.status, self.wire.to_caller(head), None)
-                await job.answer.send(b"".join(event.raw for event in found))
+        meter = speeds.Meter(server.instance, self.inflight.note_events)
+        gap_s = self._silence_s(job, first=False)
+        ends = trio.current_time() + (
+            gap_s if job.answer.started else self._silence_s(job, first=True)
+        )
+        while True:
+            # Bytes that complete no event do not end a silence.
+            silence.move(ends)
+            data = await connection.data()
+            # A reader that is slow is no silence of the server.
+            silence.deadline = math.inf
+            if data is None:
+                break
+            whole = splitter.take(data)
+            if not whole:
+                continue
+            if not job.answer.started:
+                await job.answer.start(head.status, self.wire.to_caller(head), None)
+            if connection.complete and not splitter.rest:
                 job.last_event = splitter.last
-                ends = self._silence_ends(job, first=False)
-                before, passed_at = passed_at, trio.current_time()
-                fast = len(found) > 1 or passed_at < before + GATHER_S
-                if fast and connection.waiting:
-                    await trio.sleep(GATHER_S)
-        if silence.cancelled_caught:
-            raise trio.TooSlowError
+                await job.answer.finish(whole)
+                return
+            await job.answer.send(whole)
+            job.last_event = splitter.last
+            now = trio.current_time()
+            if meter.add(splitter.count, now):
+                self.inflight.note_first(server.instance, now - sent_at)
+            ends = now + gap_s
+            fast = splitter.count > 1 or now < passed_at + GATHER_S
+            passed_at = now
+            if fast and connection.waiting:
+                await trio.sleep(GATHER_S)
         if splitter.rest:
             raise pool.BrokenError("stream ended within an event")
         if not job.answer.started:
             await job.answer.start(head.status, self.wire.to_caller(head), None)
         await job.answer.finish()
 
-    def _silence_ends(self, job: Job, *, first: bool) -> float:
-        """Return when a server's silence ends where another one may go on."""
+    def _silence_s(self, job: Job, *, first: bool) -> float:
+        """Return how long a server may be silent where another one may go on."""
         if not job.route.repeatable or job.runs >= job.route.max_attempts:
             return math.inf
         usual = (
@@ -338,7 +463,7 @@
             if first
             else job.route.max_gap_s * SILENCE_GAPS
         )
-        return trio.current_time() + max(MIN_SILENCE_S, usual)
+        return max(MIN_SILENCE_S, usual)
 
     async def _give_up(self, job: Job, *, at_deadline: bool = False) -> str:
         answer = job.answer
@@ -349,14 +474,18 @@
             head, body = job.failure
             outcome = "server error"
             await answer.start(head.status, self.wire.to_caller(head), len(body))
-            await answer.send(body)
-            await answer.finish()
+            await answer.finish(body)
         elif job.runs and at_deadline:
             await answer.refuse(Refusal.DEADLINE, job.reason)
         elif job.runs:
             await answer.refuse(Refusal.BROKEN, job.reason)
         else:
-            wait = self.rng.uniform(*RETRY_AFTER_S)
+            evacuated = job.reason == placed.EVACUATED
+            wait = self.rng.uniform(
+                *(EVACUATED_RETRY_AFTER_S if evacuated else RETRY_AFTER_S)
+            )
+            if job.refusal is not None:
+                wait = job.refusal.retry_after_s
             await answer.refuse(Refusal.UNAVAILABLE, job.reason, wait)
         self.trace.emit(
             "given_up",
@@ -366,10 +495,22 @@
             may_have_run=job.runs,
             last_event=job.last_event,
             outcome=outcome,
+            **(_inputs(job.refusal) if job.refusal else {}),
         )
         return outcome
 
 
+def _inputs(refusal: waiting.Refusal) -> dict[str, float]:
+    """Return what a refusal rests on, for its log line."""
+    return {
+        "share": round(refusal.share, 3),
+        "ahead": refusal.ahead,
+        "wait_s": round(refusal.wait_s, 3),
+        "retry_after_s": round(refusal.retry_after_s, 3),
+        "age_s": refusal.age_s,
+    }
+
+
 def choose_service(route: model.Route, rng: random.Random) -> str:
     """Return a service by the route's weights."""
     if len(route.targets) == 1:
@@ -386,7 +527,7 @@
     """Return the head of this request's answer, passing over another's."""
     for _ in range(1 + MAX_SKIPPED_ANSWERS):
         response = await connection.head()
-        head = wire.read_head(response.status_code, response.headers.raw_items())
+        head = wire.read_head(response.status, response.headers)
         if head.request_id == request_id:
             return head
         if not head.request_id:
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -22,6 +22,14 @@
     "batch": {"keep_s": 120.0},
     "stop": {"grace_s": 8.0, "unready_s": 2.6},
     "processor": {"cores": 1.0},
+    "cold": {"overshoot": 1.0},
+    "scheduling": {
+        "fair_shares": False,
+        "waiting_room": False,
+        "learned_speeds": False,
+        "switch_late": False,
+    },
+    "memory": {"limit_mb": 0.0},
 }
 
 
@@ -70,6 +78,30 @@
     cores: float
 
 
+@attrs.frozen
+class Cold:
+    """Hold the factor by which a cold server's rate may be exceeded."""
+
+    overshoot: float
+
+
+@attrs.frozen
+class Memory:
+    """Hold the memory that this host may take, in megabytes; 0 is no limit."""
+
+    limit_mb: float = 0.0
+
+
+@attrs.frozen
+class Scheduling:
+    """Switch on how requests are treated where room is short or servers differ."""
+
+    fair_shares: bool = False
+    waiting_room: bool = False
+    learned_speeds: bool = False
+    switch_late: bool = False
+
+
 @attrs.frozen
 class Settings:
     """Hold every setting of one entry host."""
@@ -81,6 +113,9 @@
     batch: Batch
     stop: Stop
     processor: Processor = Processor(1.0)
+    cold: Cold = Cold(1.0)
+    memory: Memory = Memory()
+    scheduling: Scheduling = Scheduling()
 
 
 def load(path: str) -> Settings:
@@ -90,7 +125,10 @@
 
 def check(merged: dict) -> list[checks.Fault]:
     """Return the faults of settings whose keys and types are right."""
-    faults = checks.check_numbers(merged)
+    limit_mb = merged["memory"]["limit_mb"]
+    # Without a limit there is no number to check.
+    limited = {k: v for k, v in merged.items() if k != "memory" or limit_mb}
+    faults = checks.check_numbers(limited)
     for name in ("callers", "health", "peers", "metrics"):
         fault = checks.check_address(merged["listen"][name])
         if fault:
--- /dev/null
+++ b/turmerictally/entry/turns.py
@@ -0,0 +1,203 @@
+"""Let callers' requests wait on this host until a backend server has room."""
+
+import collections
+import collections.abc
+import contextlib
+import random
+
+import attrs
+import trio
+
+from turmerictally import clock as clocks
+from turmerictally.entry import gossip, inflight
+from turmerictally.entry import trace as traces
+from turmerictally.scheduling import placing, shares, waiting
+
+RELAY_S = 0.1  # two bundles of relays, on the way between hosts
+
+Look = collections.abc.Callable[[], list[placing.Load]]
+
+
+@attrs.define(eq=False)
+class Turns:
+    """Give turns to requests when there is less room than they ask for.
+
+    ``limited`` holds teams to their shares; without ``room_on`` nothing waits.
+    """
+
+    inflight: inflight.InFlight
+    hosts: gossip.Hosts
+    room: waiting.Room
+    clock: clocks.Clock
+    trace: traces.Trace
+    limited: bool = True
+    room_on: bool = True
+    looked_at: float = float("-inf")
+    waited_s: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    refused: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+    @contextlib.contextmanager
+    def counted(
+        self, service: str, team: str
+    ) -> collections.abc.Generator[None, None, None]:
+        """Count a request as its team's work while it is here."""
+        self.room.work.begin(service, team)
+        try:
+            yield
+        finally:
+            self.room.work.end(service, team)
+
+    async def take(
+        self, request: waiting.Request, request_id: str, look: Look
+    ) -> list[placing.Load] | waiting.Refusal:
+        """Return the servers that a request may go to now, waiting for one if need be.
+
+        ``look`` returns the loads as known at the moment.
+        """
+        loads = look()
+        if not loads:
+            return loads
+        begins = self._part_to_begin(request.service, loads)
+        others = self.room.waiting(request.service)
+        if begins == 1:
+            self._offer(request.service, loads, len(others))
+            return self.limit(loads)
+        now = self.clock.monotonic()
+        queues = [load for load in loads if load.online <= load.slots]
+        if queues and self.room.work.is_rare(request.service, request.team, now):
+            # A rare request takes the one place in a server's own queue: this host may
+            # have no other request there whose end would make room.
+            return queues
+        situation = self.situation(loads)
+        if not self.limited:
+            request.rank = 0.0
+        refusal = self.room.admits(request, situation, now)
+        if refusal is not None:
+            return self._refuse(request, refusal)
+        if not self.room_on:
+            return loads
+        if not others and self.room.rng.random() < begins:
+            return self.limit(loads)
+        return await self._wait(request, request_id, look)
+
+    def limit(self, loads: list[placing.Load]) -> list[placing.Load]:
+        """Return the servers that may get a request more."""
+        return waiting.open_to(loads) if self.room_on else loads
+
+    def _part_to_begin(self, service: str, loads: list[placing.Load]) -> float:
+        places = waiting.places(loads)
+        if not self.room_on:
+            return float(places > 0)
+        online = sum(load.online for load in loads)
+        now = self.clock.monotonic()
+        return self.room.part_to_begin(service, places, online, self.told_s(), now)
+
+    def told_s(self) -> float:
+        """Return the seconds until the others know what this host sends."""
+        if not self.hosts.peers:
+            return 0.0
+        if self.hosts.relayed:
+            return self.hosts.nudge_s() + RELAY_S
+        return self.hosts.period_s()
+
+    def situation(self, loads: list[placing.Load]) -> waiting.Situation:
+        """Return what decisions on a service rest on."""
+        now = self.clock.monotonic()
+        heard = [peer.heard_at for peer in self.hosts.peers.values() if not peer.silent]
+        return waiting.Situation(
+            slots=sum(load.slots for load in loads),
+            waiting_elsewhere=self.hosts.totals.callers_waiting,
+            hosts=1 + len(heard),
+            age_s=round(now - min(heard, default=now), 3),
+        )
+
+    async def _wait(
+        self, request: waiting.Request, request_id: str, look: Look
+    ) -> list[placing.Load] | waiting.Refusal:
+        since = self.clock.monotonic()
+        self.room.add(request)
+        loads = None
+        try:
+            with trio.move_on_after(max(0.0, request.start_by - since)):
+                loads = await self._turn(request, look)
+        finally:
+            self.room.drop(request)
+            if loads is None and request.offered:
+                # Its caller left, or its time was up, before it took its turn.
+                self.freed(request.server)
+            waited_s = self.clock.monotonic() - since
+            self.waited_s[request.team] += waited_s
+            self.trace.emit(
+                "waited",
+                request_id,
+                team=request.team,
+                waited_s=round(waited_s, 3),
+                others=len(self.room.requests),
+                outcome="room" if loads else "left or too late",
+            )
+        if loads is not None:
+            return loads
+        now = self.clock.monotonic()
+        situation = self.situation(look())
+        share = self.room.work.part(request.service, request.team, situation.slots, now)
+        return self._refuse(
+            request,
+            self.room.refuse(request, "no room in time", share, situation, now),
+        )
+
+    async def _turn(self, request: waiting.Request, look: Look) -> list[placing.Load]:
+        while True:
+            turn = trio.Event()
+            request.turn = turn.set
+            if not request.offered:
+                await turn.wait()
+            request.offered = False
+            found = self.limit(look())
+            freed = [load for load in found if load.name == request.server]
+            if freed or found:
+                return freed or found
+
+    def _refuse(
+        self, request: waiting.Request, refusal: waiting.Refusal
+    ) -> waiting.Refusal:
+        self.refused[request.team] += 1
+        return refusal
+
+    def freed(self, server: str) -> None:
+        """Offer the slot that an own request left, which no other host knows of."""
+        found = self.inflight.registry.servers.get(server)
+        if found is None or not self.room.waiting(found.service):
+            return
+        loads = self.inflight.loads(found.service)
+        if any(load.name == server for load in self.limit(loads)):
+            self._offer(found.service, loads, 1, server)
+
+    def heard(self) -> None:
+        """Offer the room that other hosts tell of, once for each of their digests."""
+        now = self.clock.monotonic()
+        if not self.room.requests or now < self.looked_at + self.told_s():
+            return
+        self.looked_at = now
+        for service in {request.service for request in self.room.requests}:
+            loads = self.inflight.loads(service)
+            situation = self.situation(loads)
+            count = self.room.part_of(waiting.places(loads), service, situation)
+            self._offer(service, loads, count)
+
+    def _offer(
+        self, service: str, loads: list[placing.Load], count: int, server: str = ""
+    ) -> None:
+        situation = self.situation(loads)
+        now = self.clock.monotonic()
+        for _ in range(count):
+            request = self.room.next(service, situation, now)
+            if request is None:
+                return
+            request.offered, request.server = True, server
+            request.turn()
+
+
+def make_room(hosts: gossip.Hosts, rng: random.Random) -> waiting.Room:
+    """Return an empty waiting room that knows the other hosts' work."""
+    work = shares.TeamWork(hosts.totals.work)
+    return waiting.Room(work, shares.Durations(), rng)
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -1,5 +1,6 @@
 """Run the items of the batch jobs that this host owns, in free slots only."""
 
+import collections
 import collections.abc
 import random
 
@@ -62,10 +63,14 @@
     trace: traces.Trace
     rng: random.Random
     nudge: collections.abc.Callable[[], None]
+    on_change: collections.abc.Callable[[jobs.Kept], None] = lambda kept: None
     owned: dict[str, Owned] = attrs.Factory(dict)
     stopping: bool = False
+    fair: bool = False  # whether teams take turns with the free slots
+    some: trio.Event = attrs.field(factory=trio.Event)
     expected: itemorder.Expected = attrs.field(factory=itemorder.Expected)
     nursery: trio.Nursery | None = None
+    most_items: int | None = None  # that this host runs at once; None is any
 
     async def run(self) -> None:
         """Work until cancelled."""
@@ -76,6 +81,10 @@
                 if not self.stopping:
                     self._start_items()
                     self.give_way()
+                    self._leave_slow()
+                if not self.owned:
+                    self.some = trio.Event()
+                    await self.some.wait()
                 await trio.sleep(TICK_S * self.rng.uniform(0.8, 1.2))
 
     def own(self, kept: jobs.Kept, items: list[jobs.Item], listed: set[str]) -> None:
@@ -99,6 +108,7 @@
             if item.id not in listed
         }
         self.owned[kept.state.job] = Owned(kept, kept.version, tasks)
+        self.some.set()
         self.publish(kept)
 
     def _forget(self, owned: Owned) -> None:
@@ -110,6 +120,7 @@
         """Take an own change into the followed copy at once."""
         where = jobs.state_address(kept.state.job)
         self.states.apply([rows.Row(where, kept.state.encode(), kept.version)], 0)
+        self.on_change(kept)
 
     def waiting(self) -> list[tuple[Owned, itemrun.Task]]:
         """Return the items that could run now."""
@@ -203,7 +214,7 @@
         free = attrs.evolve(state, owner="", instance="")
         try:
             puts, _ = _unsaved_progress(owned, 1)
-            await self.jobs.change(owned.kept, free, puts)
+            self.on_change(await self.jobs.change(owned.kept, free, puts))
         except (rows.ConflictError, rows.UnavailableError) as error:
             # The others find this host gone and take the job over a little later.
             self.trace.emit("job_not_released", job=state.job, reason=str(error))
@@ -234,6 +245,40 @@
             task.scope.cancel()
             self._uncount(task)
 
+    def _leave_slow(self) -> None:
+        """Stop an item that ends too late on its slow server, to go on elsewhere.
+
+        One at a time: each takes a free slot that others see too.
+        """
+        for owned in self.owned.values():
+            for task in owned.tasks.values():
+                running = task.scope is not None and not task.scope.cancel_called
+                slowness = self.inflight.expected(task.server).slowness
+                if running and slowness > 1.0 and self._leaves(owned, task):
+                    task.scope.cancel()
+                    self._uncount(task)
+                    return
+
+    def _leaves(self, owned: Owned, task: itemrun.Task) -> bool:
+        server = self.inflight.registry.servers.get(task.server)
+        if server is None:
+            return False
+        loads = {load.name: load for load in self.inflight.loads(server.service)}
+        here = loads.pop(task.server, None)
+        need = self._need(owned, task)
+        if here is None or not placing.should_leave(need, here, loads.values()):
+            return False
+        self.trace.emit(
+            "item_leaves",
+            task.item.id,
+            server=task.server,
+            last_event=task.last_event,
+            left_s=round(need.left_s, 2),
+            due_in_s=round(need.due_in_s, 2),
+            **self.inflight.speed_evidence(task.server),
+        )
+        return True
+
     def _uncount(self, task: itemrun.Task) -> None:
         """Take an item off its server's count, once."""
         if task.counted:
@@ -243,7 +288,7 @@
     def _start_items(self) -> None:
         if self.owned:
             self.inflight.note_peaks()
-        waiting = sorted(self.waiting(), key=lambda pair: self._rank_of(*pair))
+        waiting = self._ordered()
         if not waiting or self.configured.current is None:
             return
         groups: dict[str, list[tuple[Owned, itemrun.Task]]] = {}
@@ -259,18 +304,60 @@
                 waiting=len(pairs),
                 waiting_elsewhere=elsewhere,
                 rng=self.rng,
+                most=self._may_start(),
             )
-            for (owned, task), name in zip(pairs, starts, strict=False):
-                self._start(owned, task, name)
+            by_name = {load.name: load for load in loads}
+            slowness = {name: load.slowness for name, load in by_name.items()}
+            needs = [self._need(*pair) for pair in pairs[: len(starts)]]
+            starts = placing.match_items(needs, starts, slowness)
+            for pair, need, name in zip(pairs, needs, starts, strict=False):
+                if not placing.should_leave(need, by_name[name], loads):
+                    self._start(*pair, name)
             if starts:
                 self.nudge()
 
+    def _may_start(self) -> int | None:
+        """Return how many items more this host may run, None when any."""
+        if self.most_items is None:
+            return None
+        running = sum(
+            task.running
+            for owned in self.owned.values()
+            for task in owned.tasks.values()
+        )
+        return max(0, self.most_items - running)
+
+    def _need(self, owned: Owned, task: itemrun.Task) -> placing.Need:
+        state = owned.kept.state
+        due_s = state.created_s + state.completion_s
+        now_s = self.states.store_now_s()
+        left_s = self.expected.left_s(len(task.parts))
+        return placing.Need(
+            left_s, due_s - (state.created_s if now_s is None else now_s)
+        )
+
+    def _ordered(self) -> list[tuple[Owned, itemrun.Task]]:
+        """Return the waiting items, the first in order first."""
+        ranked = [(self._rank_of(*pair), pair) for pair in self.waiting()]
+        ranked.sort(key=lambda each: each[0])
+        if not self.fair:
+            return [pair for _, pair in ranked]
+        running = collections.Counter(
+            owned.kept.state.team
+            for owned in self.owned.values()
+            for task in owned.tasks.values()
+            if task.running
+        )
+        teams = [(owned.kept.state.team, rank[0]) for rank, (owned, _) in ranked]
+        return [ranked[at][1] for at in itemorder.by_turns(teams, running)]
+
     def _start(self, owned: Owned, task: itemrun.Task, name: str) -> None:
         server = self.inflight.registry.servers[name]
         task.scope = trio.CancelScope()
         task.server = name
         task.counted = True
         self.inflight.count_batch(name, 1)
+        self.inflight.reserve(name)
         self.trace.emit(
             "item_placed",
             task.item.id,
@@ -278,6 +365,7 @@
             server=name,
             last_event=task.last_event,
             errors=task.errors,
+            **self.inflight.speed_evidence(name),
             **self.inflight.registry.evidence(name),
         )
         self.nursery.start_soon(self._run_item, owned, task, server)
@@ -309,7 +397,7 @@
             task.scope = None
             task.server = ""
         now = self.clock.monotonic()
-        task.worked_s += now - started
+        task.worked_s += (now - started) / self.inflight.expected(name).slowness
         if outcome == "done":
             self.inflight.succeeded(name)
             self.expected.learn(task.worked_s, len(task.parts))
--- a/turmerictally/platform/deployment.py
+++ b/turmerictally/platform/deployment.py
@@ -24,6 +24,7 @@
     servers_table=configuration.SERVERS_TABLE,
     read_configuration=configuration.read_configuration,
     read_server=configuration.read_server,
+    read_evacuation=configuration.read_evacuation,
 )
 
 
@@ -67,6 +68,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(COLLECT_AFTER_OBJECTS)
+    gc.enable()
 
 
 async def _reload(
--- a/turmerictally/tests/features/steps/entry_logs_steps.py
+++ b/turmerictally/tests/features/steps/entry_logs_steps.py
@@ -23,6 +23,7 @@
         name for path in code for name in EMITTED.findall(path.read_text())
     }
     page = (ROOT / "docs" / "OPERATIONS.md").read_text().split("## Events")[1]
+    page = page.partition("\n## ")[0]
     rows = [line for line in page.splitlines() if line.startswith("| `")]
     context.listed = {
         name for row in rows for name in re.findall(r"`([a-z_]+)`", row.split("|")[1])
--- /dev/null
+++ b/turmerictally/tests/features/steps/entry_speeds_steps.py
@@ -0,0 +1,166 @@
+"""Steps for learned speeds among hosts."""
+
+import behave
+import trio
+
+from turmerictally.entry import settings
+from turmerictally.scheduling import placing, switching
+from turmerictally.tests.support import users_platform
+
+
+def ask(context, learns):
+    async def main(world):
+        world.slowness["s1"] = 4.0
+        async with trio.open_nursery() as nursery:
+            for _ in range(40):
+                nursery.start_soon(users_platform.Caller(world).ask)
+                await trio.sleep(0.05)
+            context.learned = [
+                served.inflight.loads("llm") for served in world.hosts.values()
+            ]
+            heard = world.hosts[1].hosts.peers["h0"].digest
+            context.told = heard.speeds
+        context.lines = world.lines("placed")
+
+    scheduling = settings.Scheduling(learned_speeds=learns)
+    users_platform.play(main, hosts=2, servers=3, settings={"scheduling": scheduling})
+
+
+@behave.when("a host is asked by turns and one of three servers is 4 times slower")
+def asked(context):
+    ask(context, True)
+
+
+@behave.when("the same happens without learned speeds")
+def asked_without(context):
+    ask(context, False)
+
+
+@behave.then(
+    "both hosts expect that server to take 3 to 5 times as long, and the others not"
+)
+def both_know(context):
+    for loads in context.learned:
+        found = {load.name: load.slowness for load in loads}
+        assert 3.0 < found.pop("s1") < 5.0, found
+        assert set(found.values()) == {1.0}, found
+
+
+@behave.then(
+    "the lines of placed requests tell it, with its age and on how much it rests"
+)
+def lines_tell(context):
+    slow = [line for line in context.lines if line["server"] == "s1"]
+    assert any(line.get("slowness", 0.0) > 3.0 for line in slow)
+    for line in slow:
+        assert {"slowness", "speed_hosts", "speed_age_s"} <= line.keys()
+
+
+@behave.then("no digest tells speeds and no line does")
+def nothing_told(context):
+    assert not context.told
+    assert not any("slowness" in line for line in context.lines)
+    assert all(load.slowness == 1.0 for loads in context.learned for load in loads)
+
+
+@behave.when(
+    "a host with streams that {may} switch late meets one silent server of four"
+)
+def silent(context, may):
+    async def main(world):
+        world.servers["s1"].silent = True
+        context.replies = []
+
+        async def one():
+            context.replies.append(await users_platform.Caller(world).ask())
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(20):
+                nursery.start_soon(one)
+                await trio.sleep(0.3)
+        context.runs = world.runs
+
+    scheduling = settings.Scheduling(switch_late=may == "may")
+    users_platform.play(main, hosts=1, servers=4, settings={"scheduling": scheduling})
+
+
+@behave.then(
+    "each of 20 callers has its whole answer, {count} of them with a late first event"
+)
+def begun(context, count):
+    assert len(context.replies) == 20 and all(r.whole for r in context.replies)
+    late = sum(r.event_times[0] - r.asked_at > 0.3 for r in context.replies)
+    assert bool(late) == (count == "some"), late
+
+
+@behave.then("no request runs on two servers at once")
+def one_at_a_time(context):
+    twice = [run for run in context.runs if run.server == "s1"]
+    assert twice and all(run.ended == "cut" for run in twice)
+    for run in twice:
+        later = [r for r in context.runs if r.request == run.request and r is not run]
+        assert all(other.at >= run.at + 0.1 for other in later)
+
+
+@behave.given("a budget for streams that begin late")
+def budget(context):
+    context.budget = switching.Budget()
+
+
+@behave.then(
+    "of {count:d} requests at most {most:d} are offered again while others have room"
+)
+def share_of(context, count, most):
+    loads = [placing.Load(f"s{n}", "a", 8) for n in range(10)]
+    for _ in range(count):
+        context.budget.note_request()
+        context.budget.spend(loads)
+    assert 0 < context.budget.switched <= most, context.budget.switched
+
+
+@behave.then("none is while one server of ten has room")
+def none_when_full(context):
+    loads = [placing.Load(f"s{n}", "a", 8, 8 if n else 0) for n in range(10)]
+    context.budget.saved = switching.MAX_SAVED
+    assert not context.budget.spend(loads)
+
+
+@behave.when(
+    "one of three servers turns 12 times slower while items run and a host {learns} "
+    "learned speeds"
+)
+def turns_slow(context, learns):
+    async def main(world):
+        world.configure(batch={"completionTargetMs": 8000})
+        for server in world.servers.values():
+            server.events = 100
+        async with trio.open_nursery() as nursery:
+
+            async def ask():
+                while True:
+                    nursery.start_soon(users_platform.Caller(world).ask)
+                    await trio.sleep(0.4)
+
+            nursery.start_soon(ask)
+            await trio.sleep(2.0)
+            body, ids = users_platform.lot(world, 6)
+            due = trio.current_time() + 8.0
+            await users_platform.Caller(world).ask(
+                "/night/x", body=body, request_id="j1"
+            )
+            await trio.sleep(0.5)
+            world.slowness["s1"] = 12.0
+            await trio.sleep_until(due)
+            nursery.cancel_scope.cancel()
+        kept = world.hosts[0].known_jobs.kept["j1"]
+        context.whole = kept.state.listed == len(ids)
+        context.leaving = world.lines("item_leaves")
+
+    scheduling = settings.Scheduling(learned_speeds=learns == "uses")
+    users_platform.play(main, hosts=1, servers=3, settings={"scheduling": scheduling})
+
+
+@behave.then("the job is {done} within its 8 s")
+def job_done(context, done):
+    assert context.whole == (done == "whole")
+    assert bool(context.leaving) == context.whole
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -56,6 +56,7 @@
     resumed_after: int | None
     ended: str = ""
     events_made: int = 0
+    ended_at: float = float("inf")
 
 
 class Server:
@@ -87,6 +88,7 @@
         self.drips = False  # each stream stalls, but for a byte now and then
         self.copies_answers = False  # each answer comes again when the next is due
         self.born = 1
+        self.cold_ms = None  # as its registration tells, which may be of any type
         self.keep_alive_s = None  # for which it names to keep idle connections
         self.answers = {}  # by connection, the last one's copy
         self.arrivals = 0
@@ -102,6 +104,8 @@
             "state": self.state,
             "born": self.born,
         }
+        if self.cold_ms is not None:
+            value["coldRemainingMs"] = self.cold_ms
         self.world.store.put("servers", self.name, json.dumps(value).encode())
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
@@ -186,6 +190,7 @@
         finally:
             self.running -= 1
             run.ended = run.ended or "cut"
+            run.ended_at = trio.current_time()
             self.freed.set()
             self.freed = trio.Event()
 
@@ -321,7 +326,11 @@
 class World:
     """Hold a deployment on the users' platform."""
 
-    def __init__(self, hosts=2, servers=2, seed=0, **route):
+    def __init__(
+        self, hosts=2, servers=2, seed=0, scheduling=None, settings=None, **route
+    ):
+        self.settings = {} if scheduling is None else {"scheduling": scheduling}
+        self.settings |= settings or {}
         self.fabric = fabric.Fabric()
         self.store = rows.RowStore()
         self.rng = random.Random(seed)
@@ -401,6 +410,7 @@
             store=settings.Store("http://store", 1.0),
             batch=settings.Batch(120.0),
             stop=settings.Stop(8.0, 2.6),
+            **self.settings,
         )
         served = Quiet(
             config,
