Send callers with a new job on at once where the store turns this host away

A host that was turned away tried each new job for 0.6 s and told its caller to come back after 0.5 s, which leaves too little of the 1.2 s in which a job is to be accepted: all items of such a job are late whatever is done later.

Change: a host whose feed of the jobs' states has no answer for over a second, while most hosts that it hears reach the store, refuses a new job at once as not run; its caller is to come back after 0.05 to 0.15 s and meets another host. Where the store is away from all, nothing changes.

--- a/turmerictally/entry/desk.py
+++ b/turmerictally/entry/desk.py
@@ -29,6 +29,9 @@
 # submission is about as long.
 SUBMIT_TRIES_S = 0.6
 STORE_RETRY_AFTER_S = 0.5  # to callers, when the store does not answer
+# The same when it answers most other hosts, which can take the job at once; spread, so
+# that callers do not return together.
+ELSEWHERE_RETRY_AFTER_S = (0.05, 0.15)
 QUOTA_RETRY_AFTER_S = 2.0  # when a team's waiting tokens leave no room for a job
 MAX_ITEMS = 200  # of one job
 MAX_ID = 120  # characters of a job's id, which is part of row keys
@@ -169,6 +172,10 @@
                 relay.Refusal.UNAVAILABLE, "store unknown", STORE_RETRY_AFTER_S
             )
             return "store unknown"
+        if self.states.lost and self._store_answers_others():
+            wait = self.rng.uniform(*ELSEWHERE_RETRY_AFTER_S)
+            await exchange.refuse(relay.Refusal.UNAVAILABLE, "store not reached", wait)
+            return "refused: the store answers other hosts"
         state = jobs.State(
             job=job,
             team=team,
@@ -192,6 +199,11 @@
         deadline = exchange.arrived + min(given, route.timeout_s) - ANSWER_MARGIN_S
         return await self._create(exchange, state, items, deadline)
 
+    def _store_answers_others(self) -> bool:
+        """Return whether most of the hosts that are heard reach the store."""
+        ages = [digest.store_age_s for digest in self.worker.hosts.audible()]
+        return 2 * sum(age < FRESH_S for age in ages) > len(ages)
+
     async def _create(
         self,
         exchange: front.Exchange,
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -21,6 +21,12 @@
     When the store refuses a submission
     Then the caller gets 503 with a time to come back and nothing ever runs
 
+  # Load: jobs that arrive while the store turns a third of the hosts away.
+  Scenario: A host that the store turns away lets callers go to others at once
+    When the store turns one of four hosts away for 3 s and two jobs arrive there
+    Then the caller gets 503 within 50 ms, is to come back within 0.2 s, and nothing runs
+    And the job is accepted by another host, at 202
+
   Scenario: Results whose saving is not answered keep their positions
     When the store loses answers while results are saved
     Then both hosts list the same results at the same positions, whole
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -180,6 +180,42 @@
     assert not context.world.runs
 
 
+@behave.when(
+    "the store turns one of four hosts away for {seconds:d} s and two jobs arrive there"
+)
+def turned_away(context, seconds):
+    async def main(world):
+        world.store.refused = {"h0"}
+        await trio.sleep(seconds)
+        context.replies = []
+        for _ in range(2):
+            asked_at = trio.current_time()
+            reply, _ = await submit(world, 0)
+            context.replies.append((reply, trio.current_time() - asked_at))
+        await trio.sleep(2.0)
+        context.ran = len(world.runs)
+        context.reply, _ = await submit(world, 1)
+
+    play(context, main, hosts=4)
+
+
+@behave.then(
+    "the caller gets 503 within {most_ms:d} ms, is to come back within {back_s:g} s, "
+    "and nothing runs"
+)
+def refused_at_once(context, most_ms, back_s):
+    for reply, took_s in context.replies:
+        assert reply.status == 503, reply
+        assert took_s <= most_ms / 1000, took_s
+        assert 0 < float(reply.headers["retry-after"]) <= back_s
+    assert context.ran == 0
+
+
+@behave.then("the job is accepted by another host, at {status:d}")
+def accepted_elsewhere(context, status):
+    assert context.reply.status == status, context.reply
+
+
 @behave.when("the store loses answers while results are saved")
 def lost_saves(context):
     async def main(world):
