Suspect a silent domain's servers within three digest periods

When a domain was cut off, each host found out by itself and request by request: a connection that did not open took 0.4 s, more than the whole objective of 0.3 s, and the requests of unreachable hosts counted against the servers of the other side for 2.5 s.

Hosts now suspect a domain none of whose hosts (two at least) was received for three digest periods while others were. Its servers get single requests on new connections until one succeeds. Connection time-outs follow the times of earlier connections, and an unreachable host's online requests count for one and a half mean service times.

scheduling.disabled switches mechanisms off, so that each can be measured by itself.

--- a/turmerictally/entry/admission.py
+++ b/turmerictally/entry/admission.py
@@ -13,6 +13,7 @@
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import fair_shares, placement, wait_queue
 
+REQUEST_TTL_FACTOR = 1.5  # of the mean service time
 RELAY_DELAY_S = 0.1  # a digest waits in the bundles of two relays on its way
 
 ReadLoads = collections.abc.Callable[[], list[placement.ServerLoad]]
@@ -103,6 +104,11 @@
             service, free_slots, online, self.propagation_s(), now
         )
 
+    def request_ttl_s(self) -> float:
+        """Return the seconds after which an unreachable host's requests have ended."""
+        service_s = self.wait_queue.service_times.mean_s
+        return min(gossip.PEER_TTL_S, REQUEST_TTL_FACTOR * service_s)
+
     def propagation_s(self) -> float:
         """Return the seconds until other hosts know of a change on this host."""
         if not self.hosts.peers:
--- a/turmerictally/entry/dissemination.py
+++ b/turmerictally/entry/dissemination.py
@@ -372,6 +372,7 @@
     next_baseline_at: float = float("-inf")
     baselines_sent: int = 0  # within the clock's second baselines_second
     baselines_second: int = 0
+    early_digests_enabled: bool = True
     early_digest: trio.Event = attrs.field(factory=trio.Event)
     endpoint: network.DatagramSocket | None = None
     relay_selector: RelaySelector = attrs.field(init=False)
@@ -397,12 +398,13 @@
 
     def send_early_digest(self) -> None:
         """Send the next digest as soon as the least gap after the last one is over."""
-        self.early_digest.set()
+        if self.early_digests_enabled:
+            self.early_digest.set()
 
     def on_load_change(self) -> None:
         """Report a changed load: with an early digest if relayed, else the next one."""
         if self.hosts.relayed:
-            self.early_digest.set()
+            self.send_early_digest()
 
     def send_job_state(self, job: str, version: int, value: bytes) -> None:
         """Send a job state that this host wrote to all hosts, in an early digest.
--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -17,6 +17,7 @@
 from turmerictally.scheduling import (
     failover,
     fair_shares,
+    mechanisms,
     placement,
     server_speeds,
     wait_queue,
@@ -149,6 +150,7 @@
     timers: sweep.TimerQueue
     admission: admissions.Admission | None = None
     failover_budget: failover.FailoverBudget | None = None
+    disabled: frozenset[mechanisms.Mechanism] = frozenset()
 
     async def run(self, pending: PendingRequest) -> str:
         """Forward a request and respond; return the outcome for the log."""
@@ -241,6 +243,7 @@
             },
             objective_s=pending.route.objective_s or math.inf,
             max_gap_s=pending.route.max_gap_s or math.inf,
+            disabled=self.disabled,
         )
         if chosen is None:
             pending.reason = "servers full"
@@ -337,6 +340,9 @@
     ) -> AttemptResult:
         try:
             max_idle_s = None if pending.route.repeatable else pool.SAFE_IDLE_S
+            if self.inflight.is_suspected(server.instance):
+                # Connecting shows whether it is reachable, before anything is sent.
+                max_idle_s = 0.0
             connection = await self.pool.acquire(server.address, max_idle_s)
         except pool.ConnectError as error:
             pending.reason = f"not connected: {error}"
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -42,7 +42,13 @@
 )
 from turmerictally.entry import trace as traces
 from turmerictally.metrics import latency
-from turmerictally.scheduling import failover, memory_budget, placement, server_speeds
+from turmerictally.scheduling import (
+    failover,
+    mechanisms,
+    memory_budget,
+    placement,
+    server_speeds,
+)
 from turmerictally.store import rows
 
 MAX_TEAM_HISTOGRAMS = 20  # the busiest teams get one each; the rest share one
@@ -181,10 +187,15 @@
             self._on_received,
             self._on_heartbeat,
         )
+        self.disseminator.early_digests_enabled = (
+            mechanisms.Mechanism.EARLY_DIGESTS
+            not in config.scheduling.disabled_mechanisms
+        )
         self.hosts.on_reachable = self.disseminator.on_peer_reachable
 
     def _build_request_path(self, codec: messages.Codec) -> None:
         config, clock, trace = self.settings, self.clock, self.trace
+        disabled = config.scheduling.disabled_mechanisms
         self.pool = pool.Pool(self.network, clock)
         self.sweep = sweep.TimerQueue()
         self.inflight = inflight.InFlight(
@@ -195,7 +206,13 @@
             ejection.Ejector(config.failure_domain),
             self.availability,
         )
-        learns = config.scheduling.learned_speeds
+        self.inflight.disabled = disabled
+        if mechanisms.Mechanism.DOMAIN_SUSPICION not in disabled:
+            self.hosts.on_domain_silent = self.inflight.suspect_domain
+            self.hosts.on_domain_heard = self.inflight.trust_domain
+        learns = self._enables(
+            config.scheduling.learned_speeds, mechanisms.Mechanism.LEARNED_SPEEDS
+        )
         self.inflight.speed_tracker = server_speeds.SpeedTracker() if learns else None
         self.jobs = jobs.JobStore(self.store)
         self.job_states = jobs.JobStates()
@@ -226,6 +243,7 @@
             ),
             fair_to_teams=config.scheduling.fair_shares,
             on_state_change=self._on_job,
+            disabled=disabled,
         )
         self.registry.on_leaving = self._on_leaving
         self.takeover = takeover.Takeover(self.worker)
@@ -245,8 +263,11 @@
             admission=self.admission,
             timers=self.sweep,
             failover_budget=failover.FailoverBudget()
-            if config.scheduling.switch_late
+            if self._enables(
+                config.scheduling.switch_late, mechanisms.Mechanism.FAILOVER
+            )
             else None,
+            disabled=disabled,
         )
         self.request_handler = handler.RequestHandler(
             active_configuration=self.active_configuration,
@@ -264,9 +285,20 @@
             rng=self.rng,
         )
 
+    def _enables(self, setting: bool, mechanism: mechanisms.Mechanism) -> bool:
+        """Return whether a mechanism is set on and not switched off."""
+        disabled = self.settings.scheduling.disabled_mechanisms
+        return setting and mechanism not in disabled
+
     def _make_admission(self) -> admission.Admission | None:
         scheduling = self.settings.scheduling
-        if not (scheduling.fair_shares or scheduling.waiting_room):
+        enforce_shares = self._enables(
+            scheduling.fair_shares, mechanisms.Mechanism.FAIR_SHARES
+        )
+        queueing_enabled = self._enables(
+            scheduling.waiting_room, mechanisms.Mechanism.WAIT_QUEUE
+        )
+        if not (enforce_shares or queueing_enabled):
             return None
         controller = admission.Admission(
             inflight=self.inflight,
@@ -274,10 +306,11 @@
             wait_queue=admission.make_wait_queue(self.hosts, self.rng),
             clock=self.clock,
             trace=self.trace,
-            enforce_shares=scheduling.fair_shares,
-            queueing_enabled=scheduling.waiting_room,
+            enforce_shares=enforce_shares,
+            queueing_enabled=queueing_enabled,
         )
         self.inflight.on_finished = controller.offer_freed_slot
+        self.hosts.request_ttl_s = controller.request_ttl_s
         return controller
 
     def _build_listeners(self) -> None:
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -12,7 +12,7 @@
 from turmerictally.entry import registry as registries
 from turmerictally.entry import trace as traces
 from turmerictally.routing import health
-from turmerictally.scheduling import placement, server_speeds
+from turmerictally.scheduling import mechanisms, placement, server_speeds
 
 # Consecutive failures that open a server's circuit: a healthy server may fail one
 # request in fifty, but rarely two in a row.
@@ -31,6 +31,7 @@
     """Combine this host's requests and outcomes with those that other hosts report.
 
     ``online`` and ``batch`` count this host's requests in flight by server.
+    ``suspected`` holds the servers of each domain that is probably cut off.
     """
 
     registry: registries.Registry
@@ -47,6 +48,7 @@
     on_finished: collections.abc.Callable[[str], None] = lambda server: None
     last_evaluated_at: float = float("-inf")
     speed_tracker: server_speeds.SpeedTracker | None = None
+    disabled: frozenset[mechanisms.Mechanism] = frozenset()
     peaks: placement.PeakLoads = attrs.field(factory=placement.PeakLoads)
     recent_outcomes: ejection.RecentOutcomes = attrs.field(
         factory=ejection.RecentOutcomes
@@ -68,7 +70,9 @@
             for server in self.registry.usable(service)
             if self.availability.accepts_requests(server, now)
         ]
-        ejected = self.ejector.excluded([s.instance for s in usable], now)
+        ejected: set[str] = set()
+        if mechanisms.Mechanism.EJECTION not in self.disabled:
+            ejected = self.ejector.excluded([s.instance for s in usable], now)
         servers = [s for s in usable if s.instance not in exclude]
         healthy = [
             s
@@ -189,6 +193,32 @@
         if self.clock.monotonic() >= self.last_evaluated_at + EVALUATION_INTERVAL_S:
             self.evaluate_servers()
 
+    def suspect_domain(self, domain: str) -> None:
+        """Keep requests away from the servers of a domain that is probably cut off.
+
+        Each gets single requests on new connections until one succeeds, or until the
+        domain's hosts are reachable again.
+        """
+        now = self.clock.monotonic()
+        names = [n for n, s in self.registry.servers.items() if s.domain == domain]
+        for name in names:
+            self.circuits.trip(name, now)
+        self.suspected[domain] = names
+        self.trace.emit("domain_suspected", domain=domain, servers=len(names))
+
+    def trust_domain(self, domain: str) -> None:
+        """Use the servers of a domain again, as its hosts are reachable."""
+        names = self.suspected.pop(domain, None)
+        if names is None:
+            return
+        for name in names:
+            self.circuits.forget(name)
+        self.trace.emit("domain_trusted", domain=domain, servers=len(names))
+
+    def is_suspected(self, name: str) -> bool:
+        """Return whether a server is probably cut off."""
+        return any(name in names for names in self.suspected.values())
+
     def open_circuits(self) -> list[str]:
         """Return the servers whose circuits are open on this host."""
         named_circuits = self.circuits.circuits.items()
@@ -256,6 +286,11 @@
             speed_is_stale=estimate.is_stale(now),
         )
 
+    def _reliability(self, name: str, own_outcomes: dict[str, list[int]]) -> float:
+        if mechanisms.Mechanism.RELIABILITY in self.disabled:
+            return 1.0
+        return self.ejector.reliability(self._outcomes(name, own_outcomes))
+
     def _item_room(self, name: str, now: float) -> int | None:
         """Return how many batch items a cold server may get; None if it is not cold."""
         budgets = self.availability.budgets
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -7,11 +7,11 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import http1, messages, network
+from turmerictally.scheduling import connect_timeout
 
 # A body up to this size is joined with the head into one call; a longer one isn't, as
 # that would copy it.
 MAX_JOINED_BODY_BYTES = 16 * 1024
-CONNECT_TIMEOUT_S = 0.4  # a hundred times the longest delay between failure domains
 MAX_IDLE_PER_SERVER = 16  # twice a server's slots
 DEFAULT_KEEP_ALIVE_S = 4.0  # if the server sends no keep-alive time-out
 MAX_KEEP_ALIVE_S = 30.0  # a connection unused for longer isn't needed
@@ -158,6 +158,7 @@
         self.network = net
         self.clock = clock
         self.idle: dict[str, list[Connection]] = collections.defaultdict(list)
+        self.connect_times = connect_timeout.ConnectTimes()
         self.opened = 0
         self.abandoned = 0
 
@@ -180,11 +181,13 @@
         return await self._open(address)
 
     async def _open(self, address: str) -> Connection:
+        started_at = trio.current_time()
         try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
+            with trio.fail_after(self.connect_times.timeout_s()):
                 stream = await self.network.connect(address)
         except (OSError, trio.TooSlowError) as error:
             raise ConnectError(str(error) or "timeout") from error
+        self.connect_times.record(trio.current_time() - started_at)
         self.opened += 1
         reader = http1.Reader(MAX_HEAD_BYTES, reads_responses=True)
         return Connection(address, stream, reader, self.clock)
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from turmerictally import checks, settings
+from turmerictally.scheduling import mechanisms
 
 STORE_SCHEME = "http://"  # the row store doesn't support TLS
 
@@ -28,6 +29,7 @@
         "waiting_room": False,
         "learned_speeds": False,
         "switch_late": False,
+        "disabled": [],
     },
     "memory": {"limit_mb": 0.0},
 }
@@ -94,12 +96,21 @@
 
 @attrs.frozen
 class Scheduling:
-    """Enable scheduling policies for scarce slots and servers of different speed."""
+    """Enable scheduling policies for scarce slots and servers of different speed.
+
+    ``disabled`` names mechanisms to switch off, for measurements.
+    """
 
     fair_shares: bool = False
     waiting_room: bool = False
     learned_speeds: bool = False
     switch_late: bool = False
+    disabled: list[str] = attrs.Factory(list)
+
+    @property
+    def disabled_mechanisms(self) -> frozenset[mechanisms.Mechanism]:
+        """Return the mechanisms to switch off."""
+        return mechanisms.parse(self.disabled)
 
 
 @attrs.frozen
@@ -133,6 +144,11 @@
         fault = checks.check_address(merged["listen"][name])
         if fault:
             faults.append(checks.Fault(f"listen.{name}", fault))
+    for name in merged["scheduling"]["disabled"]:
+        if name not in mechanisms.NAMES:
+            listed = ", ".join(mechanisms.NAMES)
+            fault = f"unknown mechanism {name!r}; there are: {listed}"
+            faults.append(checks.Fault("scheduling.disabled", fault))
     if merged["stop"]["unready_s"] >= merged["stop"]["grace_s"]:
         faults.append(checks.Fault("stop.unready_s", "expected less than grace_s"))
     url = merged["store"]["url"]
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -19,7 +19,7 @@
     watch,
 )
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import item_order, placement
+from turmerictally.scheduling import item_order, mechanisms, placement
 from turmerictally.store import rows
 
 SCHEDULE_INTERVAL_S = 0.1  # as often as hosts report their free slots
@@ -82,6 +82,7 @@
     estimate: item_order.ItemEstimate = attrs.field(factory=item_order.ItemEstimate)
     nursery: trio.Nursery | None = None
     max_running_items: int | None = None
+    disabled: frozenset[mechanisms.Mechanism] = frozenset()
 
     async def run(self) -> None:
         """Schedule items until cancelled."""
@@ -273,6 +274,8 @@
 
         Only one at a time: several would count on the same free slot.
         """
+        if mechanisms.Mechanism.ITEM_MOVES in self.disabled:
+            return
         for owned in self.owned_jobs.values():
             for task in owned.tasks.values():
                 running = (
@@ -383,6 +386,11 @@
             ranked[index][1] for index in item_order.interleave_teams(teams, running)
         ]
 
+    def _takes_team_turns(self) -> bool:
+        return (
+            self.fair_to_teams and mechanisms.Mechanism.TEAM_TURNS not in self.disabled
+        )
+
     def _start_item(
         self, owned: OwnedJob, task: item_runner.ItemTask, name: str
     ) -> None:
--- a/turmerictally/scheduling/placement.py
+++ b/turmerictally/scheduling/placement.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from turmerictally.scheduling import mechanisms
+
 # Share of its slots that must be free on the server that caches a request's shared
 # prompt part, so that requests which other hosts send before their next digest fit.
 AFFINITY_MIN_FREE_RATIO = 0.5
@@ -135,6 +137,7 @@
     connected: collections.abc.Set[str] = frozenset(),
     objective_s: float = math.inf,
     max_gap_s: float = math.inf,
+    disabled: collections.abc.Set[mechanisms.Mechanism] = frozenset(),
 ) -> ServerLoad | None:
     """Return the server for an online request, or None if all are full.
 
@@ -142,7 +145,8 @@
     Among those with free slots, one is drawn at random, weighted by its free slots and
     by whether a connection to it is open. If no slot is free, servers running batch
     items are still eligible, as batch items are preempted. A request that is not
-    ``repeatable`` does not go to a server on probation.
+    ``repeatable`` does not go to a server on probation. Preferences among servers that
+    are ``disabled`` do not apply.
     """
     if not repeatable:
         loads = [load for load in loads if not load.on_probation] or loads
@@ -158,12 +162,19 @@
     free = [load for load in eligible if load.total < load.slots]
     if not free:
         return min(eligible, key=lambda load: _queue_key(load, rng), default=None)
-    preferred = _affinity_server(eligible, prompt_parts)
+    preferred = None
+    if mechanisms.Mechanism.PROMPT_AFFINITY not in disabled:
+        preferred = _affinity_server(eligible, prompt_parts)
     if preferred is not None:
         min_free = preferred.slots * AFFINITY_MIN_FREE_RATIO
         if preferred.slots - preferred.total >= min_free:
             return preferred
 
+    if mechanisms.Mechanism.DOMAIN_PREFERENCE in disabled:
+        domain = ""
+    if mechanisms.Mechanism.CONNECTED_PREFERENCE in disabled:
+        connected = frozenset()
+
     def weight(load: ServerLoad) -> float:
         slots = load.slots - load.total + DOMAIN_BONUS_SLOTS * (load.domain == domain)
         base = slots**FREE_SLOTS_EXPONENT * (
