Start and preempt batch items by urgency over all hosts

Each host used free slots in proportion to its waiting items and preempted in an order of hosts.

Digests now carry the urgencies of waiting and running items. The n-th most urgent item of all hosts takes the n-th free slot, in an order that all hosts compute alike, and the least urgent item on an overfull server ends first, whichever host runs it.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -48,6 +48,9 @@
 # A host releases its own quota share earlier, as others may see its last renewal some
 # seconds late.
 SHARE_RELEASE_S = 25.0
+# Two renewals and the time in which hosts start again. What is spent meanwhile is
+# mostly refilled.
+MAX_LEVELS_AGE_S = 5.0
 TABLE = "hosts"
 RECOUNT_S = 0.25  # between two counts of many hosts; below RELAYED_UNREACHABLE_S
 MIN_TABLE_READ_S = 1.0  # between two reads of the hosts' rows
@@ -65,13 +68,15 @@
     """Hold the state that a host gossips.
 
     ``online`` and ``batch`` count its requests in flight by server, ``items_waiting``
-    its queued batch items, ``callers_waiting`` its queued online requests, and
-    ``demand``, by service and team, the slots that its online requests hold or wait
-    for. ``admitted`` and ``requested`` are counters by team since the host's start;
-    unless ``baseline``, teams without recent requests are omitted.
+    its queued batch items, ``callers_waiting`` its queued online requests within their
+    team's share, and ``demand``, by service and team, the slots that its online
+    requests hold or wait for. ``admitted`` and ``requested`` are counters by team since
+    the host's start; unless ``baseline``, teams without recent requests are omitted.
     ``baseline_requests`` names the hosts whose baseline this one misses, ``failing``
     the servers that it avoids. ``speeds`` gives by server the fields of
-    ``scheduling.server_speeds.SpeedReport``, ``job_states`` the rows of job states that
+    ``scheduling.server_speeds.SpeedReport``, ``waiting_urgencies`` those of its most
+    urgent queued items and ``batch_urgencies``, by server, those of its running ones as
+    in ``scheduling.item_order.urgency``, ``job_states`` the rows of job states that
     it wrote recently, each with its version.
 
     ``outcomes`` (recently answered and failed requests by server) and ``table_ages``
@@ -105,6 +110,8 @@
     speeds: dict[str, list[float]] = attrs.Factory(dict)
     callers_waiting: int = 0
     job_states: dict[str, tuple[int, bytes]] = attrs.Factory(dict)
+    waiting_urgencies: list[int] = attrs.Factory(list)
+    batch_urgencies: dict[str, list[int]] = attrs.Factory(dict)
 
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
@@ -115,6 +122,8 @@
             and self.failing == other.failing
             and self.demand == other.demand
             and self.callers_waiting == other.callers_waiting
+            and self.waiting_urgencies == other.waiting_urgencies
+            and self.batch_urgencies == other.batch_urgencies
         )
 
     def has_same_content(self, other: "Digest") -> bool:
@@ -174,7 +183,8 @@
 class HostRecord:
     """Hold a host's row; ``renewed_at`` is when its last renewal was seen (monotonic).
 
-    ``cores`` is the share of processor cores that the host may use.
+    ``cores`` is the share of processor cores that the host may use. ``quota_levels``
+    holds the levels of the teams' buckets at ``levels_at_s`` on the store's clock.
     """
 
     host: str
@@ -184,6 +194,8 @@
     renewed_at: float
     domain: str = ""
     cores: float = 1.0
+    quota_levels: dict[str, float] = attrs.Factory(dict)
+    levels_at_s: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -319,8 +331,10 @@
                     now,
                     str(fields.get("domain", "")),
                     float(fields.get("cores", 1.0)),
+                    {t: float(n) for t, n in fields.get("quota_levels", {}).items()},
+                    float(fields.get("levels_at_s", 0.0)),
                 )
-            except (ValueError, KeyError, TypeError) as error:
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
                 self.trace.emit("host_unreadable", host=name, reason=repr(error))
                 continue
             before = self.records.get(name)
@@ -411,6 +425,33 @@
         peer = self.peers.get(host)
         return peer is not None and peer.digest.stopping
 
+    def recorded_levels(self, store_now_s: float) -> dict[str, float]:
+        """Return the lowest recent level of each team's bucket in the hosts' rows."""
+        recent = [
+            record.quota_levels
+            for record in self.records.values()
+            if record.quota_levels
+            and store_now_s - record.levels_at_s <= MAX_LEVELS_AGE_S
+        ]
+        teams = set().union(*recent)
+        return {team: min(levels.get(team, 0.0) for levels in recent) for team in teams}
+
+    def waiting_urgencies(self) -> list[int]:
+        """Return the urgencies of the batch items that wait on reachable hosts."""
+        return [
+            urgency
+            for digest in self.reachable()
+            for urgency in digest.waiting_urgencies
+        ]
+
+    def batch_urgencies(self, server: str) -> dict[str, list[int]]:
+        """Return the urgencies of the batch items on a server, by other host."""
+        return {
+            name: peer.digest.batch_urgencies[server]
+            for name, peer in self.peers.items()
+            if server in peer.digest.batch_urgencies
+        }
+
     def address_of(self, host: str) -> str:
         """Return the address where a host receives digests, or "" if it is unknown."""
         record = self.records.get(host)
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -556,6 +556,11 @@
             callers_waiting=len(self.admission.wait_queue.requests)
             if self.admission
             else 0,
+            waiting_urgencies=self.worker.waiting_urgencies(),
+            batch_urgencies={
+                server: list(urgencies)
+                for server, urgencies in self.inflight.batch_urgencies.items()
+            },
         )
 
     def _demand(self) -> dict[str, int]:
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -42,6 +42,10 @@
     availability: availabilities.Availability
     online: collections.Counter[str] = attrs.field(factory=collections.Counter)
     batch: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    batch_urgencies: dict[str, list[int]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
+    suspected: dict[str, list[str]] = attrs.Factory(dict)
     last_success_at: dict[str, float] = attrs.Factory(dict)
     on_failure: collections.abc.Callable[[], None] = lambda: None
     on_change: collections.abc.Callable[[], None] = lambda: None
@@ -110,12 +114,20 @@
         if change < 0:
             self.on_finished(name)
 
-    def add_batch(self, name: str, change: int) -> None:
-        """Change the number of batch items in flight on a server."""
-        self.batch[name] += change
+    def add_item(self, name: str, urgency: int) -> None:
+        """Count a batch item in flight on a server."""
+        self.batch[name] += 1
+        self.batch_urgencies[name].append(urgency)
         self.on_change()
-        if change < 0:
-            self.on_finished(name)
+
+    def remove_item(self, name: str, urgency: int) -> None:
+        """Stop counting a batch item on a server."""
+        self.batch[name] -= 1
+        self.batch_urgencies[name].remove(urgency)
+        if not self.batch_urgencies[name]:
+            del self.batch_urgencies[name]
+        self.on_change()
+        self.on_finished(name)
 
     def record_first_event(self, name: str, seconds: float) -> None:
         """Record the time from a request to its first event."""
@@ -277,7 +289,7 @@
             online=online,
             online_peak=self._peak(name, online, now),
             batch_by_host=batch,
-            reliability=self.ejector.reliability(self._outcomes(name, own_outcomes)),
+            reliability=self._reliability(name, own_outcomes),
             on_probation=on_probation,
             max_batch_starts=self._item_room(name, now),
             slowness=estimate.slowness,
@@ -331,9 +343,13 @@
         return online + batch - slots
 
     def server_load(self, name: str) -> placement.ServerLoad | None:
-        """Return the load of a server, None if it is not registered."""
+        """Return the load of a server with its items' urgencies, None if unknown."""
         server = self.registry.servers.get(name)
         if server is None:
             return None
         now = self.clock.monotonic()
-        return self._load_of(server, self.recent_outcomes.counts(now), now, {})
+        load = self._load_of(server, self.recent_outcomes.counts(now), now, {})
+        urgencies = self.hosts.batch_urgencies(name)
+        if name in self.batch_urgencies:
+            urgencies[self.hosts.host_id] = self.batch_urgencies[name]
+        return attrs.evolve(load, batch_urgencies=urgencies)
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -24,7 +24,7 @@
     ``position`` is its index among the items of the job. ``saved_events`` counts the
     events that are saved in the store. ``server_time_s`` is the time of its runs,
     scaled to a server of median speed. ``not_before`` is the monotonic time from which
-    it may run again.
+    it may run again. ``urgency`` is that of its latest start.
     """
 
     item: jobs.Item
@@ -36,6 +36,7 @@
     errors: int = 0
     not_before: float = 0.0
     server: str = ""
+    urgency: int = 0
     counted_on_server: bool = False
     cancel_scope: trio.CancelScope | None = None
     refused_by: set[str] = attrs.Factory(set)
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -31,6 +31,7 @@
 # Bounds the work that an item loses when its host fails, at the cost of about one
 # transaction a second for each running job.
 CHECKPOINT_INTERVAL_S = 1.0
+MAX_REPORTED_URGENCIES = 16  # per digest, some 100 bytes
 MIN_CHECKPOINT_EVENTS = 10  # regenerating fewer events is faster than writing them
 
 
@@ -154,14 +155,30 @@
         ]
 
     def _order_key(self, owned: OwnedJob, task: item_runner.ItemTask) -> tuple:
+        candidate, now_s = self._candidate(owned, task)
+        return item_order.sort_key(candidate, self.estimate, now_s)
+
+    def _urgency(self, owned: OwnedJob, task: item_runner.ItemTask) -> int:
+        if mechanisms.Mechanism.ITEM_DEADLINE_ORDER in self.disabled:
+            return self.rng.getrandbits(item_order.LATE_OFFSET.bit_length())
+        candidate, now_s = self._candidate(owned, task)
+        return item_order.urgency(candidate, self.estimate, now_s)
+
+    def _candidate(
+        self, owned: OwnedJob, task: item_runner.ItemTask
+    ) -> tuple[item_order.Candidate, float]:
+        """Return an item's sort inputs and the time, both on the store's clock."""
         state = owned.versioned.state
         now_s = self.state_watch.store_now_s()
         candidate = item_order.Candidate(
             state.created_s + state.completion_s, len(task.event_data), task.position
         )
-        return item_order.sort_key(
-            candidate, self.estimate, state.created_s if now_s is None else now_s
-        )
+        return candidate, state.created_s if now_s is None else now_s
+
+    def waiting_urgencies(self) -> list[int]:
+        """Return the urgencies of the most urgent waiting items, for digests."""
+        urgencies = sorted(self._urgency(*pair) for pair in self.waiting_items())
+        return urgencies[:MAX_REPORTED_URGENCIES]
 
     def apply_changes(self, changed: list[rows.Row]) -> None:
         """Apply changes by other hosts to owned jobs: cancellation or a new owner."""
@@ -258,7 +275,7 @@
             if task.server == server and task.cancel_scope is not None
             if not task.cancel_scope.cancel_called
         ]
-        running.sort(key=lambda pair: self._order_key(*pair), reverse=True)
+        running.sort(key=lambda pair: (-pair[1].urgency, len(pair[1].event_data)))
         for _, task in running[:count]:
             self.trace.emit(
                 "item_gives_way",
@@ -314,7 +331,7 @@
         """Remove an item from the count of its server, unless that has been done."""
         if task.counted_on_server:
             task.counted_on_server = False
-            self.inflight.add_batch(task.server, -1)
+            self.inflight.remove_item(task.server, task.urgency)
 
     def _start_items(self) -> None:
         if self.owned_jobs:
@@ -327,14 +344,13 @@
             service = self._service_or_end(owned, task)
             if service is not None:
                 by_service.setdefault(service, []).append((owned, task))
-        waiting_elsewhere = self.hosts.totals.items_waiting
+        waiting_elsewhere = self.hosts.waiting_urgencies()
         for service, pairs in by_service.items():
             loads = self.inflight.server_loads(service)
             servers = placement.choose_batch_starts(
                 loads,
-                waiting=len(pairs),
+                waiting=sorted(self._urgency(*pair) for pair in pairs),
                 waiting_elsewhere=waiting_elsewhere,
-                rng=self.rng,
                 limit=self._remaining_capacity(),
             )
             loads_by_name = {load.name: load for load in loads}
@@ -373,7 +389,7 @@
         """Return the waiting items in the order in which they are to start."""
         ranked = [(self._order_key(*pair), pair) for pair in self.waiting_items()]
         ranked.sort(key=lambda entry: entry[0])
-        if not self.fair_to_teams:
+        if not self._takes_team_turns():
             return [pair for _, pair in ranked]
         running = collections.Counter(
             owned.versioned.state.team
@@ -397,8 +413,9 @@
         server = self.inflight.registry.servers[name]
         task.cancel_scope = trio.CancelScope()
         task.server = name
+        task.urgency = self._urgency(owned, task)
         task.counted_on_server = True
-        self.inflight.add_batch(name, 1)
+        self.inflight.add_item(name, task.urgency)
         self.inflight.reserve_permit(name)
         self.trace.emit(
             "item_placed",
--- a/turmerictally/scheduling/item_order.py
+++ b/turmerictally/scheduling/item_order.py
@@ -9,6 +9,8 @@
 SMOOTHING = 0.1
 # Expected server time of an item before one has completed; the first one replaces it.
 INITIAL_ITEM_S = 5.0
+URGENCY_STEPS_PER_S = 10
+LATE_OFFSET = 2**40  # in urgency steps: some thousand years
 
 
 @attrs.define
@@ -62,6 +64,15 @@
     return False, candidate.deadline, -candidate.events, candidate.order
 
 
+def urgency(candidate: Candidate, estimate: ItemEstimate, now: float) -> int:
+    """Return an item's urgency, which hosts compare: the lowest starts first.
+
+    It is the deadline in tenths of a second; late items come after all others.
+    """
+    late = now + estimate.remaining_s(candidate.events) > candidate.deadline
+    return round(candidate.deadline * URGENCY_STEPS_PER_S) + late * LATE_OFFSET
+
+
 def interleave_teams(
     ordered: collections.abc.Sequence[tuple[str, bool]],
     running: collections.abc.Mapping[str, int],
--- a/turmerictally/scheduling/placement.py
+++ b/turmerictally/scheduling/placement.py
@@ -4,8 +4,10 @@
 passed in.
 """
 
+import bisect
 import collections.abc
 import hashlib
+import itertools
 import math
 import random
 
@@ -46,8 +48,10 @@
 class ServerLoad:
     """Hold one server's requests in flight over all hosts, and its expected speed.
 
-    ``batch_by_host`` counts the batch items of each host that has any; ``online_peak``
-    is the highest count of online requests within ``PEAK_WINDOW_S``.
+    ``batch_by_host`` counts the batch items of each host that has any, and
+    ``batch_urgencies`` holds the urgencies of those that the host reported, the lowest
+    most urgent; ``online_peak`` is the highest count of online requests within
+    ``PEAK_WINDOW_S``.
     ``reliability`` is the expected share of requests answered; a server
     ``on_probation`` was ejected before and takes one request at a time.
     ``max_batch_starts`` limits the batch items that may start on a cold server.
@@ -70,6 +74,7 @@
     first_event_s: float = 0.0
     event_interval_s: float = 0.0
     speed_is_stale: bool = False
+    batch_urgencies: dict[str, collections.abc.Sequence[int]] = attrs.Factory(dict)
 
     @property
     def batch(self) -> int:
@@ -206,24 +211,40 @@
 def choose_batch_starts(
     loads: collections.abc.Sequence[ServerLoad],
     *,
-    waiting: int,
-    waiting_elsewhere: int,
-    rng: random.Random,
+    waiting: collections.abc.Sequence[int],
+    waiting_elsewhere: collections.abc.Iterable[int],
     limit: int | None = None,
 ) -> list[str]:
     """Return a server name for each batch item to start now, at most ``limit``.
 
+    ``waiting`` holds the urgencies of this host's items, the lowest most urgent and
+    first; ``waiting_elsewhere`` those of other hosts. All hosts see the same free slots
+    and number them alike, so the n-th most urgent item of all takes the n-th slot.
     Slots that are free only briefly are left to online requests: an item there would
-    be preempted before it generated anything. All hosts see the same free slots, so
-    this host uses a fraction of them equal to its fraction of all waiting items.
+    be preempted before it generated anything.
+    """
+    free = _free_batch_slots(loads)
+    elsewhere = sorted(waiting_elsewhere)
+    starts = []
+    for index, urgency in enumerate(waiting[:limit]):
+        position = index + bisect.bisect_left(elsewhere, urgency)
+        if position >= len(free):
+            break
+        starts.append(free[position])
+    return starts
+
+
+def _free_batch_slots(loads: collections.abc.Sequence[ServerLoad]) -> list[str]:
+    """Return a server name for each slot free for batch items, in one order for all.
+
+    Servers with the most free slots come first, where an item is preempted last.
     """
-    free = [load.name for load in loads for _ in range(load.free_for_batch)]
-    if not waiting or not free:
-        return []
-    share = len(free) * waiting / (waiting + waiting_elsewhere)
-    count = int(share) + (rng.random() < share - int(share))
-    rng.shuffle(free)
-    return free[: min(count, waiting, count if limit is None else limit)]
+    slots = [
+        (-remaining, _rank(load.name, "slot"), load.name)
+        for load in loads
+        for remaining in range(1, load.free_for_batch + 1)
+    ]
+    return [name for *_, name in sorted(slots)]
 
 
 def max_batch_items(cores: float) -> int:
@@ -272,16 +293,25 @@
 def count_preemptions(load: ServerLoad, host: str) -> int:
     """Return how many of a host's batch items to preempt on a server over its slots.
 
-    All hosts preempt in the same order of hosts, so that two hosts do not react to the
-    same excess before they receive each other's counts.
+    All hosts preempt the least urgent items in the same order, so that two hosts do
+    not react to the same excess before they receive each other's counts.
     """
-    excess = min(load.total - load.slots, load.batch)
-    for name in sorted(load.batch_by_host, key=lambda name: _rank(load.name, name)):
-        count = min(max(0, excess), load.batch_by_host[name])
-        if name == host:
-            return count
-        excess -= count
-    return 0
+    excess = load.total - load.slots
+    if excess <= 0 or host not in load.batch_by_host:
+        return 0
+    order = sorted(
+        (-urgency, _rank(load.name, name), name)
+        for name, count in load.batch_by_host.items()
+        for urgency in _padded(load.batch_urgencies.get(name, ()), count)
+    )
+    return sum(name == host for *_, name in order[:excess])
+
+
+def _padded(
+    urgencies: collections.abc.Sequence[int], count: int
+) -> collections.abc.Iterator[int]:
+    """Yield ``count`` urgencies; those that were not reported are the most urgent."""
+    return itertools.islice(itertools.chain(urgencies, itertools.repeat(0)), count)
 
 
 def _rank(key: str, member: str) -> bytes:
--- a/turmerictally/tests/features/steps/scheduling_placing_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_placing_steps.py
@@ -109,6 +109,10 @@
     def counts(self, host):
         return self.online[host].copy(), self.batch[host].copy()
 
+    def urgencies(self, host):
+        """Return the urgencies of 50 items that always wait at each host."""
+        return range(host, 50 * self.hosts, self.hosts)
+
     def exchange_digests(self, batch):
         self.digests = [self.counts(host) for host in range(self.hosts)]
         for host in range(self.hosts):
@@ -117,9 +121,13 @@
                 continue
             for name in placement.choose_batch_starts(
                 self.loads(host),
-                waiting=50,
-                waiting_elsewhere=50 * (self.hosts - 1),
-                rng=self.rng,
+                waiting=self.urgencies(host),
+                waiting_elsewhere=[
+                    urgency
+                    for other in range(self.hosts)
+                    if other != host
+                    for urgency in self.urgencies(other)
+                ],
             ):
                 self.batch[host][name] += 1
                 self.queues[name].append(("batch", host, self.now))
--- a/turmerictally/tests/features/steps/scheduling_speeds_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_speeds_steps.py
@@ -365,9 +365,8 @@
         len(
             placement.choose_batch_starts(
                 loads,
-                waiting=40,
-                waiting_elsewhere=0,
-                rng=random.Random(1),
+                waiting=range(40),
+                waiting_elsewhere=(),
                 limit=placement.max_batch_items(cores),
             )
         )
