Refuse a request above its team's share only if it cannot start in time

A request above its team's share now waits if it could start within its objective after all requests that wait anywhere or were refused lately. It comes after those within their share on all hosts, and takes no slot while one of them waits.

The scenarios of scheduling_shares, with one team and three at 7.5 times their rate, hold as before.

--- a/turmerictally/entry/admission.py
+++ b/turmerictally/entry/admission.py
@@ -82,7 +82,8 @@
             return self._refuse(request, refusal)
         if not self.queueing_enabled:
             return loads
-        if not queued and self.wait_queue.rng.random() < immediate_ratio:
+        may_start = request.in_share and not queued
+        if may_start and self.wait_queue.rng.random() < immediate_ratio:
             return self.eligible_servers(loads)
         return await self._wait(request, request_id, read_loads)
 
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -553,7 +553,7 @@
             leaving=self.registry.leaving_start_times() if full else {},
             speeds=self._speeds() if full else {},
             demand=self._demand(),
-            callers_waiting=len(self.admission.wait_queue.requests)
+            callers_waiting=self.admission.wait_queue.count_in_share()
             if self.admission
             else 0,
             waiting_urgencies=self.worker.waiting_urgencies(),
--- a/turmerictally/scheduling/wait_queue.py
+++ b/turmerictally/scheduling/wait_queue.py
@@ -25,13 +25,15 @@
 MAX_RETRY_RATIO = 1 / 3
 JITTER_RATIO = 0.25  # of retry delays, in both directions
 MIN_RETRY_AFTER_S = 0.15  # about a fifth of a typical service time
+ABOVE_SHARE = "above the team's share"
 
 
 @attrs.define(eq=False)
 class QueuedRequest:
     """Hold a queued request; ``start_by`` and ``deadline`` are monotonic seconds.
 
-    ``rank`` is its position among its team's requests in [0, 1). ``on_offer`` is called
+    ``rank`` is its position among its team's requests in [0, 1); ``in_share`` tells
+    whether it was within its team's share when it was queued. ``on_offer`` is called
     when a slot is offered to it. While ``offered``, it has not yet used the offer;
     ``server`` is the server with the slot, empty for any.
     """
@@ -43,6 +45,7 @@
     body_bytes: int
     start_by: float
     deadline: float
+    in_share: bool = True
     on_offer: typing.Callable[[], None] = lambda: None
     offered: bool = False
     server: str = ""
@@ -52,9 +55,9 @@
 class QueueConditions:
     """Hold the inputs of a queueing decision for one service.
 
-    ``slots`` counts the service's slots and ``waiting_elsewhere`` the requests queued
-    on other hosts. ``hosts`` counts the reachable hosts, including this one, and
-    ``age_s`` is the age of the oldest of their digests.
+    ``slots`` counts the service's slots and ``waiting_elsewhere`` the requests within
+    their team's share that are queued on other hosts. ``hosts`` counts the reachable
+    hosts, including this one, and ``age_s`` is the age of the oldest of their digests.
     """
 
     slots: int
@@ -134,22 +137,32 @@
         """Return the requests queued for one service."""
         return [request for request in self.requests if request.service == service]
 
+    def count_in_share(self) -> int:
+        """Return how many of the queued requests are within their team's share."""
+        return sum(request.in_share for request in self.requests)
+
     def check_admission(
         self, request: QueuedRequest, conditions: QueueConditions, now: float
     ) -> Refusal | None:
-        """Return None if a request may be queued, otherwise its refusal."""
+        """Return None if a request may be queued, otherwise its refusal.
+
+        A request above its team's share may use what those within theirs leave, so it
+        is refused only if it could not start in time after all of them.
+        """
         share = self.demand.admitted_ratio(
             request.service, request.team, conditions.slots, now
         )
-        _, wait_s = self.estimate_wait(request, conditions)
-        if request.rank >= share:
-            reason = "above the team's share"
-        elif len(self.requests) >= MAX_QUEUED:
+        request.in_share = request.rank < share
+        if request.in_share:
+            _, wait_s = self.estimate_wait(request, conditions)
+        else:
+            wait_s = self.backlog_s(request.service, conditions, now)
+        if len(self.requests) >= MAX_QUEUED:
             reason = "too many wait here"
         elif self.queued_bytes + request.body_bytes > MAX_QUEUED_BYTES:
             reason = "too many bytes wait here"
         elif now + wait_s > request.start_by:
-            reason = "no room in time"
+            reason = "no room in time" if request.in_share else ABOVE_SHARE
         else:
             return None
         return self.refuse(request, reason, share, conditions, now)
@@ -196,9 +209,9 @@
         """Return how many queued requests precede a new one, and its expected wait.
 
         This host uses a fraction of the freed slots equal to its fraction of all queued
-        requests.
+        requests. Those above their team's share come last and are not counted.
         """
-        queued = self.queued_for(request.service)
+        queued = [r for r in self.queued_for(request.service) if r.in_share]
         counts = collections.Counter(other.team for other in queued)
         own_team = counts.pop(request.team, 0)
         ahead = own_team + sum(min(count, own_team + 1) for count in counts.values())
@@ -206,6 +219,16 @@
         fraction = here / (here + conditions.waiting_elsewhere)
         return ahead, (ahead + 1) * self.slot_interval_s(conditions) / fraction
 
+    def backlog_s(self, service: str, conditions: QueueConditions, now: float) -> float:
+        """Return the expected time until a request after all others gets a slot.
+
+        All others are those that wait on any host and those refused lately, which may
+        return at any time.
+        """
+        demand = sum(self.demand.demands(service, now).values())
+        excess = max(0.0, demand - conditions.slots)
+        return (excess + 1.0) * self.slot_interval_s(conditions)
+
     def slot_interval_s(self, conditions: QueueConditions) -> float:
         """Return the expected time between two slots that become free."""
         return self.service_times.mean_s / max(1, conditions.slots)
@@ -224,10 +247,14 @@
     ) -> QueuedRequest | None:
         """Return the queued request that gets a service's next slot, or None.
 
-        Requests already offered a slot are skipped.
+        Requests already offered a slot are skipped, and those above their team's share
+        while any within theirs wait on other hosts.
         """
         candidates = [
-            request for request in self.queued_for(service) if not request.offered
+            request
+            for request in self.queued_for(service)
+            if not request.offered
+            and (request.in_share or not conditions.waiting_elsewhere)
         ]
         if len(candidates) < 2:
             return candidates[0] if candidates else None
