Take over the jobs of a lost owner after a second if most hosts are reachable

The jobs of a host that was killed for 2 s or cut off with its domain waited until its row was 4 s old, and those of an owner without the store for as long: items due in 18 s went on after 4 to 6 s.

A host that reaches most others now takes over from an owner silent for 1 s, and from one whose store has not answered for 2.5 s. Items go on from their checkpoints, so that a mistake costs about a second of their work. Hosts that do not reach most others wait as before.

The decision is a pure module, scheduling/ownership.py.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -11,6 +11,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import trace as traces
+from turmerictally.scheduling import ownership
 from turmerictally.store import rows
 
 # A sixth of a typical latency objective. With many hosts the period grows, so that a
@@ -311,6 +312,7 @@
     peers: dict[str, Peer] = attrs.Factory(dict)
     silent_domains: set[str] = attrs.Factory(set)
     totals: FleetTotals = attrs.Factory(FleetTotals)
+    started_at: float = float("-inf")
 
     def update(self, changed: list[rows.Row]) -> None:
         """Apply changed rows of the hosts' table."""
@@ -547,6 +549,23 @@
             return False
         return peer.digest.instance == instance
 
+    def owner_evidence(self, host: str, instance: str) -> ownership.OwnerEvidence:
+        """Return what is known of an incarnation of a host that owns batch jobs."""
+        now = self.clock.monotonic()
+        peer, record = self.peers.get(host), self.records.get(host)
+        is_known = peer is not None and peer.digest.instance == instance
+        return ownership.OwnerEvidence(
+            registered=record is not None and record.instance == instance,
+            reachable=self.is_reachable(host, instance),
+            store_age_s=peer.digest.store_age_s if is_known else 0.0,
+            silent_s=now - (peer.received_at if is_known else self.started_at),
+            row_age_s=self._renewals_known_until() - record.renewed_at
+            if record is not None
+            else float("inf"),
+            row_renewal_s=self.row_renewal_s(),
+            reaches_majority=self.reaches_majority(),
+        )
+
     def reaches_majority(self) -> bool:
         """Return whether more than half of the hosts with rows are reachable."""
         reachable = 1 + sum(not peer.unreachable for peer in self.peers.values())
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -129,7 +129,12 @@
             schema.read_server, self.store_health, clock, trace
         )
         self.hosts = gossip.HostDirectory(
-            config.host_id, self.instance, clock, trace, domain=config.failure_domain
+            config.host_id,
+            self.instance,
+            clock,
+            trace,
+            domain=config.failure_domain,
+            started_at=clock.monotonic(),
         )
         self.availability = availability.Availability(
             schema.read_evacuation,
@@ -160,7 +165,7 @@
         )
         self.servers_watch = watch_table(schema.servers_table, self._on_servers)
         self.hosts_watch = watch_table(
-            gossip.TABLE, self.hosts.update, interval_s=self.hosts.table_read_s
+            gossip.TABLE, self._on_hosts, interval_s=self.hosts.table_read_s
         )
         self.hosts.table_age_s = self.hosts_watch.age_s
         self.states_watch = watch_table(
--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -8,16 +8,10 @@
 
 from turmerictally.entry import item_runner, jobs
 from turmerictally.entry import worker as workers
+from turmerictally.scheduling import ownership
 from turmerictally.store import rows
 
 RANK_DELAY_S = 0.6  # a host of rank n waits n times as long to take a job over
-# An unreachable host counts as dead once its row is this old: two renewals missed.
-MIN_DEAD_AFTER_S = 3.6
-# The same in renewal periods, which grow with the number of hosts.
-DEAD_AFTER_RENEWALS = 2.4
-# An owner without access to the store for this long loses its jobs: it cannot save
-# results.
-MAX_STORE_AGE_S = 4.0
 
 
 @attrs.define(eq=False)
@@ -73,20 +67,8 @@
     def _has_live_owner(self, state: jobs.State) -> bool:
         if not state.owner or state.owner == self.worker.host_id:
             return False
-        hosts = self.worker.hosts
-        reachable = hosts.is_reachable(state.owner, state.instance)
-        record = hosts.records.get(state.owner)
-        if record is None or record.instance != state.instance:
-            return reachable
-        if reachable:
-            return hosts.peers[state.owner].digest.store_age_s < MAX_STORE_AGE_S
-        if hosts.relayed and hosts.reaches_majority():
-            # With relays rows are renewed rarely, so their age says little; a host that
-            # no relay reaches has failed or is cut off.
-            return False
-        return hosts.is_renewed(
-            record, max(MIN_DEAD_AFTER_S, DEAD_AFTER_RENEWALS * hosts.row_renewal_s())
-        )
+        evidence = self.worker.hosts.owner_evidence(state.owner, state.instance)
+        return not ownership.is_lost(evidence)
 
     def rendezvous_rank(self, key: str) -> int:
         """Return how many reachable hosts come before this one for a job or host id."""
