--- a/turmerictally/bench/registry.py
+++ b/turmerictally/bench/registry.py
@@ -7,6 +7,10 @@
 from turmerictally import bench
 
 
+class OptionError(Exception):
+    """Report a wrong option of a benchmark."""
+
+
 def find() -> dict[str, types.ModuleType]:
     """Return the benchmark modules by their ``NAME``, in order."""
     found = {}
--- a/turmerictally/bench/report.py
+++ b/turmerictally/bench/report.py
@@ -12,11 +12,24 @@
     detail: str = ""
 
 
+@attrs.frozen
+class Series:
+    """Hold counts over time; ``values`` has one list for each name."""
+
+    label: str
+    times_s: list[float]
+    values: dict[str, list[float]]
+
+
 @attrs.define
 class Report:
-    """Hold the measured rows of a benchmark and its checks against bounds."""
+    """Hold the measured rows of a benchmark and its checks against bounds.
+
+    A plot shows the ``series``, if there are any, and otherwise the rows.
+    """
 
     name: str
+    series: list[Series] = attrs.Factory(list)
     rows: list[dict] = attrs.Factory(list)
     checks: list[Check] = attrs.Factory(list)
 
--- a/turmerictally/tests/features/steps/scheduling_shares_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_shares_steps.py
@@ -3,7 +3,7 @@
 import behave
 import trio
 
-from turmerictally.tests.support import crowd
+from turmerictally.bench import crowd
 
 CAPACITY_PER_S = 96 / crowd.SERVICE_S
 RATES = crowd.skewed(73, 0.6 * CAPACITY_PER_S)
