Count a shortage that all teams share in a request's share

Besides, a slot that became free on a host with only such requests stayed empty while others waited elsewhere, for as long as digests take.

A team's ratio is now taken against that of all demand, softened by an exponent, and a host offers its freed slots to whoever waits there. The scenarios of scheduling_shares hold.

--- a/turmerictally/scheduling/fair_shares.py
+++ b/turmerictally/scheduling/fair_shares.py
@@ -19,6 +19,9 @@
 INITIAL_SERVICE_S = 1.0  # slot seconds of a request before one has completed
 # Slots that each team with demand gets before weights apply, as slots are indivisible.
 GUARANTEED_SLOTS = 1.0
+# Exponent of a general shortage: with 0 each request above its team's exact share comes
+# after the others, with 1 only those of teams that lack more than the others do.
+LENIENCE = 0.4
 RANK_BYTES = 8
 SEPARATOR = "\n"  # between service and team in the keys sent to other hosts
 
@@ -165,6 +168,19 @@
             return 1.0
         return self.shares(service, slots, now)[team] / demand
 
+    def relative_ratio(
+        self, service: str, team: str, slots: float, now: float
+    ) -> float:
+        """Return the fraction of a team's requests that count as within its share.
+
+        In a mild shortage that all teams share alike, that is nearly all of them: then
+        no team's requests need to come after those of others.
+        """
+        demand = sum(self.demands(service, now).values())
+        shortage = max(0.0, 1.0 - slots / demand) if demand else 0.0
+        ratio = self.admitted_ratio(service, team, slots, now)
+        return min(1.0, ratio / (1.0 - shortage) ** LENIENCE)
+
     def is_within_guarantee(self, service: str, team: str, now: float) -> bool:
         """Return whether a team's demand is at most its guaranteed slot."""
         return self.demands(service, now).get(team, 0.0) <= GUARANTEED_SLOTS
--- a/turmerictally/scheduling/wait_queue.py
+++ b/turmerictally/scheduling/wait_queue.py
@@ -149,7 +149,7 @@
         A request above its team's share may use what those within theirs leave, so it
         is refused only if it could not start in time after all of them.
         """
-        share = self.demand.admitted_ratio(
+        share = self.demand.relative_ratio(
             request.service, request.team, conditions.slots, now
         )
         request.in_share = request.rank < share
@@ -247,19 +247,15 @@
     ) -> QueuedRequest | None:
         """Return the queued request that gets a service's next slot, or None.
 
-        Requests already offered a slot are skipped, and those above their team's share
-        while any within theirs wait on other hosts.
+        Requests already offered a slot are skipped.
         """
         candidates = [
-            request
-            for request in self.queued_for(service)
-            if not request.offered
-            and (request.in_share or not conditions.waiting_elsewhere)
+            request for request in self.queued_for(service) if not request.offered
         ]
         if len(candidates) < 2:
             return candidates[0] if candidates else None
         ratios = {
-            team: self.demand.admitted_ratio(service, team, conditions.slots, now)
+            team: self.demand.relative_ratio(service, team, conditions.slots, now)
             for team in {request.team for request in candidates}
         }
         ahead: collections.Counter[str] = collections.Counter()
--- a/turmerictally/tests/features/steps/scheduling_shares_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_shares_steps.py
@@ -159,11 +159,11 @@
 def outage(context):
     def stop(simulation):
         for member in simulation.members:
-            member.inflight.online.update(dict.fromkeys(simulation.slots, 8))
+            member.inflight.online.update(dict.fromkeys(simulation.engines, 8))
 
     def resume(simulation):
         for member in simulation.members:
-            member.inflight.online.subtract(dict.fromkeys(simulation.slots, 8))
+            member.inflight.online.subtract(dict.fromkeys(simulation.engines, 8))
 
     context.simulation = crowd.Crowd(quotas=QUOTAS).run(
         scaled(0.75 / 0.6), 8, events=[(3.0, stop), (4.0, resume)]
