Trust a domain again after it was silent for longer than its peers are kept

A domain that was cut off for more than 2.5 s left the set of silent domains with its last peer, and nothing ended the suspicion when its hosts were back: every request to its servers opened a new connection from then on.

The lines of decisions on items, waits and takeovers name their inputs: urgency, share, and the age of what was known of a lost owner.

--- a/turmerictally/bench/crowd.py
+++ b/turmerictally/bench/crowd.py
@@ -289,7 +289,10 @@
             self.name, instance, clock, crowd.trace, domain=self.domain
         )
         for n in range(crowd.size):
-            self.hosts.records[f"h{n}"] = gossip.HostRecord(f"h{n}", "i", "", 0, 0.0)
+            domain = DOMAINS[n % len(DOMAINS)]
+            self.hosts.records[f"h{n}"] = gossip.HostRecord(
+                f"h{n}", "i", "", 0, 0.0, domain
+            )
         self.inflight = inflight.InFlight(
             crowd.servers,
             self.hosts,
--- a/turmerictally/entry/admission.py
+++ b/turmerictally/entry/admission.py
@@ -157,6 +157,7 @@
                 team=request.team,
                 waited_s=round(waited_s, 3),
                 others=len(self.wait_queue.requests),
+                in_share=request.in_share,
                 outcome="room" if loads else "left or too late",
             )
         if loads is not None:
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -526,13 +526,18 @@
             silent = now - max(times) > limit_s
             if domain in self.silent_domains:
                 if not silent:
-                    self.silent_domains.discard(domain)
-                    self.on_domain_heard(domain)
+                    self._end_silence(domain)
             elif silent and listening and self._is_remote_group(domain, times):
                 self.silent_domains.add(domain)
                 self.on_domain_silent(domain)
-        for domain in self.silent_domains - received.keys():
-            self.silent_domains.discard(domain)
+        # Hosts that were silent for long are no peers any more, but have rows.
+        left = {record.domain for record in self.records.values()} | received.keys()
+        for domain in self.silent_domains - left:
+            self._end_silence(domain)
+
+    def _end_silence(self, domain: str) -> None:
+        self.silent_domains.discard(domain)
+        self.on_domain_heard(domain)
 
     def _is_remote_group(self, domain: str, times: list[float]) -> bool:
         """Return whether a domain is another one, with hosts enough to judge it by."""
--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -11,6 +11,7 @@
 from turmerictally.scheduling import ownership
 from turmerictally.store import rows
 
+MAX_LOGGED_S = 1e6  # ages beyond it, which may be infinite, are logged as this
 RANK_DELAY_S = 0.6  # a host of rank n waits n times as long to take a job over
 
 
@@ -82,6 +83,7 @@
 
     async def _take_over(self, versioned: jobs.VersionedState) -> None:
         previous, worker = versioned.state, self.worker
+        evidence = worker.hosts.owner_evidence(previous.owner, previous.instance)
         owned_state = attrs.evolve(
             previous, owner=worker.host_id, instance=worker.instance
         )
@@ -107,12 +109,21 @@
             job=previous.job,
             owner_before=previous.owner,
             listed=previous.listed,
+            **_log_fields(evidence),
             outcome=f"{len(items) - len(results)} items left",
         )
         with contextlib.suppress(KeyError):
             del self.orphaned_at[previous.job]
 
 
+def _log_fields(evidence: ownership.OwnerEvidence) -> dict[str, float]:
+    """Return what was known of a lost owner as log fields."""
+    return {
+        "silent_s": round(min(evidence.silent_s, MAX_LOGGED_S), 2),
+        "store_age_s": round(min(evidence.store_age_s, MAX_LOGGED_S), 2),
+    }
+
+
 def _resume(
     tasks: dict[str, item_runner.ItemTask], progress: dict[str, list[str]]
 ) -> None:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -282,6 +282,7 @@
                 task.item.id,
                 server=server,
                 last_event=task.last_event,
+                urgency=task.urgency,
             )
             task.cancel_scope.cancel()
             self._uncount_item(task)
@@ -424,6 +425,7 @@
             server=name,
             last_event=task.last_event,
             errors=task.errors,
+            urgency=task.urgency,
             **self.inflight.speed_log_fields(name),
             **self.inflight.registry.log_fields(name),
         )
--- /dev/null
+++ b/turmerictally/tests/features/scheduling_cut.feature
@@ -0,0 +1,47 @@
+Feature: What a host concludes while others cannot be received
+  Simulated clock, no network. 12 hosts in three failure domains send a digest each 0.05 s.
+
+  # Answers a failure domain that is cut off in a crest.
+  Scenario: A domain none of whose hosts is received is suspected at once
+    When nothing of domain "b" is received from 2 s on, for 3 s
+    Then domain "b" alone is suspected within 0.25 s
+    And it is trusted again within 0.1 s after that
+
+  Scenario Outline: Living domains are not suspected
+    When for 30 s <condition>
+    Then no domain is suspected
+
+    Examples:
+      | condition                                         |
+      | one digest in ten is lost                         |
+      | this host itself is suspended for 2 s each 5 s    |
+      | one host of domain "b" sends nothing              |
+
+  # Answers servers behind a cut link: a connection that did not open took longer than the
+  # whole objective.
+  Scenario Outline: Connection time-outs follow the connections before
+    When earlier connections took <before> s
+    Then a connection is given up after <timeout> s
+
+    Examples:
+      | before       | timeout |
+      | nothing yet  | 0.4     |
+      | 0.002, 0.004 | 0.12    |
+      | 0.002, 0.015 | 0.3     |
+      | 0.9          | 0.4     |
+
+  # Answers jobs whose owner is killed for 2 s, or cut off with its domain: their items,
+  # due in 18 s, waited 4 to 6 s for another owner.
+  Scenario Outline: The jobs of a lost owner are taken over
+    When an owner is <state>, silent for <silent> s with a row of <row> s, seen from <view>
+    Then its jobs are taken over: <taken>
+
+    Examples:
+      | state                  | silent | row | view            | taken |
+      | reachable              | 0.0    | 1.0 | the most hosts  | no    |
+      | without the store      | 0.0    | 1.0 | the most hosts  | yes   |
+      | unreachable            | 0.6    | 1.0 | the most hosts  | no    |
+      | unreachable            | 1.1    | 1.0 | the most hosts  | yes   |
+      | unreachable            | 3.0    | 1.0 | a single host   | no    |
+      | unreachable            | 5.0    | 4.5 | a single host   | yes   |
+      | unreachable, restarted | 0.1    | 0.1 | a single host   | yes   |
