--- a/turmerictally/bench/crowd.py
+++ b/turmerictally/bench/crowd.py
@@ -410,7 +410,11 @@
 
 
 class Crowd:
-    """Simulate hosts, servers and callers; ``former`` is the policy without shares."""
+    """Simulate hosts, servers and callers; ``former`` is the policy without shares.
+
+    ``free_at`` holds, for times of the play, how many slots neither run nor await
+    online requests. Hosts in ``cut_domains`` reach only their own domain.
+    """
 
     def __init__(
         self,
--- a/turmerictally/scheduling/fair_shares.py
+++ b/turmerictally/scheduling/fair_shares.py
@@ -177,9 +177,13 @@
         no team's requests need to come after those of others.
         """
         demand = sum(self.demands(service, now).values())
-        shortage = max(0.0, 1.0 - slots / demand) if demand else 0.0
+        if not demand:
+            return 1.0
+        if slots <= 0:
+            return 0.0
+        overall_ratio = min(1.0, slots / demand)
         ratio = self.admitted_ratio(service, team, slots, now)
-        return min(1.0, ratio / (1.0 - shortage) ** LENIENCE)
+        return min(1.0, ratio / overall_ratio**LENIENCE)
 
     def is_within_guarantee(self, service: str, team: str, now: float) -> bool:
         """Return whether a team's demand is at most its guaranteed slot."""
