Take the suspicion of silent domains out again

It also took the servers of a domain out of use whose hosts all failed. Connection time-outs that follow earlier ones and the shorter life of unreachable hosts' requests stay.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -340,9 +340,6 @@
     ) -> AttemptResult:
         try:
             max_idle_s = None if pending.route.repeatable else pool.SAFE_IDLE_S
-            if self.inflight.is_suspected(server.instance):
-                # Connecting shows whether it is reachable, before anything is sent.
-                max_idle_s = 0.0
             connection = await self.pool.acquire(server.address, max_idle_s)
         except pool.ConnectError as error:
             pending.reason = f"not connected: {error}"
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -32,10 +32,6 @@
 RELAYED_RECEIVE_PAUSE_S = 0.01  # shorter, as relays have delayed bundles already
 # Eight lost digests in a row, or a host that was too busy to send for that long.
 UNREACHABLE_S = 0.4
-# A domain is silent if none of its hosts, two at least, was received for this many
-# periods while other hosts were: that many lost digests in a row are no coincidence.
-DOMAIN_SILENT_PERIODS = 3.0
-MIN_DOMAIN_HOSTS = 2
 UNREACHABLE_PERIODS = 3  # at the longer periods of many hosts
 # Longer with relays: a digest passes three links, each of which may lose it.
 RELAYED_UNREACHABLE_S = 1.0
@@ -301,8 +297,6 @@
     trace: traces.Trace
     on_unreachable: collections.abc.Callable[[str], None] = lambda host: None
     on_reachable: collections.abc.Callable[[], None] = lambda: None
-    on_domain_silent: collections.abc.Callable[[str], None] = lambda domain: None
-    on_domain_heard: collections.abc.Callable[[str], None] = lambda domain: None
     request_ttl_s: collections.abc.Callable[[], float] = lambda: PEER_TTL_S
     table_age_s: collections.abc.Callable[[], float] = lambda: 0.0
     domain: str = ""
@@ -310,7 +304,6 @@
     last_count: tuple[int, int] = (0, 1)
     records: dict[str, HostRecord] = attrs.Factory(dict)
     peers: dict[str, Peer] = attrs.Factory(dict)
-    silent_domains: set[str] = attrs.Factory(set)
     totals: FleetTotals = attrs.Factory(FleetTotals)
     started_at: float = float("-inf")
 
@@ -486,7 +479,6 @@
     def expire(self) -> None:
         """Mark hosts unreachable, and later remove them, that send no digests."""
         now = self.clock.monotonic()
-        self._update_silent_domains(now)
         unreachable_s = self.unreachable_s()
         ttl_s = max(PEER_TTL_S, PEER_TTL_TIMEOUTS * unreachable_s)
         for name, peer in list(self.peers.items()):
@@ -513,36 +505,6 @@
                 self.totals.replace_outcomes(peer.digest, None)
                 del self.peers[name]
 
-    def _update_silent_domains(self, now: float) -> None:
-        """Detect domains none of whose hosts were received while others were."""
-        received: dict[str, list[float]] = {}
-        for peer in self.peers.values():
-            received.setdefault(peer.digest.domain, []).append(peer.received_at)
-        limit_s = DOMAIN_SILENT_PERIODS * self.digest_period_s()
-        newest = max((max(times) for times in received.values()), default=0.0)
-        # If no host at all was received just now, this host itself was suspended.
-        listening = now - newest < limit_s / 2
-        for domain, times in received.items():
-            silent = now - max(times) > limit_s
-            if domain in self.silent_domains:
-                if not silent:
-                    self._end_silence(domain)
-            elif silent and listening and self._is_remote_group(domain, times):
-                self.silent_domains.add(domain)
-                self.on_domain_silent(domain)
-        # Hosts that were silent for long are no peers any more, but have rows.
-        left = {record.domain for record in self.records.values()} | received.keys()
-        for domain in self.silent_domains - left:
-            self._end_silence(domain)
-
-    def _end_silence(self, domain: str) -> None:
-        self.silent_domains.discard(domain)
-        self.on_domain_heard(domain)
-
-    def _is_remote_group(self, domain: str, times: list[float]) -> bool:
-        """Return whether a domain is another one, with hosts enough to judge it by."""
-        return domain != self.domain and len(times) >= MIN_DOMAIN_HOSTS
-
     def reachable(self) -> list[Digest]:
         """Return the last digests of all reachable hosts."""
         return [peer.digest for peer in self.peers.values() if not peer.unreachable]
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -212,9 +212,6 @@
             self.availability,
         )
         self.inflight.disabled = disabled
-        if mechanisms.Mechanism.DOMAIN_SUSPICION not in disabled:
-            self.hosts.on_domain_silent = self.inflight.suspect_domain
-            self.hosts.on_domain_heard = self.inflight.trust_domain
         learns = self._enables(
             config.scheduling.learned_speeds, mechanisms.Mechanism.LEARNED_SPEEDS
         )
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -31,7 +31,6 @@
     """Combine this host's requests and outcomes with those that other hosts report.
 
     ``online`` and ``batch`` count this host's requests in flight by server.
-    ``suspected`` holds the servers of each domain that is probably cut off.
     """
 
     registry: registries.Registry
@@ -45,7 +44,6 @@
     batch_urgencies: dict[str, list[int]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
-    suspected: dict[str, list[str]] = attrs.Factory(dict)
     last_success_at: dict[str, float] = attrs.Factory(dict)
     on_failure: collections.abc.Callable[[], None] = lambda: None
     on_change: collections.abc.Callable[[], None] = lambda: None
@@ -205,32 +203,6 @@
         if self.clock.monotonic() >= self.last_evaluated_at + EVALUATION_INTERVAL_S:
             self.evaluate_servers()
 
-    def suspect_domain(self, domain: str) -> None:
-        """Keep requests away from the servers of a domain that is probably cut off.
-
-        Each gets single requests on new connections until one succeeds, or until the
-        domain's hosts are reachable again.
-        """
-        now = self.clock.monotonic()
-        names = [n for n, s in self.registry.servers.items() if s.domain == domain]
-        for name in names:
-            self.circuits.trip(name, now)
-        self.suspected[domain] = names
-        self.trace.emit("domain_suspected", domain=domain, servers=len(names))
-
-    def trust_domain(self, domain: str) -> None:
-        """Use the servers of a domain again, as its hosts are reachable."""
-        names = self.suspected.pop(domain, None)
-        if names is None:
-            return
-        for name in names:
-            self.circuits.forget(name)
-        self.trace.emit("domain_trusted", domain=domain, servers=len(names))
-
-    def is_suspected(self, name: str) -> bool:
-        """Return whether a server is probably cut off."""
-        return any(name in names for names in self.suspected.values())
-
     def open_circuits(self) -> list[str]:
         """Return the servers whose circuits are open on this host."""
         named_circuits = self.circuits.circuits.items()
--- a/turmerictally/routing/health.py
+++ b/turmerictally/routing/health.py
@@ -55,12 +55,6 @@
         circuit.trips += 1
         circuit.open_until = now + delay_s
 
-    def trip(self, address: str, now: float) -> None:
-        """Open the server's circuit, unless it is open already."""
-        circuit = self.circuits.setdefault(address, CircuitBreaker())
-        if not circuit.open:
-            circuit.open, circuit.open_until = True, now + self.probe_s
-
     def forget(self, address: str) -> None:
         """Reset the circuit of a server that was replaced or removed."""
         self.circuits.pop(address, None)
--- a/turmerictally/scheduling/mechanisms.py
+++ b/turmerictally/scheduling/mechanisms.py
@@ -8,7 +8,6 @@
 
     CONNECTED_PREFERENCE = "connected_preference"
     DOMAIN_PREFERENCE = "domain_preference"
-    DOMAIN_SUSPICION = "domain_suspicion"
     EARLY_DIGESTS = "early_digests"
     EJECTION = "ejection"
     FAILOVER = "failover"
