--- a/turmerictally/tests/features/scheduling_patterns.feature
+++ b/turmerictally/tests/features/scheduling_patterns.feature
@@ -28,3 +28,9 @@
   Scenario: A domain that is cut off costs little beyond its servers
     When the pattern "domain-cut" is played
     Then at least 0.7 of the requests after the cut are on time
+
+  # Answers a crest above what the slots can take: callers were sent away although a slot
+  # became free in time.
+  Scenario: Few callers are refused who would have found a slot in time
+    When the pattern "burst-on-crest" is played at 0.52 of the slots' time
+    Then slots were free in time after at most 0.05 of the refusals
--- a/turmerictally/tests/features/steps/scheduling_patterns_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_patterns_steps.py
@@ -76,3 +76,13 @@
     without = play(context.pattern, mechanism, **context.sizes)
     before = mean(context.played, context.measure)
     assert mean(without, context.measure) < before, without
+
+
+@behave.when('the pattern "{pattern}" is played at {load:g} of the slots\' time')
+def play_load(context, pattern, load):
+    context.played = play(pattern, load=load)
+
+
+@behave.then("slots were free in time after at most {ratio:g} of the refusals")
+def few_with_room(context, ratio):
+    assert mean(context.played, "refused_with_room") <= ratio, context.played
