Log the prompt parts and the events of a run that broke off

A run under which a server ended left a line without the prompt's parts, without the number of its own events (last_event is also that of an earlier run) and without who ended the connection. So logs could not tell a request that ends servers from the requests beside it, nor either from a silent server or a cut.

attempt_failed: events, head, server_closed, shared_parts; item_not_done: events, server_closed, shared_parts. No decision changes.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -106,7 +106,9 @@
 
     ``deadline`` is monotonic seconds. ``tried`` names the instances of failed attempts,
     ``sends`` counts the attempts, and ``runs`` those in which a server may have run the
-    request. ``last_event`` is the id of the last event that the caller has.
+    request. ``last_event`` is the id of the last event that the caller has,
+    ``attempt_events`` the number of events of the last attempt, and ``server_closed``
+    whether the server ended that attempt's connection.
     ``server_error`` is an error response, passed on if no other attempt succeeds.
     """
 
@@ -126,6 +128,8 @@
     service: str = ""
     refusal: wait_queue.Refusal | None = None
     failed_over: bool = False
+    attempt_events: int = 0
+    server_closed: bool = False
 
     @property
     def size(self) -> int:
@@ -283,6 +287,7 @@
         started_at = self.clock.monotonic()
         pending.sends += 1
         pending.response_head = None
+        pending.attempt_events, pending.server_closed = 0, False
         self.inflight.circuits.request_started(name, started_at)
         self.inflight.reserve_permit(name)
         self.inflight.add_online(name, 1)
@@ -330,6 +335,10 @@
                 server=name,
                 after_s=round(now - started_at, 3),
                 last_event=pending.last_event,
+                events=pending.attempt_events,
+                head=pending.response_head is not None,
+                server_closed=pending.server_closed,
+                shared_parts=pending.request.shared_parts,
                 reason=pending.reason,
                 outcome=result.value,
             )
@@ -366,6 +375,7 @@
             return AttemptResult.FIRST_EVENT_TIMEOUT
         except (pool.BrokenError, sse.SequenceError, trio.TooSlowError) as error:
             pending.reason = str(error) or "silent"
+            pending.server_closed = getattr(error, "peer_closed", False)
             return AttemptResult.BROKEN
         finally:
             if not released:
@@ -507,6 +517,7 @@
             events = splitter.split(data)
             if not events:
                 continue
+            pending.attempt_events += splitter.event_count
             if not pending.response.started:
                 await pending.response.start(
                     head.status, self.codec.caller_headers(head), None
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -24,7 +24,10 @@
     ``position`` is its index among the items of the job. ``saved_events`` counts the
     events that are saved in the store. ``server_time_s`` is the time of its runs,
     scaled to a server of median speed. ``not_before`` is the monotonic time from which
-    it may run again. ``urgency`` is that of its latest start.
+    it may run again. ``urgency`` is that of its latest start. ``run_events`` counts the
+    events of the latest run, ``server_closed`` is whether the server ended that run's
+    connection, and ``shared_parts`` names the parts of its prompt that other requests
+    may share.
     """
 
     item: jobs.Item
@@ -38,6 +41,9 @@
     server: str = ""
     urgency: int = 0
     counted_on_server: bool = False
+    run_events: int = 0
+    server_closed: bool = False
+    shared_parts: tuple[str, ...] = ()
     cancel_scope: trio.CancelScope | None = None
     refused_by: set[str] = attrs.Factory(set)
 
@@ -66,6 +72,7 @@
 
     async def run(self, state: jobs.State, task: ItemTask, server: model.Server) -> str:
         """Run an item on one server; return the outcome."""
+        task.run_events, task.server_closed = 0, False
         try:
             connection = await self.pool.acquire(server.address)
         except pool.ConnectError:
@@ -83,6 +90,7 @@
                 released = True
             return outcome
         except (pool.BrokenError, sse.SequenceError) as error:
+            task.server_closed = getattr(error, "peer_closed", False)
             return f"broken: {error}"
         except trio.TooSlowError:
             return "broken: silent"
@@ -99,6 +107,7 @@
         event_timeout: trio.CancelScope,
     ) -> tuple[str, messages.ResponseHead]:
         request = self.codec.item_request(task.item, state.hostname)
+        task.shared_parts = request.shared_parts
         context = messages.ForwardingContext(
             server.instance, ITEM_TIMEOUT_S, state.team, task.last_event
         )
@@ -150,5 +159,6 @@
     """Add the events that bytes of a stream complete; return whether there are any."""
     texts = splitter.split_data(data)
     task.event_data += texts
+    task.run_events += len(texts)
     task.last_event = splitter.last_id
     return bool(texts)
--- a/turmerictally/entry/messages.py
+++ b/turmerictally/entry/messages.py
@@ -32,6 +32,11 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the prompt's parts that other requests may share, all but the last."""
+        return self.prompt_parts[:-1]
+
     @property
     def path(self) -> str:
         """Return the path without its query."""
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -31,7 +31,14 @@
 
 
 class BrokenError(Exception):
-    """Report a missing or truncated response; the request may have run."""
+    """Report a missing or truncated response; the request may have run.
+
+    ``peer_closed`` is whether the server ended or reset the connection.
+    """
+
+    def __init__(self, reason: str, *, peer_closed: bool = False) -> None:
+        super().__init__(reason)
+        self.peer_closed = peer_closed
 
 
 @attrs.define(eq=False)
@@ -76,7 +83,9 @@
             try:
                 head = self.reader.head()
             except http1.ProtocolError as error:
-                raise BrokenError(f"no answer: {error}") from error
+                raise BrokenError(
+                    f"no answer: {error}", peer_closed=self.reader.eof
+                ) from error
             if head is None:
                 await self._receive()
             elif head.status >= 200:
@@ -92,7 +101,9 @@
             try:
                 data = self.reader.body()
             except http1.ProtocolError as error:
-                raise BrokenError(f"answer cut off: {error}") from error
+                raise BrokenError(
+                    f"answer cut off: {error}", peer_closed=self.reader.eof
+                ) from error
             if data:
                 return data
             if self.reader.complete:
@@ -113,7 +124,7 @@
         try:
             data = await self.stream.receive_some()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise BrokenError("connection reset") from error
+            raise BrokenError("connection reset", peer_closed=True) from error
         self.reader.feed(data)
 
     def is_reusable(self) -> bool:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -487,6 +487,9 @@
             job=owned.versioned.state.job,
             server=name,
             last_event=task.last_event,
+            events=task.run_events,
+            server_closed=task.server_closed,
+            shared_parts=task.shared_parts,
             errors=task.errors,
             outcome=outcome,
         )
