--- /dev/null
+++ b/turmerictally/tests/features/entry_crashing_prompts.feature
@@ -0,0 +1,14 @@
+Feature: A part of a prompt that crashes servers is not sent on
+  # Guards against requests with one prompt part crashing one server after the other.
+  Scenario Outline: A prompt part that crashes servers soon reaches no more of them
+    When requests whose prompts hold a crashing part arrive at six hosts while <event>
+    Then later than 3 s after the fifth crash at most 3 more of them reach a server
+    And then sound requests with the same first part are served at least half as often as before
+
+    Examples:
+      | event                              |
+      | nothing else happens               |
+      | one host after the other restarts  |
+      | every host restarts at once        |
+      | the hosts of a domain are cut off  |
+      | batch items hold that part as well |
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -17,6 +17,9 @@
 
 EVENT_S = 0.02
 EVENTS = 30
+DELAY_BEFORE_END_S = 0.005  # in which a crashing server's last bytes leave it
+LEASE_S = 2.0  # until the registration of a crashed server is gone
+RESTART_S = 3.0
 HOSTNAME = "calls.example"
 KEY = "key-of-the-counter"
 
@@ -194,6 +197,20 @@
             self.freed.set()
             self.freed = trio.Event()
 
+    async def crash_on_part(self, stream, parser, run):
+        """Send a response's head and end the server, which starts again later."""
+        await trio.sleep(EVENT_S)
+        named = [("Content-Type", "text/event-stream"), *self.named(run)]
+        await stream.send_all(parser.send(h11.Response(status_code=200, headers=named)))
+        run.ended = "crashed"
+        if self.name in self.world.servers:
+            del self.world.servers[self.name]
+            self.world.crashes.append(trio.current_time())
+            self.world.nursery.start_soon(self.world.replace_server, self)
+        await trio.sleep(DELAY_BEFORE_END_S)
+        self.crash()
+        await trio.sleep_forever()
+
     async def babble(self, stream, run):
         """Send bytes without end until the host closes the connection."""
         start, more = ENDLESS[self.endless]
@@ -233,6 +250,8 @@
     async def work(self, stream, parser, run):
         if self.silent:
             await trio.sleep_forever()
+        if self.world.crashing_part in shared_parts(run.headers):
+            await self.crash_on_part(stream, parser, run)
         if self.endless:
             await self.babble(stream, run)
             return False
@@ -309,6 +328,12 @@
         return False
 
 
+def shared_parts(headers):
+    """Return all but the last part of a request's prompt."""
+    parts = headers.get("x-prompt-prefix", "").split(",")
+    return [part.partition(":")[0] for part in parts[:-1]]
+
+
 class Quiet(host.Host):
     """Run an entry host that keeps its log lines for the test."""
 
@@ -336,6 +361,8 @@
         self.rng = random.Random(seed)
         self.runs = []
         self.slowness = {}
+        self.crashing_part = None  # ends each server that begins to answer it
+        self.crashes = []  # moments at which servers ended
         self.hosts = {}
         self.scopes = {}
         self.servers = {}
@@ -399,6 +426,17 @@
             self.start_host(n)
         await self.until_ready()
 
+    async def replace_server(self, before):
+        """Start a crashed server again under a new name."""
+        await trio.sleep(LEASE_S)
+        self.store.put("servers", before.name, None)
+        await trio.sleep(RESTART_S - LEASE_S)
+        name = f"{before.name.partition('.')[0]}.{len(self.crashes)}"
+        again = Server(self, name, before.address, before.domain, before.slots)
+        self.servers[name] = again
+        await self.nursery.start(again.run)
+        again.register()
+
     def start_host(self, n):
         ip = f"10.1.0.{n}"
         config = settings.Settings(
