Stop sending prompt parts that crash servers, over all hosts

Cause: a crash counted against the server alone. The request that crashed it went to a second server, and no host related it to the next request with the same part. Batch items came back without any bound.

Evidence: in the record each of 18 servers that ended had exactly one run with a response head and no event; all domains, one run or eight on the server, old and new servers alike.

Change: a run that a server's end left without an event accuses the shared parts of its prompt, a first event clears those of its own. The fewest parts that explain the crashes are quarantined after two crashes of different servers; hosts exchange the evidence in digests, keep it in their rows and try one request in 10 s, 40 s, 160 s, by one host. Requests with a quarantined part are refused at once as not run; items wait. Why it works: a part that crashes servers never lets one write an event, so that parts of sound requests are cleared all the time, and one crash more names the rest.

--- a/turmerictally/bench/crowd.py
+++ b/turmerictally/bench/crowd.py
@@ -22,6 +22,7 @@
     item_runner,
     jobs,
     model,
+    prompt_guard,
     worker,
 )
 from turmerictally.scheduling import (
@@ -246,6 +247,12 @@
     crowd: "Crowd"
     host: "SimulatedHost"
 
+    def shared_parts(
+        self, state: jobs.State, task: item_runner.ItemTask
+    ) -> tuple[str, ...]:
+        """Return the shared parts of an item's prompt, of which these have none."""
+        return ()
+
     async def run(
         self, state: jobs.State, task: item_runner.ItemTask, server: model.Server
     ) -> str:
@@ -326,6 +333,7 @@
             hosts=self.hosts,
             inflight=self.inflight,
             runner=ItemRunner(crowd, self),
+            prompts=prompt_guard.PromptGuard(self.hosts, clock, crowd.trace),
             clock=clock,
             trace=crowd.trace,
             rng=crowd.rng,
--- a/turmerictally/bench/path.py
+++ b/turmerictally/bench/path.py
@@ -28,6 +28,7 @@
     model,
     network,
     pool,
+    prompt_guard,
     registry,
     store_health,
     sweep,
@@ -148,6 +149,7 @@
         rng=random.Random(0),
         on_slots_exceeded=lambda server: None,
         timers=deadlines,
+        prompts=prompt_guard.PromptGuard(hosts, clock, trace),
     )
 
     async def handle(exchange: http_server.Exchange) -> None:
--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import enum
+import functools
 import math
 import random
 import typing
@@ -12,13 +13,22 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import admission as admissions
 from turmerictally.entry import availability as availabilities
-from turmerictally.entry import inflight, messages, model, pool, sse, sweep
+from turmerictally.entry import (
+    inflight,
+    messages,
+    model,
+    pool,
+    prompt_guard,
+    sse,
+    sweep,
+)
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import (
     failover,
     fair_shares,
     mechanisms,
     placement,
+    prompt_quarantine,
     server_speeds,
     wait_queue,
 )
@@ -126,7 +136,7 @@
     server_error: tuple[messages.ResponseHead, bytes] | None = None
     reason: str = ""
     service: str = ""
-    refusal: wait_queue.Refusal | None = None
+    refusal: wait_queue.Refusal | prompt_quarantine.Refusal | None = None
     failed_over: bool = False
     attempt_events: int = 0
     server_closed: bool = False
@@ -152,6 +162,7 @@
     rng: random.Random
     on_slots_exceeded: collections.abc.Callable[[str], None]
     timers: sweep.TimerQueue
+    prompts: prompt_guard.PromptGuard
     admission: admissions.Admission | None = None
     failover_budget: failover.FailoverBudget | None = None
     disabled: frozenset[mechanisms.Mechanism] = frozenset()
@@ -183,7 +194,7 @@
             if result is AttemptResult.DONE:
                 return "done"
             pending.tried.add(server.instance)
-            if not self._may_retry(pending, result):
+            if not self._may_retry(pending, result) or self._crashed(pending, result):
                 return await self._give_up(pending)
 
     async def _acquire_server(self, pending: PendingRequest) -> model.Server | None:
@@ -191,6 +202,8 @@
         if pending.deadline - self.clock.monotonic() < MIN_TIME_LEFT_S:
             pending.reason = pending.reason or "too little time"
             return None
+        if self._is_quarantined(pending):
+            return None
         if self.admission is None:
             return self._choose_server(pending, self._loads(pending))
         admitted = await self.admission.admit(
@@ -201,8 +214,34 @@
         if isinstance(admitted, wait_queue.Refusal):
             pending.refusal, pending.reason = admitted, admitted.reason
             return None
+        # A part may have been quarantined while the request waited.
+        if self._is_quarantined(pending):
+            return None
         return self._choose_server(pending, admitted)
 
+    def _is_quarantined(self, pending: PendingRequest) -> bool:
+        """Return whether the prompt must not be sent, and note why."""
+        refusal = self.prompts.check(pending.request.shared_parts)
+        if refusal is None:
+            return False
+        self.prompts.refusals[refusal.part] += 1
+        pending.refusal, pending.reason = refusal, refusal.reason
+        return True
+
+    def _crashed(self, pending: PendingRequest, result: AttemptResult) -> bool:
+        """Return whether the request seems to have crashed its server.
+
+        Servers crash as they begin to respond, so that those of a request that only
+        waited there have sent no head.
+        """
+        return (
+            result is AttemptResult.BROKEN
+            and pending.server_closed
+            and not pending.attempt_events
+            and pending.response_head is not None
+            and self.prompts.is_accused(pending.request.shared_parts)
+        )
+
     def _loads(self, pending: PendingRequest) -> list[placement.ServerLoad]:
         if self.admission is None:
             pending.service = choose_service(pending.route, self.rng)
@@ -288,6 +327,8 @@
         pending.sends += 1
         pending.response_head = None
         pending.attempt_events, pending.server_closed = 0, False
+        parts = pending.request.shared_parts
+        self.prompts.record_send(pending.request.request_id, name, parts)
         self.inflight.circuits.request_started(name, started_at)
         self.inflight.reserve_permit(name)
         self.inflight.add_online(name, 1)
@@ -319,6 +360,12 @@
             self.admission.wait_queue.service_times.record(
                 now - started_at, pending.size
             )
+        if (
+            result is AttemptResult.BROKEN
+            and pending.server_closed
+            and not pending.attempt_events
+        ):
+            self.prompts.record_crash(pending.request.request_id, server, parts)
         if result in (AttemptResult.BROKEN, AttemptResult.UNSENT):
             self.inflight.record_failure(name, refused=result is AttemptResult.UNSENT)
         elif result is AttemptResult.FIRST_EVENT_TIMEOUT:
@@ -517,6 +564,8 @@
             events = splitter.split(data)
             if not events:
                 continue
+            if not pending.attempt_events:
+                self.prompts.record_first_event(pending.request.shared_parts)
             pending.attempt_events += splitter.event_count
             if not pending.response.started:
                 await pending.response.start(
@@ -596,8 +645,24 @@
         return outcome
 
 
-def _refusal_log_fields(refusal: wait_queue.Refusal) -> dict[str, float]:
+@functools.singledispatch
+def _refusal_log_fields(refusal: object) -> dict[str, typing.Any]:
     """Return the figures behind a refusal as log fields."""
+    raise TypeError(f"not a refusal: {refusal!r}")
+
+
+@_refusal_log_fields.register
+def _(refusal: prompt_quarantine.Refusal) -> dict[str, typing.Any]:
+    return {
+        "part": refusal.part,
+        "crashes": refusal.crashes,
+        "age_s": refusal.age_s,
+        "retry_after_s": round(refusal.retry_after_s, 3),
+    }
+
+
+@_refusal_log_fields.register
+def _(refusal: wait_queue.Refusal) -> dict[str, typing.Any]:
     return {
         "share": round(refusal.share, 3),
         "ahead": refusal.ahead,
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -11,7 +11,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import ownership
+from turmerictally.scheduling import ownership, prompt_quarantine
 from turmerictally.store import rows
 
 # A sixth of a typical latency objective. With many hosts the period grows, so that a
@@ -80,7 +80,8 @@
     (version and age in seconds of each watched table) are sent in ``full`` digests
     only; between two of them the last values hold. So are ``removed`` (by server, the
     store's version at which its registration was removed) and ``leaving`` (by server,
-    the start time of the incarnation that said it leaves).
+    the start time of the incarnation that said it leaves) and ``accused_parts`` (the
+    evidence against prompt parts, as in ``scheduling.prompt_quarantine.Report``).
     """
 
     host: str
@@ -109,6 +110,7 @@
     job_states: dict[str, tuple[int, bytes]] = attrs.Factory(dict)
     waiting_urgencies: list[int] = attrs.Factory(list)
     batch_urgencies: dict[str, list[int]] = attrs.Factory(dict)
+    accused_parts: prompt_quarantine.Report = attrs.Factory(dict)
 
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
@@ -181,7 +183,8 @@
     """Hold a host's row; ``renewed_at`` is when its last renewal was seen (monotonic).
 
     ``cores`` is the share of processor cores that the host may use. ``quota_levels``
-    holds the levels of the teams' buckets at ``levels_at_s`` on the store's clock.
+    holds the levels of the teams' buckets at ``levels_at_s`` on the store's clock, and
+    ``quarantined_parts`` the evidence against quarantined prompt parts.
     """
 
     host: str
@@ -193,6 +196,7 @@
     cores: float = 1.0
     quota_levels: dict[str, float] = attrs.Factory(dict)
     levels_at_s: float = 0.0
+    quarantined_parts: prompt_quarantine.Record = attrs.Factory(dict)
 
 
 @attrs.define(eq=False)
@@ -328,6 +332,12 @@
                     float(fields.get("cores", 1.0)),
                     {t: float(n) for t, n in fields.get("quota_levels", {}).items()},
                     float(fields.get("levels_at_s", 0.0)),
+                    {
+                        part: (int(position), {s: float(t) for s, t in times.items()})
+                        for part, (position, times) in fields.get(
+                            "quarantined_parts", {}
+                        ).items()
+                    },
                 )
             except (ValueError, KeyError, TypeError, AttributeError) as error:
                 self.trace.emit("host_unreadable", host=name, reason=repr(error))
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -30,6 +30,7 @@
     model,
     network,
     pool,
+    prompt_guard,
     quota,
     registry,
     settings,
@@ -64,6 +65,9 @@
 MAX_BASELINE_REQUESTS = 64  # per digest; about 1 kB
 # Part of the grace period that is reserved for the final store writes.
 FINAL_WRITES_S = 1.2
+# Of a starting host's first write of its row, if the others' rows cannot be read.
+MAX_ROW_DELAY_S = 1.0
+ROW_POLL_S = 0.02
 DRAIN_POLL_S = 0.05  # between checks for connections that became idle
 
 
@@ -113,6 +117,7 @@
         self.store = store_health.ObservedRowStore(store, self.store_health)
         self.network = reach
         self.stop_requested = trio.Event()
+        self.row_changed = trio.Event()
         self.stopping = False
         self.wake_ups = WakeUps()
         self.latencies = latency.Latencies(MAX_TEAM_HISTOGRAMS, self.clock)
@@ -145,6 +150,14 @@
             trace,
             config.cold.overshoot,
         )
+        self.prompts = prompt_guard.PromptGuard(
+            self.hosts,
+            clock,
+            trace,
+            enabled=mechanisms.Mechanism.PROMPT_QUARANTINE
+            not in config.scheduling.disabled_mechanisms,
+        )
+        self._configure_prompts()
         self.quotas = quota.Quotas(clock, config.quota.overshoot, config.quota.window_s)
         self.hosts.on_unreachable = self.quotas.remove_peer
 
@@ -197,6 +210,12 @@
             not in config.scheduling.disabled_mechanisms
         )
         self.hosts.on_reachable = self.disseminator.on_peer_reachable
+        self.prompts.on_evidence = self.disseminator.send_full_digest
+        self.prompts.on_quarantine = lambda: self.row_changed.set()
+
+    def _configure_prompts(self) -> None:
+        prompts = self.settings.prompts
+        self.prompts.configure(prompts.exempt, prompts.quarantined)
 
     def _build_request_path(self, codec: messages.Codec) -> None:
         config, clock, trace = self.settings, self.clock, self.trace
@@ -235,7 +254,9 @@
                 self.registry.mark_leaving,
                 self.inflight.use_permit,
                 self.inflight.record_events,
+                self.prompts.record_first_event,
             ),
+            prompts=self.prompts,
             clock=clock,
             trace=trace,
             rng=self.rng,
@@ -264,6 +285,7 @@
             on_slots_exceeded=self._on_slots_exceeded,
             admission=self.admission,
             timers=self.sweep,
+            prompts=self.prompts,
             failover_budget=failover.FailoverBudget()
             if self._enables(
                 config.scheduling.switch_late, mechanisms.Mechanism.FAILOVER
@@ -380,14 +402,17 @@
     def reload(self, path: str) -> None:
         """Reload the settings file and apply the stop and batch settings.
 
-        All other settings apply from the next start; an invalid file changes nothing.
+        So do the operator's lists of prompt parts. All other settings apply from the
+        next start; an invalid file changes nothing.
         """
         try:
             loaded = settings.load(path)
         except base_settings.SettingsError as error:
             self.trace.emit("reload_failed", path=path, reason=str(error))
             return
-        applied = attrs.evolve(self.settings, stop=loaded.stop, batch=loaded.batch)
+        applied = attrs.evolve(
+            self.settings, stop=loaded.stop, batch=loaded.batch, prompts=loaded.prompts
+        )
         self.trace.emit(
             "reloaded",
             path=path,
@@ -395,6 +420,7 @@
             whole=applied == loaded,
         )
         self.settings = applied
+        self._configure_prompts()
         self.garbage_collector.min_retention_s = loaded.batch.keep_s
 
     def not_ready(self) -> str | None:
@@ -447,6 +473,11 @@
         store_now_s = self.hosts_watch.store_now_s()
         if store_now_s is not None and self.quotas.is_restarting():
             self.quotas.use_recorded_levels(self.hosts.recorded_levels(store_now_s))
+        if store_now_s is None:
+            return
+        for name in {row.address.key for row in changed} & self.hosts.records.keys():
+            if parts := self.hosts.records[name].quarantined_parts:
+                self.prompts.restore(name, parts, store_now_s)
 
     def _on_servers(self, changed: list[rows.Row]) -> None:
         before = dict(self.registry.servers)
@@ -506,6 +537,8 @@
             self.states_watch.apply(changed, 0)
         if digest.leaving:
             self.registry.apply_peer_leaving(digest.host, digest.leaving)
+        if digest.accused_parts:
+            self.prompts.receive(digest.host, digest.accused_parts)
         if digest.speeds and self.inflight.speed_tracker is not None:
             now = self.clock.monotonic()
             self.inflight.speed_tracker.receive(digest.host, digest.speeds, now)
@@ -569,6 +602,7 @@
                 server: list(urgencies)
                 for server, urgencies in self.inflight.batch_urgencies.items()
             },
+            accused_parts=self.prompts.report() if full else {},
         )
 
     def _demand(self) -> dict[str, int]:
@@ -592,7 +626,14 @@
         )
 
     async def _register(self) -> None:
-        """Write and renew this host's row until it stops."""
+        """Write and renew this host's row until it stops.
+
+        The first write waits for a read: it overwrites what an earlier process left in
+        the row for hosts that start again.
+        """
+        with trio.move_on_after(MAX_ROW_DELAY_S):
+            while not self.hosts_watch.complete:
+                await trio.sleep(ROW_POLL_S)
         address = rows.Address(gossip.TABLE, "", self.settings.host_id)
         renewals = 0
         while not self.stopping:
@@ -606,6 +647,8 @@
             store_now_s = self.hosts_watch.store_now_s()
             if store_now_s is not None and (levels := self.quotas.levels()):
                 value |= {"quota_levels": levels, "levels_at_s": round(store_now_s, 2)}
+            if store_now_s is not None and (parts := self.prompts.record(store_now_s)):
+                value["quarantined_parts"] = parts
             started_at = self.clock.monotonic()
             try:
                 await self.store.transact({}, {address: json.dumps(value).encode()})
@@ -615,7 +658,9 @@
             except rows.UnavailableError as error:
                 self.trace.emit("host_not_renewed", reason=str(error))
                 pause_s = watch.MAX_RETRY_S
-            await trio.sleep(pause_s * self.rng.uniform(0.8, 1.2))
+            self.row_changed = trio.Event()
+            with trio.move_on_after(pause_s * self.rng.uniform(0.8, 1.2)):
+                await self.row_changed.wait()
 
     async def _run_maintenance(self, nursery: trio.Nursery) -> None:
         while True:
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -27,7 +27,7 @@
     it may run again. ``urgency`` is that of its latest start. ``run_events`` counts the
     events of the latest run, ``server_closed`` is whether the server ended that run's
     connection, and ``shared_parts`` names the parts of its prompt that other requests
-    may share.
+    may share, None until they are needed.
     """
 
     item: jobs.Item
@@ -43,7 +43,7 @@
     counted_on_server: bool = False
     run_events: int = 0
     server_closed: bool = False
-    shared_parts: tuple[str, ...] = ()
+    shared_parts: tuple[str, ...] | None = None
     cancel_scope: trio.CancelScope | None = None
     refused_by: set[str] = attrs.Factory(set)
 
@@ -69,6 +69,16 @@
     on_events: collections.abc.Callable[[str, int, float], None] = (
         lambda server, events, seconds: None
     )
+    on_first_event: collections.abc.Callable[[tuple[str, ...]], None] = lambda parts: (
+        None
+    )
+
+    def shared_parts(self, state: jobs.State, task: ItemTask) -> tuple[str, ...]:
+        """Return the parts of an item's prompt that other requests may share."""
+        if task.shared_parts is None:
+            request = self.codec.item_request(task.item, state.hostname)
+            task.shared_parts = request.shared_parts
+        return task.shared_parts
 
     async def run(self, state: jobs.State, task: ItemTask, server: model.Server) -> str:
         """Run an item on one server; return the outcome."""
@@ -107,7 +117,6 @@
         event_timeout: trio.CancelScope,
     ) -> tuple[str, messages.ResponseHead]:
         request = self.codec.item_request(task.item, state.hostname)
-        task.shared_parts = request.shared_parts
         context = messages.ForwardingContext(
             server.instance, ITEM_TIMEOUT_S, state.team, task.last_event
         )
@@ -138,7 +147,10 @@
         meter = server_speeds.SpeedMeter(server.instance, self.on_events)
         reported_events = len(task.event_data)
         while (data := await connection.read_data()) is not None:
+            first = not task.run_events
             if _collect(task, splitter, data):
+                if first:
+                    self.on_first_event(self.shared_parts(state, task))
                 now = trio.current_time()
                 event_timeout.deadline = now + EVENT_TIMEOUT_S
                 meter.add(len(task.event_data) - reported_events, now)
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -12,6 +12,7 @@
 if typing.TYPE_CHECKING:
     from turmerictally.entry import host
 
+MAX_PARTS = 20  # per family, those refused most
 MAX_TEAMS = 20  # per family, those with the highest values
 CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST
 
@@ -100,9 +101,28 @@
         ),
         *_evacuated(served),
         *_cold(served),
+        *_prompts(served),
     ]
 
 
+def _prompts(served: "host.Host") -> list[prometheus_client.core.Metric]:
+    crashes = prometheus_client.core.GaugeMetricFamily(
+        f"{exposition.PREFIX}_quarantined_prompt_part_crashes",
+        "Servers that crashed under a quarantined part.",
+        labels=["part"],
+    )
+    for part, found in served.prompts.quarantine.quarantined.items():
+        crashes.add_metric([part], found.crashes)
+    refused = prometheus_client.core.CounterMetricFamily(
+        f"{exposition.PREFIX}_refused_prompts",
+        "Requests refused for a quarantined part.",
+        labels=["part"],
+    )
+    for part, count in served.prompts.refusals.most_common(MAX_PARTS):
+        refused.add_metric([part], count)
+    return [crashes, refused]
+
+
 def _evacuated(served: "host.Host") -> list[prometheus_client.core.Metric]:
     def family(name: str, text: str) -> prometheus_client.core.Metric:
         return prometheus_client.core.GaugeMetricFamily(
--- /dev/null
+++ b/turmerictally/entry/prompt_guard.py
@@ -0,0 +1,164 @@
+"""Keep requests whose prompts crash backend servers from being sent to more of them."""
+
+import collections
+import collections.abc
+
+import attrs
+
+from turmerictally import clock as clocks
+from turmerictally.entry import gossip, model
+from turmerictally.entry import trace as traces
+from turmerictally.scheduling import prompt_quarantine
+
+# Longest wait of a batch item with a quarantined part until it is looked at again.
+MAX_ITEM_WAIT_S = 10.0
+
+
+@attrs.define(eq=False)
+class PromptGuard:
+    """Record which prompts crash servers, and refuse those with quarantined parts.
+
+    ``on_evidence`` is called when other hosts should soon learn of new evidence, and
+    ``on_quarantine`` when this host's own evidence put a part into quarantine.
+    """
+
+    hosts: gossip.HostDirectory
+    clock: clocks.Clock
+    trace: traces.Trace
+    enabled: bool = True
+    on_evidence: collections.abc.Callable[[], None] = lambda: None
+    on_quarantine: collections.abc.Callable[[], None] = lambda: None
+    quarantine: prompt_quarantine.PromptQuarantine = attrs.field(init=False)
+    refusals: collections.Counter[str] = attrs.field(factory=collections.Counter)
+
+    def __attrs_post_init__(self) -> None:
+        self.quarantine = prompt_quarantine.PromptQuarantine(
+            self.hosts.host_id, lambda: self.hosts.records
+        )
+
+    def configure(
+        self,
+        exempt: collections.abc.Iterable[str],
+        quarantined: collections.abc.Iterable[str],
+    ) -> None:
+        """Apply the operator's lists of parts."""
+        self.quarantine.exempt = frozenset(exempt)
+        self.quarantine.fixed = frozenset(quarantined)
+
+    def check(
+        self, parts: collections.abc.Iterable[str]
+    ) -> prompt_quarantine.Refusal | None:
+        """Return why a request with these shared parts must not be sent, or None."""
+        if not self.enabled:
+            return None
+        return self.quarantine.check(parts, self.clock.monotonic())
+
+    def record_send(
+        self, request_id: str, server: str, parts: collections.abc.Iterable[str]
+    ) -> None:
+        """Record that a request is sent, which tries its quarantined parts."""
+        if not self.quarantine.quarantined:
+            return
+        for part in self.quarantine.start_trials(parts, self.clock.monotonic()):
+            found = self.quarantine.quarantined[part]
+            self.trace.emit(
+                "prompt_part_tried",
+                request_id,
+                part=part,
+                server=server,
+                crashes=found.crashes,
+                age_s=round(self.clock.monotonic() - found.last_crash_at, 2),
+            )
+
+    def record_first_event(self, parts: collections.abc.Sequence[str]) -> None:
+        """Clear the shared parts of a run that a server answers."""
+        before = self.quarantine.quarantined
+        if self.quarantine.record_first_event(parts, self.clock.monotonic()):
+            self._log_changes(before, "answered here")
+            self.on_evidence()
+
+    def record_crash(
+        self,
+        request_id: str,
+        server: model.Server,
+        parts: collections.abc.Sequence[str],
+    ) -> None:
+        """Accuse the shared parts of a run that a crash ended without an event."""
+        if not parts:
+            return
+        before = self.quarantine.quarantined
+        incarnation = f"{server.instance}/{server.born_ms}"
+        now = self.clock.monotonic()
+        accused = self.quarantine.record_crash(incarnation, parts, now)
+        if not accused:
+            return
+        self.trace.emit(
+            "prompt_parts_accused",
+            request_id,
+            server=server.instance,
+            born_ms=server.born_ms,
+            accused=accused,
+            shared_parts=parts,
+        )
+        self._log_changes(before, "seen here")
+        self.on_evidence()
+        if self.quarantine.quarantined.keys() - before.keys():
+            self.on_quarantine()
+
+    def is_accused(self, parts: collections.abc.Iterable[str]) -> bool:
+        """Return whether a crash counts against one of these shared parts."""
+        return self.enabled and self.quarantine.is_accused(parts)
+
+    def report(self) -> prompt_quarantine.Report:
+        """Return this host's evidence for its digests."""
+        before = self.quarantine.quarantined
+        report = self.quarantine.report(self.clock.monotonic())
+        self._log_changes(before, "expired")
+        return report
+
+    def receive(self, host: str, report: prompt_quarantine.Report) -> None:
+        """Merge the evidence of another host's digest."""
+        before = self.quarantine.quarantined
+        self.quarantine.receive(report, self.clock.monotonic())
+        self._log_changes(before, "told", host)
+
+    def record(self, store_now_s: float) -> prompt_quarantine.Record:
+        """Return the quarantined parts for this host's row."""
+        return self.quarantine.record(store_now_s - self.clock.monotonic())
+
+    def restore(
+        self, host: str, record: prompt_quarantine.Record, store_now_s: float
+    ) -> None:
+        """Merge the quarantined parts of a host's row."""
+        before = self.quarantine.quarantined
+        now = self.clock.monotonic()
+        self.quarantine.restore(record, store_now_s - now, now)
+        self._log_changes(before, "in a host's row", host)
+
+    def item_wait_s(self, refusal: prompt_quarantine.Refusal) -> float:
+        """Return the seconds until a refused batch item is looked at again."""
+        return min(MAX_ITEM_WAIT_S, refusal.retry_after_s)
+
+    def _log_changes(
+        self,
+        before: dict[str, prompt_quarantine.Quarantine],
+        source: str,
+        host: str = "",
+    ) -> None:
+        after = self.quarantine.quarantined
+        if after is before:
+            return
+        now = self.clock.monotonic()
+        for part in after.keys() - before.keys():
+            found = after[part]
+            self.trace.emit(
+                "prompt_part_quarantined",
+                part=part,
+                crashes=found.crashes,
+                age_s=round(now - found.last_crash_at, 2),
+                trial_in_s=round(found.trial_at - now, 2),
+                source=source,
+                host=host,
+            )
+        for part in before.keys() - after.keys():
+            self.trace.emit("prompt_part_cleared", part=part, source=source, host=host)
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -33,6 +33,7 @@
         "disabled": [],
     },
     "memory": {"limit_mb": 0.0},
+    "prompts": {"exempt": [], "quarantined": []},
 }
 
 
@@ -122,6 +123,18 @@
         return mechanisms.parse(self.disabled)
 
 
+@attrs.frozen
+class Prompts:
+    """Hold the operator's lists of prompt parts.
+
+    Those in ``exempt`` are never quarantined, those in ``quarantined`` are not sent to
+    servers.
+    """
+
+    exempt: list[str] = attrs.Factory(list)
+    quarantined: list[str] = attrs.Factory(list)
+
+
 @attrs.frozen
 class Settings:
     """Hold every setting of one entry host."""
@@ -137,6 +150,7 @@
     quota: Quota = Quota()
     memory: Memory = Memory()
     scheduling: Scheduling = Scheduling()
+    prompts: Prompts = Prompts()
 
 
 def load(path: str) -> Settings:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -15,6 +15,7 @@
     item_runner,
     jobs,
     model,
+    prompt_guard,
     registry,
     watch,
 )
@@ -69,6 +70,7 @@
     hosts: gossip.HostDirectory
     inflight: inflight.InFlight
     runner: item_runner.ItemRunner
+    prompts: prompt_guard.PromptGuard
     clock: clocks.Clock
     trace: traces.Trace
     rng: random.Random
@@ -359,7 +361,10 @@
             timings = [self._timing(*pair) for pair in pairs[: len(servers)]]
             servers = placement.assign_items(timings, servers, slowness)
             for pair, timing, name in zip(pairs, timings, servers, strict=False):
-                if not placement.should_move(timing, loads_by_name[name], loads):
+                if placement.should_move(timing, loads_by_name[name], loads):
+                    continue
+                # An item that started just now may be the only trial of its prompt.
+                if not self._is_quarantined(*pair):
                     self._start_item(*pair, name)
             if servers:
                 self.send_early_digest()
@@ -418,6 +423,8 @@
         task.counted_on_server = True
         self.inflight.add_item(name, task.urgency)
         self.inflight.reserve_permit(name)
+        parts = self.runner.shared_parts(owned.versioned.state, task)
+        self.prompts.record_send(task.item.id, name, parts)
         self.trace.emit(
             "item_placed",
             task.item.id,
@@ -434,7 +441,10 @@
     def _service_or_end(
         self, owned: OwnedJob, task: item_runner.ItemTask
     ) -> str | None:
-        """Return the service that runs an item; end the item if there is none."""
+        """Return the service that runs an item, None if it may not run.
+
+        The item is ended if there is none, and waits if its prompt crashes servers.
+        """
         state = owned.versioned.state
         route = self.active_configuration.current.route(state.hostname, task.item.path)
         if route is None:
@@ -444,8 +454,29 @@
         if now_s is not None and now_s >= state.created_s + state.retention_s:
             self._finish_item(owned, task, False, "retention is over")
             return None
+        if self._is_quarantined(owned, task):
+            return None
         return forwarder.choose_service(route, self.rng)
 
+    def _is_quarantined(self, owned: OwnedJob, task: item_runner.ItemTask) -> bool:
+        """Return whether an item's prompt must not be sent now; it then waits."""
+        state = owned.versioned.state
+        refusal = self.prompts.check(self.runner.shared_parts(state, task))
+        if refusal is None:
+            return False
+        wait_s = self.prompts.item_wait_s(refusal)
+        task.not_before = self.clock.monotonic() + wait_s
+        self.trace.emit(
+            "item_quarantined",
+            task.item.id,
+            job=state.job,
+            part=refusal.part,
+            crashes=refusal.crashes,
+            age_s=refusal.age_s,
+            wait_s=round(wait_s, 2),
+        )
+        return True
+
     async def _run_item(
         self, owned: OwnedJob, task: item_runner.ItemTask, server: model.Server
     ) -> None:
@@ -477,6 +508,9 @@
             return
         if outcome.startswith("broken"):
             refused = outcome == item_runner.NOT_CONNECTED
+            if task.server_closed and not task.run_events:
+                parts = self.runner.shared_parts(owned.versioned.state, task)
+                self.prompts.record_crash(task.item.id, server, parts)
             self.inflight.record_failure(name, refused=refused)
         if outcome != "gave way":
             pause = ERROR_RETRY_S if outcome == "error" else RETRY_S
@@ -489,7 +523,7 @@
             last_event=task.last_event,
             events=task.run_events,
             server_closed=task.server_closed,
-            shared_parts=task.shared_parts,
+            shared_parts=self.runner.shared_parts(owned.versioned.state, task),
             errors=task.errors,
             outcome=outcome,
         )
--- a/turmerictally/scheduling/mechanisms.py
+++ b/turmerictally/scheduling/mechanisms.py
@@ -16,6 +16,7 @@
     ITEM_MOVES = "item_moves"
     LEARNED_SPEEDS = "learned_speeds"
     PROMPT_AFFINITY = "prompt_affinity"
+    PROMPT_QUARANTINE = "prompt_quarantine"
     RELIABILITY = "reliability"
     TEAM_TURNS = "team_turns"
     WAIT_QUEUE = "wait_queue"
--- /dev/null
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -0,0 +1,326 @@
+"""Find prompt parts that crash backend servers, from the crashes all hosts saw.
+
+A part that crashes servers never lets one write an event. So a run that a server's
+crash ended before its first event accuses the shared parts of its prompt, and any first
+event clears those of its own. Hosts exchange both in digests; each decides by itself.
+"""
+
+import collections.abc
+import hashlib
+
+import attrs
+
+# Crashes of different servers, not explained by another part, that quarantine a part. A
+# single crash may have any cause.
+MIN_CRASHES = 2
+# Crashes this close together count once: a power failure or a reset of connections ends
+# several servers' runs at the same moment.
+COINCIDENT_S = 0.05
+# A first event clears a part also for crashes that follow within this time, as a server
+# that crashes for another reason interrupts requests that just arrived.
+CLEARS_LATER_CRASHES_S = 1.0
+# One request with a quarantined part is tried this long after the part's last crash.
+# Each further crash makes the wait longer, so that all trials crash few servers.
+FIRST_TRIAL_WAIT_S = 10.0
+TRIAL_WAIT_FACTOR = 4.0
+MAX_TRIAL_WAIT_S = 600.0
+TRIAL_RETRY_AFTER_S = 1.0  # for callers while a trial is due elsewhere or runs
+CRASH_TTL_S = 1800.0
+CLEARED_TTL_S = 10.0  # until all hosts have heard that a part was cleared
+MAX_ACCUSED_PARTS = 64  # some 5 kB of a digest
+MAX_CRASHES_PER_PART = 8  # the newest ones
+MAX_CLEARED_PARTS = 4000  # whose latest first event is kept
+MAX_AGE_S = 1e6  # stands for "never" in reports
+
+# By part: its position in the prompt, the seconds since this host saw a first event,
+# and the seconds since each crash by server incarnation.
+Report = dict[str, tuple[int, float, dict[str, float]]]
+# By part: its position and the time of each crash on the store's clock.
+Record = dict[str, tuple[int, dict[str, float]]]
+
+
+@attrs.define
+class Evidence:
+    """Hold what is known of one accused part.
+
+    ``position`` is its place in the prompt, ``crashes`` the monotonic time of each
+    crash by server incarnation. ``begun_at`` is the latest first event on any host,
+    and ``tried_at`` this host's latest trial.
+    """
+
+    position: int
+    crashes: dict[str, float] = attrs.Factory(dict)
+    begun_at: float = float("-inf")
+    tried_at: float = float("-inf")
+
+    def unexplained(self, explained: collections.abc.Container[str]) -> list[float]:
+        """Return the times of crashes that count, in order, coincident ones once."""
+        times = sorted(
+            at
+            for server, at in self.crashes.items()
+            if server not in explained and at - CLEARS_LATER_CRASHES_S > self.begun_at
+        )
+        return [
+            at
+            for index, at in enumerate(times)
+            if not index or at - times[index - 1] > COINCIDENT_S
+        ]
+
+
+@attrs.frozen
+class Quarantine:
+    """Hold why and until when a part is not sent to servers.
+
+    ``crashes`` counts them; ``trial_at`` is the monotonic time of the next trial.
+    """
+
+    part: str
+    crashes: int
+    last_crash_at: float
+    trial_at: float
+
+
+@attrs.frozen
+class Refusal:
+    """Hold why a request is not sent, and when its caller may come back."""
+
+    part: str
+    crashes: int
+    age_s: float
+    retry_after_s: float
+    reason: str = "prompt part crashes servers"
+
+
+@attrs.define(eq=False)
+class PromptQuarantine:
+    """Decide which prompt parts are not sent to backend servers.
+
+    ``read_hosts`` returns the names of all hosts; the one that ranks first for a part
+    tries it. Parts in ``exempt`` are never quarantined, those in ``fixed`` always.
+    ``begun_at`` holds the latest first event of each part on this host, ``cleared_at``
+    that on any host of parts that were accused.
+    """
+
+    host: str = ""
+    read_hosts: collections.abc.Callable[[], collections.abc.Collection[str]] = tuple
+    exempt: frozenset[str] = frozenset()
+    fixed: frozenset[str] = frozenset()
+    evidence: dict[str, Evidence] = attrs.Factory(dict)
+    begun_at: dict[str, float] = attrs.Factory(dict)
+    cleared_at: dict[str, float] = attrs.Factory(dict)
+    quarantined: dict[str, Quarantine] = attrs.Factory(dict)
+
+    def record_first_event(
+        self, parts: collections.abc.Iterable[str], now: float
+    ) -> bool:
+        """Clear the parts of an answered run; return whether one was accused."""
+        was_accused = False
+        for part in parts:
+            _keep_latest(self.begun_at, part, now)
+            evidence = self.evidence.get(part)
+            if evidence is not None:
+                was_accused = was_accused or bool(evidence.unexplained(()))
+                evidence.begun_at = now
+        if was_accused:
+            self._update()
+        return was_accused
+
+    def record_crash(
+        self, server: str, parts: collections.abc.Sequence[str], now: float
+    ) -> list[str]:
+        """Accuse the parts of a run that a crash ended before its first event.
+
+        ``server`` names the server's incarnation. Returns the accused parts.
+        """
+        accused = []
+        for position, part in enumerate(parts):
+            evidence = self._evidence(part, position)
+            evidence.crashes.setdefault(server, now)
+            if evidence.unexplained(()):
+                accused.append(part)
+        self._update()
+        return accused
+
+    def is_accused(self, parts: collections.abc.Iterable[str]) -> bool:
+        """Return whether a crash counts against one of the parts."""
+        return any(
+            part in self.evidence and self.evidence[part].unexplained(())
+            for part in parts
+        )
+
+    def check(self, parts: collections.abc.Iterable[str], now: float) -> Refusal | None:
+        """Return why a request with these parts must not be sent, None if it may."""
+        for part in parts:
+            if part in self.exempt:
+                continue
+            if part in self.fixed:
+                return Refusal(part, 0, 0.0, MAX_TRIAL_WAIT_S)
+            quarantine = self.quarantined.get(part)
+            if quarantine is None or self._may_try(quarantine, now):
+                continue
+            return Refusal(
+                part,
+                quarantine.crashes,
+                round(now - quarantine.last_crash_at, 3),
+                max(TRIAL_RETRY_AFTER_S, quarantine.trial_at - now),
+            )
+        return None
+
+    def start_trials(
+        self, parts: collections.abc.Iterable[str], now: float
+    ) -> list[str]:
+        """Record that a request is sent; return those of its parts that it tries."""
+        tried = [
+            part
+            for part in parts
+            if part in self.quarantined and part not in self.exempt
+        ]
+        for part in tried:
+            self.evidence[part].tried_at = now
+        return tried
+
+    def report(self, now: float) -> Report:
+        """Return the evidence for the other hosts, and drop what has expired."""
+        self._expire(now)
+        return {
+            part: (
+                evidence.position,
+                round(now - self.begun_at.get(part, now - MAX_AGE_S), 3),
+                {s: round(now - at, 3) for s, at in evidence.crashes.items()},
+            )
+            for part, evidence in self.evidence.items()
+        }
+
+    def receive(self, report: Report, now: float) -> None:
+        """Merge another host's evidence."""
+        for part, (position, begun_age_s, crash_ages) in report.items():
+            evidence = self._evidence(part, position)
+            evidence.begun_at = max(evidence.begun_at, now - begun_age_s)
+            self._merge(evidence, {s: now - age for s, age in crash_ages.items()}, now)
+        if report:
+            self._update()
+
+    def record(self, to_store_s: float) -> Record:
+        """Return the quarantined parts for this host's row.
+
+        ``to_store_s`` added to monotonic seconds gives the store's clock.
+        """
+        return {
+            part: (
+                self.evidence[part].position,
+                {
+                    server: round(at + to_store_s, 2)
+                    for server, at in self.evidence[part].crashes.items()
+                },
+            )
+            for part in self.quarantined
+        }
+
+    def restore(self, record: Record, to_store_s: float, now: float) -> None:
+        """Merge the quarantined parts of a host's row."""
+        for part, (position, crashes) in record.items():
+            times = {server: at - to_store_s for server, at in crashes.items()}
+            self._merge(self._evidence(part, position), times, now)
+        if record:
+            self._update()
+
+    def _may_try(self, quarantine: Quarantine, now: float) -> bool:
+        if now < quarantine.trial_at:
+            return False
+        if now - self.evidence[quarantine.part].tried_at < FIRST_TRIAL_WAIT_S:
+            return False
+        # Hosts that are not reachable count too: a trial is made by one host only.
+        hosts = {self.host, *self.read_hosts()}
+        return max(hosts, key=lambda h: _rank(quarantine.part, h)) == self.host
+
+    def _evidence(self, part: str, position: int) -> Evidence:
+        evidence = self.evidence.get(part)
+        if evidence is None:
+            if len(self.evidence) >= MAX_ACCUSED_PARTS:
+                self._drop_weakest()
+            begun_at = max(
+                times.get(part, float("-inf"))
+                for times in (self.begun_at, self.cleared_at)
+            )
+            evidence = self.evidence[part] = Evidence(position, begun_at=begun_at)
+        evidence.position = max(evidence.position, position)
+        return evidence
+
+    def _drop_weakest(self) -> None:
+        def strength(part: str) -> tuple[int, float]:
+            evidence = self.evidence[part]
+            newest = max(evidence.crashes.values(), default=float("-inf"))
+            return len(evidence.unexplained(())), newest
+
+        del self.evidence[min(self.evidence, key=strength)]
+
+    @staticmethod
+    def _merge(evidence: Evidence, crashes: dict[str, float], now: float) -> None:
+        for server, at in crashes.items():
+            if now - at > CRASH_TTL_S:
+                continue
+            # A report is late by its way here, so that the earliest is the truest.
+            evidence.crashes[server] = min(at, evidence.crashes.get(server, at))
+        for server in sorted(evidence.crashes, key=evidence.crashes.get)[
+            :-MAX_CRASHES_PER_PART
+        ]:
+            del evidence.crashes[server]
+
+    def _expire(self, now: float) -> None:
+        for part, evidence in list(self.evidence.items()):
+            newest = max(evidence.crashes.values(), default=float("-inf"))
+            if evidence.unexplained(()):
+                expired = now - newest > CRASH_TTL_S
+            else:
+                expired = now - max(newest, evidence.begun_at) > CLEARED_TTL_S
+                # Hosts that were cut off report the crashes again.
+                _keep_latest(self.cleared_at, part, evidence.begun_at)
+            if expired:
+                del self.evidence[part]
+                self.quarantined.pop(part, None)
+
+    def _update(self) -> None:
+        """Quarantine the fewest parts that explain the crashes.
+
+        A part that stands in most crashes comes first. Among equals it is the one that
+        was never answered, then the one furthest back in the prompt, which fewest
+        requests share. What it explains does not count against others.
+        """
+        explained: set[str] = set()
+        remaining = dict(self.evidence)
+        quarantined = {}
+        while remaining:
+            counts = {p: len(e.unexplained(explained)) for p, e in remaining.items()}
+            part = max(
+                remaining,
+                key=lambda p: (
+                    counts[p],
+                    -remaining[p].begun_at,
+                    remaining[p].position,
+                    p,
+                ),
+            )
+            if counts[part] < MIN_CRASHES:
+                break
+            evidence = remaining.pop(part)
+            last_at = evidence.unexplained(())[-1]
+            wait_s = FIRST_TRIAL_WAIT_S * TRIAL_WAIT_FACTOR ** (
+                counts[part] - MIN_CRASHES
+            )
+            quarantined[part] = Quarantine(
+                part, counts[part], last_at, last_at + min(MAX_TRIAL_WAIT_S, wait_s)
+            )
+            explained |= evidence.crashes.keys()
+        self.quarantined = quarantined
+
+
+def _keep_latest(times: dict[str, float], part: str, at: float) -> None:
+    """Set a part's time, and drop the part that was set first if there are too many."""
+    times.pop(part, None)
+    times[part] = at
+    if len(times) > MAX_CLEARED_PARTS:
+        del times[next(iter(times))]
+
+
+def _rank(part: str, host: str) -> bytes:
+    return hashlib.blake2b(f"{part}/{host}".encode()).digest()
--- a/turmerictally/tests/features/entry_crashing_prompts.feature
+++ b/turmerictally/tests/features/entry_crashing_prompts.feature
@@ -12,3 +12,14 @@
       | every host restarts at once        |
       | the hosts of a domain are cut off  |
       | batch items hold that part as well |
+
+  # Guards against a refusal that promises "not run" for a request that crashed a server.
+  Scenario: Callers are told the truth about requests that crash servers
+    When requests whose prompts hold a crashing part arrive at six hosts while nothing else happens
+    Then each request answered 503 never reached a server and says when to come back
+    And each one that crashed a server got 502 and was sent to no other server
+
+  # Guards against callers refused when servers end for a cause outside their prompts.
+  Scenario: Servers that lose power together put no prompt into quarantine
+    When half of the servers lose power at once while sound requests run
+    Then no prompt part is quarantined
--- /dev/null
+++ b/turmerictally/tests/features/scheduling_quarantine.feature
@@ -0,0 +1,37 @@
+Feature: Hosts find the prompt part that crashes servers, and only that one
+  # Guards against callers refused for a part that their prompts share with crashing ones.
+  Scenario Outline: Only the part that crashes servers is quarantined
+    Given four hosts that exchange evidence each second
+    When <crashes>
+    Then every host has quarantined <parts>
+
+    Examples:
+      | crashes                                                                  | parts  |
+      | two servers crash 0.2 s apart under prompts of aa,bad                    | bad    |
+      | two servers crash 0.2 s apart under prompts of aa,bad on different hosts | bad    |
+      | two servers crash 0.2 s apart under prompts of bad,aa, and aa was served | bad    |
+      | one server crashes under a prompt of aa,bad                              | none   |
+      | six servers crash at one moment under prompts of aa,rare                 | none   |
+      | servers crash under prompts of aa while others serve it                  | none   |
+      | two servers crash under prompts of aa,bad and one also of cc,rare        | bad    |
+
+  # Guards against a quarantine that comes back from a host that has not heard of its end.
+  Scenario: A part that is served again stays out of quarantine
+    Given four hosts that exchange evidence each second
+    And a part that every host has quarantined
+    When one host is cut off from the others, and another one serves a trial
+    Then the three hosts clear the part at once, and the fourth after the cut
+    And no host quarantines it again
+
+  # Guards against trials that crash servers one after the other.
+  Scenario: Trials of a part that still crashes servers are few over all hosts
+    Given four hosts that exchange evidence each second
+    When requests with a crashing part arrive at every host for 600 s
+    Then at most 5 servers crash
+    And each trial is made by one host
+
+  Scenario: An operator's lists go before the evidence
+    Given four hosts that exchange evidence each second
+    And a part that every host has quarantined
+    When the operator exempts that part and lists another one
+    Then requests with the first one are sent, and those with the other one are not
--- a/turmerictally/tests/features/steps/entry_crashing_prompts_steps.py
+++ b/turmerictally/tests/features/steps/entry_crashing_prompts_steps.py
@@ -101,7 +101,8 @@
 )
 def crashing_requests(context, event):
     async def main(world):
-        world.crashing_part = BAD
+        for server in world.servers.values():
+            server.crashing_part = BAD
         context.traffic = traffic = Traffic(world)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
@@ -162,3 +163,48 @@
     before = served(0.0, context.began_at)
     after = served(settled_at(context, 2), context.began_at + CRASHING_S)
     assert after >= 0.5 * before, (before, after)
+
+
+@behave.then(
+    "each request answered 503 never reached a server and says when to come back"
+)
+def refused_unrun(context):
+    runs = users_platform.counts(context.world.runs)
+    refused = [(n, r) for n, r in context.traffic.crashing if r.status == 503]
+    assert refused
+    for name, reply in refused:
+        assert not runs[name]
+        assert float(reply.headers["retry-after"]) > 0, reply.headers
+
+
+@behave.then("each one that crashed a server got 502 and was sent to no other server")
+def crashed_once(context):
+    runs = users_platform.counts(context.world.runs)
+    crashed = [(n, r) for n, r in context.traffic.crashing if runs[n]]
+    assert crashed
+    for name, reply in crashed:
+        assert reply.status == 502 and runs[name] == 1, (reply.status, runs[name])
+
+
+@behave.when("half of the servers lose power at once while sound requests run")
+def power_lost(context):
+    async def main(world):
+        context.traffic = traffic = Traffic(world)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                traffic.send, traffic.sound, (FIRST, "rare"), SOUND_GAP_S, 8.0
+            )
+            await trio.sleep(4.0)
+            for server in list(world.servers.values())[::2]:
+                server.crash()
+
+    context.world = users_platform.play(main, hosts=HOSTS, servers=SERVERS)
+
+
+@behave.then("no prompt part is quarantined")
+def none_quarantined(context):
+    broken = [
+        line for line in context.world.lines("attempt_failed") if line["server_closed"]
+    ]
+    assert broken
+    assert not context.world.lines("prompt_part_quarantined")
--- /dev/null
+++ b/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
@@ -0,0 +1,185 @@
+"""Steps for the quarantine of prompt parts, simulated without a network."""
+
+import behave
+
+from turmerictally.scheduling import prompt_quarantine
+
+EXCHANGE_S = 1.0
+APART_S = 0.2
+NAMES = ("h0", "h1", "h2", "h3")
+
+
+class Fleet:
+    """Hold the quarantines of some hosts that exchange reports."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self.hosts = {
+            name: prompt_quarantine.PromptQuarantine(name, lambda: NAMES)
+            for name in NAMES
+        }
+        self.cut_off = set()
+        self.crashes = 0
+        self.trials = []
+
+    def exchange(self):
+        for name, host in self.hosts.items():
+            report = host.report(self.now)
+            for other, receiver in self.hosts.items():
+                if other != name and not {name, other} & self.cut_off:
+                    receiver.receive(report, self.now + 0.03)
+
+    def crash(self, name, *parts):
+        self.crashes += 1
+        server = f"s{self.crashes}"
+        self.hosts[name].record_crash(server, parts, self.now)
+        return server
+
+    def quarantined(self):
+        return {name: sorted(host.quarantined) for name, host in self.hosts.items()}
+
+
+@behave.given("four hosts that exchange evidence each second")
+def four_hosts(context):
+    context.fleet = Fleet()
+
+
+@behave.when("{crashes} crash 0.2 s apart under prompts of {rest}")
+def apart(context, crashes, rest):
+    fleet = context.fleet
+    parts = rest.split(" ")[0].rstrip(",").split(",")
+    if "was served" in rest:
+        fleet.hosts["h3"].record_first_event(["aa"], fleet.now - 30.0)
+    fleet.crash("h0", *parts)
+    fleet.now += APART_S
+    fleet.crash("h1" if "different hosts" in rest else "h0", *parts)
+    fleet.exchange()
+    fleet.exchange()
+
+
+@behave.when("one server crashes under a prompt of aa,bad")
+def one_crash(context):
+    fleet = context.fleet
+    server = fleet.crash("h0", "aa", "bad")
+    # Seen by two hosts, it is still one crash.
+    fleet.hosts["h1"].record_crash(server, ("aa", "bad"), fleet.now + 0.01)
+    fleet.exchange()
+    fleet.exchange()
+
+
+@behave.when("six servers crash at one moment under prompts of aa,rare")
+def power_failure(context):
+    fleet = context.fleet
+    for number in range(6):
+        fleet.crash(NAMES[number % 4], "aa", "rare")
+        fleet.now += 0.002
+    fleet.exchange()
+    fleet.exchange()
+
+
+@behave.when("servers crash under prompts of aa while others serve it")
+def crashes_amid_service(context):
+    fleet = context.fleet
+    for number in range(6):
+        fleet.now += APART_S
+        fleet.hosts["h2"].record_first_event(["aa"], fleet.now - 0.1)
+        fleet.crash(NAMES[number % 2], "aa")
+        fleet.exchange()
+
+
+@behave.when("two servers crash under prompts of aa,bad and one also of cc,rare")
+def bystander(context):
+    fleet = context.fleet
+    for number in range(2):
+        fleet.now += APART_S
+        server = fleet.crash("h0", "aa", "bad")
+        if number:
+            fleet.hosts["h1"].record_crash(server, ("cc", "rare"), fleet.now)
+    fleet.exchange()
+    fleet.exchange()
+
+
+@behave.then("every host has quarantined {parts}")
+def quarantined(context, parts):
+    expected = [] if parts == "none" else [parts]
+    found = context.fleet.quarantined()
+    assert found == dict.fromkeys(NAMES, expected), found
+
+
+@behave.given("a part that every host has quarantined")
+def one_quarantined(context):
+    fleet = context.fleet
+    for _ in range(2):
+        fleet.now += APART_S
+        fleet.crash("h0", "aa", "bad")
+    fleet.exchange()
+    quarantined(context, "bad")
+
+
+@behave.when("one host is cut off from the others, and another one serves a trial")
+def served_in_cut(context):
+    fleet = context.fleet
+    fleet.cut_off = {"h3"}
+    fleet.now += prompt_quarantine.FIRST_TRIAL_WAIT_S
+    fleet.hosts["h0"].record_first_event(["aa", "bad"], fleet.now)
+    fleet.exchange()
+    context.in_cut = fleet.quarantined()
+    fleet.cut_off = set()
+    context.later = []
+    for _ in range(40):
+        fleet.now += EXCHANGE_S
+        fleet.exchange()
+        context.later.append(fleet.quarantined())
+
+
+@behave.then("the three hosts clear the part at once, and the fourth after the cut")
+def cleared(context):
+    assert context.in_cut == {"h0": [], "h1": [], "h2": [], "h3": ["bad"]}
+
+
+@behave.then("no host quarantines it again")
+def stays_cleared(context):
+    for found in context.later[1:]:
+        assert found == dict.fromkeys(NAMES, []), found
+
+
+@behave.when("requests with a crashing part arrive at every host for {seconds:d} s")
+def crashing_for_long(context, seconds):
+    fleet = context.fleet
+    end = fleet.now + seconds
+    while fleet.now < end:
+        for name, host in fleet.hosts.items():
+            fleet.now += APART_S
+            if host.check(("aa", "bad"), fleet.now) is None:
+                if host.start_trials(("aa", "bad"), fleet.now):
+                    fleet.trials.append((name, fleet.now))
+                fleet.crash(name, "aa", "bad")
+                fleet.exchange()
+        fleet.hosts["h2"].record_first_event(["aa"], fleet.now)
+        fleet.exchange()
+
+
+@behave.then("at most {most:d} servers crash")
+def few_crashes(context, most):
+    assert 2 <= context.fleet.crashes <= most, context.fleet.crashes
+
+
+@behave.then("each trial is made by one host")
+def one_host(context):
+    trials = context.fleet.trials
+    assert trials and len({name for name, _ in trials}) == 1, trials
+
+
+@behave.when("the operator exempts that part and lists another one")
+def lists(context):
+    for host in context.fleet.hosts.values():
+        host.exempt, host.fixed = frozenset({"bad"}), frozenset({"cc"})
+
+
+@behave.then(
+    "requests with the first one are sent, and those with the other one are not"
+)
+def lists_apply(context):
+    for host in context.fleet.hosts.values():
+        assert host.check(("aa", "bad"), context.fleet.now) is None
+        assert host.check(("cc",), context.fleet.now) is not None
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -88,6 +88,7 @@
         self.leaving = False  # each answer says that the server leaves
         self.endless = ""  # which part of an answer never ends
         self.endless_bytes = 0
+        self.crashing_part = None  # ends the server when it begins to answer it
         self.drips = False  # each stream stalls, but for a byte now and then
         self.copies_answers = False  # each answer comes again when the next is due
         self.born = 1
@@ -250,7 +251,7 @@
     async def work(self, stream, parser, run):
         if self.silent:
             await trio.sleep_forever()
-        if self.world.crashing_part in shared_parts(run.headers):
+        if self.crashing_part in shared_parts(run.headers):
             await self.crash_on_part(stream, parser, run)
         if self.endless:
             await self.babble(stream, run)
@@ -361,7 +362,6 @@
         self.rng = random.Random(seed)
         self.runs = []
         self.slowness = {}
-        self.crashing_part = None  # ends each server that begins to answer it
         self.crashes = []  # moments at which servers ended
         self.hosts = {}
         self.scopes = {}
@@ -433,6 +433,7 @@
         await trio.sleep(RESTART_S - LEASE_S)
         name = f"{before.name.partition('.')[0]}.{len(self.crashes)}"
         again = Server(self, name, before.address, before.domain, before.slots)
+        again.crashing_part = before.crashing_part
         self.servers[name] = again
         await self.nursery.start(again.run)
         again.register()
