Log the request rates that servers name as their limits

Servers in need name in their responses how many requests a second they take from all hosts together. Nothing read that, and no line told that a server had named a limit, to whom and when, so that logs could not tell a limit that nobody reads from one that is heard of late or kept by each host for itself.

server_limit: server, incarnation, limit, the one before, age, source. No decision changes.

--- a/turmerictally/entry/availability.py
+++ b/turmerictally/entry/availability.py
@@ -6,9 +6,9 @@
 import attrs
 
 from turmerictally import clock as clocks
-from turmerictally.entry import gossip, model, registry
+from turmerictally.entry import gossip, messages, model, registry
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import cold_start, evacuation
+from turmerictally.scheduling import cold_start, evacuation, server_limits
 from turmerictally.store import rows
 
 if typing.TYPE_CHECKING:
@@ -35,6 +35,7 @@
     trace: traces.Trace
     overshoot: float
     evacuations: evacuation.Evacuations = attrs.field(factory=evacuation.Evacuations)
+    limits: server_limits.ServerLimits = attrs.field(factory=server_limits.ServerLimits)
     budgets: cold_start.ColdStartBudgets = attrs.field(init=False)
     has_servers: bool = False
     written_at: float = float("inf")
@@ -47,6 +48,28 @@
             self.hosts.host_id, self._rate_of, self._view, self.overshoot
         )
 
+    def record_head(self, server: model.Server, head: messages.ResponseHead) -> None:
+        """Record what a response's head says of its server: its limit, its shutdown."""
+        if head.leaving:
+            self.registry.mark_leaving(server, "its answer")
+        now = self.clock.monotonic()
+        name = server.instance
+        before = self.limits.per_s(name, now)
+        if self.limits.record(name, server.born_ms, head.limit_per_s, now):
+            self._log_limit(name, before, "its answer")
+
+    def _log_limit(self, name: str, before: float | None, source: str) -> None:
+        found = self.limits.latest[name]
+        self.trace.emit(
+            "server_limit",
+            server=name,
+            born_ms=found.born_ms,
+            per_s=found.per_s,
+            before=before,
+            age_s=round(self.clock.monotonic() - found.seen_at, 3),
+            source=source,
+        )
+
     def accepts_requests(self, server: model.Server, now: float) -> bool:
         """Return whether a server is in service and, while cold, has a free permit."""
         return not self.evacuations.is_evacuated(
--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -455,8 +455,7 @@
         head = await self._read_head(pending, server, connection)
         silence_timer.set_deadline(math.inf)
         pending.response_head = head
-        if head.leaving:
-            self.inflight.registry.mark_leaving(server, "its answer")
+        self.inflight.availability.record_head(server, head)
         if head.not_run:
             await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
             pending.reason = f"server answered {head.status}"
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -251,7 +251,7 @@
             runner=item_runner.ItemRunner(
                 self.pool,
                 codec,
-                self.registry.mark_leaving,
+                self.availability.record_head,
                 self.inflight.use_permit,
                 self.inflight.record_events,
                 self.prompts.record_first_event,
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -62,8 +62,8 @@
 
     pool: pool.Pool
     codec: messages.Codec
-    on_leaving: collections.abc.Callable[[model.Server, str], None] = (
-        lambda server, source: None
+    on_head: collections.abc.Callable[[model.Server, messages.ResponseHead], None] = (
+        lambda server, head: None
     )
     on_connect: collections.abc.Callable[[str], None] = lambda server: None
     on_events: collections.abc.Callable[[str, int, float], None] = (
@@ -127,8 +127,7 @@
         head = await forwarder.read_response_head(
             self.codec, connection, request.request_id
         )
-        if head.leaving:
-            self.on_leaving(server, "its answer")
+        self.on_head(server, head)
         if head.status != 200 or head.not_run:
             await connection.read_body(forwarder.MAX_BUFFERED_RESPONSE_BYTES)
             if head.not_run:
--- a/turmerictally/entry/messages.py
+++ b/turmerictally/entry/messages.py
@@ -68,7 +68,8 @@
     ``signed`` is whether it carries the server's own signature, ``not_run`` whether the
     server states that it did not run the request, ``leaving`` whether the server is
     about to stop and takes no new requests. ``keep_alive_s`` is the idle time-out that
-    the server announces.
+    the server announces, and ``limit_per_s`` how many requests a second it takes from
+    all hosts together.
     """
 
     status: int
@@ -79,6 +80,7 @@
     leaving: bool = False
     is_event_stream: bool = False
     keep_alive_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class Codec(typing.Protocol):
--- a/turmerictally/platform/requests.py
+++ b/turmerictally/platform/requests.py
@@ -39,6 +39,7 @@
 BEARER = re.compile(r"(?i)bearer +(\S+)$")
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 NUMBER = re.compile(r"\d{1,15}$")
+DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?$")
 # Prompt tokens and maximum output tokens.
 TOKEN_USAGE = re.compile(r"(\d{1,9}) *, *(\d{1,9})$")
 
@@ -109,6 +110,7 @@
             b"text/event-stream"
         ),
         keep_alive_s=float(timeout[1]) if timeout else None,
+        limit_per_s=_rate(named, b"server-limit"),
     )
 
 
@@ -133,6 +135,13 @@
     return named.get(name, b"").decode("latin-1")
 
 
+def _rate(named: dict[bytes, bytes], name: bytes) -> float | None:
+    """Return a positive rate, None if it is missing or not a number."""
+    value = _text(named, name).strip()
+    rate = float(value) if DECIMAL.match(value) else 0.0
+    return rate or None
+
+
 def _number(named: dict[bytes, bytes], name: bytes) -> int | None:
     value = _text(named, name).strip()
     return int(value) if NUMBER.match(value) else None
