Reproduce LIMIT: servers get far more than the limit that they name

Six scenarios in virtual time: five of eight servers name limits of 2.5 to 3.6 a second for 16 s while 40 requests a second arrive at four to twelve hosts; alone, with batch items, while hosts restart, without the store, and cut into halves. Checks from the stated target: from 3 s after the limit was named at most 1.5 times what it allows, plus 5, in any 4 s; and that a limited server is still used, and fully again after its limit ended.

--- /dev/null
+++ b/turmerictally/tests/features/entry_server_limits.feature
@@ -0,0 +1,17 @@
+Feature: Hosts together keep to the request rate that a server names as its limit
+  # Guards against a server in need getting far more requests than the limit it named.
+  Scenario Outline: A server gets no more requests than the limit that it names allows
+    Given <hosts> hosts and eight servers, of which five name limits of 2.5 to 3.6 a second for 16 s
+    When 40 requests a second arrive while <event>
+    Then from 3 s after a limit was named its server gets in any 4 s at most one and a half times what it allows plus 5
+    And it gets at least half of what it allows
+    And 4 s after the limits ended these servers get their part again
+
+    Examples:
+      | hosts | event                             |
+      | 4     | nothing else happens              |
+      | 12    | nothing else happens              |
+      | 8     | batch items wait                  |
+      | 8     | one host after the other restarts |
+      | 8     | the store does not answer         |
+      | 8     | half of the hosts are cut off     |
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -88,6 +88,8 @@
         self.leaving = False  # each answer says that the server leaves
         self.endless = ""  # which part of an answer never ends
         self.endless_bytes = 0
+        self.limit_per_s = None  # which each answer names
+        self.arrived_at = []
         self.crashing_part = None  # ends the server when it begins to answer it
         self.drips = False  # each stream stalls, but for a byte now and then
         self.copies_answers = False  # each answer comes again when the next is due
@@ -154,6 +156,7 @@
                 return False
         headers = {n.decode().lower(): v.decode() for n, v in request.headers}
         self.arrivals += 1
+        self.arrived_at.append(trio.current_time())
         whole = False
         with trio.CancelScope() as left:
             async with trio.open_nursery() as nursery:
@@ -236,6 +239,8 @@
         ]
         if self.leaving:
             found.append(("Server-Leaving", "1"))
+        if self.limit_per_s is not None:
+            found.append(("Server-Limit", f"{self.limit_per_s:g}"))
         return found
 
     async def refuse(self, stream, parser, headers, status):
