--- a/turmerictally/bench/crowd.py
+++ b/turmerictally/bench/crowd.py
@@ -26,10 +26,10 @@
     worker,
 )
 from turmerictally.scheduling import (
-    cold_start,
     connect_timeout,
     mechanisms,
     placement,
+    server_rates,
     wait_queue,
 )
 from turmerictally.tests.support import limits_fleet
@@ -81,7 +81,7 @@
 class AllAvailable:
     """Mark every server as available for new requests."""
 
-    budgets = cold_start.ColdStartBudgets()
+    budgets = server_rates.RateBudgets()
 
     def accepts_requests(self, server: model.Server, now: float) -> bool:
         """Return True."""
--- a/turmerictally/entry/availability.py
+++ b/turmerictally/entry/availability.py
@@ -8,7 +8,7 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import gossip, messages, model, registry
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import cold_start, evacuation, server_limits
+from turmerictally.scheduling import evacuation, server_limits, server_rates
 from turmerictally.store import rows
 
 if typing.TYPE_CHECKING:
@@ -36,7 +36,7 @@
     overshoot: float
     evacuations: evacuation.Evacuations = attrs.field(factory=evacuation.Evacuations)
     limits: server_limits.ServerLimits = attrs.field(factory=server_limits.ServerLimits)
-    budgets: cold_start.ColdStartBudgets = attrs.field(init=False)
+    budgets: server_rates.RateBudgets = attrs.field(init=False)
     has_servers: bool = False
     written_at: float = float("inf")
     renewed_at: float = float("-inf")
@@ -44,7 +44,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.suspended_s = self.clock.suspended()
-        self.budgets = cold_start.ColdStartBudgets(
+        self.budgets = server_rates.RateBudgets(
             self.hosts.host_id, self._rate_of, self._view, self.overshoot
         )
 
@@ -180,7 +180,7 @@
             born_ms=server.born_ms,
             registered=self.registry.versions.get(server.instance),
             reason=reason,
-            for_s=round(min(seconds, cold_start.MAX_COLD_S), 2),
+            for_s=round(min(seconds, server_rates.MAX_COLD_S), 2),
             said_s=server.cold_s,
             per_s=self._rate_of(server.instance),
             permits=self.budgets.owned_permits(server.instance, now),
@@ -234,9 +234,9 @@
         server = self.registry.servers.get(name)
         return self._service_of(server).cold_per_s if server else 0.0
 
-    def _view(self) -> cold_start.HostTableView:
+    def _view(self) -> server_rates.HostTableView:
         now = self.clock.monotonic()
-        return cold_start.HostTableView(
+        return server_rates.HostTableView(
             frozenset(self.hosts.records),
             self.hosts.table_age_s(),
             now - self.written_at,
--- a/turmerictally/scheduling/cold_start.py
+++ b/turmerictally/scheduling/server_rates.py
@@ -55,7 +55,7 @@
 
 
 @attrs.define(eq=False)
-class ColdServer:
+class RestrictedServer:
     """Hold a cold server's time limits and this host's requests to it.
 
     ``until`` and ``usable_from`` are monotonic seconds; ``reserved`` counts requests
@@ -73,7 +73,7 @@
 
 
 @attrs.define(eq=False)
-class ColdStartBudgets:
+class RateBudgets:
     """Track this host's permits for each cold server.
 
     ``rate_of`` returns a server's limit in requests per second over all hosts, 0 for
@@ -84,7 +84,7 @@
     rate_of: collections.abc.Callable[[str], float] = lambda server: 0.0
     read_view: collections.abc.Callable[[], HostTableView] = HostTableView
     overshoot: float = 1.0
-    servers: dict[str, ColdServer] = attrs.Factory(dict)
+    servers: dict[str, RestrictedServer] = attrs.Factory(dict)
     start_times: dict[str, int] = attrs.Factory(dict)
     cached_view: HostTableView = attrs.field(factory=HostTableView)
     cached_at: float = float("-inf")
@@ -112,7 +112,7 @@
         if entry is not None and now < entry.until:
             entry.until = max(entry.until, until)
             return False
-        self.servers[server] = ColdServer(
+        self.servers[server] = RestrictedServer(
             until, now + PERMIT_PERIOD_S if in_use else now
         )
         return True
@@ -169,7 +169,7 @@
             entry.owned_permits = count_owned(server, self.host, *inputs)
         return entry.owned_permits
 
-    def expire(self, now: float) -> list[tuple[str, ColdServer]]:
+    def expire(self, now: float) -> list[tuple[str, RestrictedServer]]:
         """Remove the servers that have warmed up and return them."""
         warm = [
             (name, entry) for name, entry in self.servers.items() if now >= entry.until
@@ -179,7 +179,7 @@
         return warm
 
     def _permits_used(
-        self, server: str, entry: ColdServer, now: float, periods: int
+        self, server: str, entry: RestrictedServer, now: float, periods: int
     ) -> int:
         period_s = self._fleet_permits(server)[1]
         while entry.send_times and entry.send_times[0] <= now - 2 * period_s:
--- a/turmerictally/tests/features/steps/entry_cold_steps.py
+++ b/turmerictally/tests/features/steps/entry_cold_steps.py
@@ -5,7 +5,7 @@
 import behave
 import trio
 
-from turmerictally.scheduling import cold_start
+from turmerictally.scheduling import server_rates
 from turmerictally.tests.support import users_platform
 
 PER_S, SLACK, WARM_UP_S = 3, 5, 3.0
@@ -38,7 +38,7 @@
         for server in world.servers.values():
             server.events = EVENTS
         # By then the hosts know each other's rows.
-        await trio.sleep(cold_start.VIEW_SETTLE_S + 1.0)
+        await trio.sleep(server_rates.VIEW_SETTLE_S + 1.0)
         server = world.servers["s0"]
         server.cold_ms = COLD_S * 1000
         server.register()
@@ -167,7 +167,8 @@
     else:
         assert all(context.states)
         assert all(
-            0 < remaining <= cold_start.MAX_COLD_S for remaining in context.remaining_s
+            0 < remaining <= server_rates.MAX_COLD_S
+            for remaining in context.remaining_s
         )
     logged = [entry for entry in context.lines if entry["event"] == line]
     # Logged once per host rather than with every heartbeat.
--- a/turmerictally/tests/features/steps/entry_server_limits_steps.py
+++ b/turmerictally/tests/features/steps/entry_server_limits_steps.py
@@ -5,7 +5,7 @@
 import behave
 import trio
 
-from turmerictally.scheduling import cold_start
+from turmerictally.scheduling import server_rates
 from turmerictally.tests.support import users_platform
 
 SERVERS, LIMITED = 8, 5
@@ -66,7 +66,7 @@
     context.replies = []
 
     async def main(world):
-        await trio.sleep(cold_start.VIEW_SETTLE_S + 1.0)
+        await trio.sleep(server_rates.VIEW_SETTLE_S + 1.0)
         async with trio.open_nursery() as nursery:
             context.named_at = trio.current_time()
             context.ended_at = context.named_at + LIMITED_S
--- a/turmerictally/tests/features/steps/scheduling_cold_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_cold_steps.py
@@ -7,7 +7,7 @@
 
 import behave
 
-from turmerictally.scheduling import cold_start, placement
+from turmerictally.scheduling import placement, server_rates
 
 COLD_PER_S, OVERSHOOT, SLACK = 8.3, 1.5, 5
 MAX_PER_SECOND = int(COLD_PER_S * OVERSHOOT + SLACK)
@@ -43,7 +43,7 @@
         self.start()
 
     def start(self):
-        self.budgets = cold_start.ColdStartBudgets(
+        self.budgets = server_rates.RateBudgets(
             self.name, lambda _: COLD_PER_S, self.view, OVERSHOOT
         )
         self.noticed.clear()
@@ -55,7 +55,7 @@
         names = {n for n, at in self.fleet.listed_at.items() if at <= seen_at}
         names.add(self.name)
         renewal_age_s = now - self.cut_at if cut else 1.0
-        return cold_start.HostTableView(
+        return server_rates.HostTableView(
             frozenset(names), now - seen_at, now - self.started_at, renewal_age_s
         )
 
@@ -218,7 +218,9 @@
     context.names = [f"h{n}" for n in range(hosts)]
     context.owned = {
         f"s{n}": {
-            host: cold_start.count_owned(f"s{n}", host, context.names, context.permits)
+            host: server_rates.count_owned(
+                f"s{n}", host, context.names, context.permits
+            )
             for host in context.names
         }
         for n in range(servers)
@@ -260,7 +262,7 @@
     def view(self, name, now):
         seen_at = min(self.cut[name], now - self.rng.uniform(0.0, 5.0))
         names = {other for other, at in self.started.items() if at <= seen_at}
-        return cold_start.HostTableView(
+        return server_rates.HostTableView(
             frozenset(names | {name}),
             now - seen_at,
             now - self.started[name],
@@ -274,7 +276,7 @@
         for name in self.names:
             view = self.view(name, now)
             if now >= self.started[name] and (not settled or view.is_settled(name)):
-                permits_used += cold_start.count_owned("s", name, view.hosts, permits)
+                permits_used += server_rates.count_owned("s", name, view.hosts, permits)
         return permits_used
 
 
@@ -302,23 +304,27 @@
 
 
 VIEWS = {
-    "has been listed for 13 s": cold_start.HostTableView(
+    "has been listed for 13 s": server_rates.HostTableView(
         frozenset("h"), 1.0, 13.0, 1.0
     ),
-    "has been listed for 11 s": cold_start.HostTableView(
+    "has been listed for 11 s": server_rates.HostTableView(
         frozenset("h"), 1.0, 11.0, 1.0
     ),
-    "was cut off 10 s ago": cold_start.HostTableView(frozenset("h"), 10.0, 99.0, 10.0),
-    "was cut off 12 s ago": cold_start.HostTableView(frozenset("h"), 12.0, 99.0, 12.0),
-    "could not renew its row for 61 s": cold_start.HostTableView(
+    "was cut off 10 s ago": server_rates.HostTableView(
+        frozenset("h"), 10.0, 99.0, 10.0
+    ),
+    "was cut off 12 s ago": server_rates.HostTableView(
+        frozenset("h"), 12.0, 99.0, 12.0
+    ),
+    "could not renew its row for 61 s": server_rates.HostTableView(
         frozenset("h"), 1.0, 99.0, 61.0
     ),
-    "is no longer listed": cold_start.HostTableView(frozenset("i"), 1.0, 99.0, 1.0),
+    "is no longer listed": server_rates.HostTableView(frozenset("i"), 1.0, 99.0, 1.0),
 }
 
 
 def budgets_of(view):
-    budgets = cold_start.ColdStartBudgets(
+    budgets = server_rates.RateBudgets(
         "h", lambda _: COLD_PER_S, lambda: view, OVERSHOOT
     )
     budgets.mark_cold("s", WARM_UP_S, 0.0, in_use=False)
