Keep all hosts together to the request rate that a server names

What callers saw: nothing yet by itself; servers in need got up to twice what they said they take (35 requests in 4 s where 25 are allowed), which is how such servers fail.

Cause: nothing read Server-Limit.

Change: the newest response of a server tells its limit, on whichever host it arrived, and digests pass it on. The permits of cold servers serve limits too: ceil(limit) permits, each of one host by its rank among the hosts with rows, four requests in four periods. Why it works: so all hosts send at most 4 x ceil(limit) in any 4 s whatever they know of each other, below 6 x limit + 5, and the limit on average. Servers without a permit left are not offered to requests, items, second attempts and failovers; shares and expected waits count a limited server for the slots that requests at its rate hold.

The failing test passes (23 to 42 requests in 4 s before, bound 20).

--- a/turmerictally/bench/crowd.py
+++ b/turmerictally/bench/crowd.py
@@ -29,6 +29,7 @@
     connect_timeout,
     mechanisms,
     placement,
+    server_limits,
     server_rates,
     wait_queue,
 )
@@ -82,6 +83,7 @@
     """Mark every server as available for new requests."""
 
     budgets = server_rates.RateBudgets()
+    limits = server_limits.ServerLimits()
 
     def accepts_requests(self, server: model.Server, now: float) -> bool:
         """Return True."""
--- a/turmerictally/entry/admission.py
+++ b/turmerictally/entry/admission.py
@@ -74,7 +74,7 @@
             # A rare request uses the one place in a server's own queue: this host may
             # have no other request whose end would free a slot.
             return with_queue_slot
-        conditions = self.conditions(loads)
+        conditions = self.conditions(request.service, loads)
         if not self.enforce_shares:
             request.rank = 0.0
         refusal = self.wait_queue.check_admission(request, conditions, now)
@@ -119,17 +119,24 @@
         return self.hosts.digest_period_s()
 
     def conditions(
-        self, loads: list[placement.ServerLoad]
+        self, service: str, loads: list[placement.ServerLoad]
     ) -> wait_queue.QueueConditions:
-        """Return the conditions on which decisions about a service are based."""
+        """Return the conditions on which decisions about a service are based.
+
+        A server that named a limit counts for the slots that requests at this rate
+        hold, also if this host may send it none now: other hosts may.
+        """
         now = self.clock.monotonic()
+        limits = self.inflight.limits_per_s(service)
+        slots = sum(load.slots for load in loads if load.name not in limits)
+        slots += round(sum(limits.values()) * self.wait_queue.service_times.mean_s)
         report_times = [
             peer.received_at
             for peer in self.hosts.peers.values()
             if not peer.unreachable
         ]
         return wait_queue.QueueConditions(
-            slots=sum(load.slots for load in loads),
+            slots=slots,
             waiting_elsewhere=self.hosts.totals.callers_waiting,
             hosts=1 + len(report_times),
             age_s=round(now - min(report_times, default=now), 3),
@@ -163,7 +170,7 @@
         if loads is not None:
             return loads
         now = self.clock.monotonic()
-        conditions = self.conditions(read_loads())
+        conditions = self.conditions(request.service, read_loads())
         share = self.wait_queue.demand.admitted_ratio(
             request.service, request.team, conditions.slots, now
         )
@@ -212,7 +219,7 @@
         self.last_offer_at = now
         for service in {request.service for request in self.wait_queue.requests}:
             loads = self.inflight.server_loads(service)
-            conditions = self.conditions(loads)
+            conditions = self.conditions(service, loads)
             count = self.wait_queue.own_slots(
                 wait_queue.count_free_slots(loads), service, conditions
             )
@@ -225,7 +232,7 @@
         count: int,
         server: str = "",
     ) -> None:
-        conditions = self.conditions(loads)
+        conditions = self.conditions(service, loads)
         now = self.clock.monotonic()
         for _ in range(count):
             request = self.wait_queue.next_request(service, conditions, now)
--- a/turmerictally/entry/availability.py
+++ b/turmerictally/entry/availability.py
@@ -36,6 +36,7 @@
     overshoot: float
     evacuations: evacuation.Evacuations = attrs.field(factory=evacuation.Evacuations)
     limits: server_limits.ServerLimits = attrs.field(factory=server_limits.ServerLimits)
+    on_limit_change: collections.abc.Callable[[], None] = lambda: None
     budgets: server_rates.RateBudgets = attrs.field(init=False)
     has_servers: bool = False
     written_at: float = float("inf")
@@ -45,7 +46,11 @@
     def __attrs_post_init__(self) -> None:
         self.suspended_s = self.clock.suspended()
         self.budgets = server_rates.RateBudgets(
-            self.hosts.host_id, self._rate_of, self._view, self.overshoot
+            self.hosts.host_id,
+            self._rate_of,
+            self._view,
+            self.overshoot,
+            lambda server: self.limits.per_s(server, self.clock.monotonic()),
         )
 
     def record_head(self, server: model.Server, head: messages.ResponseHead) -> None:
@@ -57,6 +62,14 @@
         before = self.limits.per_s(name, now)
         if self.limits.record(name, server.born_ms, head.limit_per_s, now):
             self._log_limit(name, before, "its answer")
+            self.on_limit_change()
+
+    def receive_limits(self, host: str, report: server_limits.Report) -> None:
+        """Apply the limits of servers that another host saw."""
+        now = self.clock.monotonic()
+        before = {name: self.limits.per_s(name, now) for name in report}
+        for name in self.limits.receive(report, now):
+            self._log_limit(name, before[name], host)
 
     def _log_limit(self, name: str, before: float | None, source: str) -> None:
         found = self.limits.latest[name]
@@ -71,7 +84,7 @@
         )
 
     def accepts_requests(self, server: model.Server, now: float) -> bool:
-        """Return whether a server is in service and, while cold, has a free permit."""
+        """Return whether a server is in service and, if restricted, has a permit."""
         return not self.evacuations.is_evacuated(
             server.domain
         ) and self.budgets.may_send(server.instance, now)
@@ -83,9 +96,14 @@
         if usable and not in_service:
             return REASON_EVACUATED
         now = self.clock.monotonic()
-        if any(
-            not self.budgets.may_send(server.instance, now) for server in in_service
-        ):
+        restricted = [
+            server
+            for server in in_service
+            if not self.budgets.may_send(server.instance, now)
+        ]
+        if any(self.limits.per_s(server.instance, now) for server in restricted):
+            return "servers at their limit"
+        if restricted:
             return "servers warm up"
         return "no server"
 
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -11,7 +11,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import ownership, prompt_quarantine
+from turmerictally.scheduling import ownership, prompt_quarantine, server_limits
 from turmerictally.store import rows
 
 # A sixth of a typical latency objective. With many hosts the period grows, so that a
@@ -81,7 +81,8 @@
     only; between two of them the last values hold. So are ``removed`` (by server, the
     store's version at which its registration was removed) and ``leaving`` (by server,
     the start time of the incarnation that said it leaves) and ``accused_parts`` (the
-    evidence against prompt parts, as in ``scheduling.prompt_quarantine.Report``).
+    evidence against prompt parts, as in ``scheduling.prompt_quarantine.Report``), and
+    ``limits`` (those that servers named, as in ``scheduling.server_limits.Report``).
     """
 
     host: str
@@ -111,6 +112,7 @@
     waiting_urgencies: list[int] = attrs.Factory(list)
     batch_urgencies: dict[str, list[int]] = attrs.Factory(dict)
     accused_parts: prompt_quarantine.Report = attrs.Factory(dict)
+    limits: server_limits.Report = attrs.Factory(dict)
 
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -211,6 +211,7 @@
         )
         self.hosts.on_reachable = self.disseminator.on_peer_reachable
         self.prompts.on_evidence = self.disseminator.send_full_digest
+        self.availability.on_limit_change = self.disseminator.send_full_digest
         self.prompts.on_quarantine = lambda: self.row_changed.set()
 
     def _configure_prompts(self) -> None:
@@ -486,6 +487,7 @@
         for name, server in before.items():
             if name in after and after[name].born_ms != server.born_ms:
                 self.inflight.reset_server(name)
+                self.availability.limits.remove(name)
         self.availability.update_cold_servers(
             before, complete=self.servers_watch.complete
         )
@@ -537,6 +539,8 @@
             self.states_watch.apply(changed, 0)
         if digest.leaving:
             self.registry.apply_peer_leaving(digest.host, digest.leaving)
+        if digest.limits:
+            self.availability.receive_limits(digest.host, digest.limits)
         if digest.accused_parts:
             self.prompts.receive(digest.host, digest.accused_parts)
         if digest.speeds and self.inflight.speed_tracker is not None:
@@ -603,6 +607,9 @@
                 for server, urgencies in self.inflight.batch_urgencies.items()
             },
             accused_parts=self.prompts.report() if full else {},
+            limits=self.availability.limits.report(self.clock.monotonic())
+            if full
+            else {},
         )
 
     def _demand(self) -> dict[str, int]:
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -97,8 +97,20 @@
             for server in trusted or healthy or servers
         ]
 
+    def limits_per_s(self, service: str) -> dict[str, float]:
+        """Return the limits that a service's servers named, in requests a second."""
+        limits = self.availability.limits
+        if not limits.latest:
+            return {}
+        now = self.clock.monotonic()
+        named = {
+            server.instance: limits.per_s(server.instance, now)
+            for server in self.registry.usable(service)
+        }
+        return {name: per_s for name, per_s in named.items() if per_s is not None}
+
     def reserve_permit(self, name: str) -> None:
-        """Reserve a cold server's permit for a request that is about to be sent."""
+        """Reserve a restricted server's permit for a request about to be sent."""
         self.availability.budgets.reserve(name, self.clock.monotonic())
 
     def use_permit(self, name: str) -> None:
@@ -276,9 +288,9 @@
         return self.ejector.reliability(self._outcomes(name, own_outcomes))
 
     def _item_room(self, name: str, now: float) -> int | None:
-        """Return how many batch items a cold server may get; None if it is not cold."""
+        """Return how many batch items a restricted server may get, None for any."""
         budgets = self.availability.budgets
-        if not budgets.is_cold(name, now):
+        if not budgets.is_restricted(name, now):
             return None
         return int(budgets.is_idle(name, now) and budgets.may_send(name, now))
 
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -101,6 +101,7 @@
         ),
         *_evacuated(served),
         *_cold(served),
+        *_limited(served),
         *_prompts(served),
     ]
 
@@ -163,6 +164,26 @@
     return [permits, sent, remaining]
 
 
+def _limited(served: "host.Host") -> list[prometheus_client.core.Metric]:
+    def family(name: str, text: str) -> prometheus_client.core.Metric:
+        return prometheus_client.core.GaugeMetricFamily(
+            f"{exposition.PREFIX}_server_limit_{name}", text, labels=["server"]
+        )
+
+    rates = family("per_second", "Requests that it takes from all hosts.")
+    permits = family("permits", "This host's part of the rate.")
+    ages = family("age_seconds", "Since a response named it.")
+    now = served.clock.monotonic()
+    limits, budgets = served.availability.limits, served.availability.budgets
+    for name, found in limits.latest.items():
+        per_s = limits.per_s(name, now)
+        if per_s is not None and name in budgets.servers:
+            rates.add_metric([name], per_s)
+            permits.add_metric([name], budgets.owned_permits(name, now))
+            ages.add_metric([name], now - found.seen_at)
+    return [rates, permits, ages]
+
+
 def _team_families(served: "host.Host") -> list[prometheus_client.core.Metric]:
     """Return the teams' demands, fair shares, waiting times and refusals."""
     admission = served.admission
--- a/turmerictally/scheduling/server_rates.py
+++ b/turmerictally/scheduling/server_rates.py
@@ -1,6 +1,7 @@
-"""Limit the rate of requests from all hosts to cold servers, without messages.
+"""Limit the rate of requests from all hosts to a server, without messages.
 
-A server's rate is divided into permits, each worth one request per period. A permit
+Cold servers are limited, and those that name a limit of their own. A server's rate is
+divided into permits, each worth one request per period. A permit
 belongs to the host that ranks first for it among the hosts in the table, so two hosts
 that see each other's rows never own the same permit.
 """
@@ -8,12 +9,16 @@
 import collections
 import collections.abc
 import hashlib
+import math
 
 import attrs
 
 # Time between two requests on one permit. The rate is counted over one second; the
 # rest covers the difference in delay of two requests on busy hosts and links.
 PERMIT_PERIOD_S = 1.05
+# Periods over which requests are counted on permits of a named limit. Load comes in
+# waves, and what a quiet second leaves is used in the next one.
+LIMIT_PERIODS = 4
 # Time for a host's row to reach every other host's copy of the table. At 400 hosts,
 # which read it every 4 s, that is several reads, so a host cut off from the store keeps
 # its permits for some seconds.
@@ -46,25 +51,50 @@
 
     def is_settled(self, host: str) -> bool:
         """Return whether every host that uses permits has ``host`` in its own view."""
+        return self.is_listed(host) and self.age_s < VIEW_SETTLE_S - STORE_CALL_MARGIN_S
+
+    def is_listed(self, host: str) -> bool:
+        """Return whether the other hosts have had ``host`` in their views for long.
+
+        Hosts that were added since this view was read may have taken over permits.
+        """
         return (
             host in self.hosts
             and self.own_row_age_s >= VIEW_SETTLE_S
-            and self.age_s < VIEW_SETTLE_S - STORE_CALL_MARGIN_S
             and self.renewal_age_s < MAX_RENEWAL_AGE_S
         )
 
 
+@attrs.frozen
+class FleetRate:
+    """Hold the rate of a server over all hosts, divided into permits.
+
+    Each permit is worth ``periods`` requests in as many periods.
+    """
+
+    permits: int
+    period_s: float
+    periods: int
+    is_named: bool
+
+    @property
+    def per_s(self) -> float:
+        """Return the requests a second."""
+        return self.permits / self.period_s
+
+
 @attrs.define(eq=False)
 class RestrictedServer:
-    """Hold a cold server's time limits and this host's requests to it.
+    """Hold a cold or limited server's times and this host's requests to it.
 
-    ``until`` and ``usable_from`` are monotonic seconds; ``reserved`` counts requests
+    ``until`` and ``usable_from`` are monotonic seconds; a server that only named a
+    limit was never cold. ``reserved`` counts requests
     that are assigned to the server and wait for a connection. ``owned_permits`` is
     cached for ``permits_inputs``: the hosts in the view and the number of permits.
     """
 
-    until: float
-    usable_from: float
+    until: float = float("-inf")
+    usable_from: float = float("-inf")
     reserved: int = 0
     sent: int = 0
     send_times: collections.deque[float] = attrs.Factory(collections.deque)
@@ -74,16 +104,18 @@
 
 @attrs.define(eq=False)
 class RateBudgets:
-    """Track this host's permits for each cold server.
+    """Track this host's permits for each cold server and each that named a limit.
 
-    ``rate_of`` returns a server's limit in requests per second over all hosts, 0 for
-    no limit; ``overshoot`` is the factor by which the limit may be exceeded.
+    ``rate_of`` returns the rate of a server while it is cold in requests per second
+    over all hosts, 0 for no limit; ``overshoot`` is the factor by which that may be
+    exceeded. ``limit_of`` returns the limit that a server named, None for no limit.
     """
 
     host: str = ""
     rate_of: collections.abc.Callable[[str], float] = lambda server: 0.0
     read_view: collections.abc.Callable[[], HostTableView] = HostTableView
     overshoot: float = 1.0
+    limit_of: collections.abc.Callable[[str], float | None] = lambda server: None
     servers: dict[str, RestrictedServer] = attrs.Factory(dict)
     start_times: dict[str, int] = attrs.Factory(dict)
     cached_view: HostTableView = attrs.field(factory=HostTableView)
@@ -122,26 +154,29 @@
         entry = self.servers.get(server)
         return entry is not None and now < entry.until and self.rate_of(server) > 0
 
+    def is_restricted(self, server: str, now: float) -> bool:
+        """Return whether a server is cold or named a limit."""
+        return self.limit_of(server) is not None or self.is_cold(server, now)
+
     def may_send(self, server: str, now: float) -> bool:
         """Return whether one more request may be sent to a server now."""
-        if not self.is_cold(server, now):
+        if not self.is_restricted(server, now):
             return True
-        entry = self.servers[server]
+        entry = self._entry(server)
         if now < entry.usable_from:
             return False
-        return self._permits_used(server, entry, now, 1) < self.owned_permits(
-            server, now
-        )
+        rate = self._fleet_rate(server, now)
+        used = self._permits_used(entry, now, rate, rate.periods)
+        return used < self.owned_permits(server, now) * rate.periods
 
     def is_idle(self, server: str, now: float) -> bool:
-        """Return whether this host used none of a cold server's permits for 2 periods.
+        """Return whether this host used none of a server's permits for 2 periods.
 
         Batch items take a permit only then, when online requests do not need it.
         """
-        entry = self.servers[server]
-        return now >= entry.usable_from and not self._permits_used(
-            server, entry, now, 2
-        )
+        entry = self._entry(server)
+        rate = self._fleet_rate(server, now)
+        return now >= entry.usable_from and not self._permits_used(entry, now, rate, 2)
 
     def reserve(self, server: str, now: float) -> None:
         """Reserve a permit for a request that is about to be sent."""
@@ -157,42 +192,69 @@
             entry.send_times.append(now)
 
     def owned_permits(self, server: str, now: float) -> int:
-        """Return how many of a cold server's permits belong to this host."""
-        entry = self.servers[server]
+        """Return how many of a restricted server's permits belong to this host."""
+        entry = self._entry(server)
         if now >= self.cached_at + VIEW_REFRESH_S:
             self.cached_view, self.cached_at = self.read_view(), now
-        if not self.cached_view.is_settled(self.host):
+        rate = self._fleet_rate(server, now)
+        # Long without the store, a host keeps its permits of named limits: such servers
+        # may be most of all, for as long as it lasts.
+        view = self.cached_view
+        if not (
+            view.is_listed(self.host) if rate.is_named else view.is_settled(self.host)
+        ):
             return 0
-        inputs = self.cached_view.hosts, self._fleet_permits(server)[0]
+        inputs = view.hosts, rate.permits
         if entry.permits_inputs != inputs:
             entry.permits_inputs = inputs
             entry.owned_permits = count_owned(server, self.host, *inputs)
         return entry.owned_permits
 
     def expire(self, now: float) -> list[tuple[str, RestrictedServer]]:
-        """Remove the servers that have warmed up and return them."""
-        warm = [
-            (name, entry) for name, entry in self.servers.items() if now >= entry.until
-        ]
-        for name, _ in warm:
-            del self.servers[name]
+        """End the warm-ups that are over, and return their servers."""
+        warm = []
+        for name, entry in list(self.servers.items()):
+            if now < entry.until:
+                continue
+            if entry.until > float("-inf"):
+                warm.append((name, entry))
+            if self.limit_of(name) is None:
+                del self.servers[name]
+            else:
+                entry.until = float("-inf")
         return warm
 
+    def _entry(self, server: str) -> RestrictedServer:
+        """Return what is known of a restricted server; one may be new to this host."""
+        return self.servers.setdefault(server, RestrictedServer())
+
+    @staticmethod
     def _permits_used(
-        self, server: str, entry: RestrictedServer, now: float, periods: int
+        entry: RestrictedServer, now: float, rate: FleetRate, periods: int
     ) -> int:
-        period_s = self._fleet_permits(server)[1]
-        while entry.send_times and entry.send_times[0] <= now - 2 * period_s:
+        kept_s = max(2, rate.periods) * rate.period_s
+        while entry.send_times and entry.send_times[0] <= now - kept_s:
             entry.send_times.popleft()
-        since = now - periods * period_s
+        since = now - periods * rate.period_s
         return entry.reserved + sum(at > since for at in entry.send_times)
 
-    def _fleet_permits(self, server: str) -> tuple[int, float]:
-        """Return the number of a server's permits over all hosts, and their period."""
+    def _fleet_rate(self, server: str, now: float) -> FleetRate:
+        """Return a restricted server's rate, the lower one if there are two."""
+        limit = self.limit_of(server)
+        if limit is None:
+            return self._cold_rate(server)
+        permits = math.ceil(limit)
+        named = FleetRate(permits, permits / limit, LIMIT_PERIODS, is_named=True)
+        if not self.is_cold(server, now):
+            return named
+        return min(named, self._cold_rate(server), key=lambda rate: rate.per_s)
+
+    def _cold_rate(self, server: str) -> FleetRate:
         rate = self.rate_of(server) * self.overshoot
         if rate >= 1:
-            return int(rate), PERMIT_PERIOD_S
-        return 1, PERMIT_PERIOD_S / rate if rate > 0 else float("inf")
+            return FleetRate(int(rate), PERMIT_PERIOD_S, 1, is_named=False)
+        period_s = PERMIT_PERIOD_S / rate if rate > 0 else float("inf")
+        return FleetRate(1, period_s, 1, is_named=False)
 
 
 def count_owned(
