Believe a refusal without a request id only first on a connection

What callers would see: a request that runs once only ran at a second server (TWICE), or its caller was told that it had not run.

Such a head is believed only as the first response on a new connection; elsewhere the attempt counts as broken, so that the request may have run. entry_broken_answers.feature: of two scenarios the one without an id failed before (request own-1 ran twice).

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -685,13 +685,14 @@
     codec: messages.Codec, connection: pool.Connection, request_id: str
 ) -> messages.ResponseHead:
     """Return the head of the response to this request, skipping those to others."""
-    for _ in range(1 + MAX_SKIPPED_RESPONSES):
+    for skipped in range(1 + MAX_SKIPPED_RESPONSES):
         raw_head = await connection.read_head()
         head = codec.read_head(raw_head.status, raw_head.headers)
         if head.request_id == request_id:
             return head
         if not head.request_id:
-            if head.not_run:
+            # On a kept connection it may repeat the refusal of an earlier request.
+            if head.not_run and connection.requests_sent == 1 and not skipped:
                 return head
             raise pool.BrokenError(f"answer {head.status} without a request id")
         await connection.skip_response()
--- /dev/null
+++ b/turmerictally/tests/features/steps/entry_broken_answers_steps.py
@@ -0,0 +1,166 @@
+"""Steps for refusals, heads and streams that faulty servers write."""
+
+import behave
+import trio
+
+from turmerictally.tests.support import users_platform
+
+CALLERS = 4
+FIRST_EVENTS = 3
+SIGNED = b"X-Server-Stamp: s\r\nX-Request-Id: ID\r\n"
+STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + SIGNED
+CHUNKED = STREAM + b"Transfer-Encoding: chunked\r\n\r\n"
+EVENT = b"id: 1\ndata: x.1\n\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def plain(status, headers=SIGNED, body=b"a text"):
+    head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n" % (status, len(body))
+    return head + headers + b"\r\n" + body
+
+
+NEXT_ANSWERS = {
+    "500": plain(500),
+    "500 without a signature": plain(500, b"X-Request-Id: ID\r\n"),
+    "404": plain(404),
+    "503 that does not say not run": plain(503),
+    "200 with a plain body": plain(200),
+    "a stream that holds an error's text": CHUNKED
+    + chunk(b"Internal Server Error\n\n")
+    + LAST_CHUNK,
+    "a stream that holds a response's head": CHUNKED
+    + chunk(b"HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nerror")
+    + LAST_CHUNK,
+    "a stream whose events have no ids": CHUNKED
+    + chunk(b"data: error\n\n")
+    + LAST_CHUNK,
+    "a stream of another request's events": CHUNKED + chunk(EVENT) + LAST_CHUNK,
+}
+CUT_ANSWERS = {
+    "a part of a head": STREAM[:40],
+    "a head without its end": STREAM,
+    "the head of a stream without length or chunks": STREAM + b"\r\n",
+    "such a head and a part of an event": STREAM + b"\r\n" + EVENT[:9],
+    "such a head, an event and a part of the next one": STREAM
+    + b"\r\n"
+    + EVENT
+    + b"id: 2\nda",
+    "a stream in chunks without the last one": CHUNKED + chunk(EVENT),
+}
+
+
+@behave.when(
+    "servers write an earlier refusal {how} again, on a kept connection, before they "
+    "run a request"
+)
+def refusal_again(context, how):
+    context.replies = []
+
+    async def main(world):
+        for server in world.servers.values():
+            server.repeated_refusal = how
+        caller = users_platform.Caller(world)
+        for number in range(8):
+            for server in world.servers.values():
+                # One request is refused, and the next one on that connection runs.
+                server.refuses_next = not number % 2
+            name = f"own-{number}"
+            context.replies.append((name, await caller.ask(request_id=name)))
+
+    options = getattr(context, "route", {})
+    context.world = users_platform.play(main, hosts=1, servers=2, **options)
+
+
+@behave.then("no request that ran was answered 503 or 429, and none ran twice")
+def truthful(context):
+    runs = users_platform.counts(context.world.runs)
+    assert any(server.refusals_repeated for server in context.world.servers.values())
+    for name, reply in context.replies:
+        assert runs[name] <= 1, (name, runs[name])
+        assert not runs[name] or reply.status not in (429, 503), (name, reply.status)
+
+
+@behave.when("a stream breaks off and the next server answers {answer}")
+def next_answers(context, answer):
+    context.replies = []
+
+    async def main(world):
+        first, second = world.servers.values()
+        first.break_after = FIRST_EVENTS
+        second.raw_answer = NEXT_ANSWERS[answer.removeprefix("with ")]
+        for number in range(CALLERS):
+            caller = users_platform.Caller(world)
+            name = f"own-{number}"
+            context.replies.append((name, await caller.ask(request_id=name)))
+
+    context.world = users_platform.play(main, hosts=1, servers=2)
+
+
+@behave.then(
+    "the caller has the events of the first run only, and its response is broken off"
+)
+def first_events_only(context):
+    broke_off = {run.request for run in context.world.servers["s0"].runs}
+    begun = [reply for name, reply in context.replies if name in broke_off]
+    assert begun
+    for reply in begun:
+        assert not reply.whole, reply
+        blocks = [block for block in reply.body.split(b"\n\n") if block]
+        assert all(block.startswith(b"id: ") for block in blocks), reply.body
+        assert reply.ids == list(range(1, len(blocks) + 1)), reply.ids
+
+
+@behave.when("servers answer with {what} and close")
+def cut_short(context, what):
+    context.replies = []
+
+    async def main(world):
+        for server in world.servers.values():
+            server.raw_answer = CUT_ANSWERS[what]
+        for _ in range(CALLERS):
+            context.replies.append(await users_platform.Caller(world).ask())
+        body, _ = users_platform.lot(world, 2)
+        await users_platform.Caller(world).ask("/night/j", body=body, request_id="job")
+        await trio.sleep(5.0)
+        reply = await users_platform.Caller(world).ask(
+            "/-/lots/job?after=0", method="GET", body=b""
+        )
+        context.results = reply.json()["results"]
+
+    context.world = users_platform.play(main, hosts=1, servers=2)
+
+
+@behave.then("callers get 502 or a broken response, and no batch item succeeds")
+def none_whole(context):
+    for reply in context.replies:
+        assert reply.status in (502, 503) or not reply.whole, reply
+    assert any(reply.status != 503 for reply in context.replies)
+    assert not any(r["state"] == "succeeded" for r in context.results)
+
+
+@behave.when("servers send streams without length or chunks and close")
+def unframed(context):
+    context.replies = []
+
+    async def main(world):
+        events = b"".join(
+            b"id: %d\ndata: x\n\n" % n for n in range(1, users_platform.EVENTS + 1)
+        )
+        for server in world.servers.values():
+            server.raw_answer = STREAM + b"\r\n" + events
+        for _ in range(CALLERS):
+            context.replies.append(await users_platform.Caller(world).ask())
+
+    context.world = users_platform.play(main, hosts=1, servers=2)
+
+
+@behave.then("every caller gets all events from one run")
+def all_events(context):
+    for reply in context.replies:
+        assert reply.whole
+        assert reply.ids == list(range(1, users_platform.EVENTS + 1))
+    assert len(context.world.runs) == CALLERS
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -88,6 +88,11 @@
         self.leaving = False  # each answer says that the server leaves
         self.endless = ""  # which part of an answer never ends
         self.endless_bytes = 0
+        self.raw_answer = b""  # sent as it is, after which the connection ends
+        self.refuses_next = False
+        self.repeated_refusal = ""  # how the last refusal comes again
+        self.refusals = {}  # by connection, the last one
+        self.refusals_repeated = 0
         self.limit_per_s = None  # which each answer names
         self.arrived_at = []
         self.crashing_part = None  # ends the server when it begins to answer it
@@ -173,6 +178,9 @@
     async def answer(self, stream, parser, request, headers, body):
         if headers.get("x-expect-instance", self.name) != self.name:
             return await self.refuse(stream, parser, headers, 421)
+        if self.refuses_next:
+            self.refuses_next = False
+            return await self.refuse(stream, parser, headers, 503)
         waited = trio.current_time()
         while self.running >= self.slots:
             if trio.current_time() - waited > 3.0:
@@ -251,6 +259,10 @@
         ]
         data = parser.send(h11.Response(status_code=status, headers=named))
         await stream.send_all(data + parser.send(h11.EndOfMessage()))
+        if "without" in self.repeated_refusal:
+            name = headers["x-request-id"].encode()
+            data = data.replace(b"X-Request-Id: " + name + b"\r\n", b"")
+        self.refusals[id(stream)] = data
         return True
 
     async def work(self, stream, parser, run):
@@ -258,6 +270,14 @@
             await trio.sleep_forever()
         if self.crashing_part in shared_parts(run.headers):
             await self.crash_on_part(stream, parser, run)
+        if self.repeated_refusal and id(stream) in self.refusals:
+            self.refusals_repeated += 1
+            await stream.send_all(self.refusals.pop(id(stream)))
+        if self.raw_answer:
+            run.ended = "raw"
+            await stream.send_all(self.raw_answer.replace(b"ID", run.request.encode()))
+            await stream.send_eof()
+            return False
         if self.endless:
             await self.babble(stream, run)
             return False
