Take text without an event id in a stream for a broken response

What callers would see: an error's text, or a response's head as text, in the middle of their stream, which then ended as if it were complete. Here an error status, a plain body or another request's events after a break were never passed on, as shown by scenarios that pass before; but a stream that held such text was: a block between two blank lines without an id was forwarded like a comment.

Only comments and reconnection times may now stand between events; other text without an id breaks the attempt off, which goes on elsewhere or ends as broken off. The streams of this interface number each event.

--- a/turmerictally/entry/sse.py
+++ b/turmerictally/entry/sse.py
@@ -9,6 +9,11 @@
 MAX_UNNUMBERED_BYTES = 16 * 1024
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
+# What may stand between numbered events: comments and reconnection times.
+_UNNUMBERED = re.compile(
+    rb"(?:(?::|retry:)[^\r\n]*)?(?:\r?\n(?:(?::|retry:)[^\r\n]*)?)*"
+)
+
 # The fast path: an event as servers send it, with an id, optionally a name, and one
 # line of data.
 _SIMPLE_EVENT = re.compile(
@@ -110,6 +115,8 @@
                     raise SequenceError("event id is no number")
                 number = int(text)
         if number is None:
+            if not _UNNUMBERED.fullmatch(raw):
+                raise SequenceError("event without an id")
             self.unnumbered_bytes += len(raw)
             if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES:
                 raise SequenceError("too much without an event id")
