Treat a stream that ends with its connection before any event as broken

What callers would see: a 200 with an empty body, framed as whole, and batch items that succeeded with no text. It hid crashes from the prompt quarantine as well.

An orderly end there cannot be told from a crash, so that the attempt counts as broken off by the server: it goes on elsewhere, or ends with 502. A further scenario plays the crashing prompt part with such responses.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -584,8 +584,7 @@
             sent_to_caller_at = now
             if coalesce and connection.needs_data:
                 await trio.sleep(COALESCE_S)
-        if splitter.buffer:
-            raise pool.BrokenError("stream ended within an event")
+        connection.check_stream_end(pending.attempt_events, splitter.buffer)
         if not pending.response.started:
             await pending.response.start(
                 head.status, self.codec.caller_headers(head), None
--- a/turmerictally/entry/http1.py
+++ b/turmerictally/entry/http1.py
@@ -308,6 +308,11 @@
         """Return whether another message may follow the complete one."""
         return self.complete and not self.eof and not self.current.closes_connection
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the connection's end tells that of the message."""
+        return self.framing is _UNTIL_CLOSE
+
     @property
     def needs_data(self) -> bool:
         """Return whether the message is incomplete and all received was returned."""
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -161,8 +161,7 @@
                 with trio.move_on_after(FINAL_READ_TIMEOUT_S, shield=True):
                     _collect(task, splitter, await connection.read_data() or b"")
                 raise
-        if splitter.buffer:
-            raise pool.BrokenError("stream ended within an event")
+        connection.check_stream_end(task.run_events, splitter.buffer)
         return "done", head
 
 
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -120,6 +120,19 @@
         """Return whether the response is incomplete and all received was returned."""
         return self.reader.needs_data
 
+    def check_stream_end(self, events: int, rest: bytes) -> None:
+        """Check that a stream of so many events is complete; raises ``BrokenError``.
+
+        ``rest`` is what follows the last event. Without a length or chunks, a server
+        that ended before its first event can't be told from one that is done.
+        """
+        if rest:
+            raise BrokenError(
+                "stream ended within an event", peer_closed=self.reader.eof
+            )
+        if not events and self.reader.ends_with_connection:
+            raise BrokenError("stream ended before its first event", peer_closed=True)
+
     async def _receive(self) -> None:
         try:
             data = await self.stream.receive_some()
--- a/turmerictally/tests/features/entry_broken_answers.feature
+++ b/turmerictally/tests/features/entry_broken_answers.feature
@@ -26,3 +26,21 @@
       | a stream that holds a response's head  |
       | a stream whose events have no ids      |
       | a stream of another request's events   |
+
+  # Guards against short responses that are framed as whole.
+  Scenario Outline: A response that a server cut short is not passed on as whole
+    When servers answer with <what> and close
+    Then callers get 502 or a broken response, and no batch item succeeds
+
+    Examples:
+      | what                                             |
+      | a part of a head                                 |
+      | a head without its end                           |
+      | the head of a stream without length or chunks    |
+      | such a head and a part of an event               |
+      | such a head, an event and a part of the next one |
+      | a stream in chunks without the last one          |
+
+  Scenario: A stream that ends with its connection is complete
+    When servers send streams without length or chunks and close
+    Then every caller gets all events from one run
--- a/turmerictally/tests/features/entry_crashing_prompts.feature
+++ b/turmerictally/tests/features/entry_crashing_prompts.feature
@@ -12,6 +12,7 @@
       | every host restarts at once        |
       | the hosts of a domain are cut off  |
       | batch items hold that part as well |
+      | responses end with the connection  |
 
   # Guards against a refusal that promises "not run" for a request that crashed a server.
   Scenario: Callers are told the truth about requests that crash servers
--- a/turmerictally/tests/features/steps/entry_crashing_prompts_steps.py
+++ b/turmerictally/tests/features/steps/entry_crashing_prompts_steps.py
@@ -103,6 +103,7 @@
     async def main(world):
         for server in world.servers.values():
             server.crashing_part = BAD
+            server.unframed = "responses end" in event
         context.traffic = traffic = Traffic(world)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -96,6 +96,7 @@
         self.limit_per_s = None  # which each answer names
         self.arrived_at = []
         self.crashing_part = None  # ends the server when it begins to answer it
+        self.unframed = False  # its last response has neither a length nor chunks
         self.drips = False  # each stream stalls, but for a byte now and then
         self.copies_answers = False  # each answer comes again when the next is due
         self.born = 1
@@ -213,7 +214,12 @@
         """Send a response's head and end the server, which starts again later."""
         await trio.sleep(EVENT_S)
         named = [("Content-Type", "text/event-stream"), *self.named(run)]
-        await stream.send_all(parser.send(h11.Response(status_code=200, headers=named)))
+        head = parser.send(h11.Response(status_code=200, headers=named))
+        if self.unframed:
+            head = STREAM.replace(b"ID", run.request.encode())
+        await stream.send_all(head)
+        if self.unframed:
+            await stream.send_eof()
         run.ended = "crashed"
         if self.name in self.world.servers:
             del self.world.servers[self.name]
@@ -458,7 +464,7 @@
         await trio.sleep(RESTART_S - LEASE_S)
         name = f"{before.name.partition('.')[0]}.{len(self.crashes)}"
         again = Server(self, name, before.address, before.domain, before.slots)
-        again.crashing_part = before.crashing_part
+        again.crashing_part, again.unframed = before.crashing_part, before.unframed
         self.servers[name] = again
         await self.nursery.start(again.run)
         again.register()
