Clear prompt parts by complete responses that are no streams

Only first events of streams cleared parts, so that on routes with responses of one piece any two crashes would have put a common part into quarantine, and refused sound requests.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -528,6 +528,8 @@
             return AttemptResult.FAILED, head
         if pending.response.started:
             raise pool.BrokenError("resumed stream is no stream")
+        if head.signed:
+            self.prompts.record_first_event(pending.request.shared_parts)
         await pending.response.start(
             head.status, self.codec.caller_headers(head), len(body)
         )
--- a/turmerictally/tests/features/entry_crashing_prompts.feature
+++ b/turmerictally/tests/features/entry_crashing_prompts.feature
@@ -24,3 +24,8 @@
   Scenario: Servers that lose power together put no prompt into quarantine
     When half of the servers lose power at once while sound requests run
     Then no prompt part is quarantined
+
+  # Guards against parts that only ever stand in responses of one piece being accused.
+  Scenario: A complete response that is no stream clears the parts of its prompt
+    When a server answers a request with a plain body and another one crashes just after
+    Then the shared parts of the prompt are not accused
--- a/turmerictally/tests/features/steps/entry_crashing_prompts_steps.py
+++ b/turmerictally/tests/features/steps/entry_crashing_prompts_steps.py
@@ -209,3 +209,27 @@
     ]
     assert broken
     assert not context.world.lines("prompt_part_quarantined")
+
+
+@behave.when(
+    "a server answers a request with a plain body and another one crashes just after"
+)
+def plain_then_crash(context):
+    async def main(world):
+        for server in world.servers.values():
+            server.plain = "with a length"
+        caller = users_platform.Caller(world)
+        reply = await caller.ask(**prompt(FIRST, "own"))
+        assert reply.status == 200 and reply.whole
+        for server in world.servers.values():
+            server.raw_answer = users_platform.STREAM
+        await users_platform.Caller(world).ask(**prompt(FIRST, "own2"))
+
+    context.world = users_platform.play(main, hosts=1, servers=2)
+
+
+@behave.then("the shared parts of the prompt are not accused")
+def not_accused(context):
+    failed = context.world.lines("attempt_failed")
+    assert any(line["server_closed"] for line in failed), failed
+    assert not context.world.lines("prompt_parts_accused")
