--- a/turmerictally/standins/fabric.py
+++ b/turmerictally/standins/fabric.py
@@ -42,6 +42,10 @@
             raise trio.ClosedResourceError
         if self.inbox and self.inbox[0][1] is RESET:
             raise trio.BrokenResourceError("reset")
+        if self.fabric.is_path_broken(self.local, self.remote):
+            self.reset()
+            self._push_back_reset()
+            return
         if self.other.closed and not self.fabric.is_cut(self.local, self.remote):
             self._push_back_reset()
             return
@@ -221,8 +225,10 @@
 class Fabric:
     """Connect hosts by their IP addresses.
 
-    ``cuts`` holds ordered pairs of IP addresses between which nothing passes. A writer
-    waits while more than ``window_bytes`` are unread, unless that is None.
+    ``cuts`` holds ordered pairs of IP addresses between which nothing passes. Between
+    those in ``broken_paths``, new connections are refused and open ones are reset once
+    either end sends. A writer waits while more than ``window_bytes`` are unread, unless
+    that is None.
     """
 
     delay_s: float = DELAY_S
@@ -230,6 +236,7 @@
     listeners: dict[str, Listener] = attrs.Factory(dict)
     bound: dict[str, Datagrams] = attrs.Factory(dict)
     cuts: set[tuple[str, str]] = attrs.Factory(set)
+    broken_paths: set[tuple[str, str]] = attrs.Factory(set)
     streams: set[Stream] = attrs.Factory(set)
     holding: set[Stream] = attrs.Factory(set)
     ports: itertools.count = attrs.field(factory=lambda: itertools.count(40_000))
@@ -245,6 +252,16 @@
             for b in other:
                 self.cuts |= {(a, b), (b, a)}
 
+    def break_paths(self, one: list[str], other: list[str]) -> None:
+        """Refuse and reset the connections between two groups of IP addresses."""
+        for a in one:
+            for b in other:
+                self.broken_paths |= {(a, b), (b, a)}
+
+    def is_path_broken(self, local: str, remote: str) -> bool:
+        """Return whether connections between two addresses are refused and reset."""
+        return (_ip(local), _ip(remote)) in self.broken_paths
+
     def restore(self, resend_s: float = RESEND_S) -> None:
         """End all cuts; what they held up arrives after so many seconds."""
         self.cuts.clear()
@@ -278,7 +295,7 @@
         if fabric.is_cut(local, address) or fabric.is_cut(address, local):
             await trio.sleep_forever()
         listener = fabric.listeners.get(address)
-        if listener is None:
+        if listener is None or fabric.is_path_broken(local, address):
             raise ConnectionRefusedError(address)
         near = Stream(fabric, local, address, resets=True)
         far = Stream(fabric, address, local)
