End the stand-in's crashing server also if the host hangs up first

The server of the stand-in that crashes by a prompt part sends its head and ends 5 ms later. With a response that ends with the connection, the host hangs up within these 5 ms, which cancelled the task that ends the server: it counted as crashed and was replaced, but went on answering at its old address. The check was too lenient there, as fewer servers really ended. The end is shielded now. All scenarios of entry_crashing_prompts.feature pass as before.

--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -225,8 +225,10 @@
             del self.world.servers[self.name]
             self.world.crashes.append(trio.current_time())
             self.world.nursery.start_soon(self.world.replace_server, self)
-        await trio.sleep(DELAY_BEFORE_END_S)
-        self.crash()
+        # It ends also if the host hangs up first.
+        with trio.CancelScope(shield=True):
+            await trio.sleep(DELAY_BEFORE_END_S)
+            self.crash()
         await trio.sleep_forever()
 
     async def babble(self, stream, run):
