Take back crashes of servers that answer other hosts

Cause: a connection that the server's side ended counted as a crash of the server, whatever became of the server. Three prompt parts were quarantined on all hosts.

A crash is refuted when the same incarnation answers a request that any host sent after it had heard of the crash. Only such requests count: bytes that a server sent before its end may be read later. Full digests carry the answers, an early one each new one. An answer just before the server starts again under its old name proves nothing. Logged as crash_refuted.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -456,6 +456,7 @@
         silence_timer.set_deadline(math.inf)
         pending.response_head = head
         self.inflight.availability.record_head(server, head)
+        self.prompts.record_answer(server, head, sent_at)
         if head.not_run:
             await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
             pending.reason = f"server answered {head.status}"
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -11,7 +11,12 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import ownership, prompt_quarantine, server_limits
+from turmerictally.scheduling import (
+    ownership,
+    prompt_quarantine,
+    server_answers,
+    server_limits,
+)
 from turmerictally.store import rows
 
 # A sixth of a typical latency objective. With many hosts the period grows, so that a
@@ -82,7 +87,9 @@
     store's version at which its registration was removed) and ``leaving`` (by server,
     the start time of the incarnation that said it leaves) and ``accused_parts`` (the
     evidence against prompt parts, as in ``scheduling.prompt_quarantine.Report``), and
-    ``limits`` (those that servers named, as in ``scheduling.server_limits.Report``).
+    ``limits`` (those that servers named, as in ``scheduling.server_limits.Report``) and
+    ``answered_servers`` (whose crashes were none, as in
+    ``scheduling.server_answers.Report``).
     """
 
     host: str
@@ -113,6 +120,7 @@
     batch_urgencies: dict[str, list[int]] = attrs.Factory(dict)
     accused_parts: prompt_quarantine.Report = attrs.Factory(dict)
     limits: server_limits.Report = attrs.Factory(dict)
+    answered_servers: server_answers.Report = attrs.Factory(dict)
 
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -252,7 +252,7 @@
             runner=item_runner.ItemRunner(
                 self.pool,
                 codec,
-                self.availability.record_head,
+                self._on_item_head,
                 self.inflight.use_permit,
                 self.inflight.record_events,
                 self.prompts.record_first_event,
@@ -486,6 +486,7 @@
         after = self.registry.servers
         for name, server in before.items():
             if name in after and after[name].born_ms != server.born_ms:
+                self.prompts.record_restart(server)
                 self.inflight.reset_server(name)
                 self.availability.limits.remove(name)
         self.availability.update_cold_servers(
@@ -521,6 +522,12 @@
         self.job_states.update(changed)
         self.worker.apply_changes(changed)
 
+    def _on_item_head(
+        self, server: model.Server, head: messages.ResponseHead, sent_at: float
+    ) -> None:
+        self.availability.record_head(server, head)
+        self.prompts.record_answer(server, head, sent_at)
+
     def _on_job(self, versioned: jobs.VersionedState) -> None:
         state = versioned.state
         self.disseminator.send_job_state(state.job, versioned.version, state.encode())
@@ -541,6 +548,8 @@
             self.registry.apply_peer_leaving(digest.host, digest.leaving)
         if digest.limits:
             self.availability.receive_limits(digest.host, digest.limits)
+        if digest.answered_servers:
+            self.prompts.receive_answers(digest.host, digest.answered_servers)
         if digest.accused_parts:
             self.prompts.receive(digest.host, digest.accused_parts)
         if digest.speeds and self.inflight.speed_tracker is not None:
@@ -610,6 +619,7 @@
             limits=self.availability.limits.report(self.clock.monotonic())
             if full
             else {},
+            answered_servers=self.prompts.report_answers() if full else {},
         )
 
     def _demand(self) -> dict[str, int]:
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -57,14 +57,15 @@
 class ItemRunner:
     """Send items to servers and collect their events.
 
-    ``on_connect`` is called once the attempt to connect has succeeded or failed.
+    ``on_connect`` is called once the attempt to connect has succeeded or failed, and
+    ``on_head`` with each response's head and the time at which its request was sent.
     """
 
     pool: pool.Pool
     codec: messages.Codec
-    on_head: collections.abc.Callable[[model.Server, messages.ResponseHead], None] = (
-        lambda server, head: None
-    )
+    on_head: collections.abc.Callable[
+        [model.Server, messages.ResponseHead, float], None
+    ] = lambda server, head, sent_at: None
     on_connect: collections.abc.Callable[[str], None] = lambda server: None
     on_events: collections.abc.Callable[[str, int, float], None] = (
         lambda server, events, seconds: None
@@ -121,13 +122,14 @@
             server.instance, ITEM_TIMEOUT_S, state.team, task.last_event
         )
         headers = self.codec.server_headers(request, context, len(task.item.body))
+        sent_at = trio.current_time()
         await connection.send_request(
             request.method, request.target, headers, task.item.body
         )
         head = await forwarder.read_response_head(
             self.codec, connection, request.request_id
         )
-        self.on_head(server, head)
+        self.on_head(server, head, sent_at)
         if head.status != 200 or head.not_run:
             await connection.read_body(forwarder.MAX_BUFFERED_RESPONSE_BYTES)
             if head.not_run:
--- a/turmerictally/entry/prompt_guard.py
+++ b/turmerictally/entry/prompt_guard.py
@@ -2,13 +2,14 @@
 
 import collections
 import collections.abc
+import http
 
 import attrs
 
 from turmerictally import clock as clocks
-from turmerictally.entry import gossip, model
+from turmerictally.entry import gossip, messages, model
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import prompt_quarantine
+from turmerictally.scheduling import prompt_quarantine, server_answers
 
 # Longest wait of a batch item with a quarantined part until it is looked at again.
 MAX_ITEM_WAIT_S = 10.0
@@ -87,9 +88,8 @@
         if not parts:
             return
         before = self.quarantine.quarantined
-        incarnation = f"{server.instance}/{server.born_ms}"
         now = self.clock.monotonic()
-        accused = self.quarantine.record_crash(incarnation, parts, now)
+        accused = self.quarantine.record_crash(_incarnation(server), parts, now)
         if not accused:
             return
         self.trace.emit(
@@ -105,6 +105,27 @@
         if self.quarantine.quarantined.keys() - before.keys():
             self.on_quarantine()
 
+    def record_answer(
+        self, server: model.Server, head: messages.ResponseHead, sent_at: float
+    ) -> None:
+        """Record a server's answer to a request that was sent at ``sent_at``."""
+        if head.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            # From another server at the same address.
+            return
+        now = self.clock.monotonic()
+        incarnation = _incarnation(server)
+        if self.quarantine.answers.record_answer(incarnation, sent_at, now):
+            self._refute([incarnation], "answered here")
+            self.on_evidence()
+
+    def record_restart(self, ended: model.Server) -> None:
+        """Record that an incarnation of a server has been replaced by another."""
+        now = self.clock.monotonic()
+        if self.quarantine.answers.record_restart(_incarnation(ended), now):
+            before = self.quarantine.quarantined
+            self.quarantine.update()
+            self._log_changes(before, "server started again")
+
     def is_accused(self, parts: collections.abc.Iterable[str]) -> bool:
         """Return whether a crash counts against one of these shared parts."""
         return self.enabled and self.quarantine.is_accused(parts)
@@ -116,6 +137,16 @@
         self._log_changes(before, "expired")
         return report
 
+    def report_answers(self) -> server_answers.Report:
+        """Return the answers that refute crashes, for this host's digests."""
+        return self.quarantine.answers.report(self.clock.monotonic())
+
+    def receive_answers(self, host: str, report: server_answers.Report) -> None:
+        """Merge the answers of another host's digest."""
+        now = self.clock.monotonic()
+        if refuted := self.quarantine.answers.receive(report, now):
+            self._refute(refuted, "told", host)
+
     def receive(self, host: str, report: prompt_quarantine.Report) -> None:
         """Merge the evidence of another host's digest."""
         before = self.quarantine.quarantined
@@ -139,6 +170,14 @@
         """Return the seconds until a refused batch item is looked at again."""
         return min(MAX_ITEM_WAIT_S, refusal.retry_after_s)
 
+    def _refute(self, servers: list[str], source: str, host: str = "") -> None:
+        """Lift what rests on crashes of servers that answered again."""
+        before = self.quarantine.quarantined
+        self.quarantine.update()
+        for server in servers:
+            self.trace.emit("crash_refuted", server=server, source=source, host=host)
+        self._log_changes(before, "crash refuted", host)
+
     def _log_changes(
         self,
         before: dict[str, prompt_quarantine.Quarantine],
@@ -162,3 +201,7 @@
             )
         for part in before.keys() - after.keys():
             self.trace.emit("prompt_part_cleared", part=part, source=source, host=host)
+
+
+def _incarnation(server: model.Server) -> str:
+    return f"{server.instance}/{server.born_ms}"
--- a/turmerictally/scheduling/prompt_quarantine.py
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from turmerictally.scheduling import server_answers
+
 # Crashes of different servers, not explained by another part, that quarantine a part. A
 # single crash may have any cause.
 MIN_CRASHES = 2
@@ -53,12 +55,18 @@
     begun_at: float = float("-inf")
     tried_at: float = float("-inf")
 
-    def unexplained(self, explained: collections.abc.Container[str]) -> list[float]:
+    def unexplained(
+        self,
+        explained: collections.abc.Container[str],
+        answers: server_answers.ServerAnswers,
+    ) -> list[float]:
         """Return the times of crashes that count, in order, coincident ones once."""
         times = sorted(
             at
             for server, at in self.crashes.items()
-            if server not in explained and at - CLEARS_LATER_CRASHES_S > self.begun_at
+            if server not in explained
+            and at - CLEARS_LATER_CRASHES_S > self.begun_at
+            and not answers.refutes(server, at)
         )
         return [
             at
@@ -97,8 +105,9 @@
 
     ``read_hosts`` returns the names of all hosts; the one that ranks first for a part
     tries it. Parts in ``exempt`` are never quarantined, those in ``fixed`` always.
-    ``begun_at`` holds the latest first event of each part on this host, ``cleared_at``
-    that on any host of parts that were accused.
+    ``answers`` tells which crashes were none. ``begun_at`` holds the latest first event
+    of each part on this host, ``cleared_at`` that on any host of parts that were
+    accused.
     """
 
     host: str = ""
@@ -109,6 +118,9 @@
     begun_at: dict[str, float] = attrs.Factory(dict)
     cleared_at: dict[str, float] = attrs.Factory(dict)
     quarantined: dict[str, Quarantine] = attrs.Factory(dict)
+    answers: server_answers.ServerAnswers = attrs.field(
+        factory=server_answers.ServerAnswers
+    )
 
     def record_first_event(
         self, parts: collections.abc.Iterable[str], now: float
@@ -119,10 +131,10 @@
             _keep_latest(self.begun_at, part, now)
             evidence = self.evidence.get(part)
             if evidence is not None:
-                was_accused = was_accused or bool(evidence.unexplained(()))
+                was_accused = was_accused or self._counts(evidence)
                 evidence.begun_at = now
         if was_accused:
-            self._update()
+            self.update()
         return was_accused
 
     def record_crash(
@@ -135,16 +147,18 @@
         accused = []
         for position, part in enumerate(parts):
             evidence = self._evidence(part, position)
-            evidence.crashes.setdefault(server, now)
-            if evidence.unexplained(()):
+            self._add_crash(evidence, server, now)
+            if self._counts(evidence):
                 accused.append(part)
-        self._update()
+        if accused:
+            self.answers.record_crash(server, now, now)
+        self.update()
         return accused
 
     def is_accused(self, parts: collections.abc.Iterable[str]) -> bool:
         """Return whether a crash counts against one of the parts."""
         return any(
-            part in self.evidence and self.evidence[part].unexplained(())
+            part in self.evidence and self._counts(self.evidence[part])
             for part in parts
         )
 
@@ -198,7 +212,7 @@
             evidence.begun_at = max(evidence.begun_at, now - begun_age_s)
             self._merge(evidence, {s: now - age for s, age in crash_ages.items()}, now)
         if report:
-            self._update()
+            self.update()
 
     def record(self, to_store_s: float) -> Record:
         """Return the quarantined parts for this host's row.
@@ -222,7 +236,7 @@
             times = {server: at - to_store_s for server, at in crashes.items()}
             self._merge(self._evidence(part, position), times, now)
         if record:
-            self._update()
+            self.update()
 
     def _may_try(self, quarantine: Quarantine, now: float) -> bool:
         if now < quarantine.trial_at:
@@ -250,17 +264,28 @@
         def strength(part: str) -> tuple[int, float]:
             evidence = self.evidence[part]
             newest = max(evidence.crashes.values(), default=float("-inf"))
-            return len(evidence.unexplained(())), newest
+            return len(evidence.unexplained((), self.answers)), newest
 
         del self.evidence[min(self.evidence, key=strength)]
 
-    @staticmethod
-    def _merge(evidence: Evidence, crashes: dict[str, float], now: float) -> None:
+    def _counts(self, evidence: Evidence) -> bool:
+        """Return whether any crash counts against a part."""
+        return bool(evidence.unexplained((), self.answers))
+
+    def _add_crash(self, evidence: Evidence, server: str, at: float) -> None:
+        known_at = evidence.crashes.get(server)
+        if known_at is None or self.answers.refutes(server, known_at):
+            evidence.crashes[server] = at
+        else:
+            # A report is late by its way here, so that the earliest is the truest.
+            evidence.crashes[server] = min(at, known_at)
+
+    def _merge(self, evidence: Evidence, crashes: dict[str, float], now: float) -> None:
         for server, at in crashes.items():
             if now - at > CRASH_TTL_S:
                 continue
-            # A report is late by its way here, so that the earliest is the truest.
-            evidence.crashes[server] = min(at, evidence.crashes.get(server, at))
+            self._add_crash(evidence, server, at)
+            self.answers.record_crash(server, at, now)
         for server in sorted(evidence.crashes, key=evidence.crashes.get)[
             :-MAX_CRASHES_PER_PART
         ]:
@@ -269,7 +294,7 @@
     def _expire(self, now: float) -> None:
         for part, evidence in list(self.evidence.items()):
             newest = max(evidence.crashes.values(), default=float("-inf"))
-            if evidence.unexplained(()):
+            if self._counts(evidence):
                 expired = now - newest > CRASH_TTL_S
             else:
                 expired = now - max(newest, evidence.begun_at) > CLEARED_TTL_S
@@ -279,7 +304,7 @@
                 del self.evidence[part]
                 self.quarantined.pop(part, None)
 
-    def _update(self) -> None:
+    def update(self) -> None:
         """Quarantine the fewest parts that explain the crashes.
 
         A part that stands in most crashes comes first. Among equals it is the one that
@@ -290,7 +315,10 @@
         remaining = dict(self.evidence)
         quarantined = {}
         while remaining:
-            counts = {p: len(e.unexplained(explained)) for p, e in remaining.items()}
+            counts = {
+                p: len(e.unexplained(explained, self.answers))
+                for p, e in remaining.items()
+            }
             part = max(
                 remaining,
                 key=lambda p: (
@@ -303,7 +331,7 @@
             if counts[part] < MIN_CRASHES:
                 break
             evidence = remaining.pop(part)
-            last_at = evidence.unexplained(())[-1]
+            last_at = evidence.unexplained((), self.answers)[-1]
             wait_s = FIRST_TRIAL_WAIT_S * TRIAL_WAIT_FACTOR ** (
                 counts[part] - MIN_CRASHES
             )
