Let any host make the trial of a quarantined prompt part, in turn

Cause: only the host that ranks first for the part made trials. The class is a duty that falls to a fixed host, whether it can do it or not.

Change: each time a second passes without a trial, twice as many hosts may make it, in the order of their ranks: all of ten after 3.5 s, all of 400 after 8.7 s. Digests tell of trials at once, so that two hosts don't make one. A trial without an outcome is made again after 5 s, not 10 s.

Result: the scenario with 4, 10 and 400 hosts saw no trial within 12 s on the code before; now the last host makes it within 4, 5 and 10 s, and no two trials are closer than 5 s.

--- a/turmerictally/entry/prompt_guard.py
+++ b/turmerictally/entry/prompt_guard.py
@@ -60,7 +60,8 @@
         """Record that a request is sent, which tries its quarantined parts."""
         if not self.quarantine.quarantined:
             return
-        for part in self.quarantine.start_trials(parts, self.clock.monotonic()):
+        tried = self.quarantine.start_trials(parts, self.clock.monotonic())
+        for part in tried:
             found = self.quarantine.quarantined[part]
             self.trace.emit(
                 "prompt_part_tried",
@@ -70,6 +71,8 @@
                 crashes=found.crashes,
                 age_s=round(self.clock.monotonic() - found.last_crash_at, 2),
             )
+        if tried:
+            self.on_evidence()
 
     def record_first_event(self, parts: collections.abc.Sequence[str]) -> None:
         """Clear the shared parts of a run that a server answers."""
--- a/turmerictally/scheduling/prompt_quarantine.py
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import hashlib
+import math
 
 import attrs
 
@@ -27,6 +28,10 @@
 TRIAL_WAIT_FACTOR = 4.0
 MAX_TRIAL_WAIT_S = 600.0
 TRIAL_RETRY_AFTER_S = 1.0  # for callers while a trial is due elsewhere or runs
+# A trial falls to the host that ranks first for the part, which may have no request
+# with it: each time this passes without a trial, twice as many hosts may make it.
+TRIAL_TURN_S = 1.0
+TRIAL_TIMEOUT_S = 5.0  # until a trial without an outcome is made again
 CRASH_TTL_S = 1800.0
 CLEARED_TTL_S = 10.0  # until all hosts have heard that a part was cleared
 MAX_ACCUSED_PARTS = 64  # some 5 kB of a digest
@@ -34,9 +39,9 @@
 MAX_CLEARED_PARTS = 4000  # whose latest first event is kept
 MAX_AGE_S = 1e6  # stands for "never" in reports
 
-# By part: its position in the prompt, the seconds since this host saw a first event,
-# and the seconds since each crash by server incarnation.
-Report = dict[str, tuple[int, float, dict[str, float]]]
+# By part: its position in the prompt, the seconds since this host saw a first event and
+# since it made a trial, and the seconds since each crash by server incarnation.
+Report = dict[str, tuple[int, float, float, dict[str, float]]]
 # By part: its position and the time of each crash on the store's clock.
 Record = dict[str, tuple[int, dict[str, float]]]
 
@@ -46,14 +51,15 @@
     """Hold what is known of one accused part.
 
     ``position`` is its place in the prompt, ``crashes`` the monotonic time of each
-    crash by server incarnation. ``begun_at`` is the latest first event on any host,
-    and ``tried_at`` this host's latest trial.
+    crash by server incarnation. ``begun_at`` is the latest first event and ``tried_at``
+    the latest trial on any host, ``own_trial_at`` this host's latest trial.
     """
 
     position: int
     crashes: dict[str, float] = attrs.Factory(dict)
     begun_at: float = float("-inf")
     tried_at: float = float("-inf")
+    own_trial_at: float = float("-inf")
 
     def unexplained(
         self,
@@ -103,11 +109,10 @@
 class PromptQuarantine:
     """Decide which prompt parts are not sent to backend servers.
 
-    ``read_hosts`` returns the names of all hosts; the one that ranks first for a part
-    tries it. Parts in ``exempt`` are never quarantined, those in ``fixed`` always.
-    ``answers`` tells which crashes were none. ``begun_at`` holds the latest first event
-    of each part on this host, ``cleared_at`` that on any host of parts that were
-    accused.
+    ``read_hosts`` returns the names of all hosts, which make trials in turn. Parts in
+    ``exempt`` are never quarantined, those in ``fixed`` always. ``answers`` tells which
+    crashes were none. ``begun_at`` holds the latest first event of each part on this
+    host, ``cleared_at`` that on any host of parts that were accused.
     """
 
     host: str = ""
@@ -190,7 +195,7 @@
             if part in self.quarantined and part not in self.exempt
         ]
         for part in tried:
-            self.evidence[part].tried_at = now
+            self.evidence[part].tried_at = self.evidence[part].own_trial_at = now
         return tried
 
     def report(self, now: float) -> Report:
@@ -200,6 +205,7 @@
             part: (
                 evidence.position,
                 round(now - self.begun_at.get(part, now - MAX_AGE_S), 3),
+                round(min(MAX_AGE_S, now - evidence.own_trial_at), 3),
                 {s: round(now - at, 3) for s, at in evidence.crashes.items()},
             )
             for part, evidence in self.evidence.items()
@@ -207,9 +213,10 @@
 
     def receive(self, report: Report, now: float) -> None:
         """Merge another host's evidence."""
-        for part, (position, begun_age_s, crash_ages) in report.items():
+        for part, (position, begun_age_s, trial_age_s, crash_ages) in report.items():
             evidence = self._evidence(part, position)
             evidence.begun_at = max(evidence.begun_at, now - begun_age_s)
+            evidence.tried_at = max(evidence.tried_at, now - trial_age_s)
             self._merge(evidence, {s: now - age for s, age in crash_ages.items()}, now)
         if report:
             self.update()
@@ -239,13 +246,16 @@
             self.update()
 
     def _may_try(self, quarantine: Quarantine, now: float) -> bool:
-        if now < quarantine.trial_at:
+        due_s = now - quarantine.trial_at
+        if due_s < 0:
             return False
-        if now - self.evidence[quarantine.part].tried_at < FIRST_TRIAL_WAIT_S:
+        if now - self.evidence[quarantine.part].tried_at < TRIAL_TIMEOUT_S:
             return False
-        # Hosts that are not reachable count too: a trial is made by one host only.
-        hosts = {self.host, *self.read_hosts()}
-        return max(hosts, key=lambda h: _rank(quarantine.part, h)) == self.host
+        # Hosts that are not reachable count too: a cut must not add trials at once.
+        others = set(self.read_hosts()) - {self.host}
+        rank = rank_host(quarantine.part, self.host)
+        ahead = sum(rank_host(quarantine.part, other) > rank for other in others)
+        return due_s >= TRIAL_TURN_S * math.log2(1 + ahead)
 
     def _evidence(self, part: str, position: int) -> Evidence:
         evidence = self.evidence.get(part)
@@ -350,5 +360,6 @@
         del times[next(iter(times))]
 
 
-def _rank(part: str, host: str) -> bytes:
+def rank_host(part: str, host: str) -> bytes:
+    """Return the rank of a host for trials of a part; the highest is first."""
     return hashlib.blake2b(f"{part}/{host}".encode()).digest()
--- a/turmerictally/tests/features/scheduling_quarantine.feature
+++ b/turmerictally/tests/features/scheduling_quarantine.feature
@@ -30,6 +30,21 @@
     Then at most 5 servers crash
     And each trial is made by one host
 
+  # Guards against a quarantine without end when the host that ranks first has no request
+  # to try, which held back accepted batch items.
+  Scenario Outline: Whichever host has a request with the part makes the trial soon
+    Given <hosts> hosts that exchange evidence each second
+    And a part that every host has quarantined
+    When the trial is due and only the host that ranks last has requests with the part
+    Then it makes the trial within <seconds> s
+    And no two hosts make trials within 5 s of each other
+
+    Examples:
+      | hosts | seconds |
+      | 4     | 4       |
+      | 10    | 5       |
+      | 400   | 10      |
+
   Scenario: An operator's lists go before the evidence
     Given four hosts that exchange evidence each second
     And a part that every host has quarantined
--- a/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
@@ -12,18 +12,19 @@
 class Fleet:
     """Hold the quarantines of some hosts that exchange reports."""
 
-    def __init__(self):
+    def __init__(self, names=NAMES):
         self.now = 1000.0
         self.hosts = {
-            name: prompt_quarantine.PromptQuarantine(name, lambda: NAMES)
-            for name in NAMES
+            name: prompt_quarantine.PromptQuarantine(name, lambda: names)
+            for name in names
         }
         self.cut_off = set()
         self.crashes = 0
         self.trials = []
 
-    def exchange(self):
-        for name, host in self.hosts.items():
+    def exchange(self, told_by=()):
+        for name in told_by or self.hosts:
+            host = self.hosts[name]
             report = host.report(self.now)
             for other, receiver in self.hosts.items():
                 if other != name and not {name, other} & self.cut_off:
@@ -44,6 +45,11 @@
     context.fleet = Fleet()
 
 
+@behave.given("{count:d} hosts that exchange evidence each second")
+def some_hosts(context, count):
+    context.fleet = Fleet(tuple(f"h{n}" for n in range(count)))
+
+
 @behave.when("{crashes} crash 0.2 s apart under prompts of {rest}")
 def apart(context, crashes, rest):
     fleet = context.fleet
@@ -103,7 +109,7 @@
 def quarantined(context, parts):
     expected = [] if parts == "none" else [parts]
     found = context.fleet.quarantined()
-    assert found == dict.fromkeys(NAMES, expected), found
+    assert found == dict.fromkeys(context.fleet.hosts, expected), found
 
 
 @behave.given("a part that every host has quarantined")
@@ -170,6 +176,43 @@
     assert trials and len({name for name, _ in trials}) == 1, trials
 
 
+@behave.when(
+    "the trial is due and only the host that ranks last has requests with the part"
+)
+def last_has_requests(context):
+    fleet = context.fleet
+    context.due_at = due_at = fleet.hosts["h0"].quarantined["bad"].trial_at
+    fleet.now = due_at - EXCHANGE_S
+    last = min(fleet.hosts, key=lambda name: prompt_quarantine.rank_host("bad", name))
+    context.trials, context.last = fleet.trials, last
+    while fleet.now < due_at + 12.0:
+        fleet.now += 0.1
+        # From 1 s after the first trial on, every host has such requests.
+        tried = [at for _, at in fleet.trials]
+        everywhere = bool(tried) and fleet.now > tried[0] + 1.0
+        for name in fleet.hosts if everywhere else (last,):
+            host = fleet.hosts[name]
+            if host.check(("aa", "bad"), fleet.now) is None:
+                host.start_trials(("aa", "bad"), fleet.now)
+                fleet.trials.append((name, fleet.now))
+                # An early digest.
+                fleet.exchange(told_by=(name,))
+
+
+@behave.then("it makes the trial within {seconds:d} s")
+def soon_tried(context, seconds):
+    assert context.trials, "no trial"
+    name, at = context.trials[0]
+    assert name == context.last and at <= context.due_at + seconds, context.trials
+
+
+@behave.then("no two hosts make trials within 5 s of each other")
+def trials_apart(context):
+    times = [at for _, at in context.trials]
+    apart = [later - at for at, later in zip(times, times[1:], strict=False)]
+    assert all(gap_s >= 5.0 for gap_s in apart), context.trials
+
+
 @behave.when("the operator exempts that part and lists another one")
 def lists(context):
     for host in context.fleet.hosts.values():
