Hold batch items for crashes under items only, and not for long

Cause: one table of evidence for online requests and items. Crashes under online requests held back items that share a part, for up to 600 s from trial to trial and with a look each 10 s; an item's first event in turn cleared the part for online requests that went on crashing.

Change: items have evidence of their own. Three crashes under items, which no part of online requests explains, quarantine a part for items; a trial follows 10 s after the last crash each time, never later. A held item is looked at each second, and logged once.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -86,7 +86,9 @@
     only; between two of them the last values hold. So are ``removed`` (by server, the
     store's version at which its registration was removed) and ``leaving`` (by server,
     the start time of the incarnation that said it leaves) and ``accused_parts`` (the
-    evidence against prompt parts, as in ``scheduling.prompt_quarantine.Report``), and
+    evidence against prompt parts of online requests, as in
+    ``scheduling.prompt_quarantine.Report``), ``accused_item_parts`` (the same of batch
+    items),
     ``limits`` (those that servers named, as in ``scheduling.server_limits.Report``) and
     ``answered_servers`` (whose crashes were none, as in
     ``scheduling.server_answers.Report``).
@@ -121,6 +123,7 @@
     accused_parts: prompt_quarantine.Report = attrs.Factory(dict)
     limits: server_limits.Report = attrs.Factory(dict)
     answered_servers: server_answers.Report = attrs.Factory(dict)
+    accused_item_parts: prompt_quarantine.Report = attrs.Factory(dict)
 
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -157,6 +157,7 @@
             enabled=mechanisms.Mechanism.PROMPT_QUARANTINE
             not in config.scheduling.disabled_mechanisms,
         )
+        self.item_prompts = prompt_guard.make_item_guard(self.prompts)
         self._configure_prompts()
         self.quotas = quota.Quotas(clock, config.quota.overshoot, config.quota.window_s)
         self.hosts.on_unreachable = self.quotas.remove_peer
@@ -211,12 +212,14 @@
         )
         self.hosts.on_reachable = self.disseminator.on_peer_reachable
         self.prompts.on_evidence = self.disseminator.send_full_digest
+        self.item_prompts.on_evidence = self.disseminator.send_full_digest
         self.availability.on_limit_change = self.disseminator.send_full_digest
         self.prompts.on_quarantine = lambda: self.row_changed.set()
 
     def _configure_prompts(self) -> None:
         prompts = self.settings.prompts
-        self.prompts.configure(prompts.exempt, prompts.quarantined)
+        for guard in (self.prompts, self.item_prompts):
+            guard.configure(prompts.exempt, prompts.quarantined)
 
     def _build_request_path(self, codec: messages.Codec) -> None:
         config, clock, trace = self.settings, self.clock, self.trace
@@ -255,9 +258,9 @@
                 self._on_item_head,
                 self.inflight.use_permit,
                 self.inflight.record_events,
-                self.prompts.record_first_event,
+                self.item_prompts.record_first_event,
             ),
-            prompts=self.prompts,
+            prompts=self.item_prompts,
             clock=clock,
             trace=trace,
             rng=self.rng,
@@ -552,6 +555,8 @@
             self.prompts.receive_answers(digest.host, digest.answered_servers)
         if digest.accused_parts:
             self.prompts.receive(digest.host, digest.accused_parts)
+        if digest.accused_item_parts:
+            self.item_prompts.receive(digest.host, digest.accused_item_parts)
         if digest.speeds and self.inflight.speed_tracker is not None:
             now = self.clock.monotonic()
             self.inflight.speed_tracker.receive(digest.host, digest.speeds, now)
@@ -620,6 +625,7 @@
             if full
             else {},
             answered_servers=self.prompts.report_answers() if full else {},
+            accused_item_parts=self.item_prompts.report() if full else {},
         )
 
     def _demand(self) -> dict[str, int]:
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -26,8 +26,9 @@
     scaled to a server of median speed. ``not_before`` is the monotonic time from which
     it may run again. ``urgency`` is that of its latest start. ``run_events`` counts the
     events of the latest run, ``server_closed`` is whether the server ended that run's
-    connection, and ``shared_parts`` names the parts of its prompt that other requests
-    may share, None until they are needed.
+    connection, ``shared_parts`` names the parts of its prompt that other requests may
+    share, None until they are needed, and ``held_for`` is the quarantined part for
+    which it waits.
     """
 
     item: jobs.Item
@@ -44,6 +45,7 @@
     run_events: int = 0
     server_closed: bool = False
     shared_parts: tuple[str, ...] | None = None
+    held_for: str = ""
     cancel_scope: trio.CancelScope | None = None
     refused_by: set[str] = attrs.Factory(set)
 
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -110,10 +110,11 @@
     crashes = prometheus_client.core.GaugeMetricFamily(
         f"{exposition.PREFIX}_quarantined_prompt_part_crashes",
         "Servers that crashed under a quarantined part.",
-        labels=["part"],
+        labels=["part", "work"],
     )
-    for part, found in served.prompts.quarantine.quarantined.items():
-        crashes.add_metric([part], found.crashes)
+    for guard in (served.prompts, served.item_prompts):
+        for part, found in guard.quarantine.quarantined.items():
+            crashes.add_metric([part, guard.work], found.crashes)
     refused = prometheus_client.core.CounterMetricFamily(
         f"{exposition.PREFIX}_refused_prompts",
         "Requests refused for a quarantined part.",
--- a/turmerictally/entry/prompt_guard.py
+++ b/turmerictally/entry/prompt_guard.py
@@ -11,22 +11,33 @@
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import prompt_quarantine, server_answers
 
-# Longest wait of a batch item with a quarantined part until it is looked at again.
-MAX_ITEM_WAIT_S = 10.0
+# Until a batch item with a quarantined part is looked at again: the quarantine may end,
+# or the trial fall to this host, at any time.
+ITEM_RECHECK_S = 1.0
+
+
+ONLINE, BATCH = "online", "batch"
 
 
 @attrs.define(eq=False)
 class PromptGuard:
     """Record which prompts crash servers, and refuse those with quarantined parts.
 
-    ``on_evidence`` is called when other hosts should soon learn of new evidence, and
-    ``on_quarantine`` when this host's own evidence put a part into quarantine.
+    ``work`` is whose prompts it guards, in log lines. ``on_evidence`` is called when
+    other hosts should soon learn of new evidence, ``on_quarantine`` when this host's
+    own evidence put a part into quarantine, and ``on_change`` when crashes turn out to
+    have another cause, or none.
     """
 
     hosts: gossip.HostDirectory
     clock: clocks.Clock
     trace: traces.Trace
     enabled: bool = True
+    work: str = ONLINE
+    answers: server_answers.ServerAnswers = attrs.field(
+        factory=server_answers.ServerAnswers
+    )
+    on_change: collections.abc.Callable[[], None] = lambda: None
     on_evidence: collections.abc.Callable[[], None] = lambda: None
     on_quarantine: collections.abc.Callable[[], None] = lambda: None
     quarantine: prompt_quarantine.PromptQuarantine = attrs.field(init=False)
@@ -34,7 +45,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.quarantine = prompt_quarantine.PromptQuarantine(
-            self.hosts.host_id, lambda: self.hosts.records
+            self.hosts.host_id, lambda: self.hosts.records, answers=self.answers
         )
 
     def configure(
@@ -117,14 +128,14 @@
             return
         now = self.clock.monotonic()
         incarnation = _incarnation(server)
-        if self.quarantine.answers.record_answer(incarnation, sent_at, now):
+        if self.answers.record_answer(incarnation, sent_at, now):
             self._refute([incarnation], "answered here")
             self.on_evidence()
 
     def record_restart(self, ended: model.Server) -> None:
         """Record that an incarnation of a server has been replaced by another."""
         now = self.clock.monotonic()
-        if self.quarantine.answers.record_restart(_incarnation(ended), now):
+        if self.answers.record_restart(_incarnation(ended), now):
             before = self.quarantine.quarantined
             self.quarantine.update()
             self._log_changes(before, "server started again")
@@ -142,12 +153,12 @@
 
     def report_answers(self) -> server_answers.Report:
         """Return the answers that refute crashes, for this host's digests."""
-        return self.quarantine.answers.report(self.clock.monotonic())
+        return self.answers.report(self.clock.monotonic())
 
     def receive_answers(self, host: str, report: server_answers.Report) -> None:
         """Merge the answers of another host's digest."""
         now = self.clock.monotonic()
-        if refuted := self.quarantine.answers.receive(report, now):
+        if refuted := self.answers.receive(report, now):
             self._refute(refuted, "told", host)
 
     def receive(self, host: str, report: prompt_quarantine.Report) -> None:
@@ -169,9 +180,11 @@
         self.quarantine.restore(record, store_now_s - now, now)
         self._log_changes(before, "in a host's row", host)
 
-    def item_wait_s(self, refusal: prompt_quarantine.Refusal) -> float:
-        """Return the seconds until a refused batch item is looked at again."""
-        return min(MAX_ITEM_WAIT_S, refusal.retry_after_s)
+    def recheck(self) -> None:
+        """Decide again, as crashes turned out to have another cause, or none."""
+        before = self.quarantine.quarantined
+        self.quarantine.update()
+        self._log_changes(before, "crash explained")
 
     def _refute(self, servers: list[str], source: str, host: str = "") -> None:
         """Lift what rests on crashes of servers that answered again."""
@@ -180,6 +193,7 @@
         for server in servers:
             self.trace.emit("crash_refuted", server=server, source=source, host=host)
         self._log_changes(before, "crash refuted", host)
+        self.on_change()
 
     def _log_changes(
         self,
@@ -188,14 +202,16 @@
         host: str = "",
     ) -> None:
         after = self.quarantine.quarantined
-        if after is before:
+        if after.keys() == before.keys():
             return
+        self.on_change()
         now = self.clock.monotonic()
         for part in after.keys() - before.keys():
             found = after[part]
             self.trace.emit(
                 "prompt_part_quarantined",
                 part=part,
+                work=self.work,
                 crashes=found.crashes,
                 age_s=round(now - found.last_crash_at, 2),
                 trial_in_s=round(found.trial_at - now, 2),
@@ -203,7 +219,33 @@
                 host=host,
             )
         for part in before.keys() - after.keys():
-            self.trace.emit("prompt_part_cleared", part=part, source=source, host=host)
+            self.trace.emit(
+                "prompt_part_cleared",
+                part=part,
+                work=self.work,
+                source=source,
+                host=host,
+            )
+
+
+def make_item_guard(prompts: PromptGuard) -> PromptGuard:
+    """Return a guard of batch items beside that of online requests.
+
+    Crashes that the parts of online requests explain don't count against items.
+    """
+    items = PromptGuard(
+        prompts.hosts,
+        prompts.clock,
+        prompts.trace,
+        enabled=prompts.enabled,
+        work=BATCH,
+        answers=prompts.answers,
+    )
+    items.quarantine.min_crashes = prompt_quarantine.MIN_ITEM_CRASHES
+    items.quarantine.max_trial_wait_s = prompt_quarantine.MAX_ITEM_TRIAL_WAIT_S
+    items.quarantine.read_explained = prompts.quarantine.explained
+    prompts.on_change = items.recheck
+    return items
 
 
 def _incarnation(server: model.Server) -> str:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -463,18 +463,20 @@
         state = owned.versioned.state
         refusal = self.prompts.check(self.runner.shared_parts(state, task))
         if refusal is None:
+            task.held_for = ""
             return False
-        wait_s = self.prompts.item_wait_s(refusal)
-        task.not_before = self.clock.monotonic() + wait_s
-        self.trace.emit(
-            "item_quarantined",
-            task.item.id,
-            job=state.job,
-            part=refusal.part,
-            crashes=refusal.crashes,
-            age_s=refusal.age_s,
-            wait_s=round(wait_s, 2),
-        )
+        task.not_before = self.clock.monotonic() + prompt_guard.ITEM_RECHECK_S
+        if task.held_for != refusal.part:
+            task.held_for = refusal.part
+            self.trace.emit(
+                "item_quarantined",
+                task.item.id,
+                job=state.job,
+                part=refusal.part,
+                crashes=refusal.crashes,
+                age_s=refusal.age_s,
+                wait_s=round(refusal.retry_after_s, 2),
+            )
         return True
 
     async def _run_item(
--- a/turmerictally/scheduling/prompt_quarantine.py
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -32,6 +32,10 @@
 # with it: each time this passes without a trial, twice as many hosts may make it.
 TRIAL_TURN_S = 1.0
 TRIAL_TIMEOUT_S = 5.0  # until a trial without an outcome is made again
+# Batch items don't crash servers by themselves, and are owed: they are held for crashes
+# under items only, and not for longer than this between two trials.
+MIN_ITEM_CRASHES = 3
+MAX_ITEM_TRIAL_WAIT_S = 10.0
 CRASH_TTL_S = 1800.0
 CLEARED_TTL_S = 10.0  # until all hosts have heard that a part was cleared
 MAX_ACCUSED_PARTS = 64  # some 5 kB of a digest
@@ -111,12 +115,19 @@
 
     ``read_hosts`` returns the names of all hosts, which make trials in turn. Parts in
     ``exempt`` are never quarantined, those in ``fixed`` always. ``answers`` tells which
-    crashes were none. ``begun_at`` holds the latest first event of each part on this
-    host, ``cleared_at`` that on any host of parts that were accused.
+    crashes were none, ``read_explained`` those that something else explains.
+    ``min_crashes`` quarantine a part, and at most ``max_trial_wait_s`` pass from the
+    last crash to the next trial. ``begun_at`` holds the latest first event of each
+    part on this host, ``cleared_at`` that on any host of parts that were accused.
     """
 
     host: str = ""
     read_hosts: collections.abc.Callable[[], collections.abc.Collection[str]] = tuple
+    read_explained: collections.abc.Callable[[], collections.abc.Collection[str]] = (
+        tuple
+    )
+    min_crashes: int = MIN_CRASHES
+    max_trial_wait_s: float = MAX_TRIAL_WAIT_S
     exempt: frozenset[str] = frozenset()
     fixed: frozenset[str] = frozenset()
     evidence: dict[str, Evidence] = attrs.Factory(dict)
@@ -198,6 +209,10 @@
             self.evidence[part].tried_at = self.evidence[part].own_trial_at = now
         return tried
 
+    def explained(self) -> set[str]:
+        """Return the servers whose crashes the quarantined parts explain."""
+        return {s for part in self.quarantined for s in self.evidence[part].crashes}
+
     def report(self, now: float) -> Report:
         """Return the evidence for the other hosts, and drop what has expired."""
         self._expire(now)
@@ -321,7 +336,7 @@
         was never answered, then the one furthest back in the prompt, which fewest
         requests share. What it explains does not count against others.
         """
-        explained: set[str] = set()
+        explained = set(self.read_explained())
         remaining = dict(self.evidence)
         quarantined = {}
         while remaining:
@@ -338,15 +353,18 @@
                     p,
                 ),
             )
-            if counts[part] < MIN_CRASHES:
+            if counts[part] < self.min_crashes:
                 break
             evidence = remaining.pop(part)
             last_at = evidence.unexplained((), self.answers)[-1]
             wait_s = FIRST_TRIAL_WAIT_S * TRIAL_WAIT_FACTOR ** (
-                counts[part] - MIN_CRASHES
+                counts[part] - self.min_crashes
             )
             quarantined[part] = Quarantine(
-                part, counts[part], last_at, last_at + min(MAX_TRIAL_WAIT_S, wait_s)
+                part,
+                counts[part],
+                last_at,
+                last_at + min(self.max_trial_wait_s, wait_s),
             )
             explained |= evidence.crashes.keys()
         self.quarantined = quarantined
--- a/turmerictally/tests/features/entry_crashing_prompts.feature
+++ b/turmerictally/tests/features/entry_crashing_prompts.feature
@@ -14,6 +14,13 @@
       | batch items hold that part as well |
       | responses end with the connection  |
 
+  # Guards against accepted batch items that wait without end for a prompt part under
+  # which only online requests crash servers.
+  Scenario: Batch items are done though online requests with the same part crash servers
+    When requests whose prompts hold a crashing part arrive at six hosts while batch items hold that part and crash nothing
+    Then each of these items is done before its job is due
+    And later than 3 s after the fifth crash at most 3 more servers crash
+
   # Guards against a refusal that promises "not run" for a request that crashed a server.
   Scenario: Callers are told the truth about requests that crash servers
     When requests whose prompts hold a crashing part arrive at six hosts while nothing else happens
--- a/turmerictally/tests/features/steps/entry_crashing_prompts_steps.py
+++ b/turmerictally/tests/features/steps/entry_crashing_prompts_steps.py
@@ -14,6 +14,7 @@
 CRASHING_S = 26.0
 SOUND_GAP_S, CRASHING_GAP_S = 0.06, 0.13
 CUT_S = 5.0
+DUE_S = 18.0  # after a job was submitted, as the configuration says
 FIRST, BAD = "aa01", "bad0"
 
 
@@ -104,6 +105,7 @@
         for server in world.servers.values():
             server.crashing_part = BAD
             server.unframed = "responses end" in event
+            server.spares_items = "crash nothing" in event
         context.traffic = traffic = Traffic(world)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
@@ -151,6 +153,29 @@
     )
 
 
+@behave.then(
+    "later than {stable_s:g} s after the fifth crash at most {most:d} more servers "
+    "crash"
+)
+def few_more_crashes(context, stable_s, most):
+    assert stable_s == STABLE_S
+    late = [at for at in context.world.crashes if at > settled_at(context, 1)]
+    assert len(late) <= most, (len(context.world.crashes), late)
+
+
+@behave.then("each of these items is done before its job is due")
+def items_done(context):
+    submitted_at = BEFORE_S + 1.0
+    ended = {
+        run.request: run.ended_at
+        for run in context.world.runs
+        if run.request.startswith("bad-") and run.ended == "done"
+    }
+    assert len(ended) == 20, sorted(ended)
+    first_at = context.began_at - BEFORE_S
+    assert max(ended.values()) < first_at + submitted_at + DUE_S, ended
+
+
 @behave.then(
     "then sound requests with the same first part are served at least half as often "
     "as before"
