Give up a silent server's response only for a server that can take over

What callers saw: a server that paused for more than 0.9 s ended the request, with 502 before the first event and with a truncated stream after it, although the caller's time allowed more and the server would have gone on.

Cause: the limit on a server's silence asked whether the request may run once more by its route, not whether any other server could take it. With no other server left, with the others down, or once a request had been sent as often as allowed, the attempt was abandoned and nothing could follow it; with the others full it was abandoned for a place in a queue.

When the limit passes, the host now looks for another server: trusted, with a free slot, not tried yet, and with an attempt left. If there is none the wait goes on, and the question is asked again each 0.1 s. The check runs in the task of the timers, so an exception in it is logged and must not end that task. The failover before a stream's first event counts the sends as well.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -40,6 +40,8 @@
 # Least time without an event before a resumable stream fails over: callers disconnect
 # after two seconds, so the next server gets half of that.
 MIN_SILENCE_S = 0.9
+# Between checks whether another server can take over from a silent one.
+SILENCE_CHECK_S = 0.1
 FIRST_EVENT_OBJECTIVES = 2.5  # silence before the first event, in latency objectives
 EVENT_GAP_OBJECTIVES = 3.0  # silence between two events, in longest on-time gaps
 # Events that arrive in quicker succession are sent together: each send costs a third of
@@ -317,7 +319,7 @@
             return False
         if result in (AttemptResult.NOT_RUN, AttemptResult.UNSENT):
             return True
-        return pending.route.repeatable and pending.runs < pending.route.max_attempts
+        return self._may_run_again(pending)
 
     async def _attempt(
         self, pending: PendingRequest, server: model.Server
@@ -408,7 +410,10 @@
             silence_deadline = trio.current_time() + self._max_silence_s(
                 pending, before_first_event=True
             )
-            with self.timers.timer(silence_deadline) as silence_timer:
+            with self.timers.timer(
+                silence_deadline,
+                functools.partial(self._postpone_failover, pending, server),
+            ) as silence_timer:
                 result, head = await self._send_and_respond(
                     pending, server, connection, silence_timer
                 )
@@ -498,8 +503,9 @@
     def _failover_at(self, pending: PendingRequest, server: model.Server) -> float:
         """Return when a stream without a response head may fail over, inf for never."""
         route = pending.route
-        may_run_again = route.repeatable and pending.runs < route.max_attempts
-        if self.failover_budget is None or pending.failed_over or not may_run_again:
+        if self.failover_budget is None or pending.failed_over:
+            return math.inf
+        if not self._may_run_again(pending):
             return math.inf
         if route.kind is not model.Kind.STREAM or not route.objective_s:
             return math.inf
@@ -596,8 +602,8 @@
     def _max_silence_s(
         self, pending: PendingRequest, *, before_first_event: bool
     ) -> float:
-        """Return how long a server may send no event, inf without another attempt."""
-        if not pending.route.repeatable or pending.runs >= pending.route.max_attempts:
+        """Return after which silence a request may fail over, inf for never."""
+        if not self._may_run_again(pending):
             return math.inf
         limit_s = (
             pending.route.objective_s * FIRST_EVENT_OBJECTIVES
@@ -606,6 +612,32 @@
         )
         return max(MIN_SILENCE_S, limit_s)
 
+    def _may_run_again(self, pending: PendingRequest) -> bool:
+        """Return whether a request that a server may have run may go to another."""
+        return (
+            pending.route.repeatable
+            and pending.runs < pending.route.max_attempts
+            and pending.sends < MAX_SENDS
+        )
+
+    def _postpone_failover(
+        self, pending: PendingRequest, server: model.Server
+    ) -> float:
+        """Return when to check again whether a silent server's request may fail over.
+
+        A silent server may go on, so its response is given up only for a server that
+        can take over at once.
+        """
+        loads = self.inflight.server_loads(
+            pending.service,
+            exclude=frozenset(pending.tried | {server.instance}),
+            trusted_only=True,
+        )
+        can_take_over = bool(wait_queue.with_free_slots(loads))
+        if can_take_over and self.prompts.check(pending.request.shared_parts) is None:
+            return -math.inf
+        return trio.current_time() + SILENCE_CHECK_S
+
     async def _give_up(
         self, pending: PendingRequest, *, at_deadline: bool = False
     ) -> str:
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -60,11 +60,16 @@
     )
 
     def server_loads(
-        self, service: str, *, exclude: frozenset[str] = frozenset()
+        self,
+        service: str,
+        *,
+        exclude: frozenset[str] = frozenset(),
+        trusted_only: bool = False,
     ) -> list[placement.ServerLoad]:
         """Return the loads of a service's servers that may get a request now.
 
-        Servers that failed recently are among them only if no other is left.
+        Servers that failed recently are among them only if no other is left, and not at
+        all with ``trusted_only``.
         """
         now = self.clock.monotonic()
         usable = [
@@ -91,10 +96,13 @@
         ]
         own_outcomes = self.recent_outcomes.counts(now)
         estimates = self._estimates(usable, now)
+        chosen = trusted or healthy or servers
+        if trusted_only:
+            open_circuits = self.open_circuits()
+            chosen = [s for s in trusted if s.instance not in open_circuits]
         # If no other is left, a server that failed is better than refusing the request.
         return [
-            self._load_of(server, own_outcomes, now, estimates)
-            for server in trusted or healthy or servers
+            self._load_of(server, own_outcomes, now, estimates) for server in chosen
         ]
 
     def limits_per_s(self, service: str) -> dict[str, float]:
--- a/turmerictally/entry/sweep.py
+++ b/turmerictally/entry/sweep.py
@@ -1,24 +1,30 @@
 """Enforce the deadlines of all requests of a host with one task."""
 
+import collections.abc
 import heapq
 import itertools
+import logging
 import math
 import types
 
 import attrs
 import trio
 
+logger = logging.getLogger(__name__)
+
 
 @attrs.define(eq=False)
 class Timer:
     """Cancel the block that it surrounds when ``deadline`` passes.
 
     ``deadline`` is monotonic seconds. Moving it only stores a number, unless it moves
-    before ``queued_at``, the time of the timer's next entry in the queue.
+    before ``queued_at``, the time of the timer's next entry in the queue. ``postpone``
+    is called when it passes and returns a new deadline, in the past to cancel.
     """
 
     timers: "TimerQueue"
     deadline: float = math.inf
+    postpone: collections.abc.Callable[[], float] = lambda: -math.inf
     queued_at: float = math.inf
     scope: trio.CancelScope = attrs.Factory(trio.CancelScope)
 
@@ -59,9 +65,13 @@
     sequence: itertools.count = attrs.field(factory=itertools.count)
     sleep_scope: trio.CancelScope | None = None
 
-    def timer(self, deadline: float) -> Timer:
+    def timer(
+        self,
+        deadline: float,
+        postpone: collections.abc.Callable[[], float] = lambda: -math.inf,
+    ) -> Timer:
         """Return a timer to use as a context manager."""
-        return Timer(self, deadline)
+        return Timer(self, deadline, postpone)
 
     def push(self, timer: Timer) -> None:
         """Queue a timer for a check at its deadline."""
@@ -85,7 +95,18 @@
                 # Stale entry: the timer was queued again for an earlier time.
                 continue
             timer.queued_at = math.inf
+            if timer.deadline <= now:
+                timer.deadline = _postponed_deadline(timer)
             if timer.deadline <= now:
                 timer.scope.cancel()
             elif timer.deadline < math.inf:
                 self.push(timer)
+
+
+def _postponed_deadline(timer: Timer) -> float:
+    try:
+        return timer.postpone()
+    except Exception:
+        # Must not end the task that enforces all other deadlines.
+        logger.exception("Cannot postpone a deadline.")
+        return -math.inf
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -83,6 +83,7 @@
         self.extra_answer = False  # an answer to no request comes first
         self.trailing = b""  # bytes after each whole answer
         self.silent = False  # requests hang
+        self.pauses = {}  # seconds of silence by the number of the event they precede
         self.status = 200
         self.state = "ready"
         self.leaving = False  # each answer says that the server leaves
@@ -325,6 +326,7 @@
         self.lose_answers -= lost
         for number in range(first, self.events + 1):
             await trio.sleep(EVENT_S * self.world.slowness.get(self.name, 1.0))
+            await trio.sleep(self.pauses.get(number, 0.0))
             event = f"id: {number}\ndata: {run.request}.{number}\n\n".encode()
             if self.break_after is not None and number - first >= self.break_after:
                 await stream.send_all(head + parser.send(h11.Data(data=event[:7])))
