Answer a request whose handling fails unexpectedly

What callers saw: a request that was read whole ended with a closed connection and no byte of an answer.

Cause: an exception that left the handler reached the loop of the connection, which logged it and closed. The log line did not name the request.

Now the server of callers, peers and metrics answers such a request itself: 502, as it cannot know what was done, or a truncated response once a part was sent. For a forwarded request it is known whether it was sent: if not, the answer is 503 with a delay, which promises that it has not run, and its quota token is returned. The line request_error holds the request's id, the error and the version of the configuration; the traceback stays in the process's log.

--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -41,6 +41,7 @@
 # With a longer interval between reads, a local copy may lack results that callers have
 # seen on other hosts, so the store is read before a job counts as without new results.
 MAX_READ_INTERVAL_S = 0.4
+MAX_ERROR_LENGTH = 200  # of an unexpected error in the log, in characters
 RESPONSE_MARGIN_S = 0.05  # to send a response before its deadline
 
 
@@ -77,6 +78,18 @@
                 outcome="left",
             )
             raise
+        except http_server.CallerDisconnectedError:
+            raise
+        except Exception as error:
+            self.trace.emit(
+                "request_error",
+                request.request_id,
+                error=f"{type(error).__name__}: {error}"[:MAX_ERROR_LENGTH],
+                status=exchange.status,
+                config=self._version(),
+                outcome="failed",
+            )
+            raise
         elapsed_s = self.clock.monotonic() - exchange.received_at
         self.trace.emit(
             "answered",
@@ -165,7 +178,20 @@
         pending = forwarder.PendingRequest(
             request, exchange.body, route, team, deadline, exchange
         )
-        outcome = await self.forwarder.run(pending)
+        try:
+            outcome = await self.forwarder.run(pending)
+        except http_server.CallerDisconnectedError:
+            raise
+        except Exception:
+            if not pending.runs:
+                self.quotas.refund(team)
+                retry_after_s = self.rng.uniform(*forwarder.RETRY_AFTER_S)
+                await exchange.fail(
+                    forwarder.Refusal.UNAVAILABLE,
+                    http_server.INTERNAL_ERROR,
+                    retry_after_s,
+                )
+            raise
         if not pending.runs:
             self.quotas.refund(team)
         return outcome
--- a/turmerictally/entry/http_server.py
+++ b/turmerictally/entry/http_server.py
@@ -25,6 +25,7 @@
 MAX_REQUEST_LINE_BYTES = 1024  # in addition to the limit of the headers
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MEMORY_RETRY_AFTER_S = 0.3  # about half of a request's typical service time
+INTERNAL_ERROR = "internal error"  # reason of the refusal after an unexpected error
 MAX_PIPELINED_READS = 4  # of bytes that follow a request still being handled
 
 
@@ -138,6 +139,18 @@
             headers.append((b"Retry-After", b"%.3f" % retry_after_s))
         await self.reply(refusal.value, body, headers)
 
+    async def fail(
+        self,
+        refusal: forwarder.Refusal,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Refuse the request, or truncate the response if a part of it was sent."""
+        if self.started and not self.pending_head:
+            self.abort()
+            return
+        await self.refuse(refusal, reason, retry_after_s)
+
     async def reply(
         self,
         status: int,
@@ -432,11 +445,23 @@
                 )
                 # The response could not be written: the caller is gone.
                 with contextlib.suppress(CallerDisconnectedError):
-                    await self.handle(exchange)
+                    await self._respond(exchange)
                 nursery.cancel_scope.cancel()
         finally:
             self.exchanges.discard(exchange)
 
+    async def _respond(self, exchange: Exchange) -> None:
+        """Run the handler; respond also if it raises an unexpected error."""
+        try:
+            await self.handle(exchange)
+        except CallerDisconnectedError:
+            raise
+        except Exception:
+            logger.exception("Unexpected error in a request handler.")
+            if not exchange.finished:
+                # What was done before the error is unknown.
+                await exchange.fail(forwarder.Refusal.BROKEN, INTERNAL_ERROR)
+
     async def _watch_for_disconnect(
         self, exchange: Exchange, scope: trio.CancelScope
     ) -> None:
--- a/turmerictally/tests/features/entry_answers.feature
+++ b/turmerictally/tests/features/entry_answers.feature
@@ -19,3 +19,16 @@
     Given no other server
     When a server falls silent in a stream, and another registers 1.2 s later
     Then the caller gets all events, the rest from the other server within 0.5 s
+
+  # Guards against a request that ends without any answer after an internal error.
+  Scenario Outline: After an unexpected error the response tells whether a server may have run it
+    Given no other server
+    When an unexpected error strikes a request <when>
+    Then the caller gets <response>, and the error is logged with the request's id
+
+    Examples:
+      | when                        | response             |
+      | before it is sent           | 503 with a delay     |
+      | after it is sent            | 502                  |
+      | in its started stream       | a truncated response |
+      | in the job that it submits  | 502                  |
--- a/turmerictally/tests/features/steps/entry_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_answers_steps.py
@@ -1,9 +1,11 @@
 """Steps for requests whose answers must not be ended without need."""
 
+from unittest import mock
+
 import behave
 import trio
 
-from turmerictally.entry import forwarder
+from turmerictally.entry import availability, forwarder, inflight, pool, worker
 from turmerictally.tests.support import users_platform
 
 ALL_EVENTS = list(range(1, users_platform.EVENTS + 1))
@@ -113,3 +115,41 @@
     assert [run.server for run in context.world.runs] == ["s0", "s9"]
     resumed_at = context.world.runs[1].at
     assert resumed_at - context.registered_at < seconds, context.world.runs
+
+
+FAILING_CALLS = {
+    "before it is sent": (pool.Pool, "acquire"),
+    "after it is sent": (availability.Availability, "record_head"),
+    "in its started stream": (inflight.InFlight, "record_first_event"),
+    "in the job that it submits": (worker.Worker, "start_job"),
+}
+
+
+@behave.when("an unexpected error strikes a request {when}")
+def unexpected_error(context, when):
+    async def main(world):
+        body, _ = users_platform.lot(world)
+        path = "/night/j" if "job" in when else "/ask/1"
+        caller = users_platform.Caller(world)
+        error = RuntimeError("injected")
+        with mock.patch.object(*FAILING_CALLS[when], side_effect=error):
+            context.reply = await caller.ask(path, body=body, request_id="r-1")
+        context.again = await users_platform.Caller(world).ask()
+
+    play(context, main, servers=context.servers)
+
+
+@behave.then(
+    "the caller gets {response}, and the error is logged with the request's id"
+)
+def true_response(context, response):
+    reply = context.reply
+    if response == "a truncated response":
+        assert reply.status == 200 and not reply.whole, reply
+    else:
+        assert reply.status == int(response.split()[0]) and reply.whole, reply
+        assert ("retry-after" in reply.headers) == ("delay" in response), reply
+    (line,) = context.world.lines("request_error")
+    assert line["request"] == "r-1" and "injected" in line["error"], line
+    # The host serves on.
+    assert context.again.whole and context.again.ids == ALL_EVENTS
