Refuse malformed registrations of servers instead of ending the host

What callers saw: another writer's entry among those of the servers ended every host that read the table, again at each start, or was taken for a server.

Cause: readers of the servers' table caught a list of exception types that lacked RecursionError, which the JSON decoder raises for deep nesting; it left the watch and with it the process. Numbers, texts and addresses had no upper bounds: int() accepts "8_0", " 80" and digits of other scripts, hosts could be names, and slots and start times any integer.

Fix: entry/decoding.py is the one place that parses such JSON and checks types, ranges and lengths; it raises one error, without content. Only checked values are kept, so depth below them does not matter.

The stand-in store sorted keys by their UTF-8 bytes and failed on a lone surrogate.

--- a/turmerictally/entry/model.py
+++ b/turmerictally/entry/model.py
@@ -147,7 +147,8 @@
     cold_s: float | None = 0.0
 
 
-ReadServer = collections.abc.Callable[[str, bytes], Server | None]
+# Raises ``decoding.DecodeError``.
+ReadServer = collections.abc.Callable[[str, bytes], Server]
 ReadConfiguration = collections.abc.Callable[[bytes], Configuration | None]
 # Returns the failure domain that a row with this key evacuates, "" if the key names
 # none, or None for a row of another kind.
--- a/turmerictally/entry/registry.py
+++ b/turmerictally/entry/registry.py
@@ -6,7 +6,7 @@
 import attrs
 
 from turmerictally import clock as clocks
-from turmerictally.entry import model
+from turmerictally.entry import decoding, model
 from turmerictally.entry import store_health as health
 from turmerictally.entry import trace as traces
 from turmerictally.store import rows
@@ -110,7 +110,7 @@
         """
         for row in changed:
             name = row.address.key
-            server = None if row.value is None else self.read(name, row.value)
+            server = self._read(row)
             if server is None:
                 # An unreadable row is removed at once; only a missing one may lapse.
                 self._handle_missing(row, from_peer)
@@ -229,6 +229,21 @@
             "lapsed": len(self.lapsed),
         }
 
+    def _read(self, row: rows.Row) -> model.Server | None:
+        """Return the server of a row, None if it was removed or is unreadable."""
+        if row.value is None:
+            return None
+        try:
+            return self.read(row.address.key, row.value)
+        except decoding.DecodeError as error:
+            self.trace.emit(
+                "server_unreadable",
+                server=decoding.loggable(row.address.key),
+                version=row.version,
+                reason=str(error),
+            )
+            return None
+
     def _handle_missing(self, row: rows.Row, from_peer: bool) -> None:
         name = row.address.key
         server = self.servers.get(name)
--- a/turmerictally/platform/configuration.py
+++ b/turmerictally/platform/configuration.py
@@ -5,7 +5,7 @@
 import math
 import typing
 
-from turmerictally.entry import model
+from turmerictally.entry import decoding, model
 
 logger = logging.getLogger(__name__)
 
@@ -21,6 +21,7 @@
     "batch": model.Kind.BATCH,
 }
 SERVER_STATES = ("ready", "draining")
+MAX_SLOTS = 10_000  # of one server; more than any engine runs at a time
 MALFORMED = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
@@ -40,34 +41,22 @@
         return None
 
 
-def read_server(key: str, value: bytes) -> model.Server | None:
-    """Return the server of a registration, or None if the row is not a valid one.
-
-    Each field's type is checked, because the table may hold rows of other writers.
-    """
-    try:
-        row = json.loads(value)
-        state = row["state"]
-        if state not in SERVER_STATES:
-            raise ValueError(f"expected state ready or draining, got {state!r}")
-        start_ms = row.get("born", 0)
-        if type(start_ms) is not int:
-            raise TypeError(
-                f"expected an integer in born, got {type(start_ms).__name__}"
-            )
-        return model.Server(
-            instance=key,
-            address=_address(row["address"]),
-            service=_text(row["service"]),
-            domain=_text(row["zone"]),
-            slots=_positive_integer(row["slots"]),
-            draining=state == "draining",
-            born_ms=start_ms,
-            cold_s=_cold_s(row.get("coldRemainingMs", 0)),
-        )
-    except MALFORMED as error:
-        logger.info("Ignoring registration %s: %r.", key, error)
-        return None
+def read_server(key: str, value: bytes) -> model.Server:
+    """Return the server of a registration; raises ``decoding.DecodeError``."""
+    row = decoding.read_object(value)
+    state = row.name("state")
+    if state not in SERVER_STATES:
+        raise decoding.DecodeError("state: expected ready or draining")
+    return model.Server(
+        instance=decoding.check_name(key),
+        address=row.address("address"),
+        service=row.name("service"),
+        domain=row.name("zone"),
+        slots=row.integer("slots", 1, MAX_SLOTS),
+        draining=state == "draining",
+        born_ms=row.integer("born", default=0),
+        cold_s=_cold_s(row.values.get("coldRemainingMs", 0)),
+    )
 
 
 def read_evacuation(key: str) -> str | None:
@@ -166,24 +155,3 @@
     except OverflowError:
         return None
     return number if 0 <= number < math.inf else None
-
-
-def _text(value: typing.Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"expected a non-empty string, got {type(value).__name__}")
-    return value
-
-
-def _positive_integer(value: typing.Any) -> int:
-    if type(value) is not int or value < 1:
-        # No repr of other types: that of a deeply nested value may fail.
-        got = value if type(value) is int else type(value).__name__
-        raise TypeError(f"expected a positive integer, got {got}")
-    return value
-
-
-def _address(value: typing.Any) -> str:
-    host, _, port = _text(value).rpartition(":")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError(f"expected IP:PORT, got {value:.100}")
-    return value
--- a/turmerictally/standins/rows.py
+++ b/turmerictally/standins/rows.py
@@ -154,7 +154,7 @@
                 and address.key >= start
                 and (not end or address.key < end)
             ),
-            key=lambda row: row.address.key.encode(),
+            key=lambda row: row.address.key.encode(errors="surrogatepass"),
         )
         version = self.store.version if stale_at is None else stale_at
         await call.answer()
