Keep a watch running when one row cannot be applied

What callers saw: nothing yet; it is the way in which malformed rows ended hosts.

Cause: an exception of any kind in a watch's on_change left Watch.run and with it the nursery of the host, and the rows that came with it were lost.

Evidence: the new scenario on the code before: KeyError of a test's on_change for one of three rows ends the watch.

Since the local copy has the row's version then, it is logged once. Changes are applied by key and version, so that applying rows once more changes nothing.

Measured: the scenario passes; entry_store and entry_cut_off pass.

--- a/turmerictally/entry/trace.py
+++ b/turmerictally/entry/trace.py
@@ -4,6 +4,7 @@
 import json
 import os
 import time
+import traceback
 import typing
 
 import msgspec
@@ -120,3 +121,10 @@
 def seconds(value: float) -> float:
     """Round an age for a log line; an infinite one is capped."""
     return round(min(value, MAX_LOGGED_S), 2)
+
+
+def locate(error: Exception) -> str:
+    """Return an unexpected error's type and where it was raised, without content."""
+    *_, frame = traceback.extract_tb(error.__traceback__)
+    name = os.path.basename(frame.filename)
+    return f"{type(error).__name__} at {name}:{frame.lineno}"
--- a/turmerictally/entry/watch.py
+++ b/turmerictally/entry/watch.py
@@ -10,6 +10,7 @@
 import trio
 
 from turmerictally import clock as clocks
+from turmerictally.entry import decoding
 from turmerictally.entry import trace as traces
 from turmerictally.store import rows
 
@@ -199,10 +200,30 @@
             )
         self.version = max(self.version, version)
         if updates:
-            self.on_change(updates)
+            self._pass_on(updates)
             self.changed.set()
             self.changed = trio.Event()
 
+    def _pass_on(self, updates: list[rows.Row]) -> None:
+        """Call ``on_change`` with all updates, or with each one if that fails.
+
+        A row that cannot be applied must not keep the others from being applied.
+        """
+        try:
+            self.on_change(updates)
+        except Exception as error:
+            if len(updates) > 1:
+                for row in updates:
+                    self._pass_on([row])
+                return
+            self.trace.emit(
+                "row_not_applied",
+                table=self.name,
+                key=decoding.loggable(updates[0].address.key),
+                version=updates[0].version,
+                reason=traces.locate(error),
+            )
+
     def _record_removal(self, row: rows.Row) -> None:
         version = max(row.version, self.tombstones.pop(row.address, 0))
         self.tombstones[row.address] = version
--- a/turmerictally/tests/features/entry_malformed.feature
+++ b/turmerictally/tests/features/entry_malformed.feature
@@ -9,3 +9,8 @@
   Scenario: Malformed configurations
     When each malformed configuration follows a good one, and a host starts meanwhile
     Then the hosts serve as the last good one says, and apply the next good one
+
+  # Guards against an unexpected error on one row that ends a watch and the process.
+  Scenario: A row that cannot be applied
+    When one of several rows cannot be applied, at the first read and later
+    Then the others are applied, the watch goes on, and each failure is logged once
--- a/turmerictally/tests/features/steps/entry_malformed_steps.py
+++ b/turmerictally/tests/features/steps/entry_malformed_steps.py
@@ -4,8 +4,12 @@
 
 import behave
 import trio
+import trio.testing
 
-from turmerictally.entry import decoding
+from turmerictally import clock
+from turmerictally.entry import decoding, watch
+from turmerictally.entry import trace as traces
+from turmerictally.standins import rows as standin_rows
 from turmerictally.store import rows
 from turmerictally.tests.support import malformed, users_platform
 
@@ -177,3 +181,46 @@
 @behave.then("the hosts serve as the last good one says, and apply the next good one")
 def last_good(context):
     followed(context)
+
+
+@behave.when("one of several rows cannot be applied, at the first read and later")
+def not_applied(context):
+    context.applied, context.unapplied = {}, []
+
+    def apply(changed):
+        for row in changed:
+            if row.value == b"odd":
+                raise KeyError(row.value)
+            context.applied[row.address.key] = row.value
+
+    def emit(event, **fields):
+        context.unapplied.append((event, fields["key"], fields["version"]))
+        assert fields["reason"].startswith("KeyError at entry_malformed_steps.py:")
+
+    async def main():
+        store = standin_rows.RowStore()
+        for key in ("a", "odd", "z"):
+            store.put("table", key, b"odd" if key == "odd" else b"1")
+        trace = traces.Trace("h0")
+        trace.emit = emit
+        table = watch.Watch(
+            store.view("h0"), "table", ("",), apply, clock.Clock(), trace
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(table.run)
+            await trio.sleep(SETTLE_S)
+            store.put("table", "a", b"odd")
+            store.put("table", "z", b"2")
+            await trio.sleep(3 * SETTLE_S)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@behave.then(
+    "the others are applied, the watch goes on, and each failure is logged once"
+)
+def others_applied(context):
+    assert context.applied == {"a": b"1", "z": b"2"}, context.applied
+    expected = [("row_not_applied", "odd", 2), ("row_not_applied", "a", 4)]
+    assert context.unapplied == expected, context.unapplied
