Answer malformed batch jobs with 400 instead of closing or accepting them

What callers saw: the connection of a malformed batch job closed without an answer, or the job was accepted; some accepted ones then ended the host that owned them.

Cause: read_items caught neither RecursionError (deep nesting) nor OverflowError (tokenCount 1e999). It made a text of anything (str) and a number of most things (int), and did not ask whether an item can be sent: encoding a lone surrogate or a character beyond Latin-1 for its request raised in the worker, which ended the host. Line breaks in a header's value added headers of the item's choice. Two items with one id counted twice but had one result, so that the job never ended. Results read from a position like U+00B2 or of 5,000 digits raised ValueError in int(), which also closed the connection.

Fix: items are read with the checks of entry/decoding.py, their ids like those of jobs, all of them different; an item whose request has no valid head is refused. A position is 1 to 15 digits of ASCII, otherwise 0 as before for other texts.

--- a/turmerictally/entry/decoding.py
+++ b/turmerictally/entry/decoding.py
@@ -42,6 +42,17 @@
     return Object.of(read_json(data))
 
 
+def check_encodable(value: typing.Any) -> str:
+    """Return a text of any length that can be encoded."""
+    if not isinstance(value, str):
+        raise DecodeError(f"expected text, got {type(value).__name__}")
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise DecodeError("expected text of valid characters") from error
+    return value
+
+
 def check_text(value: typing.Any, max_length: int = MAX_TEXT_LENGTH) -> str:
     """Return a text of printable characters, which any encoding of Unicode accepts."""
     if not isinstance(value, str) or not value.isprintable():
@@ -170,15 +181,18 @@
         """Return the objects of a list."""
         return self.get(field, _check_objects, default=default)
 
-    def object(self, field: str) -> "Object":
-        """Return the fields of an object, without any if it is missing."""
-        return self.get(field, Object.of, default=Object({}))
+    def object(self, field: str, default: "Object" = REQUIRED) -> "Object":
+        """Return the fields of an object."""
+        return self.get(field, Object.of, default=default)
 
 
 def _check_objects(value: typing.Any) -> list[Object]:
     return [Object.of(each) for each in check_list(value)]
 
 
+EMPTY = Object({})
+
+
 def loggable(name: str) -> str:
     """Return the start of a key that may hold any characters, for a log line."""
     return ascii(name[:MAX_LOGGED_LENGTH])[1:-1]
--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -9,6 +9,7 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import (
     batch_requests,
+    decoding,
     forwarder,
     http_server,
     jobs,
@@ -34,7 +35,6 @@
 OTHER_HOST_RETRY_AFTER_S = (0.05, 0.15)
 QUOTA_RETRY_AFTER_S = 2.0  # if a job would exceed its team's limit of waiting tokens
 MAX_ITEMS_PER_JOB = 200
-MAX_JOB_ID_LENGTH = 120  # a job's id is part of row keys
 # A local copy of the job states older than this may lack the newest results, and a
 # host that has not reached the store for this long counts as without it.
 MAX_COPY_AGE_S = 2.5
@@ -177,18 +177,15 @@
         route: model.Route,
         team: str,
     ) -> str:
+        job_id = request.request_id
         try:
+            jobs.check_id(job_id)
             items = self.codec.read_items(exchange.body)
-        except ValueError as error:
-            await exchange.refuse(forwarder.Refusal.BAD_REQUEST, str(error))
+        except decoding.DecodeError as error:
+            reason = f"not a batch job: {error}"
+            await exchange.refuse(forwarder.Refusal.BAD_REQUEST, reason)
             return "unreadable"
-        job_id = request.request_id
-        bad_id = not 0 < len(job_id) <= MAX_JOB_ID_LENGTH or "/" in job_id
-        if (
-            bad_id
-            or not 0 < len(items) <= MAX_ITEMS_PER_JOB
-            or exchange.method != b"POST"
-        ):
+        if not 0 < len(items) <= MAX_ITEMS_PER_JOB or exchange.method != b"POST":
             await exchange.refuse(forwarder.Refusal.BAD_REQUEST, "not a batch job")
             return "unreadable"
         if job_id in self.job_states.by_id:
--- a/turmerictally/entry/jobs.py
+++ b/turmerictally/entry/jobs.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from turmerictally.entry import decoding
 from turmerictally.store import rows
 
 # Tables of the row store.
@@ -21,6 +22,8 @@
 MAX_PROGRESS_ROWS = 50  # in one transaction, which may also release the job
 READ_PAGE_ROWS = 100
 MAX_READ_BYTES = 900_000  # of results in one response to a caller
+MAX_ID_LENGTH = 120  # of a job or an item; both are parts of row keys
+MAX_ITEM_TOKENS = 10**9
 
 
 @attrs.frozen
@@ -43,6 +46,14 @@
     text: str = attrs.field(repr=False)
 
 
+def check_id(value: str) -> None:
+    """Check the id of a job or an item, a part of row keys and headers."""
+    if not 0 < len(value) <= MAX_ID_LENGTH or "/" in value or not value.isascii():
+        raise decoding.DecodeError(
+            f"id: expected 1 to {MAX_ID_LENGTH} characters of ASCII without a slash"
+        )
+
+
 @attrs.frozen
 class State:
     """Hold the state of a job, which every host watches.
--- a/turmerictally/entry/messages.py
+++ b/turmerictally/entry/messages.py
@@ -109,7 +109,7 @@
         """Decode a request on a batch job; None if the request is of another kind."""
 
     def read_items(self, body: bytes) -> list[jobs.Item]:
-        """Decode the items of a job submission; raises ``ValueError``."""
+        """Decode the items of a job submission; raises ``decoding.DecodeError``."""
 
     def write_results(
         self, total: int, after: int, results: list[jobs.Result]
--- a/turmerictally/platform/codec.py
+++ b/turmerictally/platform/codec.py
@@ -49,7 +49,7 @@
         return job_requests.read_batch_request(request)
 
     def read_items(self, body: bytes) -> list[jobs.Item]:
-        """Return the items of a submitted job; raise ``ValueError`` if malformed."""
+        """Return the items of a submitted job; raises ``decoding.DecodeError``."""
         return job_requests.read_items(body)
 
     def write_results(
--- a/turmerictally/platform/configuration.py
+++ b/turmerictally/platform/configuration.py
@@ -31,7 +31,7 @@
         routes=tuple(map(_route, row.objects("routes"))),
         services={s.name: s for s in map(_service, row.objects("services"))},
         teams=tuple(map(_team, row.objects("tenants", default=[]))),
-        limits=_limits(row.object("limits")),
+        limits=_limits(row.object("limits", default=decoding.EMPTY)),
     )
 
 
@@ -96,7 +96,7 @@
 
 
 def _service(fields: decoding.Object) -> model.Service:
-    engine = fields.object("engine")
+    engine = fields.object("engine", default=decoding.EMPTY)
     return model.Service(
         name=fields.name("name"),
         slots=engine.integer("slots", 0, MAX_SLOTS, default=0),
--- a/turmerictally/platform/jobs.py
+++ b/turmerictally/platform/jobs.py
@@ -1,16 +1,16 @@
 """Decode requests on batch jobs and encode their responses."""
 
 import base64
-import binascii
-import json
 import re
+import typing
 import urllib.parse
 
-from turmerictally.entry import batch_requests, jobs, messages
+from turmerictally.entry import batch_requests, decoding, http1, jobs, messages
 
 RESULTS_PATH = re.compile(r"/-/lots/([^/?]+)$")
 ITEM_PATH = re.compile(r"/-/items/([^/?]+)$")
-MALFORMED = (KeyError, TypeError, ValueError, AttributeError, binascii.Error)
+MAX_HEADER_LENGTH = 16 * 1024  # characters of one header's value
+POSITION = re.compile(r"[0-9]{1,15}")
 # Final states of an item, as written in responses.
 STATES = {True: "succeeded", False: "dead_letter"}
 
@@ -20,8 +20,8 @@
     query = dict(urllib.parse.parse_qsl(request.query))
     matched = RESULTS_PATH.match(request.path)
     if matched and request.method == b"GET":
-        after = query.get("after", "0")
-        position = int(after) if after.isdigit() else 0
+        after = query.get("after", "")
+        position = int(after) if POSITION.fullmatch(after) else 0
         return batch_requests.ResultsRequest(matched[1], position, request.poll_wait_s)
     if matched and request.method == b"DELETE":
         return batch_requests.CancelRequest(matched[1])
@@ -32,21 +32,42 @@
 
 
 def read_items(body: bytes) -> list[jobs.Item]:
-    """Return the items of a submitted job; raise ``ValueError`` if malformed."""
-    try:
-        return [
-            jobs.Item(
-                id=str(item["id"]),
-                path=str(item["path"]),
-                headers={str(k): str(v) for k, v in item["headers"].items()},
-                body=base64.b64decode(item["body"], validate=True),
-                # Sum of the prompt tokens and the maximum output tokens.
-                tokens=int(item["tokenCount"]),
+    """Return the items of a submitted job; raises ``decoding.DecodeError``."""
+    items = [_item(fields) for fields in decoding.read_object(body).objects("items")]
+    if len({item.id for item in items}) < len(items):
+        raise decoding.DecodeError("items: expected different ids")
+    return items
+
+
+def _item(fields: decoding.Object) -> jobs.Item:
+    headers = fields.object("headers")
+    item = jobs.Item(
+        id=fields.name("id"),
+        path=fields.text("path"),
+        headers={
+            decoding.check_name(name): headers.get(
+                name, decoding.check_text, MAX_HEADER_LENGTH
             )
-            for item in json.loads(body)["items"]
-        ]
-    except MALFORMED as error:
-        raise ValueError(f"not a batch job: {error!r}") from error
+            for name in headers.values
+        },
+        body=fields.get("body", _bytes),
+        # Sum of the prompt tokens and the maximum output tokens.
+        tokens=fields.integer("tokenCount", 0, jobs.MAX_ITEM_TOKENS),
+    )
+    jobs.check_id(item.id)
+    try:
+        request = item_request(item, "")
+        http1.write_request_head(request.method, request.target, request.headers)
+    except (UnicodeEncodeError, http1.ProtocolError) as error:
+        raise decoding.DecodeError("path, headers: expected those of HTTP") from error
+    return item
+
+
+def _bytes(value: typing.Any) -> bytes:
+    try:
+        return base64.b64decode(decoding.check_encodable(value), validate=True)
+    except ValueError as error:
+        raise decoding.DecodeError("expected base64") from error
 
 
 def write_results(total: int, after: int, results: list[jobs.Result]) -> dict:
--- a/turmerictally/tests/features/entry_malformed.feature
+++ b/turmerictally/tests/features/entry_malformed.feature
@@ -14,3 +14,9 @@
   Scenario: A row that cannot be applied
     When one of several rows cannot be applied, at the first read and later
     Then the others are applied, the watch goes on, and each failure is logged once
+
+  # Guards against a job's body that closes its caller's connection without an answer,
+  # or that is accepted and then ends every host that owns the job.
+  Scenario: Malformed batch jobs
+    When each malformed batch job is submitted, and a position is asked that is no number
+    Then each job gets a 400 and the connections and hosts go on
--- a/turmerictally/tests/features/steps/entry_malformed_steps.py
+++ b/turmerictally/tests/features/steps/entry_malformed_steps.py
@@ -51,6 +51,24 @@
     ("limits",): OTHER_TYPES,
     ("limits", "idleTimeoutMs"): [each for each in DURATIONS if each != "null"],
 }
+UNSENDABLE = (r'"a\r\nb: c"', r'"a\ud800"', r'"\u20ac"', "7", "null", malformed.NESTED)
+ITEM_FIELDS = {
+    ("items",): ("null", '"a"', "{}", "[]", "[7]", malformed.NESTED),
+    ("items", 0, "id"): (*malformed.TEXTS, '"a/b"', '"i1"', r'"\u20ac"'),
+    ("items", 0, "path"): (*UNSENDABLE, '"/a b"', '""'),
+    ("items", 0, "headers"): ("null", "[]", '{"a": 7}', '{"a b": "c"}', '{"": "c"}'),
+    ("items", 0, "headers", "X-Model"): UNSENDABLE,
+    ("items", 0, "body"): (
+        '"a"',
+        '"\u20ac"',
+        r'"a\ud800"',
+        "7",
+        "null",
+        malformed.NESTED,
+    ),
+    ("items", 0, "tokenCount"): malformed.NUMBERS,
+}
+POSITIONS = ("%C2%B2", "9" * 5000, "-1", "")
 SETTLE_S = 0.5
 
 
@@ -224,3 +242,49 @@
     assert context.applied == {"a": b"1", "z": b"2"}, context.applied
     expected = [("row_not_applied", "odd", 2), ("row_not_applied", "a", 4)]
     assert context.unapplied == expected, context.unapplied
+
+
+def play_jobs(path, values):
+    async def main(world):
+        good = json.loads(users_platform.lot(world)[0])
+        good["items"][0]["headers"]["X-Model"] = "m"
+        caller = users_platform.Caller(world)
+
+        async def submit(job, body):
+            return await caller.ask("/night/1", body=body, request_id=job)
+
+        for number, value in enumerate(values):
+            body = malformed.encode(good, path, value)
+            reply = await submit(f"odd{number}", body)
+            assert (reply.status, reply.whole) == (400, True), (value[:24], reply)
+            assert reply.json()["reason"].startswith("not a batch job"), reply
+        assert (await submit("job", json.dumps(good).encode())).status == 202
+        for after in POSITIONS if not values else ():
+            query = f"/-/lots/job?after={after}"
+            reply = await caller.ask(query, method="GET")
+            assert (reply.status, reply.whole) == (200, True), (after[:24], reply)
+        await trio.sleep(3.0)
+        reply = await caller.ask("/-/lots/job", method="GET")
+        assert len(reply.json()["results"]) == 5, reply
+        for served in world.hosts.values():
+            assert served.job_states.by_id.keys() == {"job"}
+        await check_served(world, {"s0", "s1"})
+
+    users_platform.play(main)
+
+
+@behave.when(
+    "each malformed batch job is submitted, and a position is asked that is no number"
+)
+def batch_jobs(context):
+    cases = [
+        (malformed.label(path, value), path, [value])
+        for path, values in ITEM_FIELDS.items()
+        for value in values
+    ]
+    context.failures = run_each([*cases, ("positions", (), [])], play_jobs)
+
+
+@behave.then("each job gets a 400 and the connections and hosts go on")
+def refused(context):
+    followed(context)
