Start batch items elsewhere after a server refused one

Cause: items go to the servers with the most free slots. One that refuses what it is sent, such as one at whose address another server listens by now, has them all free. A refusal counts as a success of the server, so that neither its circuit nor its ejection kept items away.

Change: a server that refused an item gets none for 2 s while others have free slots.

Result: 'Items are done though the server with the most free slots refuses them all' failed before with no result after 5 s, and passes.

--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -10,6 +10,7 @@
 
 ITEM_TIMEOUT_S = 30.0  # several times the longest item on a slow server
 NOT_CONNECTED = "broken: not connected"
+NOT_RUN = "not run"
 EVENT_TIMEOUT_S = 2.5  # between events, after which an item may resume elsewhere
 # Events of an item are read in batches: no caller waits for one, and each read costs a
 # host as much as forwarding an event to a caller.
@@ -47,7 +48,6 @@
     shared_parts: tuple[str, ...] | None = None
     held_for: str = ""
     cancel_scope: trio.CancelScope | None = None
-    refused_by: set[str] = attrs.Factory(set)
 
     @property
     def running(self) -> bool:
@@ -135,7 +135,7 @@
         if head.status != 200 or head.not_run:
             await connection.read_body(forwarder.MAX_BUFFERED_RESPONSE_BYTES)
             if head.not_run:
-                return "not run", head
+                return NOT_RUN, head
             if not head.signed:
                 return "broken: no signature", head
             if head.status == 422:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -26,6 +26,8 @@
 SCHEDULE_INTERVAL_S = 0.1  # as often as hosts report their free slots
 RETRY_S = 0.3  # before an item runs again after a refusal or a broken connection
 ERROR_RETRY_S = 0.8  # after a server error, so that a transient cause can clear
+# A server that refused an item gets none for this long while others have free slots.
+REFUSAL_PAUSE_S = 2.0
 SAVE_DELAY_S = 0.06  # lets results that finish close together share a transaction
 SAVE_RETRY_S = 0.4
 RELEASE_POLL_S = 0.02  # between checks for items that are still stopping
@@ -59,6 +61,7 @@
 
     With ``fair_to_teams`` teams take free slots in turn. ``max_running_items``
     limits the items that run on this host at once; None sets no limit.
+    ``refused_until`` holds the servers that refused an item lately.
     """
 
     host_id: str
@@ -86,6 +89,7 @@
     nursery: trio.Nursery | None = None
     max_running_items: int | None = None
     disabled: frozenset[mechanisms.Mechanism] = frozenset()
+    refused_until: dict[str, float] = attrs.Factory(dict)
 
     async def run(self) -> None:
         """Schedule items until cancelled."""
@@ -349,7 +353,7 @@
                 by_service.setdefault(service, []).append((owned, task))
         waiting_elsewhere = self.hosts.waiting_urgencies()
         for service, pairs in by_service.items():
-            loads = self.inflight.server_loads(service)
+            loads = self._without_refusing(self.inflight.server_loads(service))
             servers = placement.choose_batch_starts(
                 loads,
                 waiting=sorted(self._urgency(*pair) for pair in pairs),
@@ -369,6 +373,16 @@
             if servers:
                 self.send_early_digest()
 
+    def _without_refusing(
+        self, loads: list[placement.ServerLoad]
+    ) -> list[placement.ServerLoad]:
+        """Leave out servers that refused an item lately, if others have free slots."""
+        now = self.clock.monotonic()
+        for name in [n for n, until in self.refused_until.items() if now >= until]:
+            del self.refused_until[name]
+        others = [load for load in loads if load.name not in self.refused_until]
+        return others if any(load.free_for_batch for load in others) else loads
+
     def _remaining_capacity(self) -> int | None:
         """Return how many more items this host may run, or None without a limit."""
         if self.max_running_items is None:
@@ -508,6 +522,8 @@
         if outcome == "impossible":
             self._finish_item(owned, task, False, "impossible")
             return
+        if outcome == item_runner.NOT_RUN:
+            self.refused_until[name] = now + REFUSAL_PAUSE_S
         if outcome.startswith("broken"):
             refused = outcome == item_runner.NOT_CONNECTED
             if task.server_closed and not task.run_events:
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -94,3 +94,9 @@
   Scenario: A host with a lagging copy of the job states shows results shown elsewhere
     When results are read at one host and then at another that polls every 5 s
     Then the other host shows all of them at once
+
+  # Guards against an item that is never done, as each attempt goes to the one server that
+  # refuses it: idle, as it refuses, that server has the most free slots.
+  Scenario: Items are done though the server with the most free slots refuses them all
+    When a job is submitted while one of two servers refuses every request
+    Then every item of that job is done within 5 s
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -560,3 +560,29 @@
     assert context.listed_elsewhere == context.first_listed, len(
         context.listed_elsewhere
     )
+
+
+@behave.when("a job is submitted while one of two servers refuses every request")
+def refusing_server(context):
+    async def main(world):
+        refusing, sound = world.servers.values()
+        refusing.refuses_all = True
+        sound.slots = refusing.slots // 2
+        sound.register()
+        await trio.sleep(1.0)
+        await submit(world, 0, job="j1", count=4)
+        await trio.sleep(5.0)
+        context.results = (await read(world, 0, "j1")).json()["results"]
+
+    play(context, main)
+
+
+@behave.then("every item of that job is done within 5 s")
+def done_despite_refusals(context):
+    refused = [
+        line
+        for line in context.world.lines("item_not_done")
+        if line["outcome"] == "not run"
+    ]
+    assert refused
+    assert len(context.results) == 4, context.results
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -91,6 +91,7 @@
         self.endless_bytes = 0
         self.raw_answer = b""  # sent as it is, after which the connection ends
         self.refuses_next = False
+        self.refuses_all = False
         self.repeated_refusal = ""  # how the last refusal comes again
         self.refusals = {}  # by connection, the last one
         self.refusals_repeated = 0
@@ -181,7 +182,7 @@
     async def answer(self, stream, parser, request, headers, body):
         if headers.get("x-expect-instance", self.name) != self.name:
             return await self.refuse(stream, parser, headers, 421)
-        if self.refuses_next:
+        if self.refuses_next or self.refuses_all:
             self.refuses_next = False
             return await self.refuse(stream, parser, headers, 503)
         waited = trio.current_time()
