Keep a host running when one batch item fails unexpectedly

Cause: neither the run of an item nor a round of scheduling caught what it raised, so that it reached the host's nursery. An item whose start failed half-way also stayed marked as running.

Change: the error ends that run or that round. The item is tried again after 0.8 s; batch_error names the step, the log holds the traceback. An item is marked as running once nothing that may fail is left.

Result: three examples with an injected RuntimeError failed before, each with the host's end; they pass. entry_batch.feature: 25 passed.

--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import logging
 import random
 
 import attrs
@@ -23,6 +24,8 @@
 from turmerictally.scheduling import item_order, mechanisms, placement
 from turmerictally.store import rows
 
+logger = logging.getLogger(__name__)
+
 SCHEDULE_INTERVAL_S = 0.1  # as often as hosts report their free slots
 RETRY_S = 0.3  # before an item runs again after a refusal or a broken connection
 ERROR_RETRY_S = 0.8  # after a server error, so that a transient cause can clear
@@ -35,6 +38,7 @@
 # transaction a second for each running job.
 CHECKPOINT_INTERVAL_S = 1.0
 MAX_REPORTED_URGENCIES = 16  # per digest, some 100 bytes
+INTERNAL_ERROR = "internal error"
 MIN_CHECKPOINT_EVENTS = 10  # regenerating fewer events is faster than writing them
 
 
@@ -98,14 +102,24 @@
             nursery.start_soon(self._checkpoint_periodically)
             while True:
                 if not self.stopping:
-                    self._start_items()
-                    self.preempt_items()
-                    self._move_late_item()
+                    self._schedule()
                 if not self.owned_jobs:
                     self.has_jobs = trio.Event()
                     await self.has_jobs.wait()
                 await trio.sleep(SCHEDULE_INTERVAL_S * self.rng.uniform(0.8, 1.2))
 
+    def _schedule(self) -> None:
+        """Start, preempt and move items; an unexpected error ends this round only."""
+        for step in (self._start_items, self.preempt_items, self._move_late_item):
+            try:
+                step()
+            except Exception as error:
+                self._log_error(step.__name__.strip("_"), error)
+
+    def _log_error(self, step: str, error: Exception, item: str = "") -> None:
+        logger.error("Unexpected error in %s.", step, exc_info=error)
+        self.trace.emit("batch_error", item, step=step, error=type(error).__name__)
+
     def start_job(
         self, versioned: jobs.VersionedState, items: list[jobs.Item], finished: set[str]
     ) -> None:
@@ -431,13 +445,13 @@
         self, owned: OwnedJob, task: item_runner.ItemTask, name: str
     ) -> None:
         server = self.inflight.registry.servers[name]
+        parts = self.runner.shared_parts(owned.versioned.state, task)
+        task.urgency = self._urgency(owned, task)
         task.cancel_scope = trio.CancelScope()
         task.server = name
-        task.urgency = self._urgency(owned, task)
         task.counted_on_server = True
         self.inflight.add_item(name, task.urgency)
         self.inflight.reserve_permit(name)
-        parts = self.runner.shared_parts(owned.versioned.state, task)
         self.prompts.record_send(task.item.id, name, parts)
         self.trace.emit(
             "item_placed",
@@ -502,6 +516,10 @@
         try:
             with task.cancel_scope, trio.move_on_after(item_runner.ITEM_TIMEOUT_S):
                 outcome = await self.runner.run(owned.versioned.state, task, server)
+        except Exception as error:
+            # Other items and the callers of this host must not suffer from it.
+            outcome = INTERNAL_ERROR
+            self._log_error("run_item", error, task.item.id)
         finally:
             self._uncount_item(task)
             task.cancel_scope = None
@@ -531,7 +549,9 @@
                 self.prompts.record_crash(task.item.id, server, parts)
             self.inflight.record_failure(name, refused=refused)
         if outcome != "gave way":
-            pause = ERROR_RETRY_S if outcome == "error" else RETRY_S
+            pause = RETRY_S
+            if outcome in ("error", INTERNAL_ERROR):
+                pause = ERROR_RETRY_S
             task.not_before = now + pause * self.rng.uniform(0.7, 1.3)
         self.trace.emit(
             "item_not_done",
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -100,3 +100,15 @@
   Scenario: Items are done though the server with the most free slots refuses them all
     When a job is submitted while one of two servers refuses every request
     Then every item of that job is done within 5 s
+
+  # Guards against a host that ends, with all its callers' requests, as one batch item or
+  # one round of scheduling raises an unexpected error.
+  Scenario Outline: An unexpected error in the batch loop delays items and ends nothing
+    When <step> raises an unexpected error three times while a job and requests run
+    Then the job is done, every request got its response and the errors are logged
+
+    Examples:
+      | step                   |
+      | the run of an item     |
+      | the choice of servers  |
+      | the move of late items |
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -1,11 +1,13 @@
 """Steps for batch jobs on the users' platform."""
 
 import collections
+from unittest import mock
 
 import behave
 import trio
 
-from turmerictally.entry import jobs
+from turmerictally.entry import item_runner, jobs, worker
+from turmerictally.scheduling import placement
 from turmerictally.tests.support import users_platform
 
 
@@ -586,3 +588,44 @@
     ]
     assert refused
     assert len(context.results) == 4, context.results
+
+
+FAILING_STEPS = {
+    "the run of an item": (item_runner.ItemRunner, "run"),
+    "the choice of servers": (placement, "choose_batch_starts"),
+    "the move of late items": (worker.Worker, "_move_late_item"),
+}
+
+
+@behave.when(
+    "{step} raises an unexpected error three times while a job and requests run"
+)
+def batch_errors(context, step):
+    owner, name = FAILING_STEPS[step]
+    works = getattr(owner, name)
+    errors_left = [3]
+
+    def fail_first(*given, **more):
+        if errors_left[0]:
+            errors_left[0] -= 1
+            raise RuntimeError("injected")
+        return works(*given, **more)
+
+    async def main(world):
+        with mock.patch.object(owner, name, fail_first):
+            await submit(world, 0, job="j1", count=6)
+            caller = users_platform.Caller(world)
+            context.replies = [await caller.ask() for _ in range(4)]
+            context.results = await read_all(world, 0, "j1", 6)
+
+    play(context, main)
+
+
+@behave.then(
+    "the job is done, every request got its response and the errors are logged"
+)
+def survived(context):
+    assert all(reply.whole and reply.status == 200 for reply in context.replies)
+    assert len(context.results) == 6, context.results
+    errors = context.world.lines("batch_error")
+    assert [line["error"] for line in errors] == ["RuntimeError"] * 3, errors
