Don't hold failures of lost paths against the servers

What fails at a host counted against the servers, whatever others saw of them. Looked for in other places that judge servers, it was found in ejection and in the servers that hosts tell each other to avoid.

A host concludes that its own paths are lost if different servers fail in a row, at least three and half of all, with no answer to a newer request, while a peer is answered. It then drops its failures, avoids no server on their account and tells the others, and ejections that rested on them and are no older than 2 s are taken back. The first answer ends it. Logged as paths_lost, paths_back and server_not_ejected, with a gauge.

Result: entry_path_loss.feature.

--- a/turmerictally/entry/ejection.py
+++ b/turmerictally/entry/ejection.py
@@ -22,6 +22,8 @@
 EJECTION_S = 4.0  # the first time; doubled after each failed probation
 MAX_EJECTION_S = 16.0
 PROBATION_S = 2.0  # with few requests, before a server counts as sound again
+# An ejection this recent is taken back if failures that it rests on were a host's own.
+RECONSIDER_S = 2.0
 BACKOFF_RESET_S = 30.0  # without an ejection, after which the next one is short again
 # Of a service's servers. If more fail, overload is the cause.
 MAX_EJECTED_RATIO = 0.5
@@ -48,6 +50,12 @@
         counts = self.steps[-1][1].setdefault(server, [0, 0])
         counts[0 if answered else 1] += 1
 
+    def drop_failures(self) -> None:
+        """Forget the failures, which were not the servers'."""
+        for _, step in self.steps:
+            for counts in step.values():
+                counts[1] = 0
+
     def counts(self, now: float) -> dict[str, list[int]]:
         """Return the numbers of answered and failed requests by server."""
         expired_step = int(now * WINDOW_STEPS / WINDOW_S) - WINDOW_STEPS
@@ -69,6 +77,7 @@
     ``repeats`` counts the ejections in a row that came before this one.
     """
 
+    ejected_at: float
     until: float
     probation_until: float
     repeats: int
@@ -94,7 +103,17 @@
         ejection_s = min(MAX_EJECTION_S, EJECTION_S * 2**repeats)
         # Outcomes from before the ejection have expired when the probation begins.
         until = now + max(WINDOW_S, ejection_s)
-        self.ejections[server] = Ejection(until, until + PROBATION_S, repeats)
+        self.ejections[server] = Ejection(now, until, until + PROBATION_S, repeats)
+        return True
+
+    def reconsider(self, server: str, outcomes: Outcomes, now: float) -> bool:
+        """Take back a recent ejection that the outcomes no longer support."""
+        ejection = self.ejections.get(server)
+        if ejection is None or now > ejection.ejected_at + RECONSIDER_S:
+            return False
+        if self._fails(outcomes, MIN_FAILED):
+            return False
+        del self.ejections[server]
         return True
 
     def reliability(self, outcomes: Outcomes) -> float:
--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -462,6 +462,7 @@
         pending.response_head = head
         self.inflight.availability.record_head(server, head)
         self.prompts.record_answer(server, head, sent_at)
+        self.inflight.record_answer(sent_at)
         if head.not_run:
             await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
             pending.reason = f"server answered {head.status}"
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -16,6 +16,7 @@
     prompt_quarantine,
     server_answers,
     server_limits,
+    server_reach,
 )
 from turmerictally.store import rows
 
@@ -63,6 +64,7 @@
 # A local copy of the hosts' table that is older than the interval between its reads by
 # this much misses renewals; a single call may take 1.5 s.
 STALE_TABLE_S = 1.6
+MAX_AGE_S = 1e6  # stands for "never" in digests
 
 
 @attrs.define
@@ -91,7 +93,9 @@
     items),
     ``limits`` (those that servers named, as in ``scheduling.server_limits.Report``) and
     ``answered_servers`` (whose crashes were none, as in
-    ``scheduling.server_answers.Report``).
+    ``scheduling.server_answers.Report``). ``paths_lost`` is set while the host reaches
+    no server though others do, and ``answer_age_s`` tells how long ago a server last
+    answered it.
     """
 
     host: str
@@ -124,6 +128,8 @@
     limits: server_limits.Report = attrs.Factory(dict)
     answered_servers: server_answers.Report = attrs.Factory(dict)
     accused_item_parts: prompt_quarantine.Report = attrs.Factory(dict)
+    paths_lost: bool = False
+    answer_age_s: float = MAX_AGE_S
 
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
@@ -132,6 +138,7 @@
             and self.batch == other.batch
             and self.items_waiting == other.items_waiting
             and self.failing == other.failing
+            and self.paths_lost == other.paths_lost
             and self.demand == other.demand
             and self.callers_waiting == other.callers_waiting
             and self.waiting_urgencies == other.waiting_urgencies
@@ -532,6 +539,16 @@
         """Return the last digests of all reachable hosts."""
         return [peer.digest for peer in self.peers.values() if not peer.unreachable]
 
+    def peer_reaches(self) -> list[server_reach.PeerReach]:
+        """Return whether the reachable hosts are answered by servers."""
+        return [
+            server_reach.PeerReach(
+                peer.received_at - peer.digest.answer_age_s, peer.digest.paths_lost
+            )
+            for peer in self.peers.values()
+            if not peer.unreachable
+        ]
+
     def is_reachable(self, host: str, instance: str) -> bool:
         """Return whether this incarnation of a host is reachable."""
         peer = self.peers.get(host)
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -530,6 +530,7 @@
     ) -> None:
         self.availability.record_head(server, head)
         self.prompts.record_answer(server, head, sent_at)
+        self.inflight.record_answer(sent_at)
 
     def _on_job(self, versioned: jobs.VersionedState) -> None:
         state = versioned.state
@@ -537,6 +538,8 @@
 
     def _on_digest(self, digest: gossip.Digest) -> None:
         self._on_heartbeat(digest)
+        if digest.paths_lost and digest.full:
+            self.inflight.reconsider_ejections()
         if self.settings.host_id in digest.baseline_requests:
             self.disseminator.send_baseline(digest.host)
         if digest.removed:
@@ -599,7 +602,7 @@
                 min(1e6, self.clock.monotonic() - self.states_watch.store_responded_at),
                 2,
             ),
-            failing=self.inflight.open_circuits(),
+            failing=self.inflight.failing_servers(),
             domain=self.settings.failure_domain,
             outcomes=self._outcomes() if full else {},
             full=full,
@@ -626,8 +629,14 @@
             else {},
             answered_servers=self.prompts.report_answers() if full else {},
             accused_item_parts=self.item_prompts.report() if full else {},
+            paths_lost=self.inflight.reach.lost_since is not None,
+            answer_age_s=self._answer_age_s(),
         )
 
+    def _answer_age_s(self) -> float:
+        age_s = self.clock.monotonic() - self.inflight.reach.answered_at
+        return round(min(gossip.MAX_AGE_S, age_s), 3)
+
     def _demand(self) -> dict[str, int]:
         if self.admission is None:
             return {}
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -12,7 +12,12 @@
 from turmerictally.entry import registry as registries
 from turmerictally.entry import trace as traces
 from turmerictally.routing import health
-from turmerictally.scheduling import mechanisms, placement, server_speeds
+from turmerictally.scheduling import (
+    mechanisms,
+    placement,
+    server_reach,
+    server_speeds,
+)
 
 # Consecutive failures that open a server's circuit: a healthy server may fail one
 # request in fifty, but rarely two in a row.
@@ -55,6 +60,7 @@
     recent_outcomes: ejection.RecentOutcomes = attrs.field(
         factory=ejection.RecentOutcomes
     )
+    reach: server_reach.ServerReach = attrs.field(factory=server_reach.ServerReach)
     circuits: health.CircuitBreakers = attrs.field(
         factory=lambda: health.CircuitBreakers(MAX_CONSECUTIVE_FAILURES, PROBE_AFTER_S)
     )
@@ -175,6 +181,41 @@
             "speed_age_s": round(estimate.age_s(self.clock.monotonic()), 2),
         }
 
+    def record_answer(self, sent_at: float) -> None:
+        """Record that a server answers a request that was sent at ``sent_at``."""
+        now = self.clock.monotonic()
+        lost_since = self.reach.lost_since
+        if self.reach.record_answer(sent_at, now):
+            self.trace.emit("paths_back", lost_s=round(now - lost_since, 3))
+            self.on_failure()
+
+    def record_no_answer(self, name: str) -> None:
+        """Record that a server ended a request, or refused a connection for it."""
+        now = self.clock.monotonic()
+        if not self.reach.record_failure(
+            name, self.registry.servers.keys(), self.hosts.peer_reaches, now
+        ):
+            return
+        self.recent_outcomes.drop_failures()
+        self.trace.emit(
+            "paths_lost",
+            failed=len(self.reach.failed_at),
+            of=len(self.registry.servers),
+            failing_s=round(now - self.reach.failing_since, 3),
+            answered_s=traces.seconds(now - self.reach.answered_at),
+        )
+        self.reconsider_ejections()
+        self.on_failure()
+
+    def reconsider_ejections(self) -> None:
+        """Take back ejections, as some hosts' failures were those of their paths."""
+        now = self.clock.monotonic()
+        own_outcomes = self.recent_outcomes.counts(now)
+        for name in list(self.ejector.ejections):
+            outcomes = self._outcomes(name, own_outcomes)
+            if self.ejector.reconsider(name, outcomes, now):
+                self.trace.emit("server_not_ejected", server=name)
+
     def record_success(self, name: str) -> None:
         """Record that a server responded without an error of its own."""
         now = self.clock.monotonic()
@@ -186,7 +227,8 @@
         """Record a missing or truncated response; ``refused`` if connecting failed."""
         now = self.clock.monotonic()
         self.circuits.failed(name, now, refused=refused)
-        if refused:
+        self.record_no_answer(name)
+        if refused or self.reach.lost_since is not None:
             # Only the network path may have failed; the circuit soon allows a probe.
             return
         self.recent_outcomes.record(name, False, now)
@@ -223,6 +265,10 @@
         if self.clock.monotonic() >= self.last_evaluated_at + EVALUATION_INTERVAL_S:
             self.evaluate_servers()
 
+    def failing_servers(self) -> list[str]:
+        """Return the servers that this host avoids, none if its own paths are lost."""
+        return [] if self.reach.lost_since is not None else self.open_circuits()
+
     def open_circuits(self) -> list[str]:
         """Return the servers whose circuits are open on this host."""
         named_circuits = self.circuits.circuits.items()
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -65,6 +65,11 @@
         gauge(
             f"{prefix}_configuration_version", "Version.", view.version if view else 0
         ),
+        gauge(
+            f"{prefix}_paths_lost",
+            "1 if no server is reached.",
+            int(served.inflight.reach.lost_since is not None),
+        ),
         gauge(f"{prefix}_caller_connections", "Open.", served.callers.open_connections),
         gauge(f"{prefix}_requests_running", "Running.", served.callers.active_requests),
         gauge(f"{prefix}_items_waiting", "Batch.", len(served.worker.waiting_items())),
--- a/turmerictally/tests/features/entry_path_loss.feature
+++ b/turmerictally/tests/features/entry_path_loss.feature
@@ -5,6 +5,8 @@
     When three of six hosts lose their paths to all servers for 6 s while jobs arrive there, seed <seed>
     Then each job is done before it is due
     And no request is refused for its prompt later than 6 s after the paths are back
+    And hosts know within 0.5 s that their paths are lost, and within 1 s that they are back
+    And no host leaves out a server for 2 s that other hosts reach
 
     Examples:
       | seed |
--- a/turmerictally/tests/features/steps/entry_path_loss_steps.py
+++ b/turmerictally/tests/features/steps/entry_path_loss_steps.py
@@ -96,7 +96,13 @@
             nursery.start_soon(traffic.send_jobs, until)
             await trio.sleep(BEFORE_S)
             world.fabric.break_paths([f"10.1.0.{n}" for n in range(3)], addresses)
-            await trio.sleep(BROKEN_S)
+            context.lost_at = trio.current_time()
+            await trio.sleep(2.0)
+            context.ejected = {
+                name: sorted(served.inflight.ejector.ejections)
+                for name, served in world.hosts.items()
+            }
+            await trio.sleep(BROKEN_S - 2.0)
             world.fabric.broken_paths.clear()
             context.back_at = trio.current_time()
             await trio.sleep(DUE_S)
@@ -130,3 +136,23 @@
         if line["t"] > context.back_at + 6.0 and "part" in line
     ]
     assert not late, late[:3]
+
+
+@behave.then(
+    "hosts know within {lost_s:g} s that their paths are lost, and within {back_s:g} s "
+    "that they are back"
+)
+def knows_paths(context, lost_s, back_s):
+    for n, served in context.world.hosts.items():
+        lost = [line["t"] for line in served.lines if line["event"] == "paths_lost"]
+        back = [line["t"] for line in served.lines if line["event"] == "paths_back"]
+        if n >= 3:
+            assert not lost, (n, lost)
+            continue
+        assert lost[0] < context.lost_at + lost_s, (n, lost)
+        assert back[-1] < context.back_at + back_s, (n, back)
+
+
+@behave.then("no host leaves out a server for 2 s that other hosts reach")
+def none_ejected(context):
+    assert not any(context.ejected.values()), context.ejected
