Ignore malformed rows of hosts instead of counting them as hosts

What callers saw: nothing by itself, or hosts that ended.

Cause: the reader of the hosts' table made texts and numbers of almost anything (str, int, float). A row with an unknown address or instance counted as a host, for quota shares and for the majority that takeovers need; a position of a prompt part beyond 64 bits was merged into the evidence, which the next digest could not encode.

Fix: the row is read with the checks of entry/decoding.py. A malformed one is logged once with its version (host_unreadable); a record that was read before it stays, and ages as it isn't renewed. Names of prompt parts and incarnations come from callers and servers, so that only their encoding is checked: a whole row must not be lost for one of them.

--- a/turmerictally/entry/decoding.py
+++ b/turmerictally/entry/decoding.py
@@ -83,13 +83,13 @@
     return value
 
 
-def check_number(value: typing.Any, maximum: float = MAX_NUMBER) -> float:
-    """Return a number from 0 to a maximum."""
+def check_number(value: typing.Any, minimum: float = 0.0) -> float:
+    """Return a number from a minimum to ``MAX_NUMBER``."""
     if type(value) not in (int, float):
         raise DecodeError(f"expected a number, got {type(value).__name__}")
     # The comparison excludes NaN, and converts no integer that is too large.
-    if not 0 <= value <= maximum:
-        raise DecodeError(f"expected a number from 0 to {maximum:g}")
+    if not minimum <= value <= MAX_NUMBER:
+        raise DecodeError(f"expected a number from {minimum:g} to {MAX_NUMBER:g}")
     return float(value)
 
 
@@ -173,6 +173,16 @@
         """Return a number from 0 to ``MAX_NUMBER``."""
         return self.get(field, check_number, default=default)
 
+    def map(
+        self, field: str, check: collections.abc.Callable[..., T], *limits: float
+    ) -> dict[str, T]:
+        """Return the checked values by name of an object, none if it is missing."""
+        fields = self.object(field, default=EMPTY)
+        return {
+            check_encodable(name): fields.get(name, check, *limits)
+            for name in fields.values
+        }
+
     def flag(self, field: str) -> bool:
         """Return a truth value, False if it is missing."""
         return self.get(field, _check_flag, default=False)
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -2,7 +2,6 @@
 
 import collections
 import collections.abc
-import json
 import operator
 import typing
 
@@ -10,6 +9,7 @@
 import msgspec
 
 from turmerictally import clock as clocks
+from turmerictally.entry import decoding
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import ownership, prompt_quarantine, server_limits
 from turmerictally.store import rows
@@ -201,6 +201,35 @@
     quarantined_parts: prompt_quarantine.Record = attrs.Factory(dict)
 
 
+def _read_record(name: str, value: bytes, now: float) -> HostRecord:
+    """Return the record of a host's row; raises ``decoding.DecodeError``."""
+    fields = decoding.read_object(value)
+    return HostRecord(
+        decoding.check_name(name),
+        fields.name("instance"),
+        fields.address("address"),
+        fields.integer("renewals"),
+        now,
+        fields.text("domain", default=""),
+        fields.number("cores", default=1.0),
+        fields.map("quota_levels", decoding.check_number),
+        fields.number("levels_at_s", default=0.0),
+        fields.map("quarantined_parts", _read_part),
+    )
+
+
+def _read_part(value: typing.Any) -> tuple[int, dict[str, float]]:
+    """Return the evidence against a prompt part."""
+    match decoding.check_list(value):
+        case [position, times]:
+            fields = decoding.Object({"times": times})
+            # The store's clock may have started after a crash.
+            return decoding.check_integer(position), fields.map(
+                "times", decoding.check_number, -decoding.MAX_NUMBER
+            )
+    raise decoding.DecodeError("expected a position and times")
+
+
 @attrs.define(eq=False)
 class FleetTotals:
     """Sum the other hosts' counts; an update costs only its digest's own entries."""
@@ -320,29 +349,17 @@
             name = row.address.key
             if row.value is None:
                 self.records.pop(name, None)
-                self.trace.emit("host_left", host=name)
+                self.trace.emit("host_left", host=decoding.loggable(name))
                 continue
             try:
-                fields = json.loads(row.value)
-                record = HostRecord(
-                    name,
-                    str(fields["instance"]),
-                    str(fields["address"]),
-                    int(fields["renewals"]),
-                    now,
-                    str(fields.get("domain", "")),
-                    float(fields.get("cores", 1.0)),
-                    {t: float(n) for t, n in fields.get("quota_levels", {}).items()},
-                    float(fields.get("levels_at_s", 0.0)),
-                    {
-                        part: (int(position), {s: float(t) for s, t in times.items()})
-                        for part, (position, times) in fields.get(
-                            "quarantined_parts", {}
-                        ).items()
-                    },
+                record = _read_record(name, row.value, now)
+            except decoding.DecodeError as error:
+                self.trace.emit(
+                    "host_unreadable",
+                    host=decoding.loggable(name),
+                    version=row.version,
+                    reason=str(error),
                 )
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
-                self.trace.emit("host_unreadable", host=name, reason=repr(error))
                 continue
             before = self.records.get(name)
             self.records[name] = record
--- a/turmerictally/tests/features/entry_malformed.feature
+++ b/turmerictally/tests/features/entry_malformed.feature
@@ -20,3 +20,8 @@
   Scenario: Malformed batch jobs
     When each malformed batch job is submitted, and a position is asked that is no number
     Then each job gets a 400 and the connections and hosts go on
+
+  # Guards against one malformed row among those of the hosts that ends every host.
+  Scenario: Malformed rows of hosts
+    When malformed rows of hosts lie beside good ones, from before a host starts and later
+    Then the hosts go on, know the good rows only, and log each row once
--- a/turmerictally/tests/features/steps/entry_malformed_steps.py
+++ b/turmerictally/tests/features/steps/entry_malformed_steps.py
@@ -68,8 +68,32 @@
     ),
     ("items", 0, "tokenCount"): malformed.NUMBERS,
 }
+HOST = {
+    "instance": "i",
+    "address": "10.1.0.9:82",
+    "renewals": 1,
+    "domain": "a",
+    "cores": 1.0,
+    "quota_levels": {"counter": 1.0},
+    "levels_at_s": 1.0,
+    "quarantined_parts": {"p": [0, {"s0/1": 1.0}]},
+}
+HOST_FIELDS = {
+    ("instance",): malformed.TEXTS,
+    ("address",): malformed.ADDRESSES,
+    ("renewals",): malformed.NUMBERS,
+    ("domain",): [text for text in malformed.TEXTS if text not in ('""', "null")],
+    ("cores",): [each for each in DURATIONS if each != "null"],
+    ("quota_levels",): OTHER_TYPES,
+    ("quota_levels", "counter"): DURATIONS,
+    ("quarantined_parts",): OTHER_TYPES,
+    ("quarantined_parts", "p"): (*OTHER_TYPES, "[]", "[0, {}, 1]", "[0, 1]"),
+    ("quarantined_parts", "p", 0): malformed.NUMBERS,
+    ("quarantined_parts", "p", 1, "s0/1"): ("1e999", "NaN", "null", malformed.NESTED),
+}
 POSITIONS = ("%C2%B2", "9" * 5000, "-1", "")
 SETTLE_S = 0.5
+EXPIRY_S = 6.0
 
 
 def malformed_registrations():
@@ -288,3 +312,41 @@
 @behave.then("each job gets a 400 and the connections and hosts go on")
 def refused(context):
     followed(context)
+
+
+def play_hosts(odd_rows):
+    async def main(world):
+        for key, value in odd_rows.items():
+            world.store.put("hosts", key, value)
+        await check_served(world, {"s0", "s1"})
+        world.kill_host(0)
+        world.start_host(0)
+        await world.until_ready()
+        # Longer than the interval between checks for rows of lost hosts.
+        await trio.sleep(EXPIRY_S)
+        await check_served(world, {"s0", "s1"})
+        for served in world.hosts.values():
+            assert served.hosts.records.keys() == {"h0", "h1"}, served.hosts.records
+            keys = [n["host"] for n in served.lines if n["event"] == "host_unreadable"]
+            expected = sorted(map(decoding.loggable, odd_rows))
+            assert sorted(keys) == expected, f"logged {keys}"
+
+    users_platform.play(main)
+
+
+@behave.when(
+    "malformed rows of hosts lie beside good ones, from before a host starts and later"
+)
+def host_rows(context):
+    cases = []
+    for path, values in HOST_FIELDS.items():
+        encoded = [malformed.encode(HOST, path, value) for value in values]
+        cases.append((str(path), {f"odd{n}": row for n, row in enumerate(encoded)}))
+    keys = {key: malformed.encode(HOST) for key in malformed.KEYS}
+    cases += [("keys", keys), ("nested", {"odd": malformed.NESTED.encode()})]
+    context.failures = run_each(cases, play_hosts)
+
+
+@behave.then("the hosts go on, know the good rows only, and log each row once")
+def good_hosts(context):
+    followed(context)
