Ignore malformed rows of batch jobs instead of ending the host that reads them

What callers saw: hosts ended one after the other: the next one took the job over and read the same row.

Cause: reading a job's items, results and saved events expected only rows of its own kind. A key with another number of parts, data that isn't compressed, isn't JSON or is nested deeply raised whatever the library raises, in the task of a takeover, and that ended the host. States of jobs were taken with any number and text, and under another key than their own; of those that were refused no line told.

A takeover beside malformed saved events ended the host ("not enough values to unpack (expected 4, got 2)").

Fix: states, items, results and events are decoded by type with msgspec, counts and times with bounds, the decompressed size too. A malformed state names no job; malformed events are left out, so that their item resumes before them; malformed items and results fail the call as if the store were unavailable, which callers and takeovers handle. Each is logged (job_row_unreadable).

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -16,6 +16,7 @@
 from turmerictally.entry import (
     admission,
     availability,
+    decoding,
     dissemination,
     ejection,
     forwarder,
@@ -236,8 +237,8 @@
             config.scheduling.learned_speeds, mechanisms.Mechanism.LEARNED_SPEEDS
         )
         self.inflight.speed_tracker = server_speeds.SpeedTracker() if learns else None
-        self.jobs = jobs.JobStore(self.store)
-        self.job_states = jobs.JobStates()
+        self.jobs = jobs.JobStore(self.store, self._on_unreadable_row)
+        self.job_states = jobs.JobStates(self._on_unreadable_row)
         self.inflight.on_failure = self.disseminator.send_full_digest
         self.inflight.on_change = self.disseminator.on_load_change
         self.worker = worker.Worker(
@@ -521,6 +522,15 @@
         self.job_states.update(changed)
         self.worker.apply_changes(changed)
 
+    def _on_unreadable_row(self, row: rows.Row, reason: str) -> None:
+        self.trace.emit(
+            "job_row_unreadable",
+            table=row.address.table,
+            key=decoding.loggable(row.address.key),
+            version=row.version,
+            reason=reason,
+        )
+
     def _on_job(self, versioned: jobs.VersionedState) -> None:
         state = versioned.state
         self.disseminator.send_job_state(state.job, versioned.version, state.encode())
--- a/turmerictally/entry/jobs.py
+++ b/turmerictally/entry/jobs.py
@@ -1,7 +1,10 @@
 """Store batch jobs in the row store: their items, results and owner."""
 
 import base64
+import collections.abc
 import json
+import re
+import typing
 import zlib
 
 import attrs
@@ -18,6 +21,7 @@
 SHARDS = 8  # partitions; each takes 200 transactions a second of 5 ms
 MAX_PIECE_BYTES = 60_000  # of a row's value, below the store's limit of 65,536
 MAX_TRANSACTION_BYTES = 900_000  # of values; the store's limit of 1 MB includes names
+MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024  # of a job's items, or of one result
 MAX_TRANSACTION_ROWS = 90  # below the store's limit of 100
 MAX_PROGRESS_ROWS = 50  # in one transaction, which may also release the job
 READ_PAGE_ROWS = 100
@@ -54,6 +58,13 @@
         )
 
 
+OnUnreadable = collections.abc.Callable[[rows.Row, str], None]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
+Seconds = typing.Annotated[
+    float, msgspec.Meta(ge=-decoding.MAX_NUMBER, le=decoding.MAX_NUMBER)
+]
+
+
 @attrs.frozen
 class State:
     """Hold the state of a job, which every host watches.
@@ -70,13 +81,13 @@
     path: str
     owner: str
     instance: str
-    total: int
-    listed: int
-    tokens: int
-    pieces: int
-    created_s: float
-    completion_s: float
-    retention_s: float
+    total: Count
+    listed: Count
+    tokens: Count
+    pieces: Count
+    created_s: Seconds
+    completion_s: Seconds
+    retention_s: Seconds
     cancelled: bool = False
 
     @property
@@ -90,6 +101,13 @@
 
 
 _STATE_DECODER = msgspec.json.Decoder(State)
+# Id, path, headers, body and tokens of each item.
+_ITEMS_DECODER = msgspec.json.Decoder(
+    list[tuple[str, str, dict[str, str], bytes, Count]]
+)
+# Id, whether it succeeded, and text.
+_RESULT_DECODER = msgspec.json.Decoder(tuple[str, bool, str])
+_EVENTS_DECODER = msgspec.json.Decoder(list[str])
 
 
 @attrs.frozen
@@ -100,24 +118,48 @@
     version: int
 
 
+def read_state(row: rows.Row) -> VersionedState:
+    """Return the state in a job's row; raises ``decoding.DecodeError``."""
+    try:
+        state = _STATE_DECODER.decode(row.value)
+    except (ValueError, RecursionError) as error:
+        raise decoding.DecodeError(f"no state: {type(error).__name__}") from error
+    if state.job != row.address.key:
+        raise decoding.DecodeError("job: expected the row's key")
+    check_id(state.job)
+    texts = (state.team, state.route, state.hostname, state.path)
+    for text in (*texts, state.owner, state.instance):
+        decoding.check_text(text)
+    return VersionedState(state, row.version)
+
+
 def decode(row: rows.Row) -> VersionedState | None:
     """Return a job's state, or None if the row cannot be decoded."""
     try:
-        return VersionedState(_STATE_DECODER.decode(row.value), row.version)
-    except ValueError:
+        return read_state(row)
+    except decoding.DecodeError:
         return None
 
 
 @attrs.define(eq=False)
 class JobStates:
-    """Hold the decoded states of all jobs in the watched table."""
+    """Hold the decoded states of all jobs in the watched table.
+
+    ``on_unreadable`` is called with a malformed row and the reason.
+    """
 
+    on_unreadable: OnUnreadable = lambda row, reason: None
     by_id: dict[str, VersionedState] = attrs.Factory(dict)
 
     def update(self, changed: list[rows.Row]) -> None:
         """Apply changed rows of the table of states."""
         for row in changed:
-            versioned = None if row.value is None else decode(row)
+            versioned = None
+            if row.value is not None:
+                try:
+                    versioned = read_state(row)
+                except decoding.DecodeError as error:
+                    self.on_unreadable(row, str(error))
             if versioned is None:
                 self.by_id.pop(row.address.key, None)
             else:
@@ -156,8 +198,15 @@
 
 
 def decompress_pieces(pieces: list[bytes]) -> bytes:
-    """Return the data that ``compress_pieces`` compressed."""
-    return zlib.decompress(b"".join(pieces))
+    """Return what ``compress_pieces`` compressed; raises ``decoding.DecodeError``."""
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(b"".join(pieces), MAX_DECOMPRESSED_BYTES)
+    except (zlib.error, TypeError) as error:
+        raise decoding.DecodeError("not compressed") from error
+    if not decompressor.eof:
+        raise decoding.DecodeError("compressed data is cut off or too long")
+    return data
 
 
 def item_puts(job: str, items: list[Item]) -> dict[rows.Address, bytes]:
@@ -197,6 +246,12 @@
     event_data: list[str] = attrs.field(repr=False)
 
 
+_PROGRESS_KEY = re.compile(
+    r"[^/]*/(?P<item>[^/]+)/(?P<version>[0-9]{1,16})/(?P<first>[0-9]{1,16})"
+)
+_RESULT_KEY = re.compile(r"[^/]*/(?P<position>[0-9]{1,16})/[0-9]{1,16}")
+
+
 def join_progress(progress: list[Progress]) -> dict[str, list[str]]:
     """Return the data of each item's events up to the first gap.
 
@@ -233,9 +288,14 @@
 
 @attrs.define(eq=False)
 class JobStore:
-    """Read and write batch jobs in the row store."""
+    """Read and write batch jobs in the row store.
+
+    ``on_unreadable`` is called with a malformed row and the reason. Rows of items and
+    results that are malformed fail the call with ``rows.UnavailableError``.
+    """
 
     store: rows.RowStore
+    on_unreadable: OnUnreadable = lambda row, reason: None
 
     async def create(self, state: State, items: list[Item]) -> rows.Commit:
         """Write a new job; raises ``rows.ConflictError`` if it exists already."""
@@ -289,12 +349,12 @@
         pieces = [row.value for row in page.rows]
         if len(pieces) != state.pieces:
             raise rows.UnavailableError("items are not all there")
-        return [
-            Item(key, path, headers, base64.b64decode(body), tokens)
-            for key, path, headers, body, tokens in json.loads(
-                decompress_pieces(pieces)
-            )
-        ]
+        try:
+            items = _decode(_ITEMS_DECODER, pieces)
+            return [_check_item(Item(*fields)) for fields in items]
+        except decoding.DecodeError as error:
+            self.on_unreadable(page.rows[0], str(error))
+            raise rows.UnavailableError("items are unreadable") from error
 
     async def row_addresses(
         self, table: str, job: str, limit: int
@@ -314,11 +374,10 @@
                 PROGRESS, shard(job), start=start, end=f"{job}0", limit=READ_PAGE_ROWS
             )
             for row in page.rows:
-                _, item, ownership_version, first = row.address.key.split("/")
-                event_data = json.loads(zlib.decompress(row.value))
-                progress.append(
-                    Progress(item, int(ownership_version), int(first), event_data)
-                )
+                try:
+                    progress.append(_read_progress(row))
+                except decoding.DecodeError as error:
+                    self.on_unreadable(row, str(error))
             if not page.more:
                 return progress
             start = page.rows[-1].address.key + "\0"
@@ -334,20 +393,62 @@
             )
             pieces_by_position: dict[int, list[bytes]] = {}
             for row in page.rows:
-                position = int(row.address.key.split("/")[1])
+                position = _read_position(row.address.key)
+                if position is None:
+                    self.on_unreadable(row, "key: expected a position")
+                    continue
                 pieces_by_position.setdefault(position, []).append(row.value)
             if page.more and len(pieces_by_position) > 1:
                 # The rest of the last result may be on the next page.
                 pieces_by_position.popitem()
             for position in sorted(pieces_by_position):
-                key, succeeded, text = json.loads(
-                    decompress_pieces(pieces_by_position[position])
-                )
-                size += len(text)
+                try:
+                    result = Result(
+                        *_decode(_RESULT_DECODER, pieces_by_position[position])
+                    )
+                except decoding.DecodeError as error:
+                    raise rows.UnavailableError("a result is unreadable") from error
+                size += len(result.text)
                 if results and size > MAX_READ_BYTES:
                     return results
-                results.append(Result(key, succeeded, text))
+                results.append(result)
                 after = position + 1
             if not page.more or not pieces_by_position:
                 return results
             start = f"{job}/{after:06d}/"
+
+
+def _decode(decoder: msgspec.json.Decoder, pieces: list[bytes]) -> typing.Any:
+    """Return the value in rows' pieces; raises ``decoding.DecodeError``."""
+    data = decompress_pieces(pieces)
+    try:
+        return decoder.decode(data)
+    except (ValueError, RecursionError) as error:
+        raise decoding.DecodeError(f"not decoded: {type(error).__name__}") from error
+
+
+def _check_item(item: Item) -> Item:
+    """Check that a request can be made of an item."""
+    check_id(item.id)
+    try:
+        "".join([item.path, *item.headers, *item.headers.values()]).encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise decoding.DecodeError("path, headers: expected Latin-1") from error
+    return item
+
+
+def _read_progress(row: rows.Row) -> Progress:
+    """Return the progress in a row; raises ``decoding.DecodeError``."""
+    match = _PROGRESS_KEY.fullmatch(row.address.key)
+    if match is None or int(match["first"]) < 1:
+        raise decoding.DecodeError("key: expected an item, a version and an event")
+    event_data = _decode(_EVENTS_DECODER, [row.value])
+    return Progress(
+        match["item"], int(match["version"]), int(match["first"]), event_data
+    )
+
+
+def _read_position(key: str) -> int | None:
+    """Return the position in the key of a result's row, or None."""
+    match = _RESULT_KEY.fullmatch(key)
+    return None if match is None else int(match["position"])
--- a/turmerictally/tests/features/entry_malformed.feature
+++ b/turmerictally/tests/features/entry_malformed.feature
@@ -25,3 +25,10 @@
   Scenario: Malformed rows of hosts
     When malformed rows of hosts lie beside good ones, from before a host starts and later
     Then the hosts go on, know the good rows only, and log each row once
+
+  # Guards against one malformed row of a batch job that ends every host, or that keeps
+  # a job of which only saved events are malformed from being taken over.
+  Scenario: Malformed rows of batch jobs
+    When malformed states of jobs lie beside good ones, and malformed events beside a job whose owner is lost
+    Then the hosts go on, log each row, and the job ends
+    And malformed items, events and results are read as if the store were unavailable
--- a/turmerictally/tests/features/steps/entry_malformed_steps.py
+++ b/turmerictally/tests/features/steps/entry_malformed_steps.py
@@ -1,13 +1,16 @@
 """Steps for rows and messages that other writers left malformed."""
 
+import collections
+import contextlib
 import json
+import zlib
 
 import behave
 import trio
 import trio.testing
 
 from turmerictally import clock
-from turmerictally.entry import decoding, watch
+from turmerictally.entry import decoding, jobs, watch
 from turmerictally.entry import trace as traces
 from turmerictally.standins import rows as standin_rows
 from turmerictally.store import rows
@@ -91,6 +94,23 @@
     ("quarantined_parts", "p", 0): malformed.NUMBERS,
     ("quarantined_parts", "p", 1, "s0/1"): ("1e999", "NaN", "null", malformed.NESTED),
 }
+JOB = {
+    **dict.fromkeys(("team", "route", "hostname", "path", "owner", "instance"), "a"),
+    **dict.fromkeys(("total", "pieces", "tokens"), 1),
+    **dict.fromkeys(("created_s", "completion_s", "retention_s"), 60.0),
+    "job": "odd",
+    "listed": 0,
+}
+JOB_FIELDS = {
+    ("job",): malformed.TEXTS,
+    ("hostname",): [text for text in malformed.TEXTS if text != '""'],
+    ("owner",): [text for text in malformed.TEXTS if text != '""'],
+    ("total",): malformed.NUMBERS,
+    ("listed",): malformed.NUMBERS,
+    ("tokens",): malformed.NUMBERS,
+    ("created_s",): [n for n in DURATIONS if n != "-1"],
+    ("unknown",): [malformed.NESTED],
+}
 POSITIONS = ("%C2%B2", "9" * 5000, "-1", "")
 SETTLE_S = 0.5
 EXPIRY_S = 6.0
@@ -350,3 +370,115 @@
 @behave.then("the hosts go on, know the good rows only, and log each row once")
 def good_hosts(context):
     followed(context)
+
+
+def job_rows():
+    yield "nested", malformed.NESTED.encode()
+    for path, values in JOB_FIELDS.items():
+        for value in values:
+            yield malformed.label(path, value), malformed.encode(JOB, path, value)
+
+
+def play_job_state(value):
+    async def main(world):
+        world.store.put(jobs.STATES, "odd", value, jobs.shard("odd"))
+        caller = users_platform.Caller(world)
+        body, _ = users_platform.lot(world)
+        reply = await caller.ask("/night/1", body=body, request_id="job")
+        assert reply.status == 202, reply
+        await trio.sleep(EXPIRY_S)
+        reply = await caller.ask("/-/lots/job", method="GET")
+        assert len(reply.json()["results"]) == 5, reply
+        for served in world.hosts.values():
+            assert served.job_states.by_id.keys() == {"job"}
+            lines = [n for n in served.lines if n["event"] == "job_row_unreadable"]
+            assert [line["key"] for line in lines] == ["odd"], f"logged {lines}"
+
+    users_platform.play(main)
+
+
+def play_progress():
+    async def main(world):
+        for server in world.servers.values():
+            server.events = 400
+        body, _ = users_platform.lot(world, 2)
+        reply = await users_platform.Caller(world).ask(
+            "/night/1", body=body, request_id="job"
+        )
+        assert reply.status == 202, reply
+        await trio.sleep(2.0)
+        for key, value in malformed_progress():
+            world.store.put(jobs.PROGRESS, key, value, jobs.shard("job"))
+        world.kill_host(0)
+        await trio.sleep(20.0)
+        reply = await users_platform.Caller(world, 1).ask("/-/lots/job", method="GET")
+        states = [result["state"] for result in reply.json()["results"]]
+        assert states == ["succeeded"] * 2, reply
+        assert any(run.resumed_after for run in world.runs)
+        lines = world.lines("job_row_unreadable")
+        assert len(lines) == len(list(malformed_progress())), lines
+
+    users_platform.play(main)
+
+
+def malformed_progress():
+    for number, value in enumerate(malformed_values()):
+        yield f"job/i0/000000000001/{number + 1:07d}", value
+    for key in ("i0", "i0/x/1", "i0/1/0", "i0/1/1/1", "i0/\u0661/1", "i0/1/-1"):
+        yield f"job/{key}", zlib.compress(b'["x"]')
+
+
+def malformed_values():
+    yield b""
+    yield b"not compressed"
+    yield zlib.compress(b"\0" * (jobs.MAX_DECOMPRESSED_BYTES + 1))
+    for data in ("", "7", "[7]", r'["a\ud800"]', malformed.NESTED, "[[[[]]]]", "{}"):
+        yield zlib.compress(data.encode())
+    yield zlib.compress(b"[]")[:-3]
+
+
+@behave.when(
+    "malformed states of jobs lie beside good ones, and malformed events beside a job "
+    "whose owner is lost"
+)
+def malformed_jobs(context):
+    context.failures = run_each(job_rows(), play_job_state)
+    context.failures |= run_each([("progress",)], play_progress)
+
+
+@behave.then("the hosts go on, log each row, and the job ends")
+def jobs_end(context):
+    followed(context)
+
+
+@behave.then(
+    "malformed items, events and results are read as if the store were unavailable"
+)
+def read_malformed(context):
+    state = jobs.State(**JOB)
+    outcomes = collections.Counter()
+
+    async def main():
+        store = standin_rows.RowStore()
+        job_store = jobs.JobStore(store.view("h0"))
+        reads = {
+            (jobs.ITEMS, "odd/0000"): lambda: job_store.read_items(state),
+            (jobs.RESULTS, "odd/000000/00"): lambda: job_store.read_results("odd", 0),
+            (jobs.PROGRESS, "odd/i/1/1"): lambda: job_store.read_progress("odd"),
+        }
+        items = [
+            ["/", "/a", {}, "", 1],
+            ["i", "/\u20ac", {}, "", 1],
+            ["i", "/a", {"X": "\u20ac"}, "", 1],
+            ["i", "/a", {}, "!", 1],
+            ["i", "/a", {}, "", -1],
+        ]
+        values = [zlib.compress(json.dumps([item]).encode()) for item in items]
+        for (table, key), read in reads.items():
+            for value in [*malformed_values(), *values]:
+                store.put(table, key, value, jobs.shard("odd"))
+                with contextlib.suppress(rows.UnavailableError):
+                    outcomes[table] += bool(await read())
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert not outcomes.total(), outcomes
