Keep a started stream waiting for a server while its caller waits

What callers saw: a stream that its server broke off was truncated at once, although it might be resumed and a server could have gone on moments later.

Cause: a request for which no server was left was given up at once, whatever had been sent of its response. Servers that had failed it stayed excluded, also when they were the only ones; a server at its limit or draining gave it no second chance; and the wait queue refused it when the expected wait exceeded its time, as it would a new request.

A refusal is of no use once a response has started, so such a request now waits until a server can go on, those that failed it included, and is not refused for its expected wait. Its caller or its deadline ends the wait. Attempts and sends stay bounded as before.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -42,6 +42,8 @@
 MIN_SILENCE_S = 0.9
 # Between checks whether another server can take over from a silent one.
 SILENCE_CHECK_S = 0.1
+# Between checks for a server that can continue a started stream.
+RESUME_CHECK_S = 0.1
 FIRST_EVENT_OBJECTIVES = 2.5  # silence before the first event, in latency objectives
 EVENT_GAP_OBJECTIVES = 3.0  # silence between two events, in longest on-time gaps
 # Events that arrive in quicker succession are sent together: each send costs a third of
@@ -206,6 +208,8 @@
             return None
         if self._is_quarantined(pending):
             return None
+        if pending.response.started:
+            await self._wait_for_server(pending)
         if self.admission is None:
             return self._choose_server(pending, self._loads(pending))
         admitted = await self.admission.admit(
@@ -221,6 +225,12 @@
             return None
         return self._choose_server(pending, admitted)
 
+    async def _wait_for_server(self, pending: PendingRequest) -> None:
+        """Wait until some server can continue a stream, also one that failed it."""
+        while not self._loads(pending):
+            await trio.sleep(RESUME_CHECK_S)
+            pending.tried.clear()
+
     def _is_quarantined(self, pending: PendingRequest) -> bool:
         """Return whether the prompt must not be sent, and note why."""
         refusal = self.prompts.check(pending.request.shared_parts)
@@ -268,6 +278,7 @@
             body_bytes=len(pending.body),
             start_by=start_by,
             deadline=pending.deadline,
+            must_wait=pending.response.started,
         )
 
     def _choose_server(
--- a/turmerictally/scheduling/wait_queue.py
+++ b/turmerictally/scheduling/wait_queue.py
@@ -35,7 +35,8 @@
     ``rank`` is its position among its team's requests in [0, 1); ``in_share`` tells
     whether it was within its team's share when it was queued. ``on_offer`` is called
     when a slot is offered to it. While ``offered``, it has not yet used the offer;
-    ``server`` is the server with the slot, empty for any.
+    ``server`` is the server with the slot, empty for any. With ``must_wait`` it is not
+    refused for its expected wait: the response has started, and its caller waits.
     """
 
     service: str
@@ -49,6 +50,7 @@
     on_offer: typing.Callable[[], None] = lambda: None
     offered: bool = False
     server: str = ""
+    must_wait: bool = False
 
 
 @attrs.frozen
@@ -161,7 +163,7 @@
             reason = "too many wait here"
         elif self.queued_bytes + request.body_bytes > MAX_QUEUED_BYTES:
             reason = "too many bytes wait here"
-        elif now + wait_s > request.start_by:
+        elif now + wait_s > request.start_by and not request.must_wait:
             reason = "no room in time" if request.in_share else ABOVE_SHARE
         else:
             return None
--- a/turmerictally/tests/features/entry_answers.feature
+++ b/turmerictally/tests/features/entry_answers.feature
@@ -32,3 +32,15 @@
       | after it is sent            | 502                  |
       | in its started stream       | a truncated response |
       | in the job that it submits  | 502                  |
+
+  # Guards against truncating a stream for want of a server while one is about to be free.
+  Scenario Outline: A started stream waits for a server as long as its caller does
+    Given <others>
+    When a server breaks off a stream, and 1 s later <what>
+    Then the caller gets all events, and the request ran twice
+
+    Examples:
+      | others                                      | what                |
+      | no other server                             | it is still there   |
+      | another server that must not be sent to     | the other may be    |
+      | another server that is full for a long time | the other has slots |
--- a/turmerictally/tests/features/steps/entry_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_answers_steps.py
@@ -5,7 +5,14 @@
 import behave
 import trio
 
-from turmerictally.entry import availability, forwarder, inflight, pool, worker
+from turmerictally.entry import (
+    availability,
+    forwarder,
+    inflight,
+    pool,
+    settings,
+    worker,
+)
 from turmerictally.tests.support import users_platform
 
 ALL_EVENTS = list(range(1, users_platform.EVENTS + 1))
@@ -49,6 +56,27 @@
     context.servers, context.prepare = forwarder.MAX_SENDS + 1, prepare
 
 
+@behave.given("another server that must not be sent to")
+def other_restricted(context):
+    async def prepare(world):
+        world.servers["s1"].state = "draining"
+        world.servers["s1"].register()
+        await trio.sleep(0.2)
+
+    context.servers, context.prepare = 2, prepare
+
+
+@behave.given("another server that is full for a long time")
+def other_full_for_long(context):
+    async def prepare(world):
+        entry = world.hosts[0]
+        # One more than the slots and the one place for a rare request in the queue.
+        entry.inflight.add_online("s1", world.servers["s1"].slots + 1)
+        entry.admission.wait_queue.service_times.mean_s = 100.0
+
+    context.servers, context.prepare = 2, prepare
+
+
 def refuse_first(server, left):
     """Return an ``answer`` that refuses while ``left`` is positive."""
     answer = server.answer
@@ -117,6 +145,39 @@
     assert resumed_at - context.registered_at < seconds, context.world.runs
 
 
+@behave.when("a server breaks off a stream, and {late:g} s later {what}")
+def breaks_off(context, late, what):
+    async def change_later(world, server):
+        while not world.runs or world.runs[0].ended != "broken":
+            await trio.sleep(0.01)
+        server.break_after = None
+        if "other" in what:
+            world.servers.pop(server.name)
+            world.store.put("servers", server.name, None)
+        await trio.sleep(late)
+        if "may be" in what:
+            world.servers["s1"].state = "ready"
+            world.servers["s1"].register()
+        elif "slots" in what:
+            world.hosts[0].inflight.add_online("s1", -world.servers["s1"].slots - 1)
+
+    async def main(world):
+        await context.prepare(world)
+        world.servers["s0"].break_after = 5
+        world.nursery.start_soon(change_later, world, world.servers["s0"])
+        context.reply = await users_platform.Caller(world).ask()
+
+    scheduling = settings.Scheduling(fair_shares=True, waiting_room=True)
+    play(context, main, servers=context.servers, scheduling=scheduling)
+
+
+@behave.then("the caller gets all events, and the request ran twice")
+def all_from_two(context):
+    reply = context.reply
+    assert reply.status == 200 and reply.whole and reply.ids == ALL_EVENTS, reply
+    assert len(context.world.runs) == 2, context.world.runs
+
+
 FAILING_CALLS = {
     "before it is sent": (pool.Pool, "acquire"),
     "after it is sent": (availability.Availability, "record_head"),
