Apply changed limits to kept connections without closing any too early

What callers saw: a kept connection was closed as they used it, within four fifths of the idle time-out of the version before or after a change of the configuration; or a request within the new limit on headers was refused with 431 on a connection opened under a lower one.

Cause: the idle time-out was read once when a connection fell idle. One that rose meanwhile did not count; one that had just dropped counted at once, also for callers that knew only the version before. The limit on headers was that of the connection's start, the limit on bodies that of the start of the wait.

The wait for a request now asks for the time-out again when it is over, and the limits hold that are in force when the request arrives. A longer idle time-out of a replaced version is granted for as long as it lasted, in which all waits that began under it end. The scope of a wait is also removed if the connection breaks; it was left in the set of idle connections.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -128,7 +128,7 @@
     def _build_state(self, schema: PlatformSchema) -> None:
         config, clock, trace = self.settings, self.clock, self.trace
         self.active_configuration = registry.ActiveConfiguration(
-            schema.configuration_key, schema.read_configuration, trace
+            schema.configuration_key, schema.read_configuration, trace, clock
         )
         self.registry = registry.Registry(
             schema.read_server, self.store_health, clock, trace
@@ -346,7 +346,7 @@
                 self.network,
                 address,
                 handle,
-                self._limits,
+                self.active_configuration.caller_limits,
                 self.clock,
                 listen.max_connections,
                 self.trace,
@@ -447,10 +447,6 @@
         content_type = (b"Content-Type", metrics.CONTENT_TYPE.encode())
         await exchange.reply(200, body, [content_type])
 
-    def _limits(self) -> model.CallerLimits:
-        view = self.active_configuration.current
-        return view.limits if view else model.CallerLimits()
-
     def _jobs_interval_s(self) -> float:
         min_interval_s = (
             RELAYED_JOBS_INTERVAL_S if self.hosts.relayed else JOBS_INTERVAL_S
--- a/turmerictally/entry/http_server.py
+++ b/turmerictally/entry/http_server.py
@@ -330,10 +330,6 @@
 
         ``had_request`` is whether the connection has had a request before.
         """
-        limits = self.limits()
-        idle_scope = trio.CancelScope(
-            deadline=trio.current_time() + limits.idle_timeout_s
-        )
         data = b""
         if not reader.buffer:
             idle = had_request
@@ -342,15 +338,11 @@
                     data = await stream.receive_some()
                 idle = first_bytes_scope.cancelled_caught
             if idle:
-                self.idle_scopes.add(idle_scope)
-                with idle_scope:
-                    data = await stream.receive_some()
-                self.idle_scopes.discard(idle_scope)
-            if idle_scope.cancelled_caught and not stream.is_idle():
-                # A request arrived just as the connection was about to be closed.
-                data = await stream.receive_some()
+                data = await self._wait_for_request(stream)
             if not data:
                 return None
+        limits = self.limits()
+        reader.max_head_bytes = limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
         with trio.move_on_after(limits.header_timeout_s) as read_scope:
             if data:
                 reader.feed(data)
@@ -374,6 +366,30 @@
             )
         raise InvalidRequestError(forwarder.Refusal.TIMEOUT, "request not read in time")
 
+    async def _wait_for_request(self, stream: network.Stream) -> bytes:
+        """Return the first bytes of a request, empty if the connection is to close.
+
+        The idle time-out may change meanwhile.
+        """
+        idle_since = trio.current_time()
+        while True:
+            idle_scope = trio.CancelScope(deadline=self._idle_deadline(idle_since))
+            self.idle_scopes.add(idle_scope)
+            try:
+                with idle_scope:
+                    return await stream.receive_some()
+            finally:
+                self.idle_scopes.discard(idle_scope)
+            if not stream.is_idle():
+                # A request arrived just as the connection was about to be closed.
+                return await stream.receive_some()
+            timed_out = trio.current_time() >= idle_scope.deadline
+            if not timed_out or self._idle_deadline(idle_since) <= idle_scope.deadline:
+                return b""
+
+    def _idle_deadline(self, idle_since: float) -> float:
+        return idle_since + self.limits().idle_timeout_s
+
     async def _read_head(
         self, stream: network.Stream, reader: http1.Reader
     ) -> http1.Head:
--- a/turmerictally/entry/registry.py
+++ b/turmerictally/entry/registry.py
@@ -19,14 +19,28 @@
 MAX_LEAVING_SERVERS = 2000  # the oldest entry is evicted first
 
 
+@attrs.frozen
+class IdleTimeout:
+    """Hold an idle time-out and the monotonic time until which it is granted."""
+
+    seconds: float
+    valid_until: float
+
+
 @attrs.define(eq=False)
 class ActiveConfiguration:
-    """Hold the applied configuration; older versions never replace a newer one."""
+    """Hold the applied configuration; older versions never replace a newer one.
+
+    ``earlier_idle_timeouts`` holds the longer idle time-outs of replaced versions, each
+    until those of connections that fell idle before the change are over.
+    """
 
     key: str
     read: model.ReadConfiguration
     trace: traces.Trace
+    clock: clocks.Clock = attrs.field(factory=clocks.Clock)
     current: model.Configuration | None = None
+    earlier_idle_timeouts: list[IdleTimeout] = attrs.Factory(list)
 
     def update(self, changed: list[rows.Row]) -> None:
         """Apply changed rows of the configuration table."""
@@ -38,6 +52,7 @@
             if configuration is None:
                 self.trace.emit("configuration_unreadable", version=before)
             elif before is None or configuration.version > before:
+                self._keep_idle_timeout(configuration)
                 self.current = configuration
                 self.trace.emit(
                     "configuration",
@@ -47,6 +62,31 @@
                     teams=len(configuration.teams),
                 )
 
+    def caller_limits(self) -> model.CallerLimits:
+        """Return the limits on callers, with the longest idle time-out they may use."""
+        if self.current is None:
+            return model.CallerLimits()
+        limits = self.current.limits
+        if not self.earlier_idle_timeouts:
+            return limits
+        now = self.clock.monotonic()
+        self.earlier_idle_timeouts = [
+            each for each in self.earlier_idle_timeouts if now < each.valid_until
+        ]
+        idle_s = [each.seconds for each in self.earlier_idle_timeouts]
+        return attrs.evolve(
+            limits, idle_timeout_s=max([limits.idle_timeout_s, *idle_s])
+        )
+
+    def _keep_idle_timeout(self, replacement: model.Configuration) -> None:
+        """Keep a longer idle time-out for the callers that still count on it."""
+        if self.current is None:
+            return
+        seconds = self.current.limits.idle_timeout_s
+        if seconds > replacement.limits.idle_timeout_s:
+            valid_until = self.clock.monotonic() + seconds
+            self.earlier_idle_timeouts.append(IdleTimeout(seconds, valid_until))
+
 
 @attrs.frozen
 class LapsedRegistration:
--- a/turmerictally/tests/features/entry_answers.feature
+++ b/turmerictally/tests/features/entry_answers.feature
@@ -44,3 +44,18 @@
       | no other server                             | it is still there   |
       | another server that must not be sent to     | the other may be    |
       | another server that is full for a long time | the other has slots |
+
+  # Guards against closing a connection that its caller may still use under the limits
+  # before or after a change of the configuration.
+  Scenario Outline: A changed idle time-out closes no connection too early
+    When the idle time-out changes from <before> s to <after> s while a connection is <state>
+    Then a request on it after <idle> s is answered, and new ones are closed after <after> s
+
+    Examples:
+      | before | after | state  | idle |
+      | 15     | 3     | in use | 12   |
+      | 3      | 15    | idle   | 12   |
+
+  Scenario: A raised limit on headers holds on kept connections
+    When the limit on headers rises from 16 kB to 32 kB while a connection is idle
+    Then a request on it with a head of 20 kB is answered
--- a/turmerictally/tests/features/steps/entry_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_answers_steps.py
@@ -214,3 +214,73 @@
     assert line["request"] == "r-1" and "injected" in line["error"], line
     # The host serves on.
     assert context.again.whole and context.again.ids == ALL_EVENTS
+
+
+@behave.when(
+    "the idle time-out changes from {before:d} s to {after:d} s while a connection is "
+    "{state}"
+)
+def idle_changes(context, before, after, state):
+    context.limits = ({"idleTimeoutMs": before * 1000}, {"idleTimeoutMs": after * 1000})
+    context.in_use = state == "in use"
+
+
+async def ask_around_change(context, world, idle_s, **headers):
+    """Ask twice on one connection, with a change of the limits between."""
+    before, after = context.limits
+    world.configure(limits=before)
+    # All that was allowed by the limits of the world's first configuration is over.
+    await trio.sleep(20.0)
+    caller = users_platform.Caller(world)
+    async with trio.open_nursery() as nursery:
+        if context.in_use:
+            nursery.start_soon(change_limits, world, after, 0.1)
+        await caller.ask()
+    connection, idle_since = caller.stream, trio.current_time()
+    if not context.in_use:
+        await change_limits(world, after, 0.5)
+    await trio.sleep_until(idle_since + idle_s)
+    reply = await caller.ask(**headers)
+    assert reply.status == 200 and reply.whole and reply.ids == ALL_EVENTS, reply
+    assert caller.stream is connection
+    return caller
+
+
+async def change_limits(world, limits, late_s):
+    await trio.sleep(late_s)
+    world.configure(limits=limits)
+    await trio.sleep(0.2)
+
+
+@behave.then(
+    "a request on it after {idle:d} s is answered, and new ones are closed after "
+    "{after:d} s"
+)
+def answered_after_idling(context, idle, after):
+    async def main(world):
+        await ask_around_change(context, world, idle)
+        await trio.sleep(20.0)
+        caller = users_platform.Caller(world)
+        await caller.ask()
+        began = trio.current_time()
+        assert not await caller.stream.receive_some()
+        assert abs(trio.current_time() - began - after) < 0.1
+
+    play(context, main, servers=1)
+
+
+@behave.when(
+    "the limit on headers rises from {before:d} kB to {after:d} kB while a connection "
+    "is idle"
+)
+def header_limit_rises(context, before, after):
+    context.limits = ({"maxHeaderBytes": before << 10}, {"maxHeaderBytes": after << 10})
+    context.in_use = False
+
+
+@behave.then("a request on it with a head of {size:d} kB is answered")
+def long_head_answered(context, size):
+    async def main(world):
+        await ask_around_change(context, world, 1.0, **{"X-Long": "m" * (size << 10)})
+
+    play(context, main, servers=1)
