--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -29,6 +29,7 @@
     mechanisms,
     placement,
     prompt_quarantine,
+    request_quarantine,
     server_speeds,
     wait_queue,
 )
@@ -141,6 +142,13 @@
     attempt_events: int = 0
     server_closed: bool = False
 
+    @functools.cached_property
+    def identity(self) -> str:
+        """Return the digest by which the request is known when it comes again."""
+        return request_quarantine.request_identity(
+            self.team, self.request.method, self.request.target, self.body
+        )
+
     @property
     def size(self) -> int:
         """Return its size, which determines the expected service time."""
@@ -385,6 +393,7 @@
                 events=pending.attempt_events,
                 head=pending.response_head is not None,
                 server_closed=pending.server_closed,
+                identity=pending.identity,
                 shared_parts=pending.request.shared_parts,
                 reason=pending.reason,
                 outcome=result.value,
