--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -96,6 +96,9 @@
         self.limit_per_s = None  # which each answer names
         self.arrived_at = []
         self.crashing_part = None  # ends the server when it begins to answer it
+        self.crashing_body = None  # the same for a request with this body
+        self.events_before_crash = 0
+        self.crashes_plain = False  # in a response that is no stream
         self.unframed = False  # its last response has neither a length nor chunks
         self.drips = False  # each stream stalls, but for a byte now and then
         self.copies_answers = False  # each answer comes again when the next is due
@@ -210,14 +213,28 @@
             self.freed.set()
             self.freed = trio.Event()
 
-    async def crash_on_part(self, stream, parser, run):
-        """Send a response's head and end the server, which starts again later."""
+    def is_crashing(self, run):
+        """Return whether this server ends as it begins to answer the request."""
+        return run.body == self.crashing_body or self.crashing_part in shared_parts(
+            run.headers
+        )
+
+    async def crash_on(self, stream, parser, run):
+        """Begin a response and end the server, which starts again later."""
         await trio.sleep(EVENT_S)
         named = [("Content-Type", "text/event-stream"), *self.named(run)]
+        if self.crashes_plain:
+            named = [("Content-Length", "100"), *self.named(run)]
         head = parser.send(h11.Response(status_code=200, headers=named))
         if self.unframed:
             head = STREAM.replace(b"ID", run.request.encode())
+        if self.crashes_plain:
+            head += b"half a body"
         await stream.send_all(head)
+        for number in range(1, 1 + self.events_before_crash):
+            event = f"id: {number}\ndata: {run.request}.{number}\n\n".encode()
+            await stream.send_all(parser.send(h11.Data(data=event)))
+            await trio.sleep(EVENT_S)
         if self.unframed:
             await stream.send_eof()
         run.ended = "crashed"
@@ -274,8 +291,8 @@
     async def work(self, stream, parser, run):
         if self.silent:
             await trio.sleep_forever()
-        if self.crashing_part in shared_parts(run.headers):
-            await self.crash_on_part(stream, parser, run)
+        if self.is_crashing(run):
+            await self.crash_on(stream, parser, run)
         if self.repeated_refusal and id(stream) in self.refusals:
             self.refusals_repeated += 1
             await stream.send_all(self.refusals.pop(id(stream)))
@@ -465,6 +482,9 @@
         name = f"{before.name.partition('.')[0]}.{len(self.crashes)}"
         again = Server(self, name, before.address, before.domain, before.slots)
         again.crashing_part, again.unframed = before.crashing_part, before.unframed
+        again.crashing_body = before.crashing_body
+        again.events_before_crash = before.events_before_crash
+        again.crashes_plain = before.crashes_plain
         self.servers[name] = again
         await self.nursery.start(again.run)
         again.register()
