--- a/turmerictally/scheduling/prompt_quarantine.py
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -7,9 +7,12 @@
 
 import collections.abc
 import hashlib
+import math
 
 import attrs
 
+from turmerictally.scheduling import server_answers
+
 # Crashes of different servers, not explained by another part, that quarantine a part. A
 # single crash may have any cause.
 MIN_CRASHES = 2
@@ -25,6 +28,10 @@
 TRIAL_WAIT_FACTOR = 4.0
 MAX_TRIAL_WAIT_S = 600.0
 TRIAL_RETRY_AFTER_S = 1.0  # for callers while a trial is due elsewhere or runs
+# A trial falls to the host that ranks first for the part, which may have no request
+# with it: each time this passes without a trial, twice as many hosts may make it.
+TRIAL_TURN_S = 1.0
+TRIAL_TIMEOUT_S = 5.0  # until a trial without an outcome is made again
 CRASH_TTL_S = 1800.0
 CLEARED_TTL_S = 10.0  # until all hosts have heard that a part was cleared
 MAX_ACCUSED_PARTS = 64  # some 5 kB of a digest
@@ -32,9 +39,9 @@
 MAX_CLEARED_PARTS = 4000  # whose latest first event is kept
 MAX_AGE_S = 1e6  # stands for "never" in reports
 
-# By part: its position in the prompt, the seconds since this host saw a first event,
-# and the seconds since each crash by server incarnation.
-Report = dict[str, tuple[int, float, dict[str, float]]]
+# By part: its position in the prompt, the seconds since this host saw a first event and
+# since it made a trial, and the seconds since each crash by server incarnation.
+Report = dict[str, tuple[int, float, float, dict[str, float]]]
 # By part: its position and the time of each crash on the store's clock.
 Record = dict[str, tuple[int, dict[str, float]]]
 
@@ -44,21 +51,28 @@
     """Hold what is known of one accused part.
 
     ``position`` is its place in the prompt, ``crashes`` the monotonic time of each
-    crash by server incarnation. ``begun_at`` is the latest first event on any host,
-    and ``tried_at`` this host's latest trial.
+    crash by server incarnation. ``begun_at`` is the latest first event and ``tried_at``
+    the latest trial on any host, ``own_trial_at`` this host's latest trial.
     """
 
     position: int
     crashes: dict[str, float] = attrs.Factory(dict)
     begun_at: float = float("-inf")
     tried_at: float = float("-inf")
+    own_trial_at: float = float("-inf")
 
-    def unexplained(self, explained: collections.abc.Container[str]) -> list[float]:
+    def unexplained(
+        self,
+        explained: collections.abc.Container[str],
+        answers: server_answers.ServerAnswers,
+    ) -> list[float]:
         """Return the times of crashes that count, in order, coincident ones once."""
         times = sorted(
             at
             for server, at in self.crashes.items()
-            if server not in explained and at - CLEARS_LATER_CRASHES_S > self.begun_at
+            if server not in explained
+            and at - CLEARS_LATER_CRASHES_S > self.begun_at
+            and not answers.refutes(server, at)
         )
         return [
             at
@@ -95,10 +109,10 @@
 class PromptQuarantine:
     """Decide which prompt parts are not sent to backend servers.
 
-    ``read_hosts`` returns the names of all hosts; the one that ranks first for a part
-    tries it. Parts in ``exempt`` are never quarantined, those in ``fixed`` always.
-    ``begun_at`` holds the latest first event of each part on this host, ``cleared_at``
-    that on any host of parts that were accused.
+    ``read_hosts`` returns the names of all hosts, which make trials in turn. Parts in
+    ``exempt`` are never quarantined, those in ``fixed`` always. ``answers`` tells which
+    crashes were none. ``begun_at`` holds the latest first event of each part on this
+    host, ``cleared_at`` that on any host of parts that were accused.
     """
 
     host: str = ""
@@ -109,6 +123,9 @@
     begun_at: dict[str, float] = attrs.Factory(dict)
     cleared_at: dict[str, float] = attrs.Factory(dict)
     quarantined: dict[str, Quarantine] = attrs.Factory(dict)
+    answers: server_answers.ServerAnswers = attrs.field(
+        factory=server_answers.ServerAnswers
+    )
 
     def record_first_event(
         self, parts: collections.abc.Iterable[str], now: float
@@ -119,10 +136,10 @@
             _keep_latest(self.begun_at, part, now)
             evidence = self.evidence.get(part)
             if evidence is not None:
-                was_accused = was_accused or bool(evidence.unexplained(()))
+                was_accused = was_accused or self._counts(evidence)
                 evidence.begun_at = now
         if was_accused:
-            self._update()
+            self.update()
         return was_accused
 
     def record_crash(
@@ -135,16 +152,18 @@
         accused = []
         for position, part in enumerate(parts):
             evidence = self._evidence(part, position)
-            evidence.crashes.setdefault(server, now)
-            if evidence.unexplained(()):
+            self._add_crash(evidence, server, now)
+            if self._counts(evidence):
                 accused.append(part)
-        self._update()
+        if accused:
+            self.answers.record_crash(server, now, now)
+        self.update()
         return accused
 
     def is_accused(self, parts: collections.abc.Iterable[str]) -> bool:
         """Return whether a crash counts against one of the parts."""
         return any(
-            part in self.evidence and self.evidence[part].unexplained(())
+            part in self.evidence and self._counts(self.evidence[part])
             for part in parts
         )
 
@@ -176,7 +195,7 @@
             if part in self.quarantined and part not in self.exempt
         ]
         for part in tried:
-            self.evidence[part].tried_at = now
+            self.evidence[part].tried_at = self.evidence[part].own_trial_at = now
         return tried
 
     def report(self, now: float) -> Report:
@@ -186,6 +205,7 @@
             part: (
                 evidence.position,
                 round(now - self.begun_at.get(part, now - MAX_AGE_S), 3),
+                round(min(MAX_AGE_S, now - evidence.own_trial_at), 3),
                 {s: round(now - at, 3) for s, at in evidence.crashes.items()},
             )
             for part, evidence in self.evidence.items()
@@ -193,12 +213,13 @@
 
     def receive(self, report: Report, now: float) -> None:
         """Merge another host's evidence."""
-        for part, (position, begun_age_s, crash_ages) in report.items():
+        for part, (position, begun_age_s, trial_age_s, crash_ages) in report.items():
             evidence = self._evidence(part, position)
             evidence.begun_at = max(evidence.begun_at, now - begun_age_s)
+            evidence.tried_at = max(evidence.tried_at, now - trial_age_s)
             self._merge(evidence, {s: now - age for s, age in crash_ages.items()}, now)
         if report:
-            self._update()
+            self.update()
 
     def record(self, to_store_s: float) -> Record:
         """Return the quarantined parts for this host's row.
@@ -222,16 +243,19 @@
             times = {server: at - to_store_s for server, at in crashes.items()}
             self._merge(self._evidence(part, position), times, now)
         if record:
-            self._update()
+            self.update()
 
     def _may_try(self, quarantine: Quarantine, now: float) -> bool:
-        if now < quarantine.trial_at:
+        due_s = now - quarantine.trial_at
+        if due_s < 0:
             return False
-        if now - self.evidence[quarantine.part].tried_at < FIRST_TRIAL_WAIT_S:
+        if now - self.evidence[quarantine.part].tried_at < TRIAL_TIMEOUT_S:
             return False
-        # Hosts that are not reachable count too: a trial is made by one host only.
-        hosts = {self.host, *self.read_hosts()}
-        return max(hosts, key=lambda h: _rank(quarantine.part, h)) == self.host
+        # Hosts that are not reachable count too: a cut must not add trials at once.
+        others = set(self.read_hosts()) - {self.host}
+        rank = rank_host(quarantine.part, self.host)
+        ahead = sum(rank_host(quarantine.part, other) > rank for other in others)
+        return due_s >= TRIAL_TURN_S * math.log2(1 + ahead)
 
     def _evidence(self, part: str, position: int) -> Evidence:
         evidence = self.evidence.get(part)
@@ -250,17 +274,28 @@
         def strength(part: str) -> tuple[int, float]:
             evidence = self.evidence[part]
             newest = max(evidence.crashes.values(), default=float("-inf"))
-            return len(evidence.unexplained(())), newest
+            return len(evidence.unexplained((), self.answers)), newest
 
         del self.evidence[min(self.evidence, key=strength)]
 
-    @staticmethod
-    def _merge(evidence: Evidence, crashes: dict[str, float], now: float) -> None:
+    def _counts(self, evidence: Evidence) -> bool:
+        """Return whether any crash counts against a part."""
+        return bool(evidence.unexplained((), self.answers))
+
+    def _add_crash(self, evidence: Evidence, server: str, at: float) -> None:
+        known_at = evidence.crashes.get(server)
+        if known_at is None or self.answers.refutes(server, known_at):
+            evidence.crashes[server] = at
+        else:
+            # A report is late by its way here, so that the earliest is the truest.
+            evidence.crashes[server] = min(at, known_at)
+
+    def _merge(self, evidence: Evidence, crashes: dict[str, float], now: float) -> None:
         for server, at in crashes.items():
             if now - at > CRASH_TTL_S:
                 continue
-            # A report is late by its way here, so that the earliest is the truest.
-            evidence.crashes[server] = min(at, evidence.crashes.get(server, at))
+            self._add_crash(evidence, server, at)
+            self.answers.record_crash(server, at, now)
         for server in sorted(evidence.crashes, key=evidence.crashes.get)[
             :-MAX_CRASHES_PER_PART
         ]:
@@ -269,7 +304,7 @@
     def _expire(self, now: float) -> None:
         for part, evidence in list(self.evidence.items()):
             newest = max(evidence.crashes.values(), default=float("-inf"))
-            if evidence.unexplained(()):
+            if self._counts(evidence):
                 expired = now - newest > CRASH_TTL_S
             else:
                 expired = now - max(newest, evidence.begun_at) > CLEARED_TTL_S
@@ -279,7 +314,7 @@
                 del self.evidence[part]
                 self.quarantined.pop(part, None)
 
-    def _update(self) -> None:
+    def update(self) -> None:
         """Quarantine the fewest parts that explain the crashes.
 
         A part that stands in most crashes comes first. Among equals it is the one that
@@ -290,7 +325,10 @@
         remaining = dict(self.evidence)
         quarantined = {}
         while remaining:
-            counts = {p: len(e.unexplained(explained)) for p, e in remaining.items()}
+            counts = {
+                p: len(e.unexplained(explained, self.answers))
+                for p, e in remaining.items()
+            }
             part = max(
                 remaining,
                 key=lambda p: (
@@ -303,7 +341,7 @@
             if counts[part] < MIN_CRASHES:
                 break
             evidence = remaining.pop(part)
-            last_at = evidence.unexplained(())[-1]
+            last_at = evidence.unexplained((), self.answers)[-1]
             wait_s = FIRST_TRIAL_WAIT_S * TRIAL_WAIT_FACTOR ** (
                 counts[part] - MIN_CRASHES
             )
@@ -322,5 +360,6 @@
         del times[next(iter(times))]
 
 
-def _rank(part: str, host: str) -> bytes:
+def rank_host(part: str, host: str) -> bytes:
+    """Return the rank of a host for trials of a part; the highest is first."""
     return hashlib.blake2b(f"{part}/{host}".encode()).digest()
