Refuse a request under which servers crashed when it comes again

Each attempt took two servers.

Cause: evidence was held by parts of prompts only, which sound requests share. A first event of a sound request cleared it, and a crash within a second of one counted for nothing; then the second server followed at once. The class is evidence held by a name that the guilty shares with the innocent.

The trial of the part was a sound request and cleared it on all hosts; seven more servers ended until the part was quarantined once more.

Change: scheduling/request_quarantine.py holds evidence by the request itself (a digest of team, method, path and body). Two crashes as it began, or alone on its server, or three in all quarantine it on all hosts; only a complete answer to the same request clears it. What a quarantined request explains counts against a part at most once. Hosts take turns to try it after 10, 40 and 160 s; after five crashes nobody does. A request that crashed a server as it began gets 502 at once.

Why it works: no other request's answer touches the evidence, all hosts hold it and their rows keep it, and trials are bounded by the crashes they cause.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -3,6 +3,7 @@
 import collections.abc
 import enum
 import functools
+import http
 import math
 import random
 import typing
@@ -19,6 +20,7 @@
     model,
     pool,
     prompt_guard,
+    request_guard,
     sse,
     sweep,
 )
@@ -137,7 +139,12 @@
     server_error: tuple[messages.ResponseHead, bytes] | None = None
     reason: str = ""
     service: str = ""
-    refusal: wait_queue.Refusal | prompt_quarantine.Refusal | None = None
+    refusal: (
+        wait_queue.Refusal
+        | prompt_quarantine.Refusal
+        | request_quarantine.Refusal
+        | None
+    ) = None
     failed_over: bool = False
     attempt_events: int = 0
     server_closed: bool = False
@@ -171,6 +178,7 @@
     on_slots_exceeded: collections.abc.Callable[[str], None]
     timers: sweep.TimerQueue
     prompts: prompt_guard.PromptGuard
+    requests: request_guard.RequestGuard
     admission: admissions.Admission | None = None
     failover_budget: failover.FailoverBudget | None = None
     disabled: frozenset[mechanisms.Mechanism] = frozenset()
@@ -222,17 +230,19 @@
         if isinstance(admitted, wait_queue.Refusal):
             pending.refusal, pending.reason = admitted, admitted.reason
             return None
-        # A part may have been quarantined while the request waited.
+        # It may have been quarantined while it waited.
         if self._is_quarantined(pending):
             return None
         return self._choose_server(pending, admitted)
 
     def _is_quarantined(self, pending: PendingRequest) -> bool:
-        """Return whether the prompt must not be sent, and note why."""
-        refusal = self.prompts.check(pending.request.shared_parts)
+        """Return whether the request must not be sent, and note why."""
+        refusal = self.requests.check(pending.identity)
         if refusal is None:
-            return False
-        self.prompts.refusals[refusal.part] += 1
+            refusal = self.prompts.check(pending.request.shared_parts)
+            if refusal is None:
+                return False
+            self.prompts.refusals[refusal.part] += 1
         pending.refusal, pending.reason = refusal, refusal.reason
         return True
 
@@ -247,7 +257,10 @@
             and pending.server_closed
             and not pending.attempt_events
             and pending.response_head is not None
-            and self.prompts.is_accused(pending.request.shared_parts)
+            and (
+                self.requests.is_accused(pending.identity)
+                or self.prompts.is_accused(pending.request.shared_parts)
+            )
         )
 
     def _loads(self, pending: PendingRequest) -> list[placement.ServerLoad]:
@@ -337,6 +350,7 @@
         pending.attempt_events, pending.server_closed = 0, False
         parts = pending.request.shared_parts
         self.prompts.record_send(pending.request.request_id, name, parts)
+        self.requests.record_send(pending.request.request_id, pending.identity, name)
         self.inflight.circuits.request_started(name, started_at)
         self.inflight.reserve_permit(name)
         self.inflight.add_online(name, 1)
@@ -368,12 +382,10 @@
             self.admission.wait_queue.service_times.record(
                 now - started_at, pending.size
             )
-        if (
-            result is AttemptResult.BROKEN
-            and pending.server_closed
-            and not pending.attempt_events
-        ):
-            self.prompts.record_crash(pending.request.request_id, server, parts)
+        if result is AttemptResult.BROKEN and pending.server_closed:
+            self._record_crash(pending, server)
+        elif result is AttemptResult.DONE and _succeeded(pending.response_head):
+            self.requests.record_complete(pending.identity)
         if result in (AttemptResult.BROKEN, AttemptResult.UNSENT):
             self.inflight.record_failure(name, refused=result is AttemptResult.UNSENT)
         elif result is AttemptResult.FIRST_EVENT_TIMEOUT:
@@ -400,6 +412,21 @@
             )
         return result
 
+    def _record_crash(self, pending: PendingRequest, server: model.Server) -> None:
+        """Record that a server ended under a request."""
+        request = pending.request
+        self.requests.record_crash(
+            request.request_id,
+            pending.identity,
+            server,
+            request.shared_parts,
+            began_without_event=pending.response_head is not None
+            and not pending.attempt_events,
+            others=self.inflight.count_on(server.instance),
+        )
+        if not pending.attempt_events:
+            self.prompts.record_crash(request.request_id, server, request.shared_parts)
+
     async def _exchange(
         self, pending: PendingRequest, server: model.Server
     ) -> AttemptResult:
@@ -671,6 +698,16 @@
     }
 
 
+@_refusal_log_fields.register
+def _(refusal: request_quarantine.Refusal) -> dict[str, typing.Any]:
+    return {
+        "identity": refusal.identity,
+        "crashes": refusal.crashes,
+        "age_s": refusal.age_s,
+        "retry_after_s": round(refusal.retry_after_s, 3),
+    }
+
+
 @_refusal_log_fields.register
 def _(refusal: wait_queue.Refusal) -> dict[str, typing.Any]:
     return {
@@ -682,6 +719,10 @@
     }
 
 
+def _succeeded(head: messages.ResponseHead) -> bool:
+    return head.signed and head.status < http.HTTPStatus.BAD_REQUEST
+
+
 def choose_service(route: model.Route, rng: random.Random) -> str:
     """Pick one of a route's services at random, by their weights."""
     if len(route.targets) == 1:
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -14,6 +14,7 @@
 from turmerictally.scheduling import (
     ownership,
     prompt_quarantine,
+    request_quarantine,
     server_answers,
     server_limits,
 )
@@ -89,7 +90,8 @@
     evidence against prompt parts, as in ``scheduling.prompt_quarantine.Report``), and
     ``limits`` (those that servers named, as in ``scheduling.server_limits.Report``) and
     ``answered_servers`` (whose crashes were none, as in
-    ``scheduling.server_answers.Report``).
+    ``scheduling.server_answers.Report``) and ``accused_requests`` (the evidence against
+    requests, as in ``scheduling.request_quarantine.Report``).
     """
 
     host: str
@@ -121,6 +123,7 @@
     accused_parts: prompt_quarantine.Report = attrs.Factory(dict)
     limits: server_limits.Report = attrs.Factory(dict)
     answered_servers: server_answers.Report = attrs.Factory(dict)
+    accused_requests: request_quarantine.Report = attrs.Factory(dict)
 
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
@@ -194,7 +197,7 @@
 
     ``cores`` is the share of processor cores that the host may use. ``quota_levels``
     holds the levels of the teams' buckets at ``levels_at_s`` on the store's clock, and
-    ``quarantined_parts`` the evidence against quarantined prompt parts.
+    ``quarantined_parts`` and ``quarantined_requests`` the evidence against those.
     """
 
     host: str
@@ -207,6 +210,7 @@
     quota_levels: dict[str, float] = attrs.Factory(dict)
     levels_at_s: float = 0.0
     quarantined_parts: prompt_quarantine.Record = attrs.Factory(dict)
+    quarantined_requests: request_quarantine.Record = attrs.Factory(dict)
 
 
 @attrs.define(eq=False)
@@ -348,6 +352,18 @@
                             "quarantined_parts", {}
                         ).items()
                     },
+                    {
+                        identity: (
+                            tuple(map(str, parts)),
+                            {
+                                s: (float(t), bool(strong))
+                                for s, (t, strong) in crashes.items()
+                            },
+                        )
+                        for identity, (parts, crashes) in fields.get(
+                            "quarantined_requests", {}
+                        ).items()
+                    },
                 )
             except (ValueError, KeyError, TypeError, AttributeError) as error:
                 self.trace.emit("host_unreadable", host=name, reason=repr(error))
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -33,6 +33,7 @@
     prompt_guard,
     quota,
     registry,
+    request_guard,
     settings,
     store_health,
     sweep,
@@ -157,7 +158,15 @@
             enabled=mechanisms.Mechanism.PROMPT_QUARANTINE
             not in config.scheduling.disabled_mechanisms,
         )
-        self._configure_prompts()
+        self.requests = request_guard.RequestGuard(
+            self.hosts,
+            clock,
+            trace,
+            self.prompts.quarantine.answers,
+            enabled=mechanisms.Mechanism.REQUEST_QUARANTINE
+            not in config.scheduling.disabled_mechanisms,
+        )
+        self._configure_quarantines()
         self.quotas = quota.Quotas(clock, config.quota.overshoot, config.quota.window_s)
         self.hosts.on_unreachable = self.quotas.remove_peer
 
@@ -213,10 +222,17 @@
         self.prompts.on_evidence = self.disseminator.send_full_digest
         self.availability.on_limit_change = self.disseminator.send_full_digest
         self.prompts.on_quarantine = lambda: self.row_changed.set()
+        self.prompts.quarantine.explained_crashes = (
+            self.requests.quarantine.explained_crashes
+        )
+        self.requests.on_evidence = self.prompts.on_evidence
+        self.requests.on_quarantine = self.prompts.on_quarantine
+        self.requests.on_change = self.prompts.refresh
 
-    def _configure_prompts(self) -> None:
-        prompts = self.settings.prompts
+    def _configure_quarantines(self) -> None:
+        prompts, requests = self.settings.prompts, self.settings.requests
         self.prompts.configure(prompts.exempt, prompts.quarantined)
+        self.requests.configure(requests.exempt, requests.quarantined)
 
     def _build_request_path(self, codec: messages.Codec) -> None:
         config, clock, trace = self.settings, self.clock, self.trace
@@ -287,6 +303,7 @@
             admission=self.admission,
             timers=self.sweep,
             prompts=self.prompts,
+            requests=self.requests,
             failover_budget=failover.FailoverBudget()
             if self._enables(
                 config.scheduling.switch_late, mechanisms.Mechanism.FAILOVER
@@ -403,8 +420,8 @@
     def reload(self, path: str) -> None:
         """Reload the settings file and apply the stop and batch settings.
 
-        So do the operator's lists of prompt parts. All other settings apply from the
-        next start; an invalid file changes nothing.
+        So do the operator's lists of prompt parts and requests. All other settings
+        apply from the next start; an invalid file changes nothing.
         """
         try:
             loaded = settings.load(path)
@@ -412,7 +429,11 @@
             self.trace.emit("reload_failed", path=path, reason=str(error))
             return
         applied = attrs.evolve(
-            self.settings, stop=loaded.stop, batch=loaded.batch, prompts=loaded.prompts
+            self.settings,
+            stop=loaded.stop,
+            batch=loaded.batch,
+            prompts=loaded.prompts,
+            requests=loaded.requests,
         )
         self.trace.emit(
             "reloaded",
@@ -421,7 +442,7 @@
             whole=applied == loaded,
         )
         self.settings = applied
-        self._configure_prompts()
+        self._configure_quarantines()
         self.garbage_collector.min_retention_s = loaded.batch.keep_s
 
     def not_ready(self) -> str | None:
@@ -477,8 +498,11 @@
         if store_now_s is None:
             return
         for name in {row.address.key for row in changed} & self.hosts.records.keys():
-            if parts := self.hosts.records[name].quarantined_parts:
-                self.prompts.restore(name, parts, store_now_s)
+            record = self.hosts.records[name]
+            if record.quarantined_requests:
+                self.requests.restore(name, record.quarantined_requests, store_now_s)
+            if record.quarantined_parts:
+                self.prompts.restore(name, record.quarantined_parts, store_now_s)
 
     def _on_servers(self, changed: list[rows.Row]) -> None:
         before = dict(self.registry.servers)
@@ -550,6 +574,8 @@
             self.availability.receive_limits(digest.host, digest.limits)
         if digest.answered_servers:
             self.prompts.receive_answers(digest.host, digest.answered_servers)
+        if digest.accused_requests:
+            self.requests.receive(digest.host, digest.accused_requests)
         if digest.accused_parts:
             self.prompts.receive(digest.host, digest.accused_parts)
         if digest.speeds and self.inflight.speed_tracker is not None:
@@ -620,6 +646,7 @@
             if full
             else {},
             answered_servers=self.prompts.report_answers() if full else {},
+            accused_requests=self.requests.report() if full else {},
         )
 
     def _demand(self) -> dict[str, int]:
@@ -666,6 +693,10 @@
                 value |= {"quota_levels": levels, "levels_at_s": round(store_now_s, 2)}
             if store_now_s is not None and (parts := self.prompts.record(store_now_s)):
                 value["quarantined_parts"] = parts
+            if store_now_s is not None and (
+                quarantined := self.requests.record(store_now_s)
+            ):
+                value["quarantined_requests"] = quarantined
             started_at = self.clock.monotonic()
             try:
                 await self.store.transact({}, {address: json.dumps(value).encode()})
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -311,20 +311,23 @@
             online = self.online[name] + self.hosts.totals.online[name]
             self.peaks.record(name, online, now)
 
+    def count_on(self, name: str) -> int:
+        """Return how many requests and batch items of all hosts are on a server."""
+        totals = self.hosts.totals
+        batch = sum(totals.batch.get(name, {}).values()) + self.batch[name]
+        return self.online[name] + totals.online[name] + batch
+
     def excess_requests(self, name: str) -> int:
         """Return by how many requests a server exceeds its slots."""
         server = self.registry.servers.get(name)
         if server is None:
             return 0
-        totals = self.hosts.totals
-        batch = sum(totals.batch.get(name, {}).values()) + self.batch[name]
-        online = self.online[name] + totals.online[name]
         slots = (
             1
             if self.ejector.on_probation(name, self.clock.monotonic())
             else (server.slots)
         )
-        return online + batch - slots
+        return self.count_on(name) - slots
 
     def server_load(self, name: str) -> placement.ServerLoad | None:
         """Return the load of a server with its items' urgencies, None if unknown."""
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -103,9 +103,26 @@
         *_cold(served),
         *_limited(served),
         *_prompts(served),
+        *_requests(served),
     ]
 
 
+def _requests(served: "host.Host") -> list[prometheus_client.core.Metric]:
+    crashes = prometheus_client.core.GaugeMetricFamily(
+        f"{exposition.PREFIX}_quarantined_request_crashes",
+        "Servers that crashed under a quarantined request.",
+        labels=["identity"],
+    )
+    for identity, found in served.requests.quarantined.items():
+        crashes.add_metric([identity], found.crashes)
+    refused = prometheus_client.core.CounterMetricFamily(
+        f"{exposition.PREFIX}_refused_crashing_requests",
+        "Refused, as servers crashed under the same request.",
+        served.requests.refused,
+    )
+    return [crashes, refused]
+
+
 def _prompts(served: "host.Host") -> list[prometheus_client.core.Metric]:
     crashes = prometheus_client.core.GaugeMetricFamily(
         f"{exposition.PREFIX}_quarantined_prompt_part_crashes",
--- a/turmerictally/entry/prompt_guard.py
+++ b/turmerictally/entry/prompt_guard.py
@@ -173,6 +173,12 @@
         """Return the seconds until a refused batch item is looked at again."""
         return min(MAX_ITEM_WAIT_S, refusal.retry_after_s)
 
+    def refresh(self) -> None:
+        """Decide again, as what requests explain has changed."""
+        before = self.quarantine.quarantined
+        self.quarantine.update()
+        self._log_changes(before, "requests explain other crashes")
+
     def _refute(self, servers: list[str], source: str, host: str = "") -> None:
         """Lift what rests on crashes of servers that answered again."""
         before = self.quarantine.quarantined
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -1,12 +1,14 @@
 """Read and check the settings of an entry host on a shared row store."""
 
+import re
 import typing
 
 import attrs
 
 from turmerictally import checks, settings
-from turmerictally.scheduling import mechanisms
+from turmerictally.scheduling import mechanisms, request_quarantine
 
+IDENTITY = re.compile(rf"[0-9a-f]{{{2 * request_quarantine.IDENTITY_BYTES}}}")
 STORE_SCHEME = "http://"  # the row store doesn't support TLS
 
 DEFAULTS: dict[str, typing.Any] = {
@@ -34,6 +36,7 @@
     },
     "memory": {"limit_mb": 0.0},
     "prompts": {"exempt": [], "quarantined": []},
+    "requests": {"exempt": [], "quarantined": []},
 }
 
 
@@ -135,6 +138,18 @@
     quarantined: list[str] = attrs.Factory(list)
 
 
+@attrs.frozen
+class Requests:
+    """Hold the operator's lists of requests, by their digests.
+
+    Those in ``exempt`` are never quarantined, those in ``quarantined`` are not sent to
+    servers.
+    """
+
+    exempt: list[str] = attrs.Factory(list)
+    quarantined: list[str] = attrs.Factory(list)
+
+
 @attrs.frozen
 class Settings:
     """Hold every setting of one entry host."""
@@ -151,6 +166,7 @@
     memory: Memory = Memory()
     scheduling: Scheduling = Scheduling()
     prompts: Prompts = Prompts()
+    requests: Requests = Requests()
 
 
 def load(path: str) -> Settings:
@@ -177,6 +193,11 @@
             listed = ", ".join(mechanisms.NAMES)
             fault = f"unknown mechanism {name!r}; there are: {listed}"
             faults.append(checks.Fault("scheduling.disabled", fault))
+    for key, listed in merged["requests"].items():
+        for identity in listed:
+            if not IDENTITY.fullmatch(str(identity)):
+                fault = f"expected digests of requests, not {identity!r}"
+                faults.append(checks.Fault(f"requests.{key}", fault))
     if merged["stop"]["unready_s"] >= merged["stop"]["grace_s"]:
         faults.append(checks.Fault("stop.unready_s", "expected less than grace_s"))
     url = merged["store"]["url"]
--- a/turmerictally/scheduling/mechanisms.py
+++ b/turmerictally/scheduling/mechanisms.py
@@ -18,6 +18,7 @@
     PROMPT_AFFINITY = "prompt_affinity"
     PROMPT_QUARANTINE = "prompt_quarantine"
     RELIABILITY = "reliability"
+    REQUEST_QUARANTINE = "request_quarantine"
     TEAM_TURNS = "team_turns"
     WAIT_QUEUE = "wait_queue"
 
--- a/turmerictally/scheduling/prompt_quarantine.py
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -111,12 +111,14 @@
 
     ``read_hosts`` returns the names of all hosts, which make trials in turn. Parts in
     ``exempt`` are never quarantined, those in ``fixed`` always. ``answers`` tells which
-    crashes were none. ``begun_at`` holds the latest first event of each part on this
-    host, ``cleared_at`` that on any host of parts that were accused.
+    crashes were none, ``explained_crashes`` the servers whose crashes don't count
+    against a part. ``begun_at`` holds the latest first event of each part on this host,
+    ``cleared_at`` that on any host of parts that were accused.
     """
 
     host: str = ""
     read_hosts: collections.abc.Callable[[], collections.abc.Collection[str]] = tuple
+    explained_crashes: collections.abc.Callable[[str], set[str]] = lambda part: set()
     exempt: frozenset[str] = frozenset()
     fixed: frozenset[str] = frozenset()
     evidence: dict[str, Evidence] = attrs.Factory(dict)
@@ -322,11 +324,12 @@
         requests share. What it explains does not count against others.
         """
         explained: set[str] = set()
+        by_requests = {part: self.explained_crashes(part) for part in self.evidence}
         remaining = dict(self.evidence)
         quarantined = {}
         while remaining:
             counts = {
-                p: len(e.unexplained(explained, self.answers))
+                p: len(e.unexplained(explained | by_requests[p], self.answers))
                 for p, e in remaining.items()
             }
             part = max(
--- a/turmerictally/tests/features/settings.feature
+++ b/turmerictally/tests/features/settings.feature
@@ -47,5 +47,9 @@
       | with    |
       | without |
 
+  Scenario: An operator's lists of requests hold digests only
+    Given an entry host's settings file that exempts the request "r1171"
+    Then loading it fails for requests.exempt
+
   Scenario: Every error kind has an answer
     Then each kind has a row in the table and in docs/callers.md
--- a/turmerictally/tests/features/steps/settings_steps.py
+++ b/turmerictally/tests/features/steps/settings_steps.py
@@ -124,6 +124,34 @@
     assert found.cold.overshoot == (1.5 if where == "with" else 1.0)
 
 
+@behave.given('an entry host\'s settings file that exempts the request "{request}"')
+def exempting_settings(context, request):
+    listen = {
+        name: f"10.1.0.21:{port}"
+        for port, name in enumerate(("callers", "health", "peers", "metrics"), 7360)
+    }
+    context.entry_settings = {
+        "host_id": "edge-1",
+        "failure_domain": "luzon-a",
+        "listen": listen,
+        "store": {"url": "http://10.200.1.7:8688"},
+        "requests": {"exempt": [request]},
+    }
+
+
+@behave.then("loading it fails for {key}")
+def loading_fails(context, key):
+    with tempfile.NamedTemporaryFile("w", suffix=".yaml") as file:
+        file.write(json.dumps(context.entry_settings))
+        file.flush()
+        try:
+            entry_settings.load(file.name)
+        except settings.SettingsError as error:
+            assert key in str(error), error
+            return
+    raise AssertionError("the settings were taken")
+
+
 def check_page(name, defaults):
     page = (DOCS / name).read_text(encoding="utf-8")
     wanted = {f"| `{k}` | {_shown(v)} |" for k, v in _leaves(defaults)}
