--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -14,6 +14,7 @@
 from turmerictally.scheduling import (
     ownership,
     prompt_quarantine,
+    request_quarantine,
     server_answers,
     server_limits,
     server_reach,
@@ -90,12 +91,12 @@
     the start time of the incarnation that said it leaves) and ``accused_parts`` (the
     evidence against prompt parts of online requests, as in
     ``scheduling.prompt_quarantine.Report``), ``accused_item_parts`` (the same of batch
-    items),
-    ``limits`` (those that servers named, as in ``scheduling.server_limits.Report``) and
-    ``answered_servers`` (whose crashes were none, as in
-    ``scheduling.server_answers.Report``). ``paths_lost`` is set while the host reaches
-    no server though others do, and ``answer_age_s`` tells how long ago a server last
-    answered it.
+    items), ``accused_requests`` (that against requests, as in
+    ``scheduling.request_quarantine.Report``), ``limits`` (those that servers named, as
+    in ``scheduling.server_limits.Report``) and ``answered_servers`` (whose crashes were
+    none, as in ``scheduling.server_answers.Report``). ``paths_lost`` is set while the
+    host reaches no server though others do, and ``answer_age_s`` tells how long ago a
+    server last answered it.
     """
 
     host: str
@@ -127,6 +128,7 @@
     accused_parts: prompt_quarantine.Report = attrs.Factory(dict)
     limits: server_limits.Report = attrs.Factory(dict)
     answered_servers: server_answers.Report = attrs.Factory(dict)
+    accused_requests: request_quarantine.Report = attrs.Factory(dict)
     accused_item_parts: prompt_quarantine.Report = attrs.Factory(dict)
     paths_lost: bool = False
     answer_age_s: float = MAX_AGE_S
@@ -204,7 +206,7 @@
 
     ``cores`` is the share of processor cores that the host may use. ``quota_levels``
     holds the levels of the teams' buckets at ``levels_at_s`` on the store's clock, and
-    ``quarantined_parts`` the evidence against quarantined prompt parts.
+    ``quarantined_parts`` and ``quarantined_requests`` the evidence against those.
     """
 
     host: str
@@ -217,6 +219,7 @@
     quota_levels: dict[str, float] = attrs.Factory(dict)
     levels_at_s: float = 0.0
     quarantined_parts: prompt_quarantine.Record = attrs.Factory(dict)
+    quarantined_requests: request_quarantine.Record = attrs.Factory(dict)
 
 
 def _read_record(name: str, value: bytes, now: float) -> HostRecord:
@@ -233,6 +236,7 @@
         fields.map("quota_levels", decoding.check_number),
         fields.number("levels_at_s", default=0.0),
         fields.map("quarantined_parts", _read_part),
+        fields.map("quarantined_requests", _read_request),
     )
 
 
@@ -248,6 +252,26 @@
     raise decoding.DecodeError("expected a position and times")
 
 
+def _read_request(
+    value: typing.Any,
+) -> tuple[tuple[str, ...], request_quarantine.Crashes]:
+    """Return the evidence against a request."""
+    match decoding.check_list(value):
+        case [parts, crashes]:
+            fields = decoding.Object({"crashes": crashes})
+            return tuple(
+                map(decoding.check_encodable, decoding.check_list(parts))
+            ), fields.map("crashes", _read_crash)
+    raise decoding.DecodeError("expected parts and crashes")
+
+
+def _read_crash(value: typing.Any) -> tuple[float, bool]:
+    match decoding.check_list(value):
+        case [at, bool(strong)]:
+            return decoding.check_number(at, -decoding.MAX_NUMBER), strong
+    raise decoding.DecodeError("expected a time and whether it is strong evidence")
+
+
 @attrs.define(eq=False)
 class FleetTotals:
     """Sum the other hosts' counts; an update costs only its digest's own entries."""
--- a/turmerictally/entry/prompt_guard.py
+++ b/turmerictally/entry/prompt_guard.py
@@ -7,7 +7,7 @@
 import attrs
 
 from turmerictally import clock as clocks
-from turmerictally.entry import gossip, messages, model
+from turmerictally.entry import gossip, messages, model, request_guard
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import prompt_quarantine, server_answers
 
@@ -228,11 +228,21 @@
             )
 
 
-def make_item_guard(prompts: PromptGuard) -> PromptGuard:
-    """Return a guard of batch items beside that of online requests.
+def make_item_guard(
+    prompts: PromptGuard, requests: request_guard.RequestGuard
+) -> PromptGuard:
+    """Return a guard of batch items beside those of online requests.
 
-    Crashes that the parts of online requests explain don't count against items.
+    Crashes that online requests or their parts explain don't count against items.
     """
+
+    def explained(part: str) -> set[str]:
+        return prompts.quarantine.explained() | requests.quarantine.explained_crashes()
+
+    def recheck_both() -> None:
+        prompts.recheck()
+        items.recheck()
+
     items = PromptGuard(
         prompts.hosts,
         prompts.clock,
@@ -243,8 +253,10 @@
     )
     items.quarantine.min_crashes = prompt_quarantine.MIN_ITEM_CRASHES
     items.quarantine.max_trial_wait_s = prompt_quarantine.MAX_ITEM_TRIAL_WAIT_S
-    items.quarantine.read_explained = prompts.quarantine.explained
+    items.quarantine.explained_crashes = explained
+    prompts.quarantine.explained_crashes = requests.quarantine.explained_crashes
     prompts.on_change = items.recheck
+    requests.on_change = recheck_both
     return items
 
 
--- a/turmerictally/scheduling/prompt_quarantine.py
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -115,17 +115,16 @@
 
     ``read_hosts`` returns the names of all hosts, which make trials in turn. Parts in
     ``exempt`` are never quarantined, those in ``fixed`` always. ``answers`` tells which
-    crashes were none, ``read_explained`` those that something else explains.
-    ``min_crashes`` quarantine a part, and at most ``max_trial_wait_s`` pass from the
-    last crash to the next trial. ``begun_at`` holds the latest first event of each
-    part on this host, ``cleared_at`` that on any host of parts that were accused.
+    crashes were none, ``explained_crashes`` the servers whose crashes don't count
+    against a part. ``min_crashes`` quarantine a part, and at most ``max_trial_wait_s``
+    pass from the last crash to the next trial. ``begun_at`` holds the latest first
+    event of each part on this host, ``cleared_at`` that on any host of parts that were
+    accused.
     """
 
     host: str = ""
     read_hosts: collections.abc.Callable[[], collections.abc.Collection[str]] = tuple
-    read_explained: collections.abc.Callable[[], collections.abc.Collection[str]] = (
-        tuple
-    )
+    explained_crashes: collections.abc.Callable[[str], set[str]] = lambda part: set()
     min_crashes: int = MIN_CRASHES
     max_trial_wait_s: float = MAX_TRIAL_WAIT_S
     exempt: frozenset[str] = frozenset()
@@ -336,12 +335,13 @@
         was never answered, then the one furthest back in the prompt, which fewest
         requests share. What it explains does not count against others.
         """
-        explained = set(self.read_explained())
+        explained: set[str] = set()
+        by_requests = {part: self.explained_crashes(part) for part in self.evidence}
         remaining = dict(self.evidence)
         quarantined = {}
         while remaining:
             counts = {
-                p: len(e.unexplained(explained, self.answers))
+                p: len(e.unexplained(explained | by_requests[p], self.answers))
                 for p, e in remaining.items()
             }
             part = max(
