Take a broken-off answer for a crash only if the server accepts nothing more

With the quarantine of requests a repeatable request whose answer a server truncated got 502 in place of a second server: two examples of entry_wire.feature failed on.

Cause: the end of one connection counted as the end of the server.

Change: when a server ended a connection, the host looks 0.03 s later whether it accepts another one. If it does, the server lives, nothing is accused, and the request may go to another server. The connection is kept for later use. For batch items alike.

Result: entry_wire.feature 8 passed.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -124,8 +124,9 @@
     ``deadline`` is monotonic seconds. ``tried`` names the instances of failed attempts,
     ``sends`` counts the attempts, and ``runs`` those in which a server may have run the
     request. ``last_event`` is the id of the last event that the caller has,
-    ``attempt_events`` the number of events of the last attempt, and ``server_closed``
-    whether the server ended that attempt's connection.
+    ``attempt_events`` the number of events of the last attempt, ``server_closed``
+    whether the server ended that attempt's connection, and ``server_ended`` whether it
+    accepted no other one then.
     ``server_error`` is an error response, passed on if no other attempt succeeds.
     """
 
@@ -152,6 +153,7 @@
     failed_over: bool = False
     attempt_events: int = 0
     server_closed: bool = False
+    server_ended: bool = False
 
     @functools.cached_property
     def identity(self) -> str:
@@ -266,7 +268,7 @@
         """
         return (
             result is AttemptResult.BROKEN
-            and pending.server_closed
+            and pending.server_ended
             and not pending.attempt_events
             and pending.response_head is not None
             and (
@@ -360,7 +362,8 @@
         started_at = self.clock.monotonic()
         pending.sends += 1
         pending.response_head = None
-        pending.attempt_events, pending.server_closed = 0, False
+        pending.attempt_events = 0
+        pending.server_closed = pending.server_ended = False
         parts = pending.request.shared_parts
         self.prompts.record_send(pending.request.request_id, name, parts)
         self.requests.record_send(pending.request.request_id, pending.identity, name)
@@ -395,9 +398,7 @@
             self.admission.wait_queue.service_times.record(
                 now - started_at, pending.size
             )
-        if result is AttemptResult.BROKEN and pending.server_closed:
-            self._record_crash(pending, server)
-        elif result is AttemptResult.DONE and _succeeded(pending.response_head):
+        if result is AttemptResult.DONE and _succeeded(pending.response_head):
             self.requests.record_complete(pending.identity)
         if result in (AttemptResult.BROKEN, AttemptResult.UNSENT):
             self.inflight.record_failure(name, refused=result is AttemptResult.UNSENT)
@@ -408,6 +409,12 @@
             self.inflight.record_success(name)
         else:
             self.inflight.record_error_response(name)
+        if result is AttemptResult.BROKEN and pending.server_closed:
+            # Recorded also if the caller leaves meanwhile.
+            with trio.CancelScope(shield=True):
+                pending.server_ended = await self.pool.has_ended(server.address)
+            if pending.server_ended:
+                self._record_crash(pending, server)
         if result is not AttemptResult.DONE:
             self.trace.emit(
                 "attempt_failed",
@@ -418,6 +425,7 @@
                 events=pending.attempt_events,
                 head=pending.response_head is not None,
                 server_closed=pending.server_closed,
+                server_ended=pending.server_ended,
                 identity=pending.identity,
                 shared_parts=pending.request.shared_parts,
                 reason=pending.reason,
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -21,6 +21,7 @@
 KEEP_ALIVE_MARGIN_S = (
     0.7  # an idle connection is closed this long before the server's end
 )
+END_CHECK_DELAY_S = 0.03
 MAX_HEAD_BYTES = 64 * 1024
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024  # of a response to another request
 MAX_INFORMATIONAL_HEADS = 8  # of status 1xx before the final response
@@ -216,6 +217,20 @@
         reader = http1.Reader(MAX_HEAD_BYTES, reads_responses=True)
         return Connection(address, stream, reader, self.clock)
 
+    async def has_ended(self, address: str) -> bool:
+        """Return whether a server that ended a connection accepts no other.
+
+        The connection that shows that it does is kept.
+        """
+        # The connections of a server that ends close before its listener does.
+        await trio.sleep(END_CHECK_DELAY_S)
+        try:
+            connection = await self._open(address)
+        except ConnectError:
+            return True
+        self._keep_idle(connection, DEFAULT_KEEP_ALIVE_S)
+        return False
+
     def release(self, connection: Connection, keep_alive_s: float | None) -> None:
         """Return a connection to the pool after a complete response, or close it.
 
@@ -230,6 +245,9 @@
         if not connection.is_reusable() or full or idle_s <= 0:
             connection.close()
             return
+        self._keep_idle(connection, idle_s)
+
+    def _keep_idle(self, connection: Connection, idle_s: float) -> None:
         connection.released_at = self.clock.monotonic()
         connection.idle_deadline = connection.released_at + idle_s
         self.idle[connection.address].append(connection)
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -544,9 +544,6 @@
             self.refused_until[name] = now + REFUSAL_PAUSE_S
         if outcome.startswith("broken"):
             refused = outcome == item_runner.NOT_CONNECTED
-            if task.server_closed and not task.run_events:
-                parts = self.runner.shared_parts(owned.versioned.state, task)
-                self.prompts.record_crash(task.item.id, server, parts)
             self.inflight.record_failure(name, refused=refused)
         if outcome != "gave way":
             pause = RETRY_S
@@ -565,6 +562,16 @@
             errors=task.errors,
             outcome=outcome,
         )
+        if outcome.startswith("broken") and task.server_closed and not task.run_events:
+            await self._record_crash(owned, task, server)
+
+    async def _record_crash(
+        self, owned: OwnedJob, task: item_runner.ItemTask, server: model.Server
+    ) -> None:
+        """Accuse an item's prompt if the server that ended its run has ended."""
+        if await self.runner.pool.has_ended(server.address):
+            parts = self.runner.shared_parts(owned.versioned.state, task)
+            self.prompts.record_crash(task.item.id, server, parts)
 
     def _attempts_exhausted(self, owned: OwnedJob, task: item_runner.ItemTask) -> bool:
         view = self.active_configuration.current
