Record a crash also if its caller leaves during the check, without a shield

A shielded wait of a cancelled host let the scenario 'one host after the other restarts' of entry_crashing_prompts.feature hang (once, beside load): the stand-in's host was killed, but its listener stayed for the length of the wait, and a caller that connected meanwhile was never answered.

The wait can be cancelled now, and the crash counts then: a later answer of the server refutes it.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -410,11 +410,7 @@
         else:
             self.inflight.record_error_response(name)
         if result is AttemptResult.BROKEN and pending.server_closed:
-            # Recorded also if the caller leaves meanwhile.
-            with trio.CancelScope(shield=True):
-                pending.server_ended = await self.pool.has_ended(server.address)
-            if pending.server_ended:
-                self._record_crash(pending, server)
+            await self._check_crash(pending, server)
         if result is not AttemptResult.DONE:
             self.trace.emit(
                 "attempt_failed",
@@ -433,6 +429,16 @@
             )
         return result
 
+    async def _check_crash(self, pending: PendingRequest, server: model.Server) -> None:
+        """Find out whether the server of a request that it broke off has ended."""
+        pending.server_ended = True
+        try:
+            pending.server_ended = await self.pool.has_ended(server.address)
+        finally:
+            # Counts as a crash if the caller leaves meanwhile; an answer refutes it.
+            if pending.server_ended:
+                self._record_crash(pending, server)
+
     def _record_crash(self, pending: PendingRequest, server: model.Server) -> None:
         """Record that a server ended under a request."""
         request = pending.request
