Drop malformed digests instead of counting with them

What callers saw: nothing by itself, or hosts that ended.

Cause: digests were decoded by type only. Counts could be negative or have 64 bits, times be NaN, addresses be names (the look-up blocks the process), lists have any length; outcomes of other than two numbers raised ValueError in the task that receives datagrams, and that ended the host. Datagrams that could not be decoded were dropped without a trace.

Fix: the fields' types have bounds and lengths, which msgspec checks as it decodes, and the sender's address is checked. A malformed digest does not stop those beside it; each is counted and logged (digest_unreadable). As a last resort a datagram that fails for another reason is logged with the place of the error (datagram_not_applied), and the next one is read.

--- a/turmerictally/entry/decoding.py
+++ b/turmerictally/entry/decoding.py
@@ -1,4 +1,4 @@
-"""Decode JSON that other programs wrote, and check the values that it holds.
+"""Decode what other programs wrote, and check the values that it holds.
 
 Each check bounds what it returns: numbers are finite and in range, texts can be encoded
 and have a limited length. Only values that passed a check leave this module, so that
@@ -12,6 +12,7 @@
 import typing
 
 import attrs
+import msgspec
 
 # Exact in every JSON implementation, and far below what 64 bits hold.
 MAX_INTEGER = 2**53 - 1
@@ -21,6 +22,13 @@
 MAX_LOGGED_LENGTH = 80  # characters of a key in a log line
 _PORT = re.compile(r"[1-9][0-9]{0,4}", re.ASCII)
 
+# Types of fields that msgspec decodes.
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Integer = typing.Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Number = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+# Ages and times may be negative, as clocks of two processes differ.
+Seconds = typing.Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 T = typing.TypeVar("T")
 REQUIRED: typing.Any = object()
 
@@ -42,6 +50,18 @@
     return Object.of(read_json(data))
 
 
+def decode(
+    decoder: msgspec.json.Decoder | msgspec.msgpack.Decoder, data: bytes
+) -> typing.Any:
+    """Return a value of the decoder's type."""
+    try:
+        return decoder.decode(data)
+    except (ValueError, RecursionError) as error:
+        # Messages of msgspec name the place and the type, no content.
+        is_known = isinstance(error, msgspec.MsgspecError)
+        raise DecodeError(str(error) if is_known else type(error).__name__) from error
+
+
 def check_encodable(value: typing.Any) -> str:
     """Return a text of any length that can be encoded."""
     if not isinstance(value, str):
--- a/turmerictally/entry/dissemination.py
+++ b/turmerictally/entry/dissemination.py
@@ -17,7 +17,8 @@
 import msgspec
 import trio
 
-from turmerictally.entry import gossip, network
+from turmerictally.entry import decoding, gossip, network
+from turmerictally.entry import trace as traces
 
 BUNDLE_S = 0.05  # between two bundles of a relay: a sixth of the latency objective
 # If no load changed. Three links then take half of the time after which a relay that
@@ -87,12 +88,9 @@
 )
 
 
-def decode(data: bytes) -> Datagram | None:
-    """Return the datagram, or None if the data cannot be decoded."""
-    try:
-        return Datagram(*_DECODER.decode(data))
-    except ValueError:
-        return None
+def decode(data: bytes) -> Datagram:
+    """Return the datagram; raises ``decoding.DecodeError``."""
+    return Datagram(*decoding.decode(_DECODER, data))
 
 
 @attrs.define
@@ -541,18 +539,39 @@
                 self.hosts.trace.emit("digest_not_received", reason=str(error))
                 continue
             for data in received:
-                datagram = decode(data)
-                if datagram is not None:
-                    self._process(datagram)
+                self._process(data)
             self.on_received()
             if not self.hosts.relayed or self.bundler.is_active():
                 # Other hosts get their digests in bundles from a relay.
                 await trio.sleep(self.hosts.receive_pause_s())
 
-    def _process(self, datagram: Datagram) -> None:
+    def _process(self, data: bytes) -> None:
+        """Apply a datagram; what is malformed must not stop what comes after it."""
+        try:
+            datagram = decode(data)
+        except decoding.DecodeError as error:
+            self._report_unreadable("", error)
+            return
+        try:
+            self._apply(datagram)
+        except Exception as error:
+            self.hosts.trace.emit(
+                "datagram_not_applied",
+                sender=decoding.loggable(datagram.sender),
+                reason=traces.locate(error),
+            )
+
+    def _report_unreadable(self, sender: str, error: decoding.DecodeError) -> None:
+        self.hosts.trace.emit(
+            "digest_unreadable", sender=decoding.loggable(sender), reason=str(error)
+        )
+
+    def _apply(self, datagram: Datagram) -> None:
         for data in datagram.digests:
-            digest = gossip.decode(data)
-            if digest is None:
+            try:
+                digest = gossip.decode(data)
+            except decoding.DecodeError as error:
+                self._report_unreadable(datagram.sender, error)
                 continue
             if digest.host == self.hosts.host_id:
                 self._record_echo(digest.instance, datagram)
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -60,6 +60,15 @@
 STALE_TABLE_S = 1.6
 
 
+# Answered and failed requests.
+Outcomes = typing.Annotated[
+    list[decoding.Count], msgspec.Meta(min_length=2, max_length=2)
+]
+Speeds = typing.Annotated[
+    list[decoding.Number], msgspec.Meta(min_length=3, max_length=3)
+]
+
+
 @attrs.define
 class Digest:
     """Hold the state that a host gossips.
@@ -88,29 +97,29 @@
     host: str
     instance: str
     address: str
-    sequence: int
-    online: dict[str, int]
-    batch: dict[str, int]
-    items_waiting: int
-    admitted: dict[str, int]
-    requested: dict[str, int]
-    table_ages: dict[str, tuple[int, float]]
-    store_age_s: float
+    sequence: decoding.Count
+    online: dict[str, decoding.Count]
+    batch: dict[str, decoding.Count]
+    items_waiting: decoding.Count
+    admitted: dict[str, decoding.Count]
+    requested: dict[str, decoding.Count]
+    table_ages: dict[str, tuple[decoding.Count, decoding.Seconds]]
+    store_age_s: decoding.Seconds
     failing: list[str]
     domain: str = ""
-    outcomes: dict[str, list[int]] = attrs.Factory(dict)
+    outcomes: dict[str, Outcomes] = attrs.Factory(dict)
     full: bool = True
     baseline: bool = True
     baseline_requests: list[str] = attrs.Factory(list)
     stopping: bool = False
-    removed: dict[str, int] = attrs.Factory(dict)
-    leaving: dict[str, int] = attrs.Factory(dict)
-    demand: dict[str, int] = attrs.Factory(dict)
-    speeds: dict[str, list[float]] = attrs.Factory(dict)
-    callers_waiting: int = 0
-    job_states: dict[str, tuple[int, bytes]] = attrs.Factory(dict)
-    waiting_urgencies: list[int] = attrs.Factory(list)
-    batch_urgencies: dict[str, list[int]] = attrs.Factory(dict)
+    removed: dict[str, decoding.Count] = attrs.Factory(dict)
+    leaving: dict[str, decoding.Count] = attrs.Factory(dict)
+    demand: dict[str, decoding.Count] = attrs.Factory(dict)
+    speeds: dict[str, Speeds] = attrs.Factory(dict)
+    callers_waiting: decoding.Count = 0
+    job_states: dict[str, tuple[decoding.Count, bytes]] = attrs.Factory(dict)
+    waiting_urgencies: list[decoding.Integer] = attrs.Factory(list)
+    batch_urgencies: dict[str, list[decoding.Integer]] = attrs.Factory(dict)
     accused_parts: prompt_quarantine.Report = attrs.Factory(dict)
     limits: server_limits.Report = attrs.Factory(dict)
 
@@ -145,15 +154,21 @@
 
 _VALUES = operator.attrgetter(*(field.name for field in attrs.fields(Digest)))
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(tuple[*typing.get_type_hints(Digest).values()])
-
-
-def decode(data: bytes) -> Digest | None:
-    """Return the digest, or None if the data cannot be decoded."""
-    try:
-        return Digest(*_DECODER.decode(data))
-    except ValueError:
-        return None
+_TYPES = typing.get_type_hints(Digest, include_extras=True) | {
+    "accused_parts": dict[
+        str,
+        tuple[decoding.Count, decoding.Seconds, dict[str, decoding.Seconds]],
+    ],
+    "limits": dict[str, tuple[decoding.Number, decoding.Seconds, decoding.Count]],
+}
+_DECODER = msgspec.msgpack.Decoder(tuple[*_TYPES.values()])
+
+
+def decode(data: bytes) -> Digest:
+    """Return the digest; raises ``decoding.DecodeError``."""
+    digest = Digest(*decoding.decode(_DECODER, data))
+    decoding.check_address(digest.address)
+    return digest
 
 
 class Heartbeat(typing.NamedTuple):
--- a/turmerictally/entry/jobs.py
+++ b/turmerictally/entry/jobs.py
@@ -4,7 +4,6 @@
 import collections.abc
 import json
 import re
-import typing
 import zlib
 
 import attrs
@@ -59,10 +58,6 @@
 
 
 OnUnreadable = collections.abc.Callable[[rows.Row, str], None]
-Count = typing.Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_INTEGER)]
-Seconds = typing.Annotated[
-    float, msgspec.Meta(ge=-decoding.MAX_NUMBER, le=decoding.MAX_NUMBER)
-]
 
 
 @attrs.frozen
@@ -81,13 +76,13 @@
     path: str
     owner: str
     instance: str
-    total: Count
-    listed: Count
-    tokens: Count
-    pieces: Count
-    created_s: Seconds
-    completion_s: Seconds
-    retention_s: Seconds
+    total: decoding.Count
+    listed: decoding.Count
+    tokens: decoding.Count
+    pieces: decoding.Count
+    created_s: decoding.Seconds
+    completion_s: decoding.Seconds
+    retention_s: decoding.Seconds
     cancelled: bool = False
 
     @property
@@ -103,7 +98,7 @@
 _STATE_DECODER = msgspec.json.Decoder(State)
 # Id, path, headers, body and tokens of each item.
 _ITEMS_DECODER = msgspec.json.Decoder(
-    list[tuple[str, str, dict[str, str], bytes, Count]]
+    list[tuple[str, str, dict[str, str], bytes, decoding.Count]]
 )
 # Id, whether it succeeded, and text.
 _RESULT_DECODER = msgspec.json.Decoder(tuple[str, bool, str])
@@ -120,10 +115,7 @@
 
 def read_state(row: rows.Row) -> VersionedState:
     """Return the state in a job's row; raises ``decoding.DecodeError``."""
-    try:
-        state = _STATE_DECODER.decode(row.value)
-    except (ValueError, RecursionError) as error:
-        raise decoding.DecodeError(f"no state: {type(error).__name__}") from error
+    state = decoding.decode(_STATE_DECODER, row.value)
     if state.job != row.address.key:
         raise decoding.DecodeError("job: expected the row's key")
     check_id(state.job)
@@ -350,7 +342,7 @@
         if len(pieces) != state.pieces:
             raise rows.UnavailableError("items are not all there")
         try:
-            items = _decode(_ITEMS_DECODER, pieces)
+            items = decoding.decode(_ITEMS_DECODER, decompress_pieces(pieces))
             return [_check_item(Item(*fields)) for fields in items]
         except decoding.DecodeError as error:
             self.on_unreadable(page.rows[0], str(error))
@@ -403,9 +395,8 @@
                 pieces_by_position.popitem()
             for position in sorted(pieces_by_position):
                 try:
-                    result = Result(
-                        *_decode(_RESULT_DECODER, pieces_by_position[position])
-                    )
+                    data = decompress_pieces(pieces_by_position[position])
+                    result = Result(*decoding.decode(_RESULT_DECODER, data))
                 except decoding.DecodeError as error:
                     raise rows.UnavailableError("a result is unreadable") from error
                 size += len(result.text)
@@ -418,15 +409,6 @@
             start = f"{job}/{after:06d}/"
 
 
-def _decode(decoder: msgspec.json.Decoder, pieces: list[bytes]) -> typing.Any:
-    """Return the value in rows' pieces; raises ``decoding.DecodeError``."""
-    data = decompress_pieces(pieces)
-    try:
-        return decoder.decode(data)
-    except (ValueError, RecursionError) as error:
-        raise decoding.DecodeError(f"not decoded: {type(error).__name__}") from error
-
-
 def _check_item(item: Item) -> Item:
     """Check that a request can be made of an item."""
     check_id(item.id)
@@ -442,7 +424,7 @@
     match = _PROGRESS_KEY.fullmatch(row.address.key)
     if match is None or int(match["first"]) < 1:
         raise decoding.DecodeError("key: expected an item, a version and an event")
-    event_data = _decode(_EVENTS_DECODER, [row.value])
+    event_data = decoding.decode(_EVENTS_DECODER, decompress_pieces([row.value]))
     return Progress(
         match["item"], int(match["version"]), int(match["first"]), event_data
     )
--- a/turmerictally/tests/features/entry_malformed.feature
+++ b/turmerictally/tests/features/entry_malformed.feature
@@ -32,3 +32,8 @@
     When malformed states of jobs lie beside good ones, and malformed events beside a job whose owner is lost
     Then the hosts go on, log each row, and the job ends
     And malformed items, events and results are read as if the store were unavailable
+
+  # Guards against one malformed datagram that ends a host, or that it counts with.
+  Scenario: Malformed digests
+    When malformed datagrams and digests arrive between those of the hosts
+    Then the hosts go on, apply none of them, and count each one
--- a/turmerictally/tests/features/steps/entry_malformed_steps.py
+++ b/turmerictally/tests/features/steps/entry_malformed_steps.py
@@ -3,14 +3,17 @@
 import collections
 import contextlib
 import json
+import math
 import zlib
 
+import attrs
 import behave
+import msgspec
 import trio
 import trio.testing
 
 from turmerictally import clock
-from turmerictally.entry import decoding, jobs, watch
+from turmerictally.entry import decoding, dissemination, gossip, jobs, watch
 from turmerictally.entry import trace as traces
 from turmerictally.standins import rows as standin_rows
 from turmerictally.store import rows
@@ -111,6 +114,36 @@
     ("created_s",): [n for n in DURATIONS if n != "-1"],
     ("unknown",): [malformed.NESTED],
 }
+TOO_LARGE = 2**64 - 1
+COUNTS = (-1, TOO_LARGE, 1.5, "a", None, math.nan)
+COUNTS_BY_NAME = ({"s0": -1}, {"s0": TOO_LARGE}, {"s0": "a"}, {7: 1}, ["s0"], 7)
+DIGEST_FIELDS = {
+    "host": (7, b"a", None, []),
+    "address": ("a b:80", "10.1.0.9:99999", "10.1.0.9:8_0", "", 7),
+    "sequence": COUNTS,
+    "online": COUNTS_BY_NAME,
+    "batch": COUNTS_BY_NAME,
+    "items_waiting": COUNTS,
+    "admitted": COUNTS_BY_NAME,
+    "table_ages": ({"servers": [1]}, {"servers": [1, math.nan]}, {"jobs": [-1, 0.0]}),
+    "store_age_s": (math.nan, math.inf, -1e300),
+    "failing": ([7], "s0"),
+    "outcomes": ({"s0": [1]}, {"s0": [1, 2, 3]}, {"s0": [-1, 0]}),
+    "leaving": COUNTS_BY_NAME,
+    "demand": COUNTS_BY_NAME,
+    "speeds": ({"s0": [1.0]}, {"s0": [math.nan, 1.0, 1.0]}, {"s0": [1, math.inf, 1]}),
+    "job_states": ({"j": [1]}, {"j": [-1, b""]}),
+    "waiting_urgencies": ([math.nan], [TOO_LARGE]),
+    "batch_urgencies": ({"s0": [TOO_LARGE]}, {"s0": 1}),
+    "accused_parts": (
+        {"p": [0, math.nan, {}]},
+        {"p": [TOO_LARGE, 0.0, {}]},
+        {"p": [0, 0.0, {"s0/1": math.inf}]},
+        {"p": [0]},
+    ),
+    "limits": ({"s0": [-1.0, 0.0, 1]}, {"s0": [1.0, math.nan, 1]}, {"s0": [1.0, 0.0]}),
+}
+DATAGRAMS = (b"", b"\xff", b"\x91" * 60_000, b"\x96" + b"\x91" * 60_000)
 POSITIONS = ("%C2%B2", "9" * 5000, "-1", "")
 SETTLE_S = 0.5
 EXPIRY_S = 6.0
@@ -482,3 +515,41 @@
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert not outcomes.total(), outcomes
+
+
+def play_digests(field, values):
+    async def main(world):
+        sender = "10.1.0.9:82"
+        socket = await world.fabric.host("10.1.0.9").open_datagram_socket(sender)
+        digest = world.hosts[0]._digest(1, True, True)
+        digest.host, digest.instance, digest.address = "odd", "odd", sender
+        names = [each.name for each in attrs.fields(gossip.Digest)]
+        datagrams = list(DATAGRAMS)
+        for value in values:
+            encoded = [getattr(digest, name) for name in names]
+            encoded[names.index(field)] = value
+            data = msgspec.msgpack.encode(encoded)
+            kind = dissemination.Kind.DELIVER
+            datagrams.append(dissemination.Datagram(kind, "odd", "a", (data,)).encode())
+        for data in datagrams:
+            for served in world.hosts.values():
+                socket.send_to(served.settings.listen.peers, data)
+            await trio.sleep(0.1)
+        await check_served(world, {"s0", "s1"})
+        for served in world.hosts.values():
+            assert len(served.hosts.peers) == 1, served.hosts.peers
+            counts = served.trace.counts
+            assert counts["digest_unreadable"] == len(datagrams), f"logged {counts}"
+
+    users_platform.play(main)
+
+
+@behave.when("malformed datagrams and digests arrive between those of the hosts")
+def digests(context):
+    cases = [(field, field, values) for field, values in DIGEST_FIELDS.items()]
+    context.failures = run_each(cases, play_digests)
+
+
+@behave.then("the hosts go on, apply none of them, and count each one")
+def digests_ignored(context):
+    followed(context)
