Refuse malformed copies of tables from peers as a whole

What callers saw: a host that is cut off from the store ended when a peer's copy of a table was malformed, or took rows over that it could not follow again.

Cause: load_peer_copy suppressed three types of errors around decoding and applying alike. RecursionError and OverflowError left it, and errors of appliers counted as an unreadable copy. Versions could be anything that int() takes, so that one of 10^18 made every later change old. The age in the response's header went through int() outside of any handler.

Fix: a copy is read with the checks of entry/decoding.py before anything of it is applied, and applied outside of that handler. Its rows come from a host of ours, so that one malformed row makes the copy unusable: leaving a row out would remove it. Keys may hold any characters, as rows of other writers do. An answer without a proper age counts as broken.

--- a/turmerictally/entry/decoding.py
+++ b/turmerictally/entry/decoding.py
@@ -5,6 +5,7 @@
 the depth of other ones does not matter.
 """
 
+import base64
 import collections.abc
 import ipaddress
 import json
@@ -16,7 +17,7 @@
 
 # Exact in every JSON implementation, and far below what 64 bits hold.
 MAX_INTEGER = 2**53 - 1
-MAX_NUMBER = 1e12  # as milliseconds, 31 years
+MAX_NUMBER = 1e13  # as milliseconds of Unix time, until the year 2286
 MAX_NAME_LENGTH = 255  # characters; names are sent in headers and in digests
 MAX_TEXT_LENGTH = 4096  # characters
 MAX_LOGGED_LENGTH = 80  # characters of a key in a log line
@@ -73,6 +74,14 @@
     return value
 
 
+def check_base64(value: typing.Any) -> bytes:
+    """Return the bytes of a text in base64."""
+    try:
+        return base64.b64decode(check_encodable(value), validate=True)
+    except ValueError as error:
+        raise DecodeError("expected base64") from error
+
+
 def check_text(value: typing.Any, max_length: int = MAX_TEXT_LENGTH) -> str:
     """Return a text of printable characters, which any encoding of Unicode accepts."""
     if not isinstance(value, str) or not value.isprintable():
--- a/turmerictally/entry/table_copies.py
+++ b/turmerictally/entry/table_copies.py
@@ -1,6 +1,7 @@
 """Exchange local copies of watched tables between hosts during a store outage."""
 
 import random
+import re
 
 import attrs
 import trio
@@ -14,6 +15,7 @@
 MIN_FRESHER_S = 0.5  # a peer's copy is fetched if it is fresher by this much
 FETCH_TIMEOUT_S = 1.0
 AGE_HEADER = b"age-ms"
+AGE = re.compile(rb"[0-9]{1,12}")
 # Of one table: 30,000 job states of some 500 bytes each.
 MAX_COPY_BYTES = 16 * 1024 * 1024
 
@@ -108,7 +110,9 @@
             head = await connection.read_head()
             if head.status != 200:
                 raise pool.BrokenError(f"answer {head.status}")
-            age_ms = int(dict(head.headers).get(AGE_HEADER, b"0"))
-            return await connection.read_body(MAX_COPY_BYTES), age_ms / 1000
+            age_ms = dict(head.headers).get(AGE_HEADER, b"")
+            if not AGE.fullmatch(age_ms):
+                raise pool.BrokenError("answer without an age")
+            return await connection.read_body(MAX_COPY_BYTES), int(age_ms) / 1000
         finally:
             self.pool.abandon(connection)
--- a/turmerictally/entry/watch.py
+++ b/turmerictally/entry/watch.py
@@ -2,7 +2,6 @@
 
 import base64
 import collections.abc
-import contextlib
 import json
 import random
 
@@ -134,7 +133,7 @@
                 # The change feed repeats changes made since the first page.
                 version = page.version if version is None else version
                 table_rows.extend(page.rows)
-                if not page.more:
+                if not page.more or not page.rows:
                     break
                 start = page.rows[-1].address.key + "\0"
         self._record_page(page)
@@ -264,22 +263,33 @@
 
     def load_peer_copy(self, data: bytes, age_s: float) -> None:
         """Apply a peer's copy that was up to date ``age_s`` ago."""
-        with contextlib.suppress(ValueError, KeyError, TypeError):
-            copy = json.loads(data)
-            copied_rows = [
-                rows.Row(
-                    rows.Address(self.name, part, key),
-                    base64.b64decode(value),
-                    int(version),
-                )
-                for part, key, version, value in copy["rows"]
-            ]
-            if int(copy["version"]) >= self.version:
-                self.from_peer = True
-                try:
-                    self.replace(copied_rows, int(copy["version"]))
-                finally:
-                    self.from_peer = False
-            self.fresh_at = max(self.fresh_at, self.clock.monotonic() - age_s)
+        try:
+            version, copied_rows = self._read_copy(data)
+        except decoding.DecodeError as error:
+            self.trace.emit("peer_copy_unreadable", table=self.name, reason=str(error))
             return
-        self.trace.emit("peer_copy_unreadable", table=self.name)
+        if version >= self.version:
+            self.from_peer = True
+            try:
+                self.replace(copied_rows, version)
+            finally:
+                self.from_peer = False
+        self.fresh_at = max(self.fresh_at, self.clock.monotonic() - age_s)
+
+    def _read_copy(self, data: bytes) -> tuple[int, list[rows.Row]]:
+        """Return a copy's version and rows; raises ``decoding.DecodeError``."""
+        copy = decoding.read_object(data)
+        copied_rows = []
+        for fields in copy.get("rows", decoding.check_list):
+            match fields:
+                case [str(part), str(key), version, value]:
+                    copied_rows.append(
+                        rows.Row(
+                            rows.Address(self.name, part, key),
+                            decoding.check_base64(value),
+                            decoding.check_integer(version),
+                        )
+                    )
+                case _:
+                    raise decoding.DecodeError("rows: expected four fields")
+        return copy.integer("version"), copied_rows
--- a/turmerictally/platform/jobs.py
+++ b/turmerictally/platform/jobs.py
@@ -1,8 +1,6 @@
 """Decode requests on batch jobs and encode their responses."""
 
-import base64
 import re
-import typing
 import urllib.parse
 
 from turmerictally.entry import batch_requests, decoding, http1, jobs, messages
@@ -50,7 +48,7 @@
             )
             for name in headers.values
         },
-        body=fields.get("body", _bytes),
+        body=fields.get("body", decoding.check_base64),
         # Sum of the prompt tokens and the maximum output tokens.
         tokens=fields.integer("tokenCount", 0, jobs.MAX_ITEM_TOKENS),
     )
@@ -63,13 +61,6 @@
     return item
 
 
-def _bytes(value: typing.Any) -> bytes:
-    try:
-        return base64.b64decode(decoding.check_encodable(value), validate=True)
-    except ValueError as error:
-        raise decoding.DecodeError("expected base64") from error
-
-
 def write_results(total: int, after: int, results: list[jobs.Result]) -> dict:
     """Return the body of a response that lists results."""
     return {
--- a/turmerictally/tests/features/entry_malformed.feature
+++ b/turmerictally/tests/features/entry_malformed.feature
@@ -37,3 +37,9 @@
   Scenario: Malformed digests
     When malformed datagrams and digests arrive between those of the hosts
     Then the hosts go on, apply none of them, and count each one
+
+  # Guards against a malformed copy of a table from a peer that ends a host cut off from
+  # the store, or that removes rows.
+  Scenario: Malformed copies of peers
+    When a host cut off from the store gets malformed copies, and then a good one
+    Then it goes on with its own rows, counts each copy, and follows the good one
--- a/turmerictally/tests/features/steps/entry_malformed_steps.py
+++ b/turmerictally/tests/features/steps/entry_malformed_steps.py
@@ -13,7 +13,14 @@
 import trio.testing
 
 from turmerictally import clock
-from turmerictally.entry import decoding, dissemination, gossip, jobs, watch
+from turmerictally.entry import (
+    decoding,
+    dissemination,
+    gossip,
+    jobs,
+    table_copies,
+    watch,
+)
 from turmerictally.entry import trace as traces
 from turmerictally.standins import rows as standin_rows
 from turmerictally.store import rows
@@ -144,9 +151,21 @@
     "limits": ({"s0": [-1.0, 0.0, 1]}, {"s0": [1.0, math.nan, 1]}, {"s0": [1.0, 0.0]}),
 }
 DATAGRAMS = (b"", b"\xff", b"\x91" * 60_000, b"\x96" + b"\x91" * 60_000)
+ROW = ["", "s0", 7, "e30="]
+COPY = {"version": 10_000, "rows": [ROW]}
+COPY_FIELDS = {
+    ("version",): malformed.NUMBERS,
+    ("rows",): ("null", '"a"', "7", "[7]", "[[]]", malformed.NESTED),
+    ("rows", 0, 0): ("7", "null", "[]"),
+    ("rows", 0, 1): ("7", "null", "[]"),
+    ("rows", 0, 2): malformed.NUMBERS,
+    ("rows", 0, 3): ("7", "null", "[]", '"a"', '"\u20ac"', r'"\ud800"', '"a b="'),
+}
+AGES = (b"", b"-1", b"1.5", b"nan", b"9" * 5000, b"\xb2")
 POSITIONS = ("%C2%B2", "9" * 5000, "-1", "")
 SETTLE_S = 0.5
 EXPIRY_S = 6.0
+SILENCE_S = 60.0
 
 
 def malformed_registrations():
@@ -553,3 +572,57 @@
 @behave.then("the hosts go on, apply none of them, and count each one")
 def digests_ignored(context):
     followed(context)
+
+
+def copies():
+    yield malformed.NESTED.encode()
+    yield b"\xff{"
+    for path, values in COPY_FIELDS.items():
+        yield from (malformed.encode(COPY, path, value) for value in values)
+
+
+def play_copies(answers, event):
+    """Let a host cut off from the store fetch one answer after the other."""
+
+    async def main(world):
+        answers_left = list(answers)
+        cut_off, peer = world.hosts.values()
+
+        async def serve(exchange):
+            if answers_left:
+                body, age = answers_left.pop()
+                headers = [(table_copies.AGE_HEADER, age)]
+                await exchange.reply(200, body, headers)
+            else:
+                await table_copies.TableCopies.serve(peer.table_copies, exchange)
+
+        peer.peer_server.handle = serve
+        world.store.silence("h0")
+        await trio.sleep(SILENCE_S)
+        assert not answers_left, f"{len(answers_left)} answers were not fetched"
+        assert cut_off.trace.counts[event] == len(answers), cut_off.trace.counts
+        assert peer.trace.counts["row_not_applied"] == 0
+        world.servers["s1"].state = "draining"
+        world.servers["s1"].register()
+        await trio.sleep(EXPIRY_S)
+        await check_served(world, {"s0"})
+
+    users_platform.play(main, seconds=300.0)
+
+
+@behave.when("a host cut off from the store gets malformed copies, and then a good one")
+def malformed_copies(context):
+    bodies = [(body, b"1") for body in copies()]
+    ages = [(b"{}", age) for age in AGES]
+    context.failures = run_each(
+        [
+            ("copies", bodies, "peer_copy_unreadable"),
+            ("ages", ages, "copy_not_fetched"),
+        ],
+        play_copies,
+    )
+
+
+@behave.then("it goes on with its own rows, counts each copy, and follows the good one")
+def good_copy(context):
+    followed(context)
