Treat malformed responses of the store like an unavailable store

What callers saw: a malformed page, or a key with a lone surrogate where a page ends, ended every host that read it.

Cause: the store's client caught no RecursionError from the JSON decoder and no OverflowError from numbers that are too large, took versions of any kind, and could not encode such a key in the query for the next page. A page that promises more but has no row raised IndexError.

Fix: pages and commits are read with the checks of entry/decoding.py, and any fault fails the call with UnavailableError, after which watches try again. Keys are encoded as they are.

--- a/turmerictally/entry/jobs.py
+++ b/turmerictally/entry/jobs.py
@@ -370,7 +370,7 @@
                     progress.append(_read_progress(row))
                 except decoding.DecodeError as error:
                     self.on_unreadable(row, str(error))
-            if not page.more:
+            if not page.more or not page.rows:
                 return progress
             start = page.rows[-1].address.key + "\0"
 
--- a/turmerictally/entry/json_client.py
+++ b/turmerictally/entry/json_client.py
@@ -7,7 +7,7 @@
 import trio
 
 from turmerictally import clock as clocks
-from turmerictally.entry import network, pool
+from turmerictally.entry import decoding, network, pool
 from turmerictally.store import table
 
 # Several times a page of 1 MB of rows in its encoding.
@@ -58,8 +58,8 @@
             raise table.UnavailableError(reason, maybe_applied=is_write) from error
         table.check_status(status, is_write, accepted_statuses)
         try:
-            return Response(status, json.loads(content))
-        except ValueError as error:
+            return Response(status, decoding.read_json(content))
+        except decoding.DecodeError as error:
             raise table.UnavailableError("bad JSON", maybe_applied=is_write) from error
 
     async def _exchange(
--- a/turmerictally/platform/store.py
+++ b/turmerictally/platform/store.py
@@ -7,10 +7,12 @@
 
 import attrs
 
-from turmerictally.entry import json_client, network
+from turmerictally.entry import decoding, json_client, network
 from turmerictally.store import rows, table
 
 MALFORMED = (KeyError, TypeError, ValueError, AttributeError, binascii.Error)
+VERSION = "schemaVersion"  # despite its name, of the row or the store
+NOW = "nowMs"
 # Added to a long poll's wait for its timeout: several times the store's typical
 # response time of 4 ms, and enough when the store is 60 times slower.
 POLL_MARGIN_S = 0.7
@@ -48,8 +50,8 @@
         try:
             if response.status == 412:
                 raise rows.ConflictError([_row(row) for row in response.body["rows"]])
-            commit = response.body
-            return rows.Commit(int(commit["schemaVersion"]), commit["nowMs"] / 1000)
+            commit = decoding.Object.of(response.body)
+            return rows.Commit(commit.integer(VERSION), commit.number(NOW) / 1000)
         except MALFORMED as error:
             raise table.UnavailableError("bad answer", maybe_applied=True) from error
 
@@ -95,7 +97,9 @@
 
 
 def _target(path: str, params: dict[str, typing.Any]) -> bytes:
-    return f"{path}?{urllib.parse.urlencode(params)}".encode()
+    # Keys of other writers may hold lone surrogates.
+    query = urllib.parse.urlencode(params, errors="surrogatepass")
+    return f"{path}?{query}".encode()
 
 
 def _address_fields(address: rows.Address) -> dict[str, str]:
@@ -104,11 +108,12 @@
 
 def _page(body: typing.Any) -> rows.Page:
     try:
+        page = decoding.Object.of(body)
         return rows.Page(
-            rows=[_row(row) for row in body["rows"]],
-            version=int(body["schemaVersion"]),
-            now_s=body["nowMs"] / 1000,
-            more=bool(body.get("hasMore", False)),
+            rows=[_row(row) for row in page.get("rows", decoding.check_list)],
+            version=page.integer(VERSION),
+            now_s=page.number(NOW) / 1000,
+            more=page.flag("hasMore"),
         )
     except MALFORMED as error:
         raise table.UnavailableError("bad answer") from error
@@ -116,9 +121,10 @@
 
 def _row(body: dict) -> rows.Row:
     address = rows.Address(body["table"], body.get("part", ""), body["key"])
+    if not all(isinstance(name, str) for name in attrs.astuple(address)):
+        raise TypeError("an address holds other values than text")
     deleted = bool(body.get("tombstone"))
-    # Despite the field's name, this is the version of the row.
-    version = int(body.get("schemaVersion", 0))
+    version = decoding.check_integer(body.get(VERSION, 0))
     if deleted or body.get("value") is None:
         return rows.Row(address, None, version)
     return rows.Row(address, base64.b64decode(body["value"]), version)
--- a/turmerictally/tests/features/platform_adapter.feature
+++ b/turmerictally/tests/features/platform_adapter.feature
@@ -18,6 +18,11 @@
       | a broken body   | unavailable and maybe applied      |
       | status 412      | a conflict with the current rows   |
 
+  # Guards against a malformed page or key that ends every host which reads a table.
+  Scenario: Malformed responses of the store count as those of one that is unavailable
+    When the store responds to reads with malformed pages
+    Then each call fails as unavailable, and keys of any characters can be read from
+
   Scenario: Any row is decoded or refused with the one error that its readers expect
     When arbitrary JSON and changed samples are decoded
     Then nothing but a decoding error is raised and every decoded server is valid
--- a/turmerictally/tests/features/steps/platform_adapter_steps.py
+++ b/turmerictally/tests/features/steps/platform_adapter_steps.py
@@ -199,6 +199,54 @@
     assert error.maybe_applied == meaning.endswith("maybe applied")
 
 
+@behave.when("the store responds to reads with malformed pages")
+def malformed_pages(context):
+    row = {"table": "my", "part": "p", "key": "k", "value": "dg==", "schemaVersion": 9}
+    page = {"schemaVersion": 9, "nowMs": 1, "rows": [row]}
+    fields = {
+        ("schemaVersion",): malformed.NUMBERS,
+        ("nowMs",): [number for number in malformed.NUMBERS if number != "1.5"],
+        ("rows",): ("null", "7", "[7]", malformed.NESTED),
+        ("rows", 0, "key"): ("null", "7", "[]"),
+        ("rows", 0, "schemaVersion"): malformed.NUMBERS,
+        ("rows", 0, "value"): ("7", '"a"', "[]"),
+    }
+    bodies = [b"\xff", malformed.NESTED.encode()]
+    for path, values in fields.items():
+        bodies += [malformed.encode(page, path, value) for value in values]
+    context.taken = []
+
+    async def read_both(store):
+        outcomes = []
+        for call in (
+            lambda: store.read("my", "p"),
+            lambda: store.changes("my", after=1, wait_s=0.1),
+        ):
+            try:
+                outcomes.append(await call())
+            except rows.UnavailableError:
+                continue
+        return outcomes
+
+    for body in bodies:
+        outcomes = run_call(lambda method, target, data: (200, body), read_both)
+        context.taken += [(body[:80], outcome) for outcome in outcomes]
+
+    def respond(method, target, data):
+        context.target = target
+        return 200, malformed.encode(page)
+
+    run_call(respond, lambda store: store.read("my", "p", start="k\ud800\0"))
+
+
+@behave.then(
+    "each call fails as unavailable, and keys of any characters can be read from"
+)
+def unavailable_pages(context):
+    assert not context.taken, context.taken
+    assert "from=k%ED%A0%80%00" in context.target, context.target
+
+
 @behave.when("arbitrary JSON and changed samples are decoded")
 def arbitrary(context):
     context.decoded = []
