Refuse events with ids of more than 15 digits

What callers saw: the connection closed without an answer when a server sent an event whose id has thousands of digits; in a batch job such an event ended the host.

Cause: the fast path of the event splitter takes ids of up to 15 digits, the other one any number of them: int() raises ValueError beyond 4,300 digits, and callers of the splitter expect SequenceError only.

Evidence: the new scenario on the code before: ValueError ends the host, which runs the batch item; by itself, the request gets no answer (status 0).

Fix: both paths take ids of 1 to 15 digits; another one is an event out of sequence, after which a request is answered 502 and an item runs again.

Measured: the scenario passes; entry_broken_answers and entry_broken_servers pass.

--- a/turmerictally/entry/sse.py
+++ b/turmerictally/entry/sse.py
@@ -21,6 +21,9 @@
 )
 
 
+_ID = re.compile(rb"[0-9]{1,15}")
+
+
 class SequenceError(Exception):
     """Report an event that does not continue the stream."""
 
@@ -111,7 +114,7 @@
         for line in raw.splitlines():
             if line.startswith(b"id:"):
                 text = line[3:].strip()
-                if not text.isdigit():
+                if not _ID.fullmatch(text):
                     raise SequenceError("event id is no number")
                 number = int(text)
         if number is None:
--- a/turmerictally/tests/features/entry_malformed.feature
+++ b/turmerictally/tests/features/entry_malformed.feature
@@ -43,3 +43,9 @@
   Scenario: Malformed copies of peers
     When a host cut off from the store gets malformed copies, and then a good one
     Then it goes on with its own rows, counts each copy, and follows the good one
+
+  # Guards against a server's event that closes a caller's connection without an answer,
+  # or ends the host that runs a batch item.
+  Scenario: Events with ids that are too long
+    When servers send events whose ids have thousands of digits, and later sound ones
+    Then a request gets an answer, the hosts go on, and a batch job ends
--- a/turmerictally/tests/features/steps/entry_malformed_steps.py
+++ b/turmerictally/tests/features/steps/entry_malformed_steps.py
@@ -626,3 +626,31 @@
 @behave.then("it goes on with its own rows, counts each copy, and follows the good one")
 def good_copy(context):
     followed(context)
+
+
+@behave.when(
+    "servers send events whose ids have thousands of digits, and later sound ones"
+)
+def long_ids(context):
+    async def main(world):
+        event = b"id: " + b"9" * 5000 + b"\ndata: x\n\n"
+        for server in world.servers.values():
+            server.raw_answer = users_platform.STREAM + event
+        context.reply = await users_platform.Caller(world).ask()
+        body, _ = users_platform.lot(world)
+        await users_platform.Caller(world).ask("/night/1", body=body, request_id="job")
+        await trio.sleep(EXPIRY_S)
+        for server in world.servers.values():
+            server.raw_answer = b""
+        await trio.sleep(2 * EXPIRY_S)
+        reply = await users_platform.Caller(world).ask("/-/lots/job", method="GET")
+        context.results = len(reply.json()["results"])
+        await check_served(world, {"s0", "s1"})
+
+    users_platform.play(main)
+
+
+@behave.then("a request gets an answer, the hosts go on, and a batch job ends")
+def answered(context):
+    assert (context.reply.status, context.reply.whole) == (502, True), context.reply
+    assert context.results == 5, context.results
