--- a/turmerictally/tests/features/entry_malformed.feature
+++ b/turmerictally/tests/features/entry_malformed.feature
@@ -32,3 +32,20 @@
     When malformed states of jobs lie beside good ones, and malformed events beside a job whose owner is lost
     Then the hosts go on, log each row, and the job ends
     And malformed items, events and results are read as if the store were unavailable
+
+  # Guards against one malformed datagram that ends a host, or that it counts with.
+  Scenario: Malformed digests
+    When malformed datagrams and digests arrive between those of the hosts
+    Then the hosts go on, apply none of them, and count each one
+
+  # Guards against a malformed copy of a table from a peer that ends a host cut off from
+  # the store, or that removes rows.
+  Scenario: Malformed copies of peers
+    When a host cut off from the store gets malformed copies, and then a good one
+    Then it goes on with its own rows, counts each copy, and follows the good one
+
+  # Guards against a server's event that closes a caller's connection without an answer,
+  # or ends the host that runs a batch item.
+  Scenario: Events with ids that are too long
+    When servers send events whose ids have thousands of digits, and later sound ones
+    Then a request gets an answer, the hosts go on, and a batch job ends
