Truncate a job's response at its deadline instead of refusing within it

What callers saw: a caller that read a long response about a job slowly got a second response, 503, in the middle of the first one's body.

Cause: at the deadline the write was cancelled and the request refused, without a look at what had been sent.

For this the stand-in's network hands a long write over in parts of its window, as a socket does.

Once a part of a response was sent the exchange is now aborted, which closes the connection, and the caller sees fewer bytes than announced.

--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -307,9 +307,9 @@
                     break
                 await trio.sleep(STORE_RETRY_S)
         if may_exist:
-            await exchange.refuse(forwarder.Refusal.DEADLINE, "store did not answer")
+            await exchange.fail(forwarder.Refusal.DEADLINE, "store did not answer")
             return f"unknown: {reason}"
-        await exchange.refuse(
+        await exchange.fail(
             forwarder.Refusal.UNAVAILABLE, "store not reached", STORE_RETRY_AFTER_S
         )
         return f"refused: {reason}"
@@ -342,7 +342,7 @@
                 )
             except rows.UnavailableError as error:
                 reason = str(error)
-        await exchange.refuse(
+        await exchange.fail(
             forwarder.Refusal.UNAVAILABLE, "job cannot be read now", STORE_RETRY_AFTER_S
         )
         return f"store not reached: {reason}"
--- a/turmerictally/standins/fabric.py
+++ b/turmerictally/standins/fabric.py
@@ -49,9 +49,11 @@
         if self.other.closed and not self.fabric.is_cut(self.local, self.remote):
             self._push_back_reset()
             return
-        while self._is_behind():
-            await trio.sleep(self.fabric.delay_s)
-        self._push(bytes(data))
+        part_bytes = self.fabric.window_bytes or len(data) or 1
+        for start in range(0, len(data), part_bytes):
+            while self._is_behind():
+                await trio.sleep(self.fabric.delay_s)
+            self._push(bytes(data[start : start + part_bytes]))
 
     def _is_behind(self) -> bool:
         """Return whether the other end has left more than a window unread."""
--- a/turmerictally/tests/features/entry_answers.feature
+++ b/turmerictally/tests/features/entry_answers.feature
@@ -59,3 +59,8 @@
   Scenario: A raised limit on headers holds on kept connections
     When the limit on headers rises from 16 kB to 32 kB while a connection is idle
     Then a request on it with a head of 20 kB is answered
+
+  # Guards against a refusal in the middle of a response to a caller that reads slowly.
+  Scenario: A response about a job that is cut at its deadline is only truncated
+    When a caller does not read the body of a job's item until its deadline has passed
+    Then it gets a part of one response, and its connection is closed
--- a/turmerictally/tests/features/steps/entry_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_answers_steps.py
@@ -1,5 +1,8 @@
 """Steps for requests whose answers must not be ended without need."""
 
+import base64
+import contextlib
+import json
 from unittest import mock
 
 import behave
@@ -284,3 +287,42 @@
         await ask_around_change(context, world, 1.0, **{"X-Long": "m" * (size << 10)})
 
     play(context, main, servers=1)
+
+
+WINDOW_BYTES = 1000  # that a connection takes without being read
+BODY_BYTES = 200_000
+
+
+@behave.when(
+    "a caller does not read the body of a job's item until its deadline has passed"
+)
+def reads_late(context):
+    async def main(world):
+        world.servers["s0"].silent = True
+        submitted, _ = users_platform.lot(world, 1)
+        job = json.loads(submitted)
+        job["items"][0]["body"] = base64.b64encode(bytes(BODY_BYTES)).decode()
+        caller = users_platform.Caller(world)
+        submitted = json.dumps(job).encode()
+        reply = await caller.ask("/night/j", body=submitted, request_id="j1")
+        assert reply.status == 202, reply
+        world.fabric.window_bytes = WINDOW_BYTES
+        await caller.stream.send_all(
+            b"GET /-/items/j1?id=i0 HTTP/1.1\r\nHost: %b\r\nX-Deadline-Ms: 2000\r\n"
+            b"Authorization: Bearer %b\r\n\r\n"
+            % (users_platform.HOSTNAME.encode(), users_platform.KEY.encode())
+        )
+        await trio.sleep(2.5)
+        context.data = b""
+        with trio.move_on_after(5.0), contextlib.suppress(trio.BrokenResourceError):
+            while data := await caller.stream.receive_some():
+                context.data += data
+
+    play(context, main, servers=1)
+
+
+@behave.then("it gets a part of one response, and its connection is closed")
+def part_of_one(context):
+    assert context.data.startswith(b"HTTP/1.1 200 "), context.data[:100]
+    assert context.data.count(b"HTTP/1.1") == 1, context.data[-200:]
+    assert len(context.data) < BODY_BYTES, len(context.data)
