Send a started stream again while full servers refuse it

What callers saw: a stream that its server broke off was truncated after 0.2 s when the next three servers were full, although slots come free each fraction of a second.

Cause: a request is sent four times at most, refusals included. That bound is right for a request that can still be refused; a started response cannot.

Evidence: entry_answers.feature on the code before: of three servers one breaks off its stream and the others refuse six times; truncated after event 5 at 0.236 s. 18 passed, 1 failed.

A started stream is sent again after a refusal that states that it has not run, from the fourth send on after a pause of 0.3 s, until its caller or deadline ends it. Attempts in which it may have run stay bounded by the route, failed connections by the number of sends: there the caller had better turn to another host.

Result: entry_answers 19 passed; also entry_broken_answers 18, entry_waiting 8, entry_server_limits 6, entry_leaving 29 and entry_cold 24 passed.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -50,6 +50,8 @@
 # a millisecond of processor time, and a reader doesn't notice such a gap.
 COALESCE_S = 0.008
 MAX_SENDS = 4  # of one request, including to servers that state not to have run it
+# Pause before each further send of a started stream, until its caller leaves.
+RESEND_PAUSE_S = 0.3
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # of a response that is not a stream
 MAX_SKIPPED_RESPONSES = 4  # to other requests, before the connection counts as broken
 # Range of retry delays of refused callers: about half of a request's typical service
@@ -227,6 +229,8 @@
 
     async def _wait_for_server(self, pending: PendingRequest) -> None:
         """Wait until some server can continue a stream, also one that failed it."""
+        if pending.sends >= MAX_SENDS:
+            await trio.sleep(RESEND_PAUSE_S)
         while not self._loads(pending):
             await trio.sleep(RESUME_CHECK_S)
             pending.tried.clear()
@@ -326,6 +330,9 @@
         return server
 
     def _may_retry(self, pending: PendingRequest, result: AttemptResult) -> bool:
+        if result is AttemptResult.NOT_RUN and pending.response.started:
+            # A full server may have a slot before the caller leaves.
+            return True
         if pending.sends >= MAX_SENDS:
             return False
         if result in (AttemptResult.NOT_RUN, AttemptResult.UNSENT):
--- a/turmerictally/tests/features/entry_answers.feature
+++ b/turmerictally/tests/features/entry_answers.feature
@@ -44,6 +44,7 @@
       | no other server                             | it is still there   |
       | another server that must not be sent to     | the other may be    |
       | another server that is full for a long time | the other has slots |
+      | others that refuse more often than allowed  | they accept it      |
 
   # Guards against closing a connection that its caller may still use under the limits
   # before or after a change of the configuration.
--- a/turmerictally/tests/features/steps/entry_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_answers_steps.py
@@ -80,6 +80,18 @@
     context.servers, context.prepare = 2, prepare
 
 
+@behave.given("others that refuse more often than allowed")
+def others_refuse_on(context):
+    async def prepare(world):
+        left = [forwarder.MAX_SENDS + 2]
+        for name in ("s1", "s2"):
+            world.servers[name].answer = refuse_first(world.servers[name], left)
+            # The host prefers s0.
+            world.hosts[0].inflight.add_online(name, 1)
+
+    context.servers, context.prepare = 3, prepare
+
+
 def refuse_first(server, left):
     """Return an ``answer`` that refuses while ``left`` is positive."""
     answer = server.answer
