--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -53,6 +53,8 @@
 # a millisecond of processor time, and a reader doesn't notice such a gap.
 COALESCE_S = 0.008
 MAX_SENDS = 4  # of one request, including to servers that state not to have run it
+# Pause before each further send of a started stream, until its caller leaves.
+RESEND_PAUSE_S = 0.3
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # of a response that is not a stream
 MAX_SKIPPED_RESPONSES = 4  # to other requests, before the connection counts as broken
 # Range of retry delays of refused callers: about half of a request's typical service
@@ -128,6 +130,7 @@
     whether the server ended that attempt's connection, and ``server_ended`` whether it
     accepted no other one then.
     ``server_error`` is an error response, passed on if no other attempt succeeds.
+    ``failed_over`` is whether a server that might have gone on was given up.
     """
 
     request: messages.Request
@@ -245,6 +248,8 @@
 
     async def _wait_for_server(self, pending: PendingRequest) -> None:
         """Wait until some server can continue a stream, also one that failed it."""
+        if pending.sends >= MAX_SENDS:
+            await trio.sleep(RESEND_PAUSE_S)
         while not self._loads(pending):
             await trio.sleep(RESUME_CHECK_S)
             pending.tried.clear()
@@ -288,7 +293,8 @@
         now = self.clock.monotonic()
         objective_s = pending.route.objective_s * wait_queue.START_RATIO
         start_by = pending.deadline - MIN_TIME_LEFT_S
-        if objective_s and not pending.response.started:
+        must_wait = pending.response.started or pending.failed_over
+        if objective_s and not must_wait:
             start_by = min(start_by, now + objective_s)
         return wait_queue.QueuedRequest(
             service=pending.service,
@@ -301,7 +307,7 @@
             body_bytes=len(pending.body),
             start_by=start_by,
             deadline=pending.deadline,
-            must_wait=pending.response.started,
+            must_wait=must_wait,
         )
 
     def _choose_server(
@@ -349,6 +355,9 @@
         return server
 
     def _may_retry(self, pending: PendingRequest, result: AttemptResult) -> bool:
+        if result is AttemptResult.NOT_RUN and pending.response.started:
+            # A full server may have a slot before the caller leaves.
+            return True
         if pending.sends >= MAX_SENDS:
             return False
         if result in (AttemptResult.NOT_RUN, AttemptResult.UNSENT):
@@ -479,6 +488,7 @@
                     pending, server, connection, silence_timer
                 )
             if silence_timer.expired:
+                pending.failed_over = True
                 raise trio.TooSlowError
             if connection.is_reusable():
                 self.pool.release(connection, head.keep_alive_s)
--- a/turmerictally/tests/features/entry_answers.feature
+++ b/turmerictally/tests/features/entry_answers.feature
@@ -20,6 +20,12 @@
     When a server falls silent in a stream, and another registers 1.2 s later
     Then the caller gets all events, the rest from the other server within 0.5 s
 
+  # Guards against giving up a silent server for a slot that another request then gets.
+  Scenario: A request taken from a silent server waits if it loses its slot to another
+    Given another server whose slot is taken as the request fails over to it
+    When a server sends no event, and the slot is free again 1 s after its loss
+    Then the caller gets all events, and the request ran twice
+
   # Guards against a request that ends without any answer after an internal error.
   Scenario Outline: After an unexpected error the response tells whether a server may have run it
     Given no other server
@@ -44,6 +50,7 @@
       | no other server                             | it is still there   |
       | another server that must not be sent to     | the other may be    |
       | another server that is full for a long time | the other has slots |
+      | others that refuse more often than allowed  | they accept it      |
 
   # Guards against closing a connection that its caller may still use under the limits
   # before or after a change of the configuration.
@@ -59,3 +66,8 @@
   Scenario: A raised limit on headers holds on kept connections
     When the limit on headers rises from 16 kB to 32 kB while a connection is idle
     Then a request on it with a head of 20 kB is answered
+
+  # Guards against a refusal in the middle of a response to a caller that reads slowly.
+  Scenario: A response about a job that is cut at its deadline is only truncated
+    When a caller does not read the body of a job's item until its deadline has passed
+    Then it gets a part of one response, and its connection is closed
--- a/turmerictally/tests/features/steps/entry_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_answers_steps.py
@@ -1,5 +1,8 @@
 """Steps for requests whose answers must not be ended without need."""
 
+import base64
+import contextlib
+import json
 from unittest import mock
 
 import behave
@@ -77,6 +80,53 @@
     context.servers, context.prepare = 2, prepare
 
 
+@behave.given("others that refuse more often than allowed")
+def others_refuse_on(context):
+    async def prepare(world):
+        left = [forwarder.MAX_SENDS + 2]
+        for name in ("s1", "s2"):
+            world.servers[name].answer = refuse_first(world.servers[name], left)
+            # The host prefers s0.
+            world.hosts[0].inflight.add_online(name, 1)
+
+    context.servers, context.prepare = 3, prepare
+
+
+@behave.given("another server whose slot is taken as the request fails over to it")
+def slot_lost(context):
+    context.servers, context.prepare = 2, no_preparation
+
+
+@behave.when(
+    "a server sends no event, and the slot is free again {seconds:g} s after its loss"
+)
+def silent_then_lost(context, seconds):
+    async def main(world):
+        entry, taken = world.hosts[0], world.servers["s1"].slots + 1
+        entry.admission.wait_queue.service_times.mean_s = 100.0
+        world.servers["s0"].silent = True
+        # Makes s0 the first choice.
+        entry.inflight.add_online("s1", 1)
+        finished = entry.inflight.on_finished
+
+        def take_slot(server):
+            if server == "s0":
+                entry.inflight.on_finished = finished
+                entry.inflight.add_online("s1", taken)
+                world.nursery.start_soon(free_slot)
+            finished(server)
+
+        async def free_slot():
+            await trio.sleep(seconds)
+            entry.inflight.add_online("s1", -taken)
+
+        entry.inflight.on_finished = take_slot
+        context.reply = await users_platform.Caller(world).ask()
+
+    scheduling = settings.Scheduling(fair_shares=True, waiting_room=True)
+    play(context, main, servers=context.servers, scheduling=scheduling)
+
+
 def refuse_first(server, left):
     """Return an ``answer`` that refuses while ``left`` is positive."""
     answer = server.answer
@@ -284,3 +334,42 @@
         await ask_around_change(context, world, 1.0, **{"X-Long": "m" * (size << 10)})
 
     play(context, main, servers=1)
+
+
+WINDOW_BYTES = 1000  # that a connection takes without being read
+BODY_BYTES = 200_000
+
+
+@behave.when(
+    "a caller does not read the body of a job's item until its deadline has passed"
+)
+def reads_late(context):
+    async def main(world):
+        world.servers["s0"].silent = True
+        submitted, _ = users_platform.lot(world, 1)
+        job = json.loads(submitted)
+        job["items"][0]["body"] = base64.b64encode(bytes(BODY_BYTES)).decode()
+        caller = users_platform.Caller(world)
+        submitted = json.dumps(job).encode()
+        reply = await caller.ask("/night/j", body=submitted, request_id="j1")
+        assert reply.status == 202, reply
+        world.fabric.window_bytes = WINDOW_BYTES
+        await caller.stream.send_all(
+            b"GET /-/items/j1?id=i0 HTTP/1.1\r\nHost: %b\r\nX-Deadline-Ms: 2000\r\n"
+            b"Authorization: Bearer %b\r\n\r\n"
+            % (users_platform.HOSTNAME.encode(), users_platform.KEY.encode())
+        )
+        await trio.sleep(2.5)
+        context.data = b""
+        with trio.move_on_after(5.0), contextlib.suppress(trio.BrokenResourceError):
+            while data := await caller.stream.receive_some():
+                context.data += data
+
+    play(context, main, servers=1)
+
+
+@behave.then("it gets a part of one response, and its connection is closed")
+def part_of_one(context):
+    assert context.data.startswith(b"HTTP/1.1 200 "), context.data[:100]
+    assert context.data.count(b"HTTP/1.1") == 1, context.data[-200:]
+    assert len(context.data) < BODY_BYTES, len(context.data)
