Answer 504 to a submission whose time ends during its first write

What callers saw: a batch job answered 503, which says that it will never run, ran nevertheless.

Cause: whether the job may exist was only noted when a write failed. If the caller's time ended while the first write was under way, the write was cut off and counted as none.

Evidence: the new scenario, in which the store applies the write at once and responds a second later to a caller with half a second, failed on: "ASSERT FAILED: 503", while another host ran the items.

Fix: the job counts as possibly there from before each write until the write has failed for certain.

Measured: entry_batch.feature, 22 passed (21 and the one that failed before).

--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -266,6 +266,7 @@
         reason = "deadline"
         with trio.move_on_after(max(0.0, deadline - self.clock.monotonic())):
             while True:
+                may_have_existed, may_exist = may_exist, True
                 try:
                     await self._write_job(state, items)
                     await exchange.reply_json(202, {"id": state.job})
@@ -274,7 +275,7 @@
                     await exchange.reply_json(202, {"id": state.job})
                     return "accepted before"
                 except rows.UnavailableError as error:
-                    may_exist = may_exist or error.maybe_applied
+                    may_exist = may_have_existed or error.maybe_applied
                     reason = str(error)
                 elapsed_s = self.clock.monotonic() - exchange.received_at
                 if not may_exist and elapsed_s > MAX_SUBMIT_RETRY_S:
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -17,6 +17,15 @@
     When the store applies a submission late and loses the response
     Then no response claims that the job does not run, and it runs once it is accepted
 
+  # Guards against 503 for a job whose only write was cut off, unanswered, and took effect.
+  Scenario Outline: A submission that ends during its first write is not refused
+    When <what> ends while the store has applied the write of a job, unanswered
+    Then the response is 504 and the job runs
+
+    Examples:
+      | what              |
+      | the caller's time |
+
   Scenario: A submission that the store refused is refused as not run
     When the store refuses a submission
     Then the caller gets 503 with a retry time and nothing ever runs
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -164,6 +164,27 @@
     assert context.counts == dict.fromkeys(context.ids, 1)
 
 
+@behave.when("{what} ends while the store has applied the write of a job, unanswered")
+def ends_during_write(context, what):
+    async def main(world):
+        job_store = world.hosts[0].jobs
+        job_store.store = LateResponses(job_store.store)
+        body, context.ids = users_platform.lot(world, 6, name="j1-")
+        own = users_platform.Caller(world)
+        context.reply = await own.ask(
+            "/night/x", body=body, request_id="j1", **{"X-Deadline-Ms": "500"}
+        )
+        context.results = await read_all(world, 1, "j1", len(context.ids))
+
+    play(context, main)
+
+
+@behave.then("the response is 504 and the job runs")
+def unknown_outcome(context):
+    assert context.reply.status == 504, context.reply.status
+    assert {run.request for run in context.world.runs} == set(context.ids)
+
+
 @behave.when("the store refuses a submission")
 def refused_submission(context):
     async def main(world):
