Refuse what a stopping host cannot end in time, and answer the rest

What callers saw: in a planned stop of one host, in calm, requests that came late in the grace were taken and sent to servers; when the process ended, their connections closed without an answer, also of requests that must not run twice.

Cause: a host took requests on open connections until 1.2 s before the end of its grace, whatever they would take, and then cancelled what ran. A response that began after the signal, to a request from before it, left its connection open for the next one. A slow store delayed the end of accepting.

Evidence: entry_planned_stop.feature, callers that keep sending on open connections of one of three hosts.

Fix: one stored pair of deadlines, for the last answers and for the end of the process. scheduling/drain.py decides by the latest durations of similar requests whether one that comes during the stop is taken; streams and what must run once need more certainty, and if no other host is ready, whatever may be done in time is taken. The decision is made again after a wait for a slot and before each retry. The rest is refused unrun with 503. What has no response as the last answers are due gets 503 if no server had it and 504 otherwise, also submissions and job reads; half-read requests get 503; polls for results end as the stop begins. Responses that have begun go on until the process ends, later than before. Connections close after each response that begins during the stop, and the process waits until their callers have read it.

--- a/turmerictally/bench/path.py
+++ b/turmerictally/bench/path.py
@@ -30,6 +30,7 @@
     pool,
     prompt_guard,
     registry,
+    shutdown,
     store_health,
     sweep,
 )
@@ -150,6 +151,7 @@
         on_slots_exceeded=lambda server: None,
         timers=deadlines,
         prompts=prompt_guard.PromptGuard(hosts, clock, trace),
+        shutdown=shutdown.Shutdown(hosts, clock, trace, random.Random(0)),
     )
 
     async def handle(exchange: http_server.Exchange) -> None:
--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -19,11 +19,13 @@
     model,
     pool,
     prompt_guard,
+    shutdown,
     sse,
     sweep,
 )
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import (
+    drain,
     failover,
     fair_shares,
     mechanisms,
@@ -136,7 +138,9 @@
     server_error: tuple[messages.ResponseHead, bytes] | None = None
     reason: str = ""
     service: str = ""
-    refusal: wait_queue.Refusal | prompt_quarantine.Refusal | None = None
+    refusal: wait_queue.Refusal | prompt_quarantine.Refusal | drain.Refusal | None = (
+        None
+    )
     failed_over: bool = False
     attempt_events: int = 0
     server_closed: bool = False
@@ -163,6 +167,7 @@
     on_slots_exceeded: collections.abc.Callable[[str], None]
     timers: sweep.TimerQueue
     prompts: prompt_guard.PromptGuard
+    shutdown: shutdown.Shutdown
     admission: admissions.Admission | None = None
     failover_budget: failover.FailoverBudget | None = None
     disabled: frozenset[mechanisms.Mechanism] = frozenset()
@@ -179,8 +184,14 @@
 
     async def _run(self, pending: PendingRequest) -> str:
         time_left_s = pending.deadline - self.clock.monotonic()
-        with self.timers.timer(trio.current_time() + time_left_s):
+        with (
+            self.shutdown.answer_in_time(pending.response) as stop_scope,
+            self.timers.timer(trio.current_time() + time_left_s),
+        ):
             return await self._try_servers(pending)
+        if stop_scope.cancelled_caught:
+            pending.refusal = self.shutdown.end_request(pending.deadline)
+            pending.reason = pending.refusal.reason
         pending.reason = pending.reason or "deadline"
         return await self._give_up(pending, at_deadline=True)
 
@@ -202,7 +213,7 @@
         if pending.deadline - self.clock.monotonic() < MIN_TIME_LEFT_S:
             pending.reason = pending.reason or "too little time"
             return None
-        if self._is_quarantined(pending):
+        if self._ends_too_late(pending) or self._is_quarantined(pending):
             return None
         if self.admission is None:
             return self._choose_server(pending, self._loads(pending))
@@ -214,8 +225,8 @@
         if isinstance(admitted, wait_queue.Refusal):
             pending.refusal, pending.reason = admitted, admitted.reason
             return None
-        # A part may have been quarantined while the request waited.
-        if self._is_quarantined(pending):
+        # A part may have been quarantined, or a stop begun, while the request waited.
+        if self._ends_too_late(pending) or self._is_quarantined(pending):
             return None
         return self._choose_server(pending, admitted)
 
@@ -228,6 +239,19 @@
         pending.refusal, pending.reason = refusal, refusal.reason
         return True
 
+    def _ends_too_late(self, pending: PendingRequest) -> bool:
+        """Return whether this host stops before the request would end, and note it."""
+        if pending.response.started:
+            # Without another attempt it would be cut off now.
+            return False
+        refusal = self.shutdown.check(
+            pending.request.request_id, pending.route, pending.size, pending.deadline
+        )
+        if refusal is None:
+            return False
+        pending.refusal, pending.reason = refusal, refusal.reason
+        return True
+
     def _crashed(self, pending: PendingRequest, result: AttemptResult) -> bool:
         """Return whether the request seems to have crashed its server.
 
@@ -343,9 +367,13 @@
                 server=name,
                 after_s=round(elapsed_s, 3),
                 last_event=pending.last_event,
-                outcome="caller left or deadline",
+                outcome="caller left, deadline or stop",
             )
-            if pending.last_event == last_event_before and elapsed_s > MIN_SILENCE_S:
+            if (
+                pending.last_event == last_event_before
+                and elapsed_s > MIN_SILENCE_S
+                and not self.shutdown.answers_due
+            ):
                 # The caller disconnected or its deadline passed without any event.
                 self.inflight.record_failure(name, refused=False)
             raise
@@ -661,6 +689,15 @@
     }
 
 
+@_refusal_log_fields.register
+def _(refusal: drain.Refusal) -> dict[str, typing.Any]:
+    return {
+        "left_s": round(refusal.left_s, 3),
+        "expected_s": round(refusal.expected_s, 3),
+        "retry_after_s": round(refusal.retry_after_s, 3),
+    }
+
+
 @_refusal_log_fields.register
 def _(refusal: wait_queue.Refusal) -> dict[str, typing.Any]:
     return {
--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -16,6 +16,7 @@
     model,
     quota,
     registry,
+    shutdown,
     watch,
     worker,
 )
@@ -61,6 +62,7 @@
     latencies: latency.Latencies
     config_age_s: collections.abc.Callable[[], float]
     rng: random.Random
+    shutdown: shutdown.Shutdown
 
     async def handle(self, exchange: http_server.Exchange) -> None:
         """Handle one request and log its outcome."""
@@ -70,12 +72,19 @@
         try:
             outcome, route, team = await self._handle(exchange, request)
         except trio.Cancelled:
-            self.trace.emit(
-                "caller_left",
-                request.request_id,
-                after_s=round(self.clock.monotonic() - exchange.received_at, 3),
-                outcome="left",
-            )
+            after_s = round(self.clock.monotonic() - exchange.received_at, 3)
+            if self.shutdown.answers_due and not exchange.aborted:
+                self.shutdown.outcomes["cut"] += 1
+                self.trace.emit(
+                    "response_cut",
+                    request.request_id,
+                    after_s=after_s,
+                    outcome="host stopped",
+                )
+            else:
+                self.trace.emit(
+                    "caller_left", request.request_id, after_s=after_s, outcome="left"
+                )
             raise
         elapsed_s = self.clock.monotonic() - exchange.received_at
         self.trace.emit(
@@ -168,8 +177,18 @@
         outcome = await self.forwarder.run(pending)
         if not pending.runs:
             self.quotas.refund(team)
+        self._record_duration(exchange, route, pending.size)
         return outcome
 
+    def _record_duration(
+        self, exchange: http_server.Exchange, route: model.Route, size: int
+    ) -> None:
+        """Add a request that was served, or that lasted until its deadline."""
+        lasted = exchange.status == forwarder.Refusal.DEADLINE.value
+        if exchange.finished and (exchange.status < 300 or lasted):
+            elapsed_s = self.clock.monotonic() - exchange.received_at
+            self.shutdown.durations.record(route.name, size, elapsed_s)
+
     async def _submit_job(
         self,
         exchange: http_server.Exchange,
@@ -243,7 +262,15 @@
         deadline = (
             exchange.received_at + min(requested_s, route.timeout_s) - RESPONSE_MARGIN_S
         )
-        return await self._create_job(exchange, state, items, deadline)
+        refusal = self.shutdown.check(job_id, route, 0, deadline)
+        if refusal is not None:
+            await exchange.refuse(
+                forwarder.Refusal.UNAVAILABLE, refusal.reason, refusal.retry_after_s
+            )
+            return f"refused: {refusal.reason}"
+        outcome = await self._create_job(exchange, state, items, deadline)
+        self._record_duration(exchange, route, 0)
+        return outcome
 
     def _is_store_up_elsewhere(self) -> bool:
         """Return whether the store is available to most of the reachable hosts."""
@@ -264,7 +291,10 @@
         """
         may_exist = False
         reason = "deadline"
-        with trio.move_on_after(max(0.0, deadline - self.clock.monotonic())):
+        with (
+            trio.move_on_after(max(0.0, deadline - self.clock.monotonic())),
+            self.shutdown.answer_in_time(exchange) as stop_scope,
+        ):
             while True:
                 may_have_existed, may_exist = may_exist, True
                 try:
@@ -281,6 +311,12 @@
                 if not may_exist and elapsed_s > MAX_SUBMIT_RETRY_S:
                     break
                 await trio.sleep(STORE_RETRY_S)
+        if stop_scope.cancelled_caught:
+            self.shutdown.outcomes["ended"] += 1
+            reason = shutdown.REASON
+        if exchange.started:
+            exchange.abort()
+            return f"broken off: {reason}"
         if may_exist:
             await exchange.refuse(forwarder.Refusal.DEADLINE, "store did not answer")
             return f"unknown: {reason}"
@@ -310,15 +346,25 @@
         time_left_s = (request.timeout_s or JOB_REQUEST_TIMEOUT_S) - RESPONSE_MARGIN_S
         reason = "deadline"
         deadline = exchange.received_at + time_left_s
-        with trio.move_on_after(max(0.0, deadline - self.clock.monotonic())):
+        with (
+            trio.move_on_after(max(0.0, deadline - self.clock.monotonic())),
+            self.shutdown.answer_in_time(exchange) as stop_scope,
+        ):
             try:
                 return await self._dispatch_job_request(
                     exchange, batch_request, team, deadline
                 )
             except rows.UnavailableError as error:
                 reason = str(error)
+        if exchange.started:
+            exchange.abort()
+            return f"broken off: {reason}"
+        retry_after_s = STORE_RETRY_AFTER_S
+        if stop_scope.cancelled_caught:
+            self.shutdown.outcomes["ended"] += 1
+            reason, retry_after_s = shutdown.REASON, self.shutdown.retry_after_s()
         await exchange.refuse(
-            forwarder.Refusal.UNAVAILABLE, "job cannot be read now", STORE_RETRY_AFTER_S
+            forwarder.Refusal.UNAVAILABLE, "job cannot be read now", retry_after_s
         )
         return f"store not reached: {reason}"
 
@@ -368,12 +414,15 @@
     ) -> str:
         now = self.clock.monotonic()
         poll_until = min(now + batch_request.wait_s, deadline - 3 * RESPONSE_MARGIN_S)
-        while versioned.state.listed <= batch_request.after and versioned.state.open:
-            time_left_s = poll_until - self.clock.monotonic()
-            if time_left_s <= 0:
-                break
-            await self.state_watch.wait_for_change(time_left_s)
-            versioned = self.job_states.by_id.get(batch_request.job, versioned)
+        with self.shutdown.poll():
+            while (
+                versioned.state.listed <= batch_request.after and versioned.state.open
+            ):
+                time_left_s = poll_until - self.clock.monotonic()
+                if time_left_s <= 0:
+                    break
+                await self.state_watch.wait_for_change(time_left_s)
+                versioned = self.job_states.by_id.get(batch_request.job, versioned)
         if (
             versioned.state.listed <= batch_request.after
             and self.state_watch.interval_s() > MAX_READ_INTERVAL_S
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -34,6 +34,7 @@
     quota,
     registry,
     settings,
+    shutdown,
     store_health,
     sweep,
     table_copies,
@@ -63,8 +64,7 @@
 # Between checks for expired entries, stale tables and orphaned jobs.
 MAINTENANCE_INTERVAL_S = 0.25
 MAX_BASELINE_REQUESTS = 64  # per digest; about 1 kB
-# Part of the grace period that is reserved for the final store writes.
-FINAL_WRITES_S = 1.2
+FINAL_WRITE_S = 0.6  # for the last store write of a stop
 # Of a starting host's first write of its row, if the others' rows cannot be read.
 MAX_ROW_DELAY_S = 1.0
 ROW_POLL_S = 0.02
@@ -214,6 +214,8 @@
         self.availability.on_limit_change = self.disseminator.send_full_digest
         self.prompts.on_quarantine = lambda: self.row_changed.set()
 
+        self.shutdown = shutdown.Shutdown(self.hosts, clock, trace, self.rng)
+
     def _configure_prompts(self) -> None:
         prompts = self.settings.prompts
         self.prompts.configure(prompts.exempt, prompts.quarantined)
@@ -287,6 +289,7 @@
             admission=self.admission,
             timers=self.sweep,
             prompts=self.prompts,
+            shutdown=self.shutdown,
             failover_budget=failover.FailoverBudget()
             if self._enables(
                 config.scheduling.switch_late, mechanisms.Mechanism.FAILOVER
@@ -308,6 +311,7 @@
             latencies=self.latencies,
             config_age_s=self.configuration_watch.age_s,
             rng=self.rng,
+            shutdown=self.shutdown,
         )
 
     def _enables(self, setting: bool, mechanism: mechanisms.Mechanism) -> bool:
@@ -687,30 +691,43 @@
     async def _drain(self) -> None:
         """Drain in order: readiness, batch jobs, then open requests and connections."""
         stop = self.settings.stop
-        started_at = self.clock.monotonic()
         self.stopping = True
+        self.shutdown.begin(stop.grace_s)
+        deadlines = self.shutdown.deadlines
+        unready_until = self.clock.monotonic() + stop.unready_s
         self.trace.emit(
             "stopping",
             busy=self.callers.active_requests,
             open=self.callers.open_connections,
+            answer_in_s=round(deadlines.answer_by - self.clock.monotonic(), 3),
         )
         self.callers.start_draining()
-        deadline = started_at + stop.grace_s - FINAL_WRITES_S
-        with trio.move_on_at(deadline):
-            await self.worker.release_jobs()
-        with trio.move_on_at(max(started_at + stop.unready_s, trio.current_time())):
-            await trio.sleep_forever()
-        # Refuse new connections unread, so that callers can try another host at once.
-        self.callers.stop_accepting()
-        with trio.move_on_at(deadline):
-            while self.callers.active_requests or self.callers.open_connections:
-                self.callers.close_idle()
-                await trio.sleep(DRAIN_POLL_S)
-        with trio.move_on_after(FINAL_WRITES_S / 2):
-            await self._deregister()
+        with trio.move_on_at(deadlines.ends_at):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.worker.release_jobs)
+                with trio.move_on_at(min(unready_until, deadlines.answer_by)):
+                    await trio.sleep_forever()
+                # Refuse new connections unread, so that callers can try another host
+                # at once.
+                self.callers.stop_accepting()
+                with trio.move_on_at(deadlines.answer_by):
+                    await self._close_idle_callers()
+                self.shutdown.end_unanswered()
+                self.callers.refuse_unread()
+                nursery.start_soon(self._deregister)
+                await self._close_idle_callers()
+
+    async def _close_idle_callers(self) -> None:
+        """Close callers' connections as they become idle, until none is open."""
+        while self.callers.active_requests or self.callers.open_connections:
+            self.callers.close_idle()
+            await trio.sleep(DRAIN_POLL_S)
 
     async def _deregister(self) -> None:
         address = rows.Address(gossip.TABLE, "", self.settings.host_id)
-        with contextlib.suppress(rows.UnavailableError):
+        with (
+            trio.move_on_after(FINAL_WRITE_S),
+            contextlib.suppress(rows.UnavailableError),
+        ):
             # Without this the other hosts ignore the row only once it has expired.
             await self.store.transact({}, {address: None})
--- a/turmerictally/entry/http_server.py
+++ b/turmerictally/entry/http_server.py
@@ -10,7 +10,7 @@
 import trio
 
 from turmerictally import clock as clocks
-from turmerictally.entry import forwarder, http1, messages, model, network
+from turmerictally.entry import forwarder, http1, messages, model, network, shutdown
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import memory_budget
 
@@ -25,6 +25,7 @@
 MAX_REQUEST_LINE_BYTES = 1024  # in addition to the limit of the headers
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MEMORY_RETRY_AFTER_S = 0.3  # about half of a request's typical service time
+STOP_RETRY_AFTER_S = 0.1  # for callers whose request was not read before a stop
 MAX_PIPELINED_READS = 4  # of bytes that follow a request still being handled
 
 
@@ -191,6 +192,8 @@
     open_connections: int = 0
     active_requests: int = 0
     idle_scopes: set[trio.CancelScope] = attrs.Factory(set)
+    reading_scopes: set[trio.CancelScope] = attrs.Factory(set)
+    refusing_unread: bool = False
 
     async def run(
         self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
@@ -222,8 +225,10 @@
             nursery.start_soon(self._serve, stream)
 
     def start_draining(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the next response that begins."""
         self.draining = True
+        for exchange in self.exchanges:
+            exchange.close_after = exchange.close_after or not exchange.started
 
     def stop_accepting(self) -> None:
         """Refuse new connections."""
@@ -234,6 +239,12 @@
         for scope in list(self.idle_scopes):
             scope.cancel()
 
+    def refuse_unread(self) -> None:
+        """Refuse requests that have not arrived whole, from now on."""
+        self.refusing_unread = True
+        for scope in list(self.reading_scopes):
+            scope.cancel()
+
     def close_stalled(self) -> None:
         """Close the connections of callers that stopped reading their responses."""
         now = trio.current_time()
@@ -264,12 +275,12 @@
         except Exception:
             logger.exception("Unexpected error on a connection.")
         finally:
-            self.open_connections -= 1
             try:
                 if linger:
                     await _linger(stream)
             finally:
                 stream.close()
+                self.open_connections -= 1
 
     async def _serve_requests(self, stream: network.Stream) -> bool:
         """Serve consecutive requests; return whether to linger before closing."""
@@ -341,12 +352,18 @@
         with trio.move_on_after(limits.header_timeout_s) as read_scope:
             if data:
                 reader.feed(data)
-            request = await self._read_head(stream, reader)
-            read_scope.deadline = trio.current_time() + limits.idle_timeout_s
-            max_bytes = limits.max_body_bytes
-            body = await self._read_body(
-                stream, reader, request, max_bytes, reservation
-            )
+            self.reading_scopes.add(read_scope)
+            if self.refusing_unread:
+                read_scope.cancel()
+            try:
+                request = await self._read_head(stream, reader)
+                read_scope.deadline = trio.current_time() + limits.idle_timeout_s
+                max_bytes = limits.max_body_bytes
+                body = await self._read_body(
+                    stream, reader, request, max_bytes, reservation
+                )
+            finally:
+                self.reading_scopes.discard(read_scope)
             return Exchange(
                 method=request.method,
                 target=request.target,
@@ -359,6 +376,10 @@
                 version=request.version,
                 reservation=reservation,
             )
+        if self.refusing_unread:
+            raise InvalidRequestError(
+                forwarder.Refusal.UNAVAILABLE, shutdown.REASON, STOP_RETRY_AFTER_S
+            )
         raise InvalidRequestError(forwarder.Refusal.TIMEOUT, "request not read in time")
 
     async def _read_head(
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -99,6 +99,7 @@
             "Reset in the middle of an exchange.",
             served.pool.abandoned,
         ),
+        _stopping(served),
         *_evacuated(served),
         *_cold(served),
         *_limited(served),
@@ -124,6 +125,17 @@
     return [crashes, refused]
 
 
+def _stopping(served: "host.Host") -> prometheus_client.core.Metric:
+    requests = prometheus_client.core.CounterMetricFamily(
+        f"{exposition.PREFIX}_stop_requests",
+        "Decisions on requests during a planned stop.",
+        labels=["outcome"],
+    )
+    for outcome, count in served.shutdown.outcomes.items():
+        requests.add_metric([outcome], count)
+    return requests
+
+
 def _evacuated(served: "host.Host") -> list[prometheus_client.core.Metric]:
     def family(name: str, text: str) -> prometheus_client.core.Metric:
         return prometheus_client.core.GaugeMetricFamily(
--- a/turmerictally/standins/fabric.py
+++ b/turmerictally/standins/fabric.py
@@ -273,6 +273,12 @@
         """Return whether nothing passes from one address to another."""
         return (_ip(local), _ip(remote)) in self.cuts
 
+    def close_all(self, ip: str) -> None:
+        """Close every connection of one host, as the end of its process does."""
+        for stream in list(self.streams):
+            if _ip(stream.local) == ip:
+                stream.close()
+
     def reset_all(self, ip: str) -> None:
         """Break every connection of one host."""
         for stream in list(self.streams):
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -25,6 +25,7 @@
     Examples:
       | what              |
       | the caller's time |
+      | the host's grace  |
 
   Scenario: A submission that the store refused is refused as not run
     When the store refuses a submission
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -2,12 +2,15 @@
 
 import collections
 
+import attrs
 import behave
 import trio
 
-from turmerictally.entry import jobs
+from turmerictally.entry import jobs, settings
 from turmerictally.tests.support import users_platform
 
+SHORT_STOP = settings.Stop(1.0, 0.1)
+
 
 def play(context, main, **given):
     context.world = users_platform.play(main, **given)
@@ -171,9 +174,20 @@
         job_store.store = LateResponses(job_store.store)
         body, context.ids = users_platform.lot(world, 6, name="j1-")
         own = users_platform.Caller(world)
-        context.reply = await own.ask(
-            "/night/x", body=body, request_id="j1", **{"X-Deadline-Ms": "500"}
-        )
+        deadline_ms = "500" if "time" in what else "5000"
+
+        async def ask():
+            context.reply = await own.ask(
+                "/night/x", body=body, request_id="j1", **{"X-Deadline-Ms": deadline_ms}
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            if "grace" in what:
+                host = world.hosts[0]
+                host.settings = attrs.evolve(host.settings, stop=SHORT_STOP)
+                host.stop()
         context.results = await read_all(world, 1, "j1", len(context.ids))
 
     play(context, main)
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -78,6 +78,7 @@
         self.freed = trio.Event()
         self.runs = []
         self.events = EVENTS
+        self.sized = False  # how long answers take is what requests announce
         self.break_after = None  # events until each stream is cut
         self.lose_answers = 0  # how many next requests run without an answer
         self.extra_answer = False  # an answer to no request comes first
@@ -295,6 +296,12 @@
             )
         if self.plain:
             return await self.answer_plain(stream, parser, run)
+        events = self.events
+        if self.sized:
+            events = int(run.headers["x-token-usage"].partition(",")[2])
+            if run.target.startswith(("/once/", "/look/")):
+                await trio.sleep(events * EVENT_S)
+                return await self.answer_whole(stream, parser, run)
         if self.status != 200:
             named = [*self.named(run), ("Content-Length", "4")]
             data = parser.send(h11.Response(status_code=self.status, headers=named))
@@ -323,7 +330,7 @@
         head = parser.send(h11.Response(status_code=200, headers=named))
         lost = self.lose_answers > 0
         self.lose_answers -= lost
-        for number in range(first, self.events + 1):
+        for number in range(first, events + 1):
             await trio.sleep(EVENT_S * self.world.slowness.get(self.name, 1.0))
             event = f"id: {number}\ndata: {run.request}.{number}\n\n".encode()
             if self.break_after is not None and number - first >= self.break_after:
@@ -344,6 +351,14 @@
         await stream.send_all(head + parser.send(h11.EndOfMessage()) + self.trailing)
         return not self.closes
 
+    async def answer_whole(self, stream, parser, run):
+        named = [*self.named(run), ("Content-Length", "5")]
+        data = parser.send(h11.Response(status_code=200, headers=named))
+        data += parser.send(h11.Data(data=b"whole"))
+        run.ended = "done"
+        await stream.send_all(data + parser.send(h11.EndOfMessage()))
+        return True
+
     async def answer_plain(self, stream, parser, run):
         body = b"fail" if "error" in self.plain else b"plain body"
         status = 500 if "error" in self.plain else 200
@@ -372,6 +387,7 @@
     def __init__(self, *given, **more):
         super().__init__(*given, **more)
         self.lines = []
+        self.ended = trio.Event()
         self.trace.emit = self.note
 
     def note(self, event, request_id="", **fields):
@@ -499,6 +515,8 @@
     async def run_host(self, n, served):
         with self.scopes[n]:
             await served.run()
+            self.fabric.close_all(f"10.1.0.{n}")
+        served.ended.set()
 
     async def until_ready(self, seconds=10.0):
         with trio.fail_after(seconds):
