--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -3,13 +3,16 @@
 import collections
 from unittest import mock
 
+import attrs
 import behave
 import trio
 
-from turmerictally.entry import item_runner, jobs, worker
+from turmerictally.entry import item_runner, jobs, settings, worker
 from turmerictally.scheduling import placement
 from turmerictally.tests.support import users_platform
 
+SHORT_STOP = settings.Stop(1.0, 0.1)
+
 
 def play(context, main, **given):
     context.world = users_platform.play(main, **given)
@@ -166,6 +169,38 @@
     assert context.counts == dict.fromkeys(context.ids, 1)
 
 
+@behave.when("{what} ends while the store has applied the write of a job, unanswered")
+def ends_during_write(context, what):
+    async def main(world):
+        job_store = world.hosts[0].jobs
+        job_store.store = LateResponses(job_store.store)
+        body, context.ids = users_platform.lot(world, 6, name="j1-")
+        own = users_platform.Caller(world)
+        deadline_ms = "500" if "time" in what else "5000"
+
+        async def ask():
+            context.reply = await own.ask(
+                "/night/x", body=body, request_id="j1", **{"X-Deadline-Ms": deadline_ms}
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            if "grace" in what:
+                host = world.hosts[0]
+                host.settings = attrs.evolve(host.settings, stop=SHORT_STOP)
+                host.stop()
+        context.results = await read_all(world, 1, "j1", len(context.ids))
+
+    play(context, main)
+
+
+@behave.then("the response is 504 and the job runs")
+def unknown_outcome(context):
+    assert context.reply.status == 504, context.reply.status
+    assert {run.request for run in context.world.runs} == set(context.ids)
+
+
 @behave.when("the store refuses a submission")
 def refused_submission(context):
     async def main(world):
