Report every malformed settings file as a fault of the settings

What callers saw: a host that got SIGHUP ended when its settings file was malformed in certain ways, instead of going on with the settings that it had.

Cause: reading a file raises SettingsError for the faults that were thought of. Deep nesting (RecursionError, from msgspec and from PyYAML), dates that do not exist and numbers of 5,000 digits (ValueError), numbers beyond a float (OverflowError), entries of lists (msgspec.ValidationError) and ports of other digits (ValueError) came through, and reload expects SettingsError only. A host's id could hold characters that its digests cannot encode.

Fix: each of these is a fault with its place; texts must be printable, the id and the domain up to 255 characters.

--- a/turmerictally/checks.py
+++ b/turmerictally/checks.py
@@ -1,9 +1,12 @@
 """Check the values of settings whose keys and types are right."""
 
 import ipaddress
+import re
 
 import attrs
 
+_PORT = re.compile(r"[0-9]{1,5}")
+
 
 @attrs.frozen
 class Fault:
@@ -102,6 +105,6 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return expected
-    if not separator or not port.isdigit() or int(port) > 65535:
+    if not separator or not _PORT.fullmatch(port) or int(port) > 65535:
         return expected
     return None
--- a/turmerictally/entry/settings.py
+++ b/turmerictally/entry/settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from turmerictally import checks, settings
+from turmerictally.entry import decoding
 from turmerictally.scheduling import mechanisms
 
 STORE_SCHEME = "http://"  # the row store doesn't support TLS
@@ -172,6 +173,10 @@
         fault = checks.check_address(merged["listen"][name])
         if fault:
             faults.append(checks.Fault(f"listen.{name}", fault))
+    for name in ("host_id", "failure_domain"):
+        if len(merged[name]) > decoding.MAX_NAME_LENGTH:
+            fault = f"expected up to {decoding.MAX_NAME_LENGTH} characters"
+            faults.append(checks.Fault(name, fault))
     for name in merged["scheduling"]["disabled"]:
         if name not in mechanisms.NAMES:
             listed = ", ".join(mechanisms.NAMES)
--- a/turmerictally/settings.py
+++ b/turmerictally/settings.py
@@ -14,6 +14,7 @@
 from turmerictally import checks
 
 REQUIRED = None  # default of a key that must be given
+MAX_INTEGER = 2**53 - 1  # that stands for a number
 
 DEFAULTS: dict[str, typing.Any] = {
     "host_id": REQUIRED,
@@ -374,12 +375,13 @@
     """Return what JSON or YAML says."""
     try:
         return msgspec.json.decode(text)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         # Loaded for files that are not JSON only: it takes a twentieth of a start.
         import yaml
     try:
         return yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        # Dates and numbers that do not exist raise ValueError.
         raise SettingsError(
             [checks.Fault(path, f"expected YAML: {_one_line(error)}")]
         ) from error
@@ -400,7 +402,10 @@
         faults.extend(check(merged))
     if faults:
         raise SettingsError(sorted(faults, key=lambda fault: fault.path))
-    return msgspec.convert(merged, shape)
+    try:
+        return msgspec.convert(merged, shape)
+    except msgspec.ValidationError as error:
+        raise SettingsError([checks.Fault("(types)", _one_line(error))]) from error
 
 
 def _merge(
@@ -429,9 +434,13 @@
             return default
         return _merge(default, value, f"{path}.", faults)
     expected = str if default is REQUIRED else type(default)
-    if expected is float and type(value) is int:
+    if expected is float and type(value) is int and abs(value) <= MAX_INTEGER:
         return float(value)
-    if type(value) is not expected or (default is REQUIRED and not value):
+    if (
+        type(value) is not expected
+        or (default is REQUIRED and not value)
+        or (expected is str and not value.isprintable())
+    ):
         names = {str: "a non-empty text" if default is REQUIRED else "a text"}
         names |= {int: "a whole number", float: "a number", bool: "true or false"}
         names |= {dict: "a mapping", list: "a list"}
--- a/turmerictally/tests/features/settings.feature
+++ b/turmerictally/tests/features/settings.feature
@@ -49,3 +49,8 @@
 
   Scenario: Every error kind has an answer
     Then each kind has a row in the table and in docs/callers.md
+
+  # Guards against a malformed file that ends a host which reads its settings again.
+  Scenario: Malformed settings files are reported like other faults
+    When each malformed settings file of an entry host is read
+    Then each one is reported with its faults
--- a/turmerictally/tests/features/steps/settings_steps.py
+++ b/turmerictally/tests/features/steps/settings_steps.py
@@ -10,7 +10,10 @@
 
 from turmerictally import errors, settings
 from turmerictally.entry import settings as entry_settings
+from turmerictally.tests.support import malformed
 
+# Numbers of seconds that are large, but no fault.
+ALLOWED = ("1.5", "1" + "0" * 18, "1" + "0" * 30)
 DOCS = pathlib.Path(__file__).parents[4] / "docs"
 
 MINIMAL = {
@@ -140,3 +143,57 @@
         answer = errors.ANSWERS[kind]
         row = f"| `{kind.value}` | {answer.status} | {answer.ran.value} |"
         assert row in page, row
+
+
+def malformed_files():
+    address = "127.0.0.1:1"
+    names = ("callers", "health", "peers", "metrics")
+    given = {
+        "host_id": "h",
+        "failure_domain": "a",
+        "listen": dict.fromkeys(names, address),
+        "store": {"url": f"http://{address}"},
+        "stop": {"grace_s": 8.0},
+        "prompts": {"exempt": ["a"]},
+    }
+    assert settings.build(
+        given, entry_settings.DEFAULTS, entry_settings.Settings, entry_settings.check
+    )
+    yield from (malformed.NESTED, f"a: {malformed.NESTED}", "- " * 100_000, "{[1]: 2}")
+    yield from (
+        "a: 2026-99-99",
+        "a: \0",
+        "{1: 2}",
+        "!!python/object:os.system x",
+        "\xff",
+    )
+    fields = {
+        ("host_id",): malformed.TEXTS,
+        ("listen", "peers"): [f'"127.0.0.1:{port}"' for port in ("\u00b2", "\u0668")],
+        ("stop", "grace_s"): [n for n in malformed.NUMBERS if n not in ALLOWED],
+        ("prompts", "exempt"): ("7", "[1]", "[[]]", malformed.NESTED),
+    }
+    for path, values in fields.items():
+        for value in values:
+            yield malformed.encode(given, path, value).decode()
+
+
+@behave.when("each malformed settings file of an entry host is read")
+def read_malformed(context):
+    context.unreported = []
+    for text in malformed_files():
+        with tempfile.NamedTemporaryFile("w", errors="surrogatepass") as file:
+            file.write(text)
+            file.flush()
+            try:
+                entry_settings.load(file.name)
+                context.unreported.append((text[:80], "taken"))
+            except settings.SettingsError as error:
+                assert error.faults
+            except Exception as error:
+                context.unreported.append((text[:80], f"{error!r:.80}"))
+
+
+@behave.then("each one is reported with its faults")
+def all_reported(context):
+    assert not context.unreported, context.unreported
