--- a/turmerictally/entry/decoding.py
+++ b/turmerictally/entry/decoding.py
@@ -174,7 +174,7 @@
         try:
             return check(value, *limits)
         except DecodeError as error:
-            raise DecodeError(f"{field}: {error}") from error
+            raise DecodeError(f"{loggable(field)}: {error}") from error
 
     def text(self, field: str, default: str = REQUIRED) -> str:
         """Return a text, which may be empty."""
