Fuzz what hosts read of each other

Digests, datagrams, rows of hosts, states and items of jobs, with one value replaced by arbitrary JSON, integers of 64 bits, floats or the shapes of support/malformed.py: each is read or refused with DecodeError, and a digest that is read can be applied and encoded again.

--- a/turmerictally/tests/features/fuzz.feature
+++ b/turmerictally/tests/features/fuzz.feature
@@ -22,3 +22,6 @@
     Then HTTP messages are refused if a strict parser refuses them, else parsed alike
     And malformed HTTP messages are refused
     And valid HTTP messages are parsed however their bytes are split
+
+  Scenario: What hosts read of each other
+    Then digests, rows of hosts, states and items of jobs are read or refused
--- a/turmerictally/tests/features/steps/fuzz_steps.py
+++ b/turmerictally/tests/features/steps/fuzz_steps.py
@@ -8,14 +8,17 @@
 import h11
 import httpx
 import hypothesis
+import msgspec
 import trio
 from hypothesis import strategies
 
 from turmerictally import clock, settings
-from turmerictally.entry import http1
+from turmerictally.entry import decoding, dissemination, gossip, http1, jobs, trace
 from turmerictally.online import events, headers, messages
+from turmerictally.platform import jobs as platform_jobs
 from turmerictally.routing import engines
-from turmerictally.store import client, hosts, table, weights
+from turmerictally.store import client, hosts, rows, table, weights
+from turmerictally.tests.support import malformed
 
 EXAMPLES = 150
 FIELDS = (
@@ -396,3 +399,90 @@
         CUTS,
         strategies.sampled_from((b"", b"\r\n", b"G", b"0\r\n\r\n")),
     )(check)
+
+
+class StoppedClock:
+    def monotonic(self):
+        return 0.0
+
+
+HOST_ROW = {
+    "instance": "i",
+    "address": "10.1.0.9:82",
+    "renewals": 1,
+    "quota_levels": {"a": 1.0},
+    "quarantined_parts": {"p": [0, {"s0/1": 1.0}]},
+}
+JOB_STATE = {
+    **dict.fromkeys(("team", "route", "hostname", "path", "owner", "instance"), "a"),
+    **dict.fromkeys(("total", "listed", "tokens", "pieces"), 1),
+    **dict.fromkeys(("created_s", "completion_s", "retention_s"), 60.0),
+    "job": "j",
+}
+ITEM = {"id": "i", "path": "/a", "headers": {"X": "y"}, "body": "", "tokenCount": 1}
+
+
+@behave.then("digests, rows of hosts, states and items of jobs are read or refused")
+def peers_read(context):
+    counts = collections.Counter()
+    values = JSON.map(json.dumps) | strategies.sampled_from(malformed.VALUES)
+    digest_fields = [
+        *("h", "i", "10.1.0.9:82", 1, {"s": 1}, {"s": 1}, 1, {"t": 1}, {"t": 1}),
+        *({"servers": [1, 1.0]}, 1.0, ["s"], "a", {"s": [1, 1]}, True, True, ["h"]),
+        *(False, {"s": 1}, {"s": 1}, {"a": 1}, {"s": [1.0, 1.0, 1.0]}, 1, {}, [1]),
+        *({"s": [1]}, {"p": [0, 1.0, {"s/1": 1.0}]}, {"s": [1.0, 1.0, 1]}),
+    ]
+    hosts_seen = gossip.HostDirectory("h0", "i0", StoppedClock(), trace.Trace("h0"))
+
+    def read(reader, data):
+        try:
+            found = reader(data)
+        except decoding.DecodeError:
+            counts["refused"] += 1
+            return None
+        counts["read"] += 1
+        return found
+
+    def read_state(data):
+        return jobs.read_state(rows.Row(rows.Address("jobs", "0", "j"), data, 1))
+
+    def change(document, value, at):
+        path = (sorted(document)[at % len(document)],)
+        return malformed.encode(document, path, value)
+
+    @fuzz(values, strategies.integers(0, 200), strategies.binary(max_size=30))
+    def check(value, at, raw):
+        hosts_seen.update([rows.Row(rows.Address("hosts", "", "h"), raw, 1)])
+        row = change(HOST_ROW, value, at)
+        hosts_seen.update([rows.Row(rows.Address("hosts", "", "h"), row, 2)])
+        for data in (raw, change(JOB_STATE, value, at)):
+            read(read_state, data)
+        body = b'{"items":[' + change(ITEM, value, at) + b"]}"
+        for data in (raw, body):
+            read(platform_jobs.read_items, data)
+        read(dissemination.decode, raw)
+        read(gossip.decode, raw)
+
+    @fuzz(
+        JSON | strategies.integers(-(2**63), 2**64 - 1) | strategies.floats(),
+        strategies.integers(0, len(digest_fields) - 1),
+        examples=4 * EXAMPLES,
+    )
+    def check_digest(value, at):
+        fields = list(digest_fields)
+        fields[at] = value
+        try:
+            data = msgspec.msgpack.encode(fields)
+        except (OverflowError, UnicodeEncodeError):
+            # The wire format has no such value.
+            return
+        digest = read(gossip.decode, data)
+        if digest is not None:
+            hosts_seen.peers.clear()
+            assert digest.host == hosts_seen.host_id or hosts_seen.receive(digest)
+            assert digest.encode()
+
+    assert gossip.decode(msgspec.msgpack.encode(digest_fields))
+    assert read_state(malformed.encode(JOB_STATE))
+    assert platform_jobs.read_items(malformed.encode({"items": [ITEM]}))
+    assert counts["read"] and counts["refused"], counts
