--- a/turmerictally/entry/decoding.py
+++ b/turmerictally/entry/decoding.py
@@ -112,13 +112,15 @@
     return value
 
 
-def check_number(value: typing.Any, minimum: float = 0.0) -> float:
-    """Return a number from a minimum to ``MAX_NUMBER``."""
+def check_number(
+    value: typing.Any, minimum: float = 0.0, maximum: float = MAX_NUMBER
+) -> float:
+    """Return a finite number in a range."""
     if type(value) not in (int, float):
         raise DecodeError(f"expected a number, got {type(value).__name__}")
     # The comparison excludes NaN, and converts no integer that is too large.
-    if not minimum <= value <= MAX_NUMBER:
-        raise DecodeError(f"expected a number from {minimum:g} to {MAX_NUMBER:g}")
+    if not minimum <= value <= maximum:
+        raise DecodeError(f"expected a number from {minimum:g} to {maximum:g}")
     return float(value)
 
 
--- a/turmerictally/platform/configuration.py
+++ b/turmerictally/platform/configuration.py
@@ -1,6 +1,7 @@
 """Decode the operator's configuration and the servers' registrations."""
 
 import logging
+import sys
 import typing
 
 from turmerictally.entry import decoding, model
@@ -136,7 +137,8 @@
 def _cold_s(milliseconds: typing.Any) -> float | None:
     """Return the seconds, or None if the value is not a duration."""
     try:
-        return decoding.check_number(milliseconds) / 1000
+        # A time that is too long counts as the longest one.
+        return decoding.check_number(milliseconds, 0.0, sys.float_info.max) / 1000
     except decoding.DecodeError:
         return None
 
