Log a request that is taken during a stop once

The check after a wait for a slot wrote a second line, and counted the request twice in turmerictally_stop_requests_total. Refusals are logged at both.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -226,7 +226,7 @@
             pending.refusal, pending.reason = admitted, admitted.reason
             return None
         # A part may have been quarantined, or a stop begun, while the request waited.
-        if self._ends_too_late(pending) or self._is_quarantined(pending):
+        if self._ends_too_late(pending, again=True) or self._is_quarantined(pending):
             return None
         return self._choose_server(pending, admitted)
 
@@ -239,13 +239,17 @@
         pending.refusal, pending.reason = refusal, refusal.reason
         return True
 
-    def _ends_too_late(self, pending: PendingRequest) -> bool:
+    def _ends_too_late(self, pending: PendingRequest, *, again: bool = False) -> bool:
         """Return whether this host stops before the request would end, and note it."""
         if pending.response.started:
             # Without another attempt it would be cut off now.
             return False
         refusal = self.shutdown.check(
-            pending.request.request_id, pending.route, pending.size, pending.deadline
+            pending.request.request_id,
+            pending.route,
+            pending.size,
+            pending.deadline,
+            again=again,
         )
         if refusal is None:
             return False
--- a/turmerictally/entry/shutdown.py
+++ b/turmerictally/entry/shutdown.py
@@ -85,11 +85,18 @@
                 del self.unanswered[scope]
 
     def check(
-        self, request_id: str, route: model.Route, size: int, deadline: float
+        self,
+        request_id: str,
+        route: model.Route,
+        size: int,
+        deadline: float,
+        *,
+        again: bool = False,
     ) -> drain.Refusal | None:
         """Return why a request can't be taken any more, None if it can.
 
-        ``deadline`` is the request's own, in monotonic seconds.
+        ``deadline`` is the request's own, in monotonic seconds. A check made ``again``,
+        after a wait, logs only refusals.
         """
         if not self.begun:
             return None
@@ -105,7 +112,8 @@
             route.name, size, certainty, max(0.0, deadline - now)
         )
         if drain.fits(left_s, expected_s):
-            self._log(request_id, left_s, expected_s, certainty, "taken")
+            if not again:
+                self._log(request_id, left_s, expected_s, certainty, "taken")
             return None
         self._log(request_id, left_s, expected_s, certainty, "refused")
         return drain.Refusal(
