Count crashes in close succession from the first, not from the one before

Cause: crashes within 50 ms of the previous one counted once, so that a chain of any length was a single crash, and a request that comes often enough might never be quarantined.

Evidence: four servers that crash 40 ms apart were one crash to one of three hosts, which sent the request on ({'h0': ['x'], 'h1': ['x'], 'h2': []}).

A group ends 50 ms after its first crash now. The row passes on all hosts.

--- a/turmerictally/scheduling/request_quarantine.py
+++ b/turmerictally/scheduling/request_quarantine.py
@@ -312,16 +312,15 @@
         """Return the crashes that count, in order, coincident ones once."""
         clears_until = evidence.completed_at + prompt_quarantine.CLEARS_LATER_CRASHES_S
         counted: list[Crash] = []
-        previous_at = float("-inf")
         for server in sorted(evidence.crashes, key=_order(evidence)):
             crash = evidence.crashes[server]
             if crash.at <= clears_until or self.answers.refutes(server, crash.at):
                 continue
-            if crash.at - previous_at > prompt_quarantine.COINCIDENT_S:
+            first = counted[-1] if counted else Crash(float("-inf"), strong=False)
+            if crash.at - first.at > prompt_quarantine.COINCIDENT_S:
                 counted.append(crash)
             elif crash.strong:
-                counted[-1] = crash
-            previous_at = crash.at
+                counted[-1] = Crash(first.at, strong=True)
         return counted
 
     def _add_crash(self, evidence: Evidence, server: str, crash: Crash) -> None:
--- a/turmerictally/tests/features/scheduling_requests.feature
+++ b/turmerictally/tests/features/scheduling_requests.feature
@@ -14,6 +14,7 @@
       | two servers crash as they begin x, while y writes events there        | x         |
       | three servers crash while x writes events there                       | x         |
       | four servers at one moment crash as they begin x, which holds aa,bb   | nothing   |
+      | four servers 40 ms apart crash as they begin x, which holds aa,bb     | x         |
       | two servers crash as they begin x, which another host has just served | nothing   |
       | two servers crash as they begin x, two more as they begin y, with aa  | x,y,aa    |
       | three servers crash as they begin x, y and z, with aa                 | aa        |
--- a/turmerictally/tests/features/steps/scheduling_requests_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_requests_steps.py
@@ -86,8 +86,9 @@
         under += ["y", "y"]
     if "just served" in rest:
         fleet.serve("h2", "x")
+    apart_s = {"at one moment": 0.002, "40 ms apart": 0.04}
     for number, identity in enumerate(under):
-        fleet.now += 0.002 if "one moment" in servers else APART_S
+        fleet.now += apart_s.get(servers.partition(" servers ")[2], APART_S)
         parts = ("aa", identity) if "with aa" in rest else ("aa", "bb")
         server = fleet.crash(NAMES[number % 2], identity, parts)
         if "y writes" in rest:
