--- a/turmerictally/bench/path.py
+++ b/turmerictally/bench/path.py
@@ -31,6 +31,7 @@
     prompt_guard,
     registry,
     request_guard,
+    shutdown,
     store_health,
     sweep,
 )
@@ -152,6 +153,7 @@
         timers=deadlines,
         prompts=prompt_guard.PromptGuard(hosts, clock, trace),
         requests=request_guard.RequestGuard(hosts, clock, trace),
+        shutdown=shutdown.Shutdown(hosts, clock, trace, random.Random(0)),
     )
 
     async def handle(exchange: http_server.Exchange) -> None:
--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -21,11 +21,13 @@
     pool,
     prompt_guard,
     request_guard,
+    shutdown,
     sse,
     sweep,
 )
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import (
+    drain,
     failover,
     fair_shares,
     mechanisms,
@@ -43,12 +45,18 @@
 # Least time without an event before a resumable stream fails over: callers disconnect
 # after two seconds, so the next server gets half of that.
 MIN_SILENCE_S = 0.9
+# Between checks whether another server can take over from a silent one.
+SILENCE_CHECK_S = 0.1
+# Between checks for a server that can continue a started stream.
+RESUME_CHECK_S = 0.1
 FIRST_EVENT_OBJECTIVES = 2.5  # silence before the first event, in latency objectives
 EVENT_GAP_OBJECTIVES = 3.0  # silence between two events, in longest on-time gaps
 # Events that arrive in quicker succession are sent together: each send costs a third of
 # a millisecond of processor time, and a reader doesn't notice such a gap.
 COALESCE_S = 0.008
 MAX_SENDS = 4  # of one request, including to servers that state not to have run it
+# Pause before each further send of a started stream, until its caller leaves.
+RESEND_PAUSE_S = 0.3
 MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024  # of a response that is not a stream
 MAX_SKIPPED_RESPONSES = 4  # to other requests, before the connection counts as broken
 # Range of retry delays of refused callers: about half of a request's typical service
@@ -120,9 +128,11 @@
     ``deadline`` is monotonic seconds. ``tried`` names the instances of failed attempts,
     ``sends`` counts the attempts, and ``runs`` those in which a server may have run the
     request. ``last_event`` is the id of the last event that the caller has,
-    ``attempt_events`` the number of events of the last attempt, and ``server_closed``
-    whether the server ended that attempt's connection.
+    ``attempt_events`` the number of events of the last attempt, ``server_closed``
+    whether the server ended that attempt's connection, and ``server_ended`` whether it
+    accepted no other one then.
     ``server_error`` is an error response, passed on if no other attempt succeeds.
+    ``failed_over`` is whether a server that might have gone on was given up.
     """
 
     request: messages.Request
@@ -143,11 +153,13 @@
         wait_queue.Refusal
         | prompt_quarantine.Refusal
         | request_quarantine.Refusal
+        | drain.Refusal
         | None
     ) = None
     failed_over: bool = False
     attempt_events: int = 0
     server_closed: bool = False
+    server_ended: bool = False
 
     @functools.cached_property
     def identity(self) -> str:
@@ -179,6 +191,7 @@
     timers: sweep.TimerQueue
     prompts: prompt_guard.PromptGuard
     requests: request_guard.RequestGuard
+    shutdown: shutdown.Shutdown
     admission: admissions.Admission | None = None
     failover_budget: failover.FailoverBudget | None = None
     disabled: frozenset[mechanisms.Mechanism] = frozenset()
@@ -195,8 +208,14 @@
 
     async def _run(self, pending: PendingRequest) -> str:
         time_left_s = pending.deadline - self.clock.monotonic()
-        with self.timers.timer(trio.current_time() + time_left_s):
+        with (
+            self.shutdown.answer_in_time(pending.response) as stop_scope,
+            self.timers.timer(trio.current_time() + time_left_s),
+        ):
             return await self._try_servers(pending)
+        if stop_scope.cancelled_caught:
+            pending.refusal = self.shutdown.end_request(pending.deadline)
+            pending.reason = pending.refusal.reason
         pending.reason = pending.reason or "deadline"
         return await self._give_up(pending, at_deadline=True)
 
@@ -218,8 +237,10 @@
         if pending.deadline - self.clock.monotonic() < MIN_TIME_LEFT_S:
             pending.reason = pending.reason or "too little time"
             return None
-        if self._is_quarantined(pending):
+        if self._ends_too_late(pending) or self._is_quarantined(pending):
             return None
+        if pending.response.started:
+            await self._wait_for_server(pending)
         if self.admission is None:
             return self._choose_server(pending, self._loads(pending))
         admitted = await self.admission.admit(
@@ -230,11 +251,19 @@
         if isinstance(admitted, wait_queue.Refusal):
             pending.refusal, pending.reason = admitted, admitted.reason
             return None
-        # It may have been quarantined while it waited.
-        if self._is_quarantined(pending):
+        # It may have been quarantined, or a stop begun, while it waited.
+        if self._ends_too_late(pending) or self._is_quarantined(pending):
             return None
         return self._choose_server(pending, admitted)
 
+    async def _wait_for_server(self, pending: PendingRequest) -> None:
+        """Wait until some server can continue a stream, also one that failed it."""
+        if pending.sends >= MAX_SENDS:
+            await trio.sleep(RESEND_PAUSE_S)
+        while not self._loads(pending):
+            await trio.sleep(RESUME_CHECK_S)
+            pending.tried.clear()
+
     def _is_quarantined(self, pending: PendingRequest) -> bool:
         """Return whether the request must not be sent, and note why."""
         refusal = self.requests.check(pending.identity)
@@ -246,6 +275,19 @@
         pending.refusal, pending.reason = refusal, refusal.reason
         return True
 
+    def _ends_too_late(self, pending: PendingRequest) -> bool:
+        """Return whether this host stops before the request would end, and note it."""
+        if pending.response.started:
+            # Without another attempt it would be cut off now.
+            return False
+        refusal = self.shutdown.check(
+            pending.request.request_id, pending.route, pending.size, pending.deadline
+        )
+        if refusal is None:
+            return False
+        pending.refusal, pending.reason = refusal, refusal.reason
+        return True
+
     def _crashed(self, pending: PendingRequest, result: AttemptResult) -> bool:
         """Return whether the request seems to have crashed its server.
 
@@ -254,7 +296,7 @@
         """
         return (
             result is AttemptResult.BROKEN
-            and pending.server_closed
+            and pending.server_ended
             and not pending.attempt_events
             and pending.response_head is not None
             and (
@@ -274,7 +316,8 @@
         now = self.clock.monotonic()
         objective_s = pending.route.objective_s * wait_queue.START_RATIO
         start_by = pending.deadline - MIN_TIME_LEFT_S
-        if objective_s and not pending.response.started:
+        must_wait = pending.response.started or pending.failed_over
+        if objective_s and not must_wait:
             start_by = min(start_by, now + objective_s)
         return wait_queue.QueuedRequest(
             service=pending.service,
@@ -287,6 +330,7 @@
             body_bytes=len(pending.body),
             start_by=start_by,
             deadline=pending.deadline,
+            must_wait=must_wait,
         )
 
     def _choose_server(
@@ -334,11 +378,14 @@
         return server
 
     def _may_retry(self, pending: PendingRequest, result: AttemptResult) -> bool:
+        if result is AttemptResult.NOT_RUN and pending.response.started:
+            # A full server may have a slot before the caller leaves.
+            return True
         if pending.sends >= MAX_SENDS:
             return False
         if result in (AttemptResult.NOT_RUN, AttemptResult.UNSENT):
             return True
-        return pending.route.repeatable and pending.runs < pending.route.max_attempts
+        return self._may_run_again(pending)
 
     async def _attempt(
         self, pending: PendingRequest, server: model.Server
@@ -347,7 +394,8 @@
         started_at = self.clock.monotonic()
         pending.sends += 1
         pending.response_head = None
-        pending.attempt_events, pending.server_closed = 0, False
+        pending.attempt_events = 0
+        pending.server_closed = pending.server_ended = False
         parts = pending.request.shared_parts
         self.prompts.record_send(pending.request.request_id, name, parts)
         self.requests.record_send(pending.request.request_id, pending.identity, name)
@@ -365,9 +413,13 @@
                 server=name,
                 after_s=round(elapsed_s, 3),
                 last_event=pending.last_event,
-                outcome="caller left or deadline",
+                outcome="caller left, deadline or stop",
             )
-            if pending.last_event == last_event_before and elapsed_s > MIN_SILENCE_S:
+            if (
+                pending.last_event == last_event_before
+                and elapsed_s > MIN_SILENCE_S
+                and not self.shutdown.answers_due
+            ):
                 # The caller disconnected or its deadline passed without any event.
                 self.inflight.record_failure(name, refused=False)
             raise
@@ -382,9 +434,7 @@
             self.admission.wait_queue.service_times.record(
                 now - started_at, pending.size
             )
-        if result is AttemptResult.BROKEN and pending.server_closed:
-            self._record_crash(pending, server)
-        elif result is AttemptResult.DONE and _succeeded(pending.response_head):
+        if result is AttemptResult.DONE and _succeeded(pending.response_head):
             self.requests.record_complete(pending.identity)
         if result in (AttemptResult.BROKEN, AttemptResult.UNSENT):
             self.inflight.record_failure(name, refused=result is AttemptResult.UNSENT)
@@ -395,6 +445,8 @@
             self.inflight.record_success(name)
         else:
             self.inflight.record_error_response(name)
+        if result is AttemptResult.BROKEN and pending.server_closed:
+            await self._check_crash(pending, server)
         if result is not AttemptResult.DONE:
             self.trace.emit(
                 "attempt_failed",
@@ -405,6 +457,7 @@
                 events=pending.attempt_events,
                 head=pending.response_head is not None,
                 server_closed=pending.server_closed,
+                server_ended=pending.server_ended,
                 identity=pending.identity,
                 shared_parts=pending.request.shared_parts,
                 reason=pending.reason,
@@ -412,6 +465,16 @@
             )
         return result
 
+    async def _check_crash(self, pending: PendingRequest, server: model.Server) -> None:
+        """Find out whether the server of a request that it broke off has ended."""
+        pending.server_ended = True
+        try:
+            pending.server_ended = await self.pool.has_ended(server.address)
+        finally:
+            # Counts as a crash if the caller leaves meanwhile; an answer refutes it.
+            if pending.server_ended:
+                self._record_crash(pending, server)
+
     def _record_crash(self, pending: PendingRequest, server: model.Server) -> None:
         """Record that a server ended under a request."""
         request = pending.request
@@ -444,11 +507,15 @@
             silence_deadline = trio.current_time() + self._max_silence_s(
                 pending, before_first_event=True
             )
-            with self.timers.timer(silence_deadline) as silence_timer:
+            with self.timers.timer(
+                silence_deadline,
+                functools.partial(self._postpone_failover, pending, server),
+            ) as silence_timer:
                 result, head = await self._send_and_respond(
                     pending, server, connection, silence_timer
                 )
             if silence_timer.expired:
+                pending.failed_over = True
                 raise trio.TooSlowError
             if connection.is_reusable():
                 self.pool.release(connection, head.keep_alive_s)
@@ -493,6 +560,7 @@
         pending.response_head = head
         self.inflight.availability.record_head(server, head)
         self.prompts.record_answer(server, head, sent_at)
+        self.inflight.record_answer(sent_at)
         if head.not_run:
             await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
             pending.reason = f"server answered {head.status}"
@@ -535,8 +603,9 @@
     def _failover_at(self, pending: PendingRequest, server: model.Server) -> float:
         """Return when a stream without a response head may fail over, inf for never."""
         route = pending.route
-        may_run_again = route.repeatable and pending.runs < route.max_attempts
-        if self.failover_budget is None or pending.failed_over or not may_run_again:
+        if self.failover_budget is None or pending.failed_over:
+            return math.inf
+        if not self._may_run_again(pending):
             return math.inf
         if route.kind is not model.Kind.STREAM or not route.objective_s:
             return math.inf
@@ -633,8 +702,8 @@
     def _max_silence_s(
         self, pending: PendingRequest, *, before_first_event: bool
     ) -> float:
-        """Return how long a server may send no event, inf without another attempt."""
-        if not pending.route.repeatable or pending.runs >= pending.route.max_attempts:
+        """Return after which silence a request may fail over, inf for never."""
+        if not self._may_run_again(pending):
             return math.inf
         limit_s = (
             pending.route.objective_s * FIRST_EVENT_OBJECTIVES
@@ -643,6 +712,32 @@
         )
         return max(MIN_SILENCE_S, limit_s)
 
+    def _may_run_again(self, pending: PendingRequest) -> bool:
+        """Return whether a request that a server may have run may go to another."""
+        return (
+            pending.route.repeatable
+            and pending.runs < pending.route.max_attempts
+            and pending.sends < MAX_SENDS
+        )
+
+    def _postpone_failover(
+        self, pending: PendingRequest, server: model.Server
+    ) -> float:
+        """Return when to check again whether a silent server's request may fail over.
+
+        A silent server may go on, so its response is given up only for a server that
+        can take over at once.
+        """
+        loads = self.inflight.server_loads(
+            pending.service,
+            exclude=frozenset(pending.tried | {server.instance}),
+            trusted_only=True,
+        )
+        can_take_over = bool(wait_queue.with_free_slots(loads))
+        if can_take_over and self.prompts.check(pending.request.shared_parts) is None:
+            return -math.inf
+        return trio.current_time() + SILENCE_CHECK_S
+
     async def _give_up(
         self, pending: PendingRequest, *, at_deadline: bool = False
     ) -> str:
@@ -708,6 +803,15 @@
     }
 
 
+@_refusal_log_fields.register
+def _(refusal: drain.Refusal) -> dict[str, typing.Any]:
+    return {
+        "left_s": round(refusal.left_s, 3),
+        "expected_s": round(refusal.expected_s, 3),
+        "retry_after_s": round(refusal.retry_after_s, 3),
+    }
+
+
 @_refusal_log_fields.register
 def _(refusal: wait_queue.Refusal) -> dict[str, typing.Any]:
     return {
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -2,7 +2,6 @@
 
 import collections
 import collections.abc
-import json
 import operator
 import typing
 
@@ -10,6 +9,7 @@
 import msgspec
 
 from turmerictally import clock as clocks
+from turmerictally.entry import decoding
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import (
     ownership,
@@ -17,6 +17,7 @@
     request_quarantine,
     server_answers,
     server_limits,
+    server_reach,
 )
 from turmerictally.store import rows
 
@@ -64,6 +65,16 @@
 # A local copy of the hosts' table that is older than the interval between its reads by
 # this much misses renewals; a single call may take 1.5 s.
 STALE_TABLE_S = 1.6
+MAX_AGE_S = 1e6  # stands for "never" in digests
+
+
+# Answered and failed requests.
+Outcomes = typing.Annotated[
+    list[decoding.Count], msgspec.Meta(min_length=2, max_length=2)
+]
+Speeds = typing.Annotated[
+    list[decoding.Number], msgspec.Meta(min_length=3, max_length=3)
+]
 
 
 @attrs.define
@@ -87,43 +98,49 @@
     only; between two of them the last values hold. So are ``removed`` (by server, the
     store's version at which its registration was removed) and ``leaving`` (by server,
     the start time of the incarnation that said it leaves) and ``accused_parts`` (the
-    evidence against prompt parts, as in ``scheduling.prompt_quarantine.Report``), and
-    ``limits`` (those that servers named, as in ``scheduling.server_limits.Report``) and
-    ``answered_servers`` (whose crashes were none, as in
-    ``scheduling.server_answers.Report``) and ``accused_requests`` (the evidence against
-    requests, as in ``scheduling.request_quarantine.Report``).
+    evidence against prompt parts of online requests, as in
+    ``scheduling.prompt_quarantine.Report``), ``accused_item_parts`` (the same of batch
+    items), ``accused_requests`` (that against requests, as in
+    ``scheduling.request_quarantine.Report``), ``limits`` (those that servers named, as
+    in ``scheduling.server_limits.Report``) and ``answered_servers`` (whose crashes were
+    none, as in ``scheduling.server_answers.Report``). ``paths_lost`` is set while the
+    host reaches no server though others do, and ``answer_age_s`` tells how long ago a
+    server last answered it.
     """
 
     host: str
     instance: str
     address: str
-    sequence: int
-    online: dict[str, int]
-    batch: dict[str, int]
-    items_waiting: int
-    admitted: dict[str, int]
-    requested: dict[str, int]
-    table_ages: dict[str, tuple[int, float]]
-    store_age_s: float
+    sequence: decoding.Count
+    online: dict[str, decoding.Count]
+    batch: dict[str, decoding.Count]
+    items_waiting: decoding.Count
+    admitted: dict[str, decoding.Count]
+    requested: dict[str, decoding.Count]
+    table_ages: dict[str, tuple[decoding.Count, decoding.Seconds]]
+    store_age_s: decoding.Seconds
     failing: list[str]
     domain: str = ""
-    outcomes: dict[str, list[int]] = attrs.Factory(dict)
+    outcomes: dict[str, Outcomes] = attrs.Factory(dict)
     full: bool = True
     baseline: bool = True
     baseline_requests: list[str] = attrs.Factory(list)
     stopping: bool = False
-    removed: dict[str, int] = attrs.Factory(dict)
-    leaving: dict[str, int] = attrs.Factory(dict)
-    demand: dict[str, int] = attrs.Factory(dict)
-    speeds: dict[str, list[float]] = attrs.Factory(dict)
-    callers_waiting: int = 0
-    job_states: dict[str, tuple[int, bytes]] = attrs.Factory(dict)
-    waiting_urgencies: list[int] = attrs.Factory(list)
-    batch_urgencies: dict[str, list[int]] = attrs.Factory(dict)
+    removed: dict[str, decoding.Count] = attrs.Factory(dict)
+    leaving: dict[str, decoding.Count] = attrs.Factory(dict)
+    demand: dict[str, decoding.Count] = attrs.Factory(dict)
+    speeds: dict[str, Speeds] = attrs.Factory(dict)
+    callers_waiting: decoding.Count = 0
+    job_states: dict[str, tuple[decoding.Count, bytes]] = attrs.Factory(dict)
+    waiting_urgencies: list[decoding.Integer] = attrs.Factory(list)
+    batch_urgencies: dict[str, list[decoding.Integer]] = attrs.Factory(dict)
     accused_parts: prompt_quarantine.Report = attrs.Factory(dict)
     limits: server_limits.Report = attrs.Factory(dict)
     answered_servers: server_answers.Report = attrs.Factory(dict)
     accused_requests: request_quarantine.Report = attrs.Factory(dict)
+    accused_item_parts: prompt_quarantine.Report = attrs.Factory(dict)
+    paths_lost: bool = False
+    answer_age_s: float = MAX_AGE_S
 
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
@@ -132,6 +149,7 @@
             and self.batch == other.batch
             and self.items_waiting == other.items_waiting
             and self.failing == other.failing
+            and self.paths_lost == other.paths_lost
             and self.demand == other.demand
             and self.callers_waiting == other.callers_waiting
             and self.waiting_urgencies == other.waiting_urgencies
@@ -156,15 +174,21 @@
 
 _VALUES = operator.attrgetter(*(field.name for field in attrs.fields(Digest)))
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(tuple[*typing.get_type_hints(Digest).values()])
+_TYPES = typing.get_type_hints(Digest, include_extras=True) | {
+    "accused_parts": dict[
+        str,
+        tuple[decoding.Count, decoding.Seconds, dict[str, decoding.Seconds]],
+    ],
+    "limits": dict[str, tuple[decoding.Number, decoding.Seconds, decoding.Count]],
+}
+_DECODER = msgspec.msgpack.Decoder(tuple[*_TYPES.values()])
 
 
-def decode(data: bytes) -> Digest | None:
-    """Return the digest, or None if the data cannot be decoded."""
-    try:
-        return Digest(*_DECODER.decode(data))
-    except ValueError:
-        return None
+def decode(data: bytes) -> Digest:
+    """Return the digest; raises ``decoding.DecodeError``."""
+    digest = Digest(*decoding.decode(_DECODER, data))
+    decoding.check_address(digest.address)
+    return digest
 
 
 class Heartbeat(typing.NamedTuple):
@@ -213,6 +237,56 @@
     quarantined_requests: request_quarantine.Record = attrs.Factory(dict)
 
 
+def _read_record(name: str, value: bytes, now: float) -> HostRecord:
+    """Return the record of a host's row; raises ``decoding.DecodeError``."""
+    fields = decoding.read_object(value)
+    return HostRecord(
+        decoding.check_name(name),
+        fields.name("instance"),
+        fields.address("address"),
+        fields.integer("renewals"),
+        now,
+        fields.text("domain", default=""),
+        fields.number("cores", default=1.0),
+        fields.map("quota_levels", decoding.check_number),
+        fields.number("levels_at_s", default=0.0),
+        fields.map("quarantined_parts", _read_part),
+        fields.map("quarantined_requests", _read_request),
+    )
+
+
+def _read_part(value: typing.Any) -> tuple[int, dict[str, float]]:
+    """Return the evidence against a prompt part."""
+    match decoding.check_list(value):
+        case [position, times]:
+            fields = decoding.Object({"times": times})
+            # The store's clock may have started after a crash.
+            return decoding.check_integer(position), fields.map(
+                "times", decoding.check_number, -decoding.MAX_NUMBER
+            )
+    raise decoding.DecodeError("expected a position and times")
+
+
+def _read_request(
+    value: typing.Any,
+) -> tuple[tuple[str, ...], request_quarantine.Crashes]:
+    """Return the evidence against a request."""
+    match decoding.check_list(value):
+        case [parts, crashes]:
+            fields = decoding.Object({"crashes": crashes})
+            return tuple(
+                map(decoding.check_encodable, decoding.check_list(parts))
+            ), fields.map("crashes", _read_crash)
+    raise decoding.DecodeError("expected parts and crashes")
+
+
+def _read_crash(value: typing.Any) -> tuple[float, bool]:
+    match decoding.check_list(value):
+        case [at, bool(strong)]:
+            return decoding.check_number(at, -decoding.MAX_NUMBER), strong
+    raise decoding.DecodeError("expected a time and whether it is strong evidence")
+
+
 @attrs.define(eq=False)
 class FleetTotals:
     """Sum the other hosts' counts; an update costs only its digest's own entries."""
@@ -332,41 +406,17 @@
             name = row.address.key
             if row.value is None:
                 self.records.pop(name, None)
-                self.trace.emit("host_left", host=name)
+                self.trace.emit("host_left", host=decoding.loggable(name))
                 continue
             try:
-                fields = json.loads(row.value)
-                record = HostRecord(
-                    name,
-                    str(fields["instance"]),
-                    str(fields["address"]),
-                    int(fields["renewals"]),
-                    now,
-                    str(fields.get("domain", "")),
-                    float(fields.get("cores", 1.0)),
-                    {t: float(n) for t, n in fields.get("quota_levels", {}).items()},
-                    float(fields.get("levels_at_s", 0.0)),
-                    {
-                        part: (int(position), {s: float(t) for s, t in times.items()})
-                        for part, (position, times) in fields.get(
-                            "quarantined_parts", {}
-                        ).items()
-                    },
-                    {
-                        identity: (
-                            tuple(map(str, parts)),
-                            {
-                                s: (float(t), bool(strong))
-                                for s, (t, strong) in crashes.items()
-                            },
-                        )
-                        for identity, (parts, crashes) in fields.get(
-                            "quarantined_requests", {}
-                        ).items()
-                    },
+                record = _read_record(name, row.value, now)
+            except decoding.DecodeError as error:
+                self.trace.emit(
+                    "host_unreadable",
+                    host=decoding.loggable(name),
+                    version=row.version,
+                    reason=str(error),
                 )
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
-                self.trace.emit("host_unreadable", host=name, reason=repr(error))
                 continue
             before = self.records.get(name)
             self.records[name] = record
@@ -545,6 +595,16 @@
         """Return the last digests of all reachable hosts."""
         return [peer.digest for peer in self.peers.values() if not peer.unreachable]
 
+    def peer_reaches(self) -> list[server_reach.PeerReach]:
+        """Return whether the reachable hosts are answered by servers."""
+        return [
+            server_reach.PeerReach(
+                peer.received_at - peer.digest.answer_age_s, peer.digest.paths_lost
+            )
+            for peer in self.peers.values()
+            if not peer.unreachable
+        ]
+
     def is_reachable(self, host: str, instance: str) -> bool:
         """Return whether this incarnation of a host is reachable."""
         peer = self.peers.get(host)
--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -9,6 +9,7 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import (
     batch_requests,
+    decoding,
     forwarder,
     http_server,
     jobs,
@@ -16,6 +17,7 @@
     model,
     quota,
     registry,
+    shutdown,
     watch,
     worker,
 )
@@ -34,13 +36,13 @@
 OTHER_HOST_RETRY_AFTER_S = (0.05, 0.15)
 QUOTA_RETRY_AFTER_S = 2.0  # if a job would exceed its team's limit of waiting tokens
 MAX_ITEMS_PER_JOB = 200
-MAX_JOB_ID_LENGTH = 120  # a job's id is part of row keys
 # A local copy of the job states older than this may lack the newest results, and a
 # host that has not reached the store for this long counts as without it.
 MAX_COPY_AGE_S = 2.5
 # With a longer interval between reads, a local copy may lack results that callers have
 # seen on other hosts, so the store is read before a job counts as without new results.
 MAX_READ_INTERVAL_S = 0.4
+MAX_ERROR_LENGTH = 200  # of an unexpected error in the log, in characters
 RESPONSE_MARGIN_S = 0.05  # to send a response before its deadline
 
 
@@ -61,6 +63,7 @@
     latencies: latency.Latencies
     config_age_s: collections.abc.Callable[[], float]
     rng: random.Random
+    shutdown: shutdown.Shutdown
 
     async def handle(self, exchange: http_server.Exchange) -> None:
         """Handle one request and log its outcome."""
@@ -70,11 +73,30 @@
         try:
             outcome, route, team = await self._handle(exchange, request)
         except trio.Cancelled:
+            after_s = round(self.clock.monotonic() - exchange.received_at, 3)
+            if self.shutdown.answers_due and not exchange.aborted:
+                self.shutdown.outcomes["cut"] += 1
+                self.trace.emit(
+                    "response_cut",
+                    request.request_id,
+                    after_s=after_s,
+                    outcome="host stopped",
+                )
+            else:
+                self.trace.emit(
+                    "caller_left", request.request_id, after_s=after_s, outcome="left"
+                )
+            raise
+        except http_server.CallerDisconnectedError:
+            raise
+        except Exception as error:
             self.trace.emit(
-                "caller_left",
+                "request_error",
                 request.request_id,
-                after_s=round(self.clock.monotonic() - exchange.received_at, 3),
-                outcome="left",
+                error=f"{type(error).__name__}: {error}"[:MAX_ERROR_LENGTH],
+                status=exchange.status,
+                config=self._version(),
+                outcome="failed",
             )
             raise
         elapsed_s = self.clock.monotonic() - exchange.received_at
@@ -165,11 +187,34 @@
         pending = forwarder.PendingRequest(
             request, exchange.body, route, team, deadline, exchange
         )
-        outcome = await self.forwarder.run(pending)
+        try:
+            outcome = await self.forwarder.run(pending)
+        except http_server.CallerDisconnectedError:
+            raise
+        except Exception:
+            if not pending.runs:
+                self.quotas.refund(team)
+                retry_after_s = self.rng.uniform(*forwarder.RETRY_AFTER_S)
+                await exchange.fail(
+                    forwarder.Refusal.UNAVAILABLE,
+                    http_server.INTERNAL_ERROR,
+                    retry_after_s,
+                )
+            raise
         if not pending.runs:
             self.quotas.refund(team)
+        self._record_duration(exchange, route, pending.size)
         return outcome
 
+    def _record_duration(
+        self, exchange: http_server.Exchange, route: model.Route, size: int
+    ) -> None:
+        """Add a request that was served, or that lasted until its deadline."""
+        lasted = exchange.status == forwarder.Refusal.DEADLINE.value
+        if exchange.finished and (exchange.status < 300 or lasted):
+            elapsed_s = self.clock.monotonic() - exchange.received_at
+            self.shutdown.durations.record(route.name, size, elapsed_s)
+
     async def _submit_job(
         self,
         exchange: http_server.Exchange,
@@ -177,18 +222,15 @@
         route: model.Route,
         team: str,
     ) -> str:
+        job_id = request.request_id
         try:
+            jobs.check_id(job_id)
             items = self.codec.read_items(exchange.body)
-        except ValueError as error:
-            await exchange.refuse(forwarder.Refusal.BAD_REQUEST, str(error))
+        except decoding.DecodeError as error:
+            reason = f"not a batch job: {error}"
+            await exchange.refuse(forwarder.Refusal.BAD_REQUEST, reason)
             return "unreadable"
-        job_id = request.request_id
-        bad_id = not 0 < len(job_id) <= MAX_JOB_ID_LENGTH or "/" in job_id
-        if (
-            bad_id
-            or not 0 < len(items) <= MAX_ITEMS_PER_JOB
-            or exchange.method != b"POST"
-        ):
+        if not 0 < len(items) <= MAX_ITEMS_PER_JOB or exchange.method != b"POST":
             await exchange.refuse(forwarder.Refusal.BAD_REQUEST, "not a batch job")
             return "unreadable"
         if job_id in self.job_states.by_id:
@@ -243,7 +285,15 @@
         deadline = (
             exchange.received_at + min(requested_s, route.timeout_s) - RESPONSE_MARGIN_S
         )
-        return await self._create_job(exchange, state, items, deadline)
+        refusal = self.shutdown.check(job_id, route, 0, deadline)
+        if refusal is not None:
+            await exchange.refuse(
+                forwarder.Refusal.UNAVAILABLE, refusal.reason, refusal.retry_after_s
+            )
+            return f"refused: {refusal.reason}"
+        outcome = await self._create_job(exchange, state, items, deadline)
+        self._record_duration(exchange, route, 0)
+        return outcome
 
     def _is_store_up_elsewhere(self) -> bool:
         """Return whether the store is available to most of the reachable hosts."""
@@ -264,8 +314,12 @@
         """
         may_exist = False
         reason = "deadline"
-        with trio.move_on_after(max(0.0, deadline - self.clock.monotonic())):
+        with (
+            trio.move_on_after(max(0.0, deadline - self.clock.monotonic())),
+            self.shutdown.answer_in_time(exchange) as stop_scope,
+        ):
             while True:
+                may_have_existed, may_exist = may_exist, True
                 try:
                     await self._write_job(state, items)
                     await exchange.reply_json(202, {"id": state.job})
@@ -274,16 +328,22 @@
                     await exchange.reply_json(202, {"id": state.job})
                     return "accepted before"
                 except rows.UnavailableError as error:
-                    may_exist = may_exist or error.maybe_applied
+                    may_exist = may_have_existed or error.maybe_applied
                     reason = str(error)
                 elapsed_s = self.clock.monotonic() - exchange.received_at
                 if not may_exist and elapsed_s > MAX_SUBMIT_RETRY_S:
                     break
                 await trio.sleep(STORE_RETRY_S)
+        if stop_scope.cancelled_caught:
+            self.shutdown.outcomes["ended"] += 1
+            reason = shutdown.REASON
+        if exchange.started:
+            exchange.abort()
+            return f"broken off: {reason}"
         if may_exist:
-            await exchange.refuse(forwarder.Refusal.DEADLINE, "store did not answer")
+            await exchange.fail(forwarder.Refusal.DEADLINE, "store did not answer")
             return f"unknown: {reason}"
-        await exchange.refuse(
+        await exchange.fail(
             forwarder.Refusal.UNAVAILABLE, "store not reached", STORE_RETRY_AFTER_S
         )
         return f"refused: {reason}"
@@ -309,15 +369,22 @@
         time_left_s = (request.timeout_s or JOB_REQUEST_TIMEOUT_S) - RESPONSE_MARGIN_S
         reason = "deadline"
         deadline = exchange.received_at + time_left_s
-        with trio.move_on_after(max(0.0, deadline - self.clock.monotonic())):
+        with (
+            trio.move_on_after(max(0.0, deadline - self.clock.monotonic())),
+            self.shutdown.answer_in_time(exchange) as stop_scope,
+        ):
             try:
                 return await self._dispatch_job_request(
                     exchange, batch_request, team, deadline
                 )
             except rows.UnavailableError as error:
                 reason = str(error)
-        await exchange.refuse(
-            forwarder.Refusal.UNAVAILABLE, "job cannot be read now", STORE_RETRY_AFTER_S
+        retry_after_s = STORE_RETRY_AFTER_S
+        if stop_scope.cancelled_caught and not exchange.started:
+            self.shutdown.outcomes["ended"] += 1
+            reason, retry_after_s = shutdown.REASON, self.shutdown.retry_after_s()
+        await exchange.fail(
+            forwarder.Refusal.UNAVAILABLE, "job cannot be read now", retry_after_s
         )
         return f"store not reached: {reason}"
 
@@ -367,12 +434,15 @@
     ) -> str:
         now = self.clock.monotonic()
         poll_until = min(now + batch_request.wait_s, deadline - 3 * RESPONSE_MARGIN_S)
-        while versioned.state.listed <= batch_request.after and versioned.state.open:
-            time_left_s = poll_until - self.clock.monotonic()
-            if time_left_s <= 0:
-                break
-            await self.state_watch.wait_for_change(time_left_s)
-            versioned = self.job_states.by_id.get(batch_request.job, versioned)
+        with self.shutdown.poll():
+            while (
+                versioned.state.listed <= batch_request.after and versioned.state.open
+            ):
+                time_left_s = poll_until - self.clock.monotonic()
+                if time_left_s <= 0:
+                    break
+                await self.state_watch.wait_for_change(time_left_s)
+                versioned = self.job_states.by_id.get(batch_request.job, versioned)
         if (
             versioned.state.listed <= batch_request.after
             and self.state_watch.interval_s() > MAX_READ_INTERVAL_S
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -16,6 +16,7 @@
 from turmerictally.entry import (
     admission,
     availability,
+    decoding,
     dissemination,
     ejection,
     forwarder,
@@ -35,6 +36,7 @@
     registry,
     request_guard,
     settings,
+    shutdown,
     store_health,
     sweep,
     table_copies,
@@ -64,8 +66,7 @@
 # Between checks for expired entries, stale tables and orphaned jobs.
 MAINTENANCE_INTERVAL_S = 0.25
 MAX_BASELINE_REQUESTS = 64  # per digest; about 1 kB
-# Part of the grace period that is reserved for the final store writes.
-FINAL_WRITES_S = 1.2
+FINAL_WRITE_S = 0.6  # for the last store write of a stop
 # Of a starting host's first write of its row, if the others' rows cannot be read.
 MAX_ROW_DELAY_S = 1.0
 ROW_POLL_S = 0.02
@@ -129,7 +130,7 @@
     def _build_state(self, schema: PlatformSchema) -> None:
         config, clock, trace = self.settings, self.clock, self.trace
         self.active_configuration = registry.ActiveConfiguration(
-            schema.configuration_key, schema.read_configuration, trace
+            schema.configuration_key, schema.read_configuration, trace, clock
         )
         self.registry = registry.Registry(
             schema.read_server, self.store_health, clock, trace
@@ -166,6 +167,7 @@
             enabled=mechanisms.Mechanism.REQUEST_QUARANTINE
             not in config.scheduling.disabled_mechanisms,
         )
+        self.item_prompts = prompt_guard.make_item_guard(self.prompts, self.requests)
         self._configure_quarantines()
         self.quotas = quota.Quotas(clock, config.quota.overshoot, config.quota.window_s)
         self.hosts.on_unreachable = self.quotas.remove_peer
@@ -220,18 +222,18 @@
         )
         self.hosts.on_reachable = self.disseminator.on_peer_reachable
         self.prompts.on_evidence = self.disseminator.send_full_digest
+        self.item_prompts.on_evidence = self.disseminator.send_full_digest
         self.availability.on_limit_change = self.disseminator.send_full_digest
         self.prompts.on_quarantine = lambda: self.row_changed.set()
-        self.prompts.quarantine.explained_crashes = (
-            self.requests.quarantine.explained_crashes
-        )
         self.requests.on_evidence = self.prompts.on_evidence
         self.requests.on_quarantine = self.prompts.on_quarantine
-        self.requests.on_change = self.prompts.refresh
+
+        self.shutdown = shutdown.Shutdown(self.hosts, clock, trace, self.rng)
 
     def _configure_quarantines(self) -> None:
         prompts, requests = self.settings.prompts, self.settings.requests
-        self.prompts.configure(prompts.exempt, prompts.quarantined)
+        for guard in (self.prompts, self.item_prompts):
+            guard.configure(prompts.exempt, prompts.quarantined)
         self.requests.configure(requests.exempt, requests.quarantined)
 
     def _build_request_path(self, codec: messages.Codec) -> None:
@@ -252,8 +254,8 @@
             config.scheduling.learned_speeds, mechanisms.Mechanism.LEARNED_SPEEDS
         )
         self.inflight.speed_tracker = server_speeds.SpeedTracker() if learns else None
-        self.jobs = jobs.JobStore(self.store)
-        self.job_states = jobs.JobStates()
+        self.jobs = jobs.JobStore(self.store, self._on_unreadable_row)
+        self.job_states = jobs.JobStates(self._on_unreadable_row)
         self.inflight.on_failure = self.disseminator.send_full_digest
         self.inflight.on_change = self.disseminator.on_load_change
         self.worker = worker.Worker(
@@ -271,9 +273,9 @@
                 self._on_item_head,
                 self.inflight.use_permit,
                 self.inflight.record_events,
-                self.prompts.record_first_event,
+                self.item_prompts.record_first_event,
             ),
-            prompts=self.prompts,
+            prompts=self.item_prompts,
             clock=clock,
             trace=trace,
             rng=self.rng,
@@ -304,6 +306,7 @@
             timers=self.sweep,
             prompts=self.prompts,
             requests=self.requests,
+            shutdown=self.shutdown,
             failover_budget=failover.FailoverBudget()
             if self._enables(
                 config.scheduling.switch_late, mechanisms.Mechanism.FAILOVER
@@ -325,6 +328,7 @@
             latencies=self.latencies,
             config_age_s=self.configuration_watch.age_s,
             rng=self.rng,
+            shutdown=self.shutdown,
         )
 
     def _enables(self, setting: bool, mechanism: mechanisms.Mechanism) -> bool:
@@ -363,7 +367,7 @@
                 self.network,
                 address,
                 handle,
-                self._limits,
+                self.active_configuration.caller_limits,
                 self.clock,
                 listen.max_connections,
                 self.trace,
@@ -468,10 +472,6 @@
         content_type = (b"Content-Type", metrics.CONTENT_TYPE.encode())
         await exchange.reply(200, body, [content_type])
 
-    def _limits(self) -> model.CallerLimits:
-        view = self.active_configuration.current
-        return view.limits if view else model.CallerLimits()
-
     def _jobs_interval_s(self) -> float:
         min_interval_s = (
             RELAYED_JOBS_INTERVAL_S if self.hosts.relayed else JOBS_INTERVAL_S
@@ -551,6 +551,16 @@
     ) -> None:
         self.availability.record_head(server, head)
         self.prompts.record_answer(server, head, sent_at)
+        self.inflight.record_answer(sent_at)
+
+    def _on_unreadable_row(self, row: rows.Row, reason: str) -> None:
+        self.trace.emit(
+            "job_row_unreadable",
+            table=row.address.table,
+            key=decoding.loggable(row.address.key),
+            version=row.version,
+            reason=reason,
+        )
 
     def _on_job(self, versioned: jobs.VersionedState) -> None:
         state = versioned.state
@@ -558,6 +568,8 @@
 
     def _on_digest(self, digest: gossip.Digest) -> None:
         self._on_heartbeat(digest)
+        if digest.paths_lost and digest.full:
+            self.inflight.reconsider_ejections()
         if self.settings.host_id in digest.baseline_requests:
             self.disseminator.send_baseline(digest.host)
         if digest.removed:
@@ -578,6 +590,8 @@
             self.requests.receive(digest.host, digest.accused_requests)
         if digest.accused_parts:
             self.prompts.receive(digest.host, digest.accused_parts)
+        if digest.accused_item_parts:
+            self.item_prompts.receive(digest.host, digest.accused_item_parts)
         if digest.speeds and self.inflight.speed_tracker is not None:
             now = self.clock.monotonic()
             self.inflight.speed_tracker.receive(digest.host, digest.speeds, now)
@@ -620,7 +634,7 @@
                 min(1e6, self.clock.monotonic() - self.states_watch.store_responded_at),
                 2,
             ),
-            failing=self.inflight.open_circuits(),
+            failing=self.inflight.failing_servers(),
             domain=self.settings.failure_domain,
             outcomes=self._outcomes() if full else {},
             full=full,
@@ -647,8 +661,15 @@
             else {},
             answered_servers=self.prompts.report_answers() if full else {},
             accused_requests=self.requests.report() if full else {},
+            accused_item_parts=self.item_prompts.report() if full else {},
+            paths_lost=self.inflight.reach.lost_since is not None,
+            answer_age_s=self._answer_age_s(),
         )
 
+    def _answer_age_s(self) -> float:
+        age_s = self.clock.monotonic() - self.inflight.reach.answered_at
+        return round(min(gossip.MAX_AGE_S, age_s), 3)
+
     def _demand(self) -> dict[str, int]:
         if self.admission is None:
             return {}
@@ -728,30 +749,43 @@
     async def _drain(self) -> None:
         """Drain in order: readiness, batch jobs, then open requests and connections."""
         stop = self.settings.stop
-        started_at = self.clock.monotonic()
         self.stopping = True
+        self.shutdown.begin(stop.grace_s)
+        deadlines = self.shutdown.deadlines
+        unready_until = self.clock.monotonic() + stop.unready_s
         self.trace.emit(
             "stopping",
             busy=self.callers.active_requests,
             open=self.callers.open_connections,
+            answer_in_s=round(deadlines.answer_by - self.clock.monotonic(), 3),
         )
         self.callers.start_draining()
-        deadline = started_at + stop.grace_s - FINAL_WRITES_S
-        with trio.move_on_at(deadline):
-            await self.worker.release_jobs()
-        with trio.move_on_at(max(started_at + stop.unready_s, trio.current_time())):
-            await trio.sleep_forever()
-        # Refuse new connections unread, so that callers can try another host at once.
-        self.callers.stop_accepting()
-        with trio.move_on_at(deadline):
-            while self.callers.active_requests or self.callers.open_connections:
-                self.callers.close_idle()
-                await trio.sleep(DRAIN_POLL_S)
-        with trio.move_on_after(FINAL_WRITES_S / 2):
-            await self._deregister()
+        with trio.move_on_at(deadlines.ends_at):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.worker.release_jobs)
+                with trio.move_on_at(min(unready_until, deadlines.answer_by)):
+                    await trio.sleep_forever()
+                # Refuse new connections unread, so that callers can try another host
+                # at once.
+                self.callers.stop_accepting()
+                with trio.move_on_at(deadlines.answer_by):
+                    await self._close_idle_callers()
+                self.shutdown.end_unanswered()
+                self.callers.refuse_unread()
+                nursery.start_soon(self._deregister)
+                await self._close_idle_callers()
+
+    async def _close_idle_callers(self) -> None:
+        """Close callers' connections as they become idle, until none is open."""
+        while self.callers.active_requests or self.callers.open_connections:
+            self.callers.close_idle()
+            await trio.sleep(DRAIN_POLL_S)
 
     async def _deregister(self) -> None:
         address = rows.Address(gossip.TABLE, "", self.settings.host_id)
-        with contextlib.suppress(rows.UnavailableError):
+        with (
+            trio.move_on_after(FINAL_WRITE_S),
+            contextlib.suppress(rows.UnavailableError),
+        ):
             # Without this the other hosts ignore the row only once it has expired.
             await self.store.transact({}, {address: None})
--- a/turmerictally/entry/http_server.py
+++ b/turmerictally/entry/http_server.py
@@ -10,7 +10,7 @@
 import trio
 
 from turmerictally import clock as clocks
-from turmerictally.entry import forwarder, http1, messages, model, network
+from turmerictally.entry import forwarder, http1, messages, model, network, shutdown
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import memory_budget
 
@@ -25,6 +25,8 @@
 MAX_REQUEST_LINE_BYTES = 1024  # in addition to the limit of the headers
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MEMORY_RETRY_AFTER_S = 0.3  # about half of a request's typical service time
+INTERNAL_ERROR = "internal error"  # reason of the refusal after an unexpected error
+STOP_RETRY_AFTER_S = 0.1  # for callers whose request was not read before a stop
 MAX_PIPELINED_READS = 4  # of bytes that follow a request still being handled
 
 
@@ -138,6 +140,18 @@
             headers.append((b"Retry-After", b"%.3f" % retry_after_s))
         await self.reply(refusal.value, body, headers)
 
+    async def fail(
+        self,
+        refusal: forwarder.Refusal,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Refuse the request, or truncate the response if a part of it was sent."""
+        if self.started and not self.pending_head:
+            self.abort()
+            return
+        await self.refuse(refusal, reason, retry_after_s)
+
     async def reply(
         self,
         status: int,
@@ -191,6 +205,8 @@
     open_connections: int = 0
     active_requests: int = 0
     idle_scopes: set[trio.CancelScope] = attrs.Factory(set)
+    reading_scopes: set[trio.CancelScope] = attrs.Factory(set)
+    refusing_unread: bool = False
 
     async def run(
         self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
@@ -222,8 +238,10 @@
             nursery.start_soon(self._serve, stream)
 
     def start_draining(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the next response that begins."""
         self.draining = True
+        for exchange in self.exchanges:
+            exchange.close_after = exchange.close_after or not exchange.started
 
     def stop_accepting(self) -> None:
         """Refuse new connections."""
@@ -234,6 +252,12 @@
         for scope in list(self.idle_scopes):
             scope.cancel()
 
+    def refuse_unread(self) -> None:
+        """Refuse requests that have not arrived whole, from now on."""
+        self.refusing_unread = True
+        for scope in list(self.reading_scopes):
+            scope.cancel()
+
     def close_stalled(self) -> None:
         """Close the connections of callers that stopped reading their responses."""
         now = trio.current_time()
@@ -264,12 +288,12 @@
         except Exception:
             logger.exception("Unexpected error on a connection.")
         finally:
-            self.open_connections -= 1
             try:
                 if linger:
                     await _linger(stream)
             finally:
                 stream.close()
+                self.open_connections -= 1
 
     async def _serve_requests(self, stream: network.Stream) -> bool:
         """Serve consecutive requests; return whether to linger before closing."""
@@ -317,10 +341,6 @@
 
         ``had_request`` is whether the connection has had a request before.
         """
-        limits = self.limits()
-        idle_scope = trio.CancelScope(
-            deadline=trio.current_time() + limits.idle_timeout_s
-        )
         data = b""
         if not reader.buffer:
             idle = had_request
@@ -329,24 +349,26 @@
                     data = await stream.receive_some()
                 idle = first_bytes_scope.cancelled_caught
             if idle:
-                self.idle_scopes.add(idle_scope)
-                with idle_scope:
-                    data = await stream.receive_some()
-                self.idle_scopes.discard(idle_scope)
-            if idle_scope.cancelled_caught and not stream.is_idle():
-                # A request arrived just as the connection was about to be closed.
-                data = await stream.receive_some()
+                data = await self._wait_for_request(stream)
             if not data:
                 return None
+        limits = self.limits()
+        reader.max_head_bytes = limits.max_header_bytes + MAX_REQUEST_LINE_BYTES
         with trio.move_on_after(limits.header_timeout_s) as read_scope:
             if data:
                 reader.feed(data)
-            request = await self._read_head(stream, reader)
-            read_scope.deadline = trio.current_time() + limits.idle_timeout_s
-            max_bytes = limits.max_body_bytes
-            body = await self._read_body(
-                stream, reader, request, max_bytes, reservation
-            )
+            self.reading_scopes.add(read_scope)
+            if self.refusing_unread:
+                read_scope.cancel()
+            try:
+                request = await self._read_head(stream, reader)
+                read_scope.deadline = trio.current_time() + limits.idle_timeout_s
+                max_bytes = limits.max_body_bytes
+                body = await self._read_body(
+                    stream, reader, request, max_bytes, reservation
+                )
+            finally:
+                self.reading_scopes.discard(read_scope)
             return Exchange(
                 method=request.method,
                 target=request.target,
@@ -359,8 +381,36 @@
                 version=request.version,
                 reservation=reservation,
             )
+        if self.refusing_unread:
+            raise InvalidRequestError(
+                forwarder.Refusal.UNAVAILABLE, shutdown.REASON, STOP_RETRY_AFTER_S
+            )
         raise InvalidRequestError(forwarder.Refusal.TIMEOUT, "request not read in time")
 
+    async def _wait_for_request(self, stream: network.Stream) -> bytes:
+        """Return the first bytes of a request, empty if the connection is to close.
+
+        The idle time-out may change meanwhile.
+        """
+        idle_since = trio.current_time()
+        while True:
+            idle_scope = trio.CancelScope(deadline=self._idle_deadline(idle_since))
+            self.idle_scopes.add(idle_scope)
+            try:
+                with idle_scope:
+                    return await stream.receive_some()
+            finally:
+                self.idle_scopes.discard(idle_scope)
+            if not stream.is_idle():
+                # A request arrived just as the connection was about to be closed.
+                return await stream.receive_some()
+            timed_out = trio.current_time() >= idle_scope.deadline
+            if not timed_out or self._idle_deadline(idle_since) <= idle_scope.deadline:
+                return b""
+
+    def _idle_deadline(self, idle_since: float) -> float:
+        return idle_since + self.limits().idle_timeout_s
+
     async def _read_head(
         self, stream: network.Stream, reader: http1.Reader
     ) -> http1.Head:
@@ -432,11 +482,23 @@
                 )
                 # The response could not be written: the caller is gone.
                 with contextlib.suppress(CallerDisconnectedError):
-                    await self.handle(exchange)
+                    await self._respond(exchange)
                 nursery.cancel_scope.cancel()
         finally:
             self.exchanges.discard(exchange)
 
+    async def _respond(self, exchange: Exchange) -> None:
+        """Run the handler; respond also if it raises an unexpected error."""
+        try:
+            await self.handle(exchange)
+        except CallerDisconnectedError:
+            raise
+        except Exception:
+            logger.exception("Unexpected error in a request handler.")
+            if not exchange.finished:
+                # What was done before the error is unknown.
+                await exchange.fail(forwarder.Refusal.BROKEN, INTERNAL_ERROR)
+
     async def _watch_for_disconnect(
         self, exchange: Exchange, scope: trio.CancelScope
     ) -> None:
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -10,6 +10,7 @@
 
 ITEM_TIMEOUT_S = 30.0  # several times the longest item on a slow server
 NOT_CONNECTED = "broken: not connected"
+NOT_RUN = "not run"
 EVENT_TIMEOUT_S = 2.5  # between events, after which an item may resume elsewhere
 # Events of an item are read in batches: no caller waits for one, and each read costs a
 # host as much as forwarding an event to a caller.
@@ -26,8 +27,9 @@
     scaled to a server of median speed. ``not_before`` is the monotonic time from which
     it may run again. ``urgency`` is that of its latest start. ``run_events`` counts the
     events of the latest run, ``server_closed`` is whether the server ended that run's
-    connection, and ``shared_parts`` names the parts of its prompt that other requests
-    may share, None until they are needed.
+    connection, ``shared_parts`` names the parts of its prompt that other requests may
+    share, None until they are needed, and ``held_for`` is the quarantined part for
+    which it waits.
     """
 
     item: jobs.Item
@@ -44,8 +46,8 @@
     run_events: int = 0
     server_closed: bool = False
     shared_parts: tuple[str, ...] | None = None
+    held_for: str = ""
     cancel_scope: trio.CancelScope | None = None
-    refused_by: set[str] = attrs.Factory(set)
 
     @property
     def running(self) -> bool:
@@ -133,7 +135,7 @@
         if head.status != 200 or head.not_run:
             await connection.read_body(forwarder.MAX_BUFFERED_RESPONSE_BYTES)
             if head.not_run:
-                return "not run", head
+                return NOT_RUN, head
             if not head.signed:
                 return "broken: no signature", head
             if head.status == 422:
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -65,6 +65,11 @@
         gauge(
             f"{prefix}_configuration_version", "Version.", view.version if view else 0
         ),
+        gauge(
+            f"{prefix}_paths_lost",
+            "1 if no server is reached.",
+            int(served.inflight.reach.lost_since is not None),
+        ),
         gauge(f"{prefix}_caller_connections", "Open.", served.callers.open_connections),
         gauge(f"{prefix}_requests_running", "Running.", served.callers.active_requests),
         gauge(f"{prefix}_items_waiting", "Batch.", len(served.worker.waiting_items())),
@@ -99,6 +104,7 @@
             "Reset in the middle of an exchange.",
             served.pool.abandoned,
         ),
+        _stopping(served),
         *_evacuated(served),
         *_cold(served),
         *_limited(served),
@@ -127,10 +133,11 @@
     crashes = prometheus_client.core.GaugeMetricFamily(
         f"{exposition.PREFIX}_quarantined_prompt_part_crashes",
         "Servers that crashed under a quarantined part.",
-        labels=["part"],
+        labels=["part", "work"],
     )
-    for part, found in served.prompts.quarantine.quarantined.items():
-        crashes.add_metric([part], found.crashes)
+    for guard in (served.prompts, served.item_prompts):
+        for part, found in guard.quarantine.quarantined.items():
+            crashes.add_metric([part, guard.work], found.crashes)
     refused = prometheus_client.core.CounterMetricFamily(
         f"{exposition.PREFIX}_refused_prompts",
         "Requests refused for a quarantined part.",
@@ -141,6 +148,17 @@
     return [crashes, refused]
 
 
+def _stopping(served: "host.Host") -> prometheus_client.core.Metric:
+    requests = prometheus_client.core.CounterMetricFamily(
+        f"{exposition.PREFIX}_stop_requests",
+        "Decisions on requests during a planned stop.",
+        labels=["outcome"],
+    )
+    for outcome, count in served.shutdown.outcomes.items():
+        requests.add_metric([outcome], count)
+    return requests
+
+
 def _evacuated(served: "host.Host") -> list[prometheus_client.core.Metric]:
     def family(name: str, text: str) -> prometheus_client.core.Metric:
         return prometheus_client.core.GaugeMetricFamily(
--- a/turmerictally/scheduling/request_quarantine.py
+++ b/turmerictally/scheduling/request_quarantine.py
@@ -207,7 +207,7 @@
             evidence.tried_at = evidence.tried_here_at = now
         return found
 
-    def explained_crashes(self, part: str) -> set[str]:
+    def explained_crashes(self, part: str | None = None) -> set[str]:
         """Return the servers whose crashes don't count against a part of prompts.
 
         They are those that crashed under requests in quarantine. Of the crashes under
--- a/turmerictally/standins/fabric.py
+++ b/turmerictally/standins/fabric.py
@@ -49,9 +49,11 @@
         if self.other.closed and not self.fabric.is_cut(self.local, self.remote):
             self._push_back_reset()
             return
-        while self._is_behind():
-            await trio.sleep(self.fabric.delay_s)
-        self._push(bytes(data))
+        part_bytes = self.fabric.window_bytes or len(data) or 1
+        for start in range(0, len(data), part_bytes):
+            while self._is_behind():
+                await trio.sleep(self.fabric.delay_s)
+            self._push(bytes(data[start : start + part_bytes]))
 
     def _is_behind(self) -> bool:
         """Return whether the other end has left more than a window unread."""
@@ -273,6 +275,12 @@
         """Return whether nothing passes from one address to another."""
         return (_ip(local), _ip(remote)) in self.cuts
 
+    def close_all(self, ip: str) -> None:
+        """Close every connection of one host, as the end of its process does."""
+        for stream in list(self.streams):
+            if _ip(stream.local) == ip:
+                stream.close()
+
     def reset_all(self, ip: str) -> None:
         """Break every connection of one host."""
         for stream in list(self.streams):
--- a/turmerictally/tests/features/platform_adapter.feature
+++ b/turmerictally/tests/features/platform_adapter.feature
@@ -18,9 +18,14 @@
       | a broken body   | unavailable and maybe applied      |
       | status 412      | a conflict with the current rows   |
 
-  Scenario: Any row is decoded or ignored without an exception
+  # Guards against a malformed page or key that ends every host which reads a table.
+  Scenario: Malformed responses of the store count as those of one that is unavailable
+    When the store responds to reads with malformed pages
+    Then each call fails as unavailable, and keys of any characters can be read from
+
+  Scenario: Any row is decoded or refused with the one error that its readers expect
     When arbitrary JSON and changed samples are decoded
-    Then nothing is raised and every decoded server is valid
+    Then nothing but a decoding error is raised and every decoded server is valid
 
   Scenario: Hop-by-hop headers, API keys and headers set by the host are not forwarded
     When requests with arbitrary headers are decoded and forwarded
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -1,13 +1,18 @@
 """Steps for batch jobs on the users' platform."""
 
 import collections
+from unittest import mock
 
+import attrs
 import behave
 import trio
 
-from turmerictally.entry import jobs
+from turmerictally.entry import item_runner, jobs, settings, worker
+from turmerictally.scheduling import placement
 from turmerictally.tests.support import users_platform
 
+SHORT_STOP = settings.Stop(1.0, 0.1)
+
 
 def play(context, main, **given):
     context.world = users_platform.play(main, **given)
@@ -164,6 +169,38 @@
     assert context.counts == dict.fromkeys(context.ids, 1)
 
 
+@behave.when("{what} ends while the store has applied the write of a job, unanswered")
+def ends_during_write(context, what):
+    async def main(world):
+        job_store = world.hosts[0].jobs
+        job_store.store = LateResponses(job_store.store)
+        body, context.ids = users_platform.lot(world, 6, name="j1-")
+        own = users_platform.Caller(world)
+        deadline_ms = "500" if "time" in what else "5000"
+
+        async def ask():
+            context.reply = await own.ask(
+                "/night/x", body=body, request_id="j1", **{"X-Deadline-Ms": deadline_ms}
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(0.1)
+            if "grace" in what:
+                host = world.hosts[0]
+                host.settings = attrs.evolve(host.settings, stop=SHORT_STOP)
+                host.stop()
+        context.results = await read_all(world, 1, "j1", len(context.ids))
+
+    play(context, main)
+
+
+@behave.then("the response is 504 and the job runs")
+def unknown_outcome(context):
+    assert context.reply.status == 504, context.reply.status
+    assert {run.request for run in context.world.runs} == set(context.ids)
+
+
 @behave.when("the store refuses a submission")
 def refused_submission(context):
     async def main(world):
@@ -560,3 +597,70 @@
     assert context.listed_elsewhere == context.first_listed, len(
         context.listed_elsewhere
     )
+
+
+@behave.when("a job is submitted while one of two servers refuses every request")
+def refusing_server(context):
+    async def main(world):
+        refusing, sound = world.servers.values()
+        refusing.refuses_all = True
+        sound.slots = refusing.slots // 2
+        sound.register()
+        await trio.sleep(1.0)
+        await submit(world, 0, job="j1", count=4)
+        await trio.sleep(5.0)
+        context.results = (await read(world, 0, "j1")).json()["results"]
+
+    play(context, main)
+
+
+@behave.then("every item of that job is done within 5 s")
+def done_despite_refusals(context):
+    refused = [
+        line
+        for line in context.world.lines("item_not_done")
+        if line["outcome"] == "not run"
+    ]
+    assert refused
+    assert len(context.results) == 4, context.results
+
+
+FAILING_STEPS = {
+    "the run of an item": (item_runner.ItemRunner, "run"),
+    "the choice of servers": (placement, "choose_batch_starts"),
+    "the move of late items": (worker.Worker, "_move_late_item"),
+}
+
+
+@behave.when(
+    "{step} raises an unexpected error three times while a job and requests run"
+)
+def batch_errors(context, step):
+    owner, name = FAILING_STEPS[step]
+    works = getattr(owner, name)
+    errors_left = [3]
+
+    def fail_first(*given, **more):
+        if errors_left[0]:
+            errors_left[0] -= 1
+            raise RuntimeError("injected")
+        return works(*given, **more)
+
+    async def main(world):
+        with mock.patch.object(owner, name, fail_first):
+            await submit(world, 0, job="j1", count=6)
+            caller = users_platform.Caller(world)
+            context.replies = [await caller.ask() for _ in range(4)]
+            context.results = await read_all(world, 0, "j1", 6)
+
+    play(context, main)
+
+
+@behave.then(
+    "the job is done, every request got its response and the errors are logged"
+)
+def survived(context):
+    assert all(reply.whole and reply.status == 200 for reply in context.replies)
+    assert len(context.results) == 6, context.results
+    errors = context.world.lines("batch_error")
+    assert [line["error"] for line in errors] == ["RuntimeError"] * 3, errors
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -78,11 +78,13 @@
         self.freed = trio.Event()
         self.runs = []
         self.events = EVENTS
+        self.sized = False  # how long answers take is what requests announce
         self.break_after = None  # events until each stream is cut
         self.lose_answers = 0  # how many next requests run without an answer
         self.extra_answer = False  # an answer to no request comes first
         self.trailing = b""  # bytes after each whole answer
         self.silent = False  # requests hang
+        self.pauses = {}  # seconds of silence by the number of the event they precede
         self.status = 200
         self.state = "ready"
         self.leaving = False  # each answer says that the server leaves
@@ -90,12 +92,14 @@
         self.endless_bytes = 0
         self.raw_answer = b""  # sent as it is, after which the connection ends
         self.refuses_next = False
+        self.refuses_all = False
         self.repeated_refusal = ""  # how the last refusal comes again
         self.refusals = {}  # by connection, the last one
         self.refusals_repeated = 0
         self.limit_per_s = None  # which each answer names
         self.arrived_at = []
         self.crashing_part = None  # ends the server when it begins to answer it
+        self.spares_items = False  # batch items with that part crash nothing
         self.crashing_body = None  # the same for a request with this body
         self.events_before_crash = 0
         self.crashes_plain = False  # in a response that is no stream
@@ -182,7 +186,7 @@
     async def answer(self, stream, parser, request, headers, body):
         if headers.get("x-expect-instance", self.name) != self.name:
             return await self.refuse(stream, parser, headers, 421)
-        if self.refuses_next:
+        if self.refuses_next or self.refuses_all:
             self.refuses_next = False
             return await self.refuse(stream, parser, headers, 503)
         waited = trio.current_time()
@@ -215,6 +219,8 @@
 
     def is_crashing(self, run):
         """Return whether this server ends as it begins to answer the request."""
+        if self.spares_items and run.target.startswith("/night/"):
+            return False
         return run.body == self.crashing_body or self.crashing_part in shared_parts(
             run.headers
         )
@@ -314,6 +320,12 @@
             )
         if self.plain:
             return await self.answer_plain(stream, parser, run)
+        events = self.events
+        if self.sized:
+            events = int(run.headers["x-token-usage"].partition(",")[2])
+            if run.target.startswith(("/once/", "/look/")):
+                await trio.sleep(events * EVENT_S)
+                return await self.answer_whole(stream, parser, run)
         if self.status != 200:
             named = [*self.named(run), ("Content-Length", "4")]
             data = parser.send(h11.Response(status_code=self.status, headers=named))
@@ -342,8 +354,9 @@
         head = parser.send(h11.Response(status_code=200, headers=named))
         lost = self.lose_answers > 0
         self.lose_answers -= lost
-        for number in range(first, self.events + 1):
+        for number in range(first, events + 1):
             await trio.sleep(EVENT_S * self.world.slowness.get(self.name, 1.0))
+            await trio.sleep(self.pauses.get(number, 0.0))
             event = f"id: {number}\ndata: {run.request}.{number}\n\n".encode()
             if self.break_after is not None and number - first >= self.break_after:
                 await stream.send_all(head + parser.send(h11.Data(data=event[:7])))
@@ -363,6 +376,14 @@
         await stream.send_all(head + parser.send(h11.EndOfMessage()) + self.trailing)
         return not self.closes
 
+    async def answer_whole(self, stream, parser, run):
+        named = [*self.named(run), ("Content-Length", "5")]
+        data = parser.send(h11.Response(status_code=200, headers=named))
+        data += parser.send(h11.Data(data=b"whole"))
+        run.ended = "done"
+        await stream.send_all(data + parser.send(h11.EndOfMessage()))
+        return True
+
     async def answer_plain(self, stream, parser, run):
         body = b"fail" if "error" in self.plain else b"plain body"
         status = 500 if "error" in self.plain else 200
@@ -391,6 +412,7 @@
     def __init__(self, *given, **more):
         super().__init__(*given, **more)
         self.lines = []
+        self.ended = trio.Event()
         self.trace.emit = self.note
 
     def note(self, event, request_id="", **fields):
@@ -484,6 +506,7 @@
         name = f"{before.name.partition('.')[0]}.{len(self.crashes)}"
         again = Server(self, name, before.address, before.domain, before.slots)
         again.crashing_part, again.unframed = before.crashing_part, before.unframed
+        again.spares_items = before.spares_items
         again.crashing_body = before.crashing_body
         again.events_before_crash = before.events_before_crash
         again.crashes_plain = before.crashes_plain
@@ -521,6 +544,8 @@
     async def run_host(self, n, served):
         with self.scopes[n]:
             await served.run()
+            self.fabric.close_all(f"10.1.0.{n}")
+        served.ended.set()
 
     async def until_ready(self, seconds=10.0):
         with trio.fail_after(seconds):
