Reach servers through other hosts while a host's own paths are lost

Cause: each host tried servers for itself only.

While its paths count as lost a host opens connections to servers through a peer, of its own domain first, which copies the bytes in both directions. Requests, attempts, deadlines, quotas, streams and batch items stay with the host that has them. ServerReach counts connection attempts apart from requests, as open connections may live on while new ones are refused.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -130,7 +130,8 @@
     request. ``last_event`` is the id of the last event that the caller has,
     ``attempt_events`` the number of events of the last attempt, ``server_closed``
     whether the server ended that attempt's connection, and ``server_ended`` whether it
-    accepted no other one then.
+    accepted no other one then. ``rerouted`` is set once it tries servers again because
+    the host's paths are lost.
     ``server_error`` is an error response, passed on if no other attempt succeeds.
     ``failed_over`` is whether a server that might have gone on was given up.
     """
@@ -160,6 +161,7 @@
     attempt_events: int = 0
     server_closed: bool = False
     server_ended: bool = False
+    rerouted: bool = False
 
     @functools.cached_property
     def identity(self) -> str:
@@ -378,6 +380,16 @@
         return server
 
     def _may_retry(self, pending: PendingRequest, result: AttemptResult) -> bool:
+        if (
+            result is AttemptResult.UNSENT
+            and self.inflight.reach.lost_since is not None
+            and not pending.rerouted
+        ):
+            # Through a peer the servers that were tried may be reached.
+            pending.rerouted = True
+            pending.sends = pending.runs
+            pending.tried.clear()
+            return True
         if result is AttemptResult.NOT_RUN and pending.response.started:
             # A full server may have a slot before the caller leaves.
             return True
@@ -560,7 +572,8 @@
         pending.response_head = head
         self.inflight.availability.record_head(server, head)
         self.prompts.record_answer(server, head, sent_at)
-        self.inflight.record_answer(sent_at)
+        if not connection.tunnelled:
+            self.inflight.record_answer(sent_at)
         if head.not_run:
             await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
             pending.reason = f"server answered {head.status}"
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -41,6 +41,7 @@
     sweep,
     table_copies,
     takeover,
+    tunnels,
     watch,
     worker,
 )
@@ -249,6 +250,19 @@
             ejection.Ejector(config.failure_domain),
             self.availability,
         )
+        self.tunnels = tunnels.Tunnels(
+            self.network,
+            self.pool,
+            self.inflight,
+            self.hosts,
+            clock,
+            trace,
+            self.rng,
+            config.failure_domain,
+        )
+        self.pool.tunnels = self.tunnels
+        self.pool.on_connected = self.inflight.record_connected
+        self.inflight.on_paths_change = self._on_paths_change
         self.inflight.disabled = disabled
         learns = self._enables(
             config.scheduling.learned_speeds, mechanisms.Mechanism.LEARNED_SPEEDS
@@ -379,9 +393,15 @@
         )
         self.health = make(listen.health, self._health)
         self.table_copies = table_copies.TableCopies(
-            self.watches, self.hosts, self.pool, self.clock, self.trace, self.rng
+            self.watches,
+            self.hosts,
+            # Connections to hosts say nothing of the paths to servers.
+            pool.Pool(self.network, self.clock),
+            self.clock,
+            self.trace,
+            self.rng,
         )
-        self.peer_server = make(listen.peers, self.table_copies.serve)
+        self.peer_server = make(listen.peers, self._serve_peer)
         self.metrics_server = make(listen.metrics, self._metrics)
 
     async def run(self) -> None:
@@ -416,6 +436,7 @@
         nursery.start_soon(self._run_maintenance, nursery)
         nursery.start_soon(self.worker.run)
         nursery.start_soon(self.garbage_collector.run)
+        nursery.start_soon(self.tunnels.run_probes)
 
     def stop(self) -> None:
         """Request a graceful shutdown."""
@@ -547,11 +568,28 @@
         self.worker.apply_changes(changed)
 
     def _on_item_head(
-        self, server: model.Server, head: messages.ResponseHead, sent_at: float
+        self,
+        server: model.Server,
+        head: messages.ResponseHead,
+        sent_at: float,
+        tunnelled: bool,
     ) -> None:
         self.availability.record_head(server, head)
         self.prompts.record_answer(server, head, sent_at)
-        self.inflight.record_answer(sent_at)
+        if not tunnelled:
+            self.inflight.record_answer(sent_at)
+
+    def _on_paths_change(self) -> None:
+        reach = self.inflight.reach
+        self.pool.close_unused_paths(
+            lost=reach.lost_since is not None, answered_at=reach.answered_at
+        )
+
+    async def _serve_peer(self, exchange: http_server.Exchange) -> None:
+        if exchange.target.startswith(tunnels.PATH.encode()):
+            await self.tunnels.serve(exchange)
+        else:
+            await self.table_copies.serve(exchange)
 
     def _on_unreadable_row(self, row: rows.Row, reason: str) -> None:
         self.trace.emit(
--- a/turmerictally/entry/http_server.py
+++ b/turmerictally/entry/http_server.py
@@ -77,6 +77,8 @@
     reservation: memory_budget.Reservation | None = None
     stall_deadline: float = math.inf
     handler_scope: trio.CancelScope | None = None
+    watch_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    watch_ended: trio.Event = attrs.field(factory=trio.Event)
 
     async def start(
         self, status: int, headers: messages.Headers, length: int | None
@@ -127,6 +129,12 @@
         """Truncate the response; its connection is closed."""
         self.aborted = True
 
+    async def detach(self) -> network.Stream:
+        """Return the connection for other use; it is closed when the handler ends."""
+        self.watch_scope.cancel()
+        await self.watch_ended.wait()
+        return self.stream
+
     async def refuse(
         self,
         refusal: forwarder.Refusal,
@@ -503,10 +511,15 @@
         self, exchange: Exchange, scope: trio.CancelScope
     ) -> None:
         for _ in range(MAX_PIPELINED_READS):
-            try:
-                data = await exchange.stream.receive_some()
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                data = b""
+            data = None
+            with exchange.watch_scope:
+                try:
+                    data = await exchange.stream.receive_some()
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    data = b""
+            if data is None:
+                exchange.watch_ended.set()
+                return
             if not data:
                 exchange.abort()
                 scope.cancel()
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -51,6 +51,7 @@
     )
     last_success_at: dict[str, float] = attrs.Factory(dict)
     on_failure: collections.abc.Callable[[], None] = lambda: None
+    on_paths_change: collections.abc.Callable[[], None] = lambda: None
     on_change: collections.abc.Callable[[], None] = lambda: None
     on_finished: collections.abc.Callable[[str], None] = lambda server: None
     last_evaluated_at: float = float("-inf")
@@ -183,28 +184,43 @@
 
     def record_answer(self, sent_at: float) -> None:
         """Record that a server answers a request that was sent at ``sent_at``."""
-        now = self.clock.monotonic()
         lost_since = self.reach.lost_since
-        if self.reach.record_answer(sent_at, now):
-            self.trace.emit("paths_back", lost_s=round(now - lost_since, 3))
-            self.on_failure()
+        if self.reach.record_answer(sent_at, self.clock.monotonic()):
+            self._report_paths_back(lost_since)
+
+    def record_connected(self) -> None:
+        """Record that a server accepted a connection of this host."""
+        lost_since = self.reach.lost_since
+        if self.reach.record_connected():
+            self._report_paths_back(lost_since)
+
+    def _report_paths_back(self, lost_since: float) -> None:
+        lost_s = round(self.clock.monotonic() - lost_since, 3)
+        self.trace.emit("paths_back", lost_s=lost_s)
+        self.on_paths_change()
+        self.on_failure()
 
-    def record_no_answer(self, name: str) -> None:
+    def record_no_answer(self, name: str, *, connecting: bool) -> None:
         """Record that a server ended a request, or refused a connection for it."""
         now = self.clock.monotonic()
+        servers = self.registry.servers.keys()
         if not self.reach.record_failure(
-            name, self.registry.servers.keys(), self.hosts.peer_reaches, now
+            name, servers, self.hosts.peer_reaches, now, connecting=connecting
         ):
             return
+        failed = self.reach.failed_servers()
         self.recent_outcomes.drop_failures()
         self.trace.emit(
             "paths_lost",
-            failed=len(self.reach.failed_at),
-            of=len(self.registry.servers),
-            failing_s=round(now - self.reach.failing_since, 3),
+            failed=len(failed),
+            of=len(servers),
+            connecting=connecting,
             answered_s=traces.seconds(now - self.reach.answered_at),
         )
+        for server in failed:
+            self.circuits.forget(server)
         self.reconsider_ejections()
+        self.on_paths_change()
         self.on_failure()
 
     def reconsider_ejections(self) -> None:
@@ -227,7 +243,7 @@
         """Record a missing or truncated response; ``refused`` if connecting failed."""
         now = self.clock.monotonic()
         self.circuits.failed(name, now, refused=refused)
-        self.record_no_answer(name)
+        self.record_no_answer(name, connecting=refused)
         if refused or self.reach.lost_since is not None:
             # Only the network path may have failed; the circuit soon allows a probe.
             return
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -60,14 +60,15 @@
     """Send items to servers and collect their events.
 
     ``on_connect`` is called once the attempt to connect has succeeded or failed, and
-    ``on_head`` with each response's head and the time at which its request was sent.
+    ``on_head`` with each response's head, the time at which its request was sent and
+    whether it went through a peer.
     """
 
     pool: pool.Pool
     codec: messages.Codec
     on_head: collections.abc.Callable[
-        [model.Server, messages.ResponseHead, float], None
-    ] = lambda server, head, sent_at: None
+        [model.Server, messages.ResponseHead, float, bool], None
+    ] = lambda server, head, sent_at, tunnelled: None
     on_connect: collections.abc.Callable[[str], None] = lambda server: None
     on_events: collections.abc.Callable[[str, int, float], None] = (
         lambda server, events, seconds: None
@@ -131,7 +132,7 @@
         head = await forwarder.read_response_head(
             self.codec, connection, request.request_id
         )
-        self.on_head(server, head, sent_at)
+        self.on_head(server, head, sent_at, connection.tunnelled)
         if head.status != 200 or head.not_run:
             await connection.read_body(forwarder.MAX_BUFFERED_RESPONSE_BYTES)
             if head.not_run:
--- a/turmerictally/entry/network.py
+++ b/turmerictally/entry/network.py
@@ -59,6 +59,9 @@
         end has not received yet: an abandoned request must not arrive later.
         """
 
+    def reset(self) -> None:
+        """Reset the connection, so that what was sent doesn't look complete."""
+
     def is_idle(self) -> bool:
         """Return whether the connection is open and has nothing to read."""
 
@@ -171,6 +174,12 @@
         """Close at once."""
         _close(self.sock)
 
+    def reset(self) -> None:
+        """Reset the connection."""
+        if self.sock.fileno() >= 0:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        _close(self.sock)
+
     def is_idle(self) -> bool:
         """Return whether the connection is open and has nothing to read."""
         try:
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -1,6 +1,8 @@
 """Pool connections to backend servers and read responses from them."""
 
 import collections
+import collections.abc
+import typing
 
 import attrs
 import trio
@@ -46,7 +48,8 @@
 class Connection:
     """Hold one connection to a backend server.
 
-    ``idle_deadline`` is the monotonic time after which it must not be reused.
+    ``idle_deadline`` is the monotonic time after which it must not be reused, and
+    ``tunnelled`` whether it goes through a peer.
     """
 
     address: str
@@ -56,6 +59,7 @@
     requests_sent: int = 0
     idle_deadline: float = float("inf")
     released_at: float = float("-inf")
+    tunnelled: bool = False
 
     async def send_request(
         self, method: bytes, target: bytes, headers: messages.Headers, body: bytes
@@ -176,6 +180,28 @@
         self.stream.close()
 
 
+def make_connection(
+    address: str,
+    stream: network.Stream,
+    clock: clocks.Clock,
+    *,
+    tunnelled: bool = False,
+) -> Connection:
+    """Return a connection over a new stream."""
+    reader = http1.Reader(MAX_HEAD_BYTES, reads_responses=True)
+    return Connection(address, stream, reader, clock, tunnelled=tunnelled)
+
+
+class Tunnels(typing.Protocol):
+    """Open connections through other hosts."""
+
+    def needed(self) -> bool:
+        """Return whether no server is reached directly."""
+
+    async def connect(self, address: str) -> network.Stream:
+        """Open a connection; raises ``OSError``."""
+
+
 class Pool:
     """Reuse idle connections, the most recently used first."""
 
@@ -184,6 +210,8 @@
         self.clock = clock
         self.idle: dict[str, list[Connection]] = collections.defaultdict(list)
         self.connect_times = connect_timeout.ConnectTimes()
+        self.tunnels: Tunnels | None = None
+        self.on_connected: collections.abc.Callable[[], None] = lambda: None
         self.opened = 0
         self.abandoned = 0
 
@@ -206,6 +234,8 @@
         return await self._open(address)
 
     async def _open(self, address: str) -> Connection:
+        if self.tunnels is not None and self.tunnels.needed():
+            return await self._open_tunnel(address)
         started_at = trio.current_time()
         try:
             with trio.fail_after(self.connect_times.timeout_s()):
@@ -213,9 +243,38 @@
         except (OSError, trio.TooSlowError) as error:
             raise ConnectError(str(error) or "timeout") from error
         self.connect_times.record(trio.current_time() - started_at)
+        self.on_connected()
+        self.opened += 1
+        return make_connection(address, stream, self.clock)
+
+    async def _open_tunnel(self, address: str) -> Connection:
+        try:
+            stream = await self.tunnels.connect(address)
+        except OSError as error:
+            raise ConnectError(str(error)) from error
+        return make_connection(address, stream, self.clock, tunnelled=True)
+
+    def add_idle(self, address: str, stream: network.Stream) -> None:
+        """Keep an open connection for the next request."""
         self.opened += 1
-        reader = http1.Reader(MAX_HEAD_BYTES, reads_responses=True)
-        return Connection(address, stream, reader, self.clock)
+        connection = make_connection(address, stream, self.clock)
+        self._keep_idle(connection, DEFAULT_KEEP_ALIVE_S)
+
+    def close_unused_paths(self, *, lost: bool, answered_at: float) -> None:
+        """Close idle connections of paths that are lost, or tunnels not needed now.
+
+        Direct connections that were released after ``answered_at`` go on.
+        """
+        for address, connections in list(self.idle.items()):
+            for connection in list(connections):
+                stale = not connection.tunnelled and (
+                    connection.released_at <= answered_at
+                )
+                if stale if lost else connection.tunnelled:
+                    connections.remove(connection)
+                    connection.close()
+            if not connections:
+                del self.idle[address]
 
     async def has_ended(self, address: str) -> bool:
         """Return whether a server that ended a connection accepts no other.
--- a/turmerictally/scheduling/server_reach.py
+++ b/turmerictally/scheduling/server_reach.py
@@ -11,7 +11,7 @@
 # Different servers that must fail in a row, or all there are if there are fewer.
 MIN_FAILED_SERVERS = 3
 # The same as a ratio of the servers in use: a domain that loses power is less.
-MIN_FAILED_RATIO = 0.5
+MIN_FAILED_RATIO = 0.4
 # Failures with a longer pause in between are unrelated.
 MAX_PAUSE_S = 1.0
 
@@ -28,16 +28,47 @@
 
 
 @attrs.define(eq=False)
-class ServerReach:
-    """Track this host's failures since the last answer of any server.
+class FailureRun:
+    """Hold the servers that failed in a row, with the monotonic time of each failure.
 
-    ``failed_at`` holds the latest failure of each server, ``failing_since`` the first
-    of them, and ``lost_since`` when this host concluded that its paths are lost, None
-    if they are not. All times are monotonic seconds.
+    ``since`` is when the first of them failed.
     """
 
     failed_at: dict[str, float] = attrs.Factory(dict)
-    failing_since: float = float("inf")
+    since: float = float("inf")
+
+    def add(self, server: str, now: float) -> None:
+        """Add a failure; after a long pause a new run begins."""
+        if now - max(self.failed_at.values(), default=float("-inf")) > MAX_PAUSE_S:
+            self.failed_at.clear()
+            self.since = now
+        self.failed_at[server] = now
+
+    def clear(self) -> None:
+        """End the run, as something succeeded."""
+        self.failed_at.clear()
+        self.since = float("inf")
+
+    def is_general(self, servers: collections.abc.Collection[str]) -> bool:
+        """Return whether so many servers failed that the paths are suspect."""
+        failed = len(self.failed_at.keys() & servers)
+        needed = max(MIN_FAILED_SERVERS, MIN_FAILED_RATIO * len(servers))
+        return failed > 0 and failed >= min(needed, len(servers))
+
+
+@attrs.define(eq=False)
+class ServerReach:
+    """Track this host's failures since something succeeded.
+
+    ``connecting`` holds failed connection attempts, which a new connection disproves:
+    open ones may live on while new ones are refused. ``requests`` holds requests
+    without an answer, which an answer disproves. ``answered_at`` is the latest answer,
+    and ``lost_since`` when this host concluded that its paths are lost, None if they
+    are not. All times are monotonic seconds.
+    """
+
+    connecting: FailureRun = attrs.field(factory=FailureRun)
+    requests: FailureRun = attrs.field(factory=FailureRun)
     answered_at: float = float("-inf")
     lost_since: float | None = None
 
@@ -46,13 +77,17 @@
 
         Answers to requests from before the failures began prove nothing.
         """
-        if sent_at < self.failing_since and self.failed_at:
+        if self.requests.failed_at and sent_at < self.requests.since:
             return False
         self.answered_at = now
-        was_lost = self.lost_since is not None
-        self.failed_at.clear()
-        self.failing_since, self.lost_since = float("inf"), None
-        return was_lost
+        self.requests.clear()
+        return not self.connecting.failed_at and self._end()
+
+    def record_connected(self) -> bool:
+        """Record a new connection; return whether the paths had counted as lost."""
+        self.connecting.clear()
+        self.requests.clear()
+        return self._end()
 
     def record_failure(
         self,
@@ -60,28 +95,29 @@
         servers: collections.abc.Collection[str],
         peers: collections.abc.Callable[[], collections.abc.Iterable[PeerReach]],
         now: float,
+        *,
+        connecting: bool,
     ) -> bool:
-        """Record that a server gave no answer; return whether the paths are lost now.
+        """Record a failure at a server; return whether the paths are lost from now on.
 
         ``servers`` are those in use. ``peers`` is called only if enough of them failed.
         """
-        if self.lost_since is None and now - self._last_failure_at() > MAX_PAUSE_S:
-            self.failed_at.clear()
-            self.failing_since = now
-        self.failed_at[server] = now
-        if self.lost_since is not None:
-            return False
-        failed = len(self.failed_at.keys() & servers)
-        needed = max(MIN_FAILED_SERVERS, MIN_FAILED_RATIO * len(servers))
-        if not failed or failed < min(needed, len(servers)):
+        run = self.connecting if connecting else self.requests
+        run.add(server, now)
+        if self.lost_since is not None or not run.is_general(servers):
             return False
         if not any(
-            peer.answered_at > self.failing_since and not peer.paths_lost
-            for peer in peers()
+            peer.answered_at > run.since and not peer.paths_lost for peer in peers()
         ):
             return False
         self.lost_since = now
         return True
 
-    def _last_failure_at(self) -> float:
-        return max(self.failed_at.values(), default=float("-inf"))
+    def failed_servers(self) -> set[str]:
+        """Return the servers that failed in a row."""
+        return self.connecting.failed_at.keys() | self.requests.failed_at.keys()
+
+    def _end(self) -> bool:
+        was_lost = self.lost_since is not None
+        self.lost_since = None
+        return was_lost
--- /dev/null
+++ b/turmerictally/tests/features/entry_tunnels.feature
@@ -0,0 +1,34 @@
+Feature: Hosts that lost their paths to servers reach them through other hosts
+  # Guards against callers of a host that is cut off from all servers being refused while
+  # other hosts reach them (RECOVER).
+  Scenario Outline: Callers of hosts without paths are served as well as those of others
+    When <hosts> of six hosts lose their paths to all servers for 6 s by <kind>
+    Then from 1 s after that first tries at these hosts are served at least 0.95 times as often as at the others
+    And no request that must not run twice ran twice
+    And 1 s after the paths are back these hosts reach servers directly
+
+    Examples:
+      | hosts                | kind                                                  |
+      | one                  | resets                                                |
+      | one                  | silence                                               |
+      | one                  | refusals, while old connections live on               |
+      | all hosts of a domain | resets                                               |
+      | all hosts of a domain | silence                                              |
+      | five                 | resets                                                |
+
+  # Guards against requests that are sent on in circles, or held, if no host reaches servers.
+  Scenario: Requests are refused at once while no host reaches any server
+    When six of six hosts lose their paths to all servers for 6 s by resets
+    Then while that lasts each request is refused as not run within 0.5 s
+
+  # Guards against a response that is cut on the way through a peer and looks complete.
+  Scenario Outline: What comes through a peer ends as it ended at the server
+    Given a host that reaches servers through a peer only
+    When through the peer a server <answers> and the caller asks
+    Then through the peer the caller gets <result>
+
+    Examples:
+      | answers                                        | result                |
+      | sends a plain body without a length            | the whole body        |
+      | breaks its connection within each answer       | no complete response  |
+      | is never asked, as the caller leaves after 0.2 s | nothing, and the run ends within 0.5 s |
--- /dev/null
+++ b/turmerictally/tests/features/steps/entry_tunnels_steps.py
@@ -0,0 +1,179 @@
+"""Steps for hosts that reach servers through other hosts."""
+
+import behave
+import trio
+
+from turmerictally.tests.support import users_platform
+
+HOSTS, SERVERS = 6, 8
+BEFORE_S, LOST_S, AFTER_S = 3.0, 6.0, 3.0
+GAP_S = 0.04
+GROUPS = {
+    "one": (0,),
+    "all hosts of a domain": (0, 2, 4),
+    "five": (0, 1, 2, 3, 4),
+    "six": tuple(range(HOSTS)),
+}
+ONCE = {
+    "name": "once",
+    "hostname": users_platform.HOSTNAME,
+    "prefix": "/once/",
+    "kind": "non_idempotent",
+    "timeoutMs": 5000,
+    "targetLatencyMs": 300,
+    "service": "llm",
+    "maxAttempts": 2,
+}
+
+
+class Traffic:
+    """Send first tries to every host, each over a kept connection of its own."""
+
+    def __init__(self, world):
+        self.world = world
+        self.replies = []
+
+    async def ask(self, number, path):
+        caller = users_platform.Caller(self.world, number)
+        name = self.world.new_id()
+        reply = await caller.ask(path, request_id=name)
+        caller.close()
+        self.replies.append((number, name, path, reply))
+
+    async def send(self, until):
+        async with trio.open_nursery() as nursery:
+            count = 0
+            while trio.current_time() < until:
+                path = "/once/1" if count % 5 == 0 else "/ask/1"
+                nursery.start_soon(self.ask, count % HOSTS, path)
+                count += 1
+                await trio.sleep(GAP_S * self.world.rng.uniform(0.5, 1.5))
+
+    def served(self, numbers, since, until):
+        """Return the ratio of requests that got a whole success."""
+        found = [
+            reply.status == 200 and reply.whole
+            for number, _, _, reply in self.replies
+            if number in numbers and since <= reply.asked_at < until
+        ]
+        assert len(found) >= 5, (numbers, since, until)
+        return sum(found) / len(found)
+
+
+def cut(world, numbers, kind):
+    hosts = [f"10.1.0.{n}" for n in numbers]
+    servers = [s.address.partition(":")[0] for s in world.servers.values()]
+    if kind == "silence":
+        world.fabric.separate(hosts, servers)
+    else:
+        world.fabric.break_paths(hosts, servers, new_only="refusals" in kind)
+
+
+@behave.when("{hosts} of six hosts lose their paths to all servers for 6 s by {kind}")
+def lose(context, hosts, kind):
+    context.lost = GROUPS[hosts]
+
+    async def main(world):
+        world.configure(routes=[ONCE])
+        for server in world.servers.values():
+            server.plain_paths = ("/once/",)
+        context.traffic = traffic = Traffic(world)
+        start = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            until = start + BEFORE_S + LOST_S + AFTER_S
+            nursery.start_soon(traffic.send, until)
+            await trio.sleep(BEFORE_S)
+            cut(world, context.lost, kind)
+            context.lost_at = trio.current_time()
+            await trio.sleep(LOST_S)
+            world.fabric.broken_paths.clear()
+            world.fabric.restore()
+            context.back_at = trio.current_time()
+            await trio.sleep(1.0)
+            context.still_lost = [
+                n for n in context.lost if world.hosts[n].tunnels.needed()
+            ]
+
+    context.world = users_platform.play(main, hosts=HOSTS, servers=SERVERS, seed=3)
+
+
+@behave.then(
+    "from 1 s after that first tries at these hosts are served at least {ratio:g} "
+    "times as often as at the others"
+)
+def served(context, ratio):
+    others = set(range(HOSTS)) - set(context.lost)
+    since, until = context.lost_at + 1.0, context.back_at
+    here = context.traffic.served(context.lost, since, until)
+    there = context.traffic.served(others, since, until)
+    assert here >= ratio * there, (here, there)
+    assert context.world.lines("tunnel_opened")
+
+
+@behave.then("no request that must not run twice ran twice")
+def ran_once(context):
+    runs = users_platform.counts(context.world.runs)
+    once = [name for _, name, path, _ in context.traffic.replies if "once" in path]
+    assert once and max(runs[name] for name in once) == 1
+
+
+@behave.then("1 s after the paths are back these hosts reach servers directly")
+def direct_again(context):
+    assert not context.still_lost, context.still_lost
+
+
+@behave.then("while that lasts each request is refused as not run within {seconds:g} s")
+def refused(context, seconds):
+    # The first ones find out.
+    since, until = context.lost_at + 1.0, context.back_at - 0.5
+    replies = [
+        reply
+        for _, _, _, reply in context.traffic.replies
+        if since <= reply.asked_at < until
+    ]
+    assert len(replies) > 50
+    assert {reply.status for reply in replies} == {503}
+    assert max(reply.took_s for reply in replies) < seconds
+
+
+@behave.given("a host that reaches servers through a peer only")
+def through_peer(context):
+    pass
+
+
+@behave.when("through the peer a server {answers} and the caller asks")
+def ask_through_peer(context, answers):
+    async def main(world):
+        cut(world, (0,), "resets")
+        served = world.hosts[0]
+        served.inflight.reach.lost_since = trio.current_time()
+        (server,) = world.servers.values()
+        if "plain" in answers:
+            server.plain = "without a length"
+        elif "breaks" in answers:
+            server.break_after = 5
+        caller = users_platform.Caller(world, 0)
+        if "leaves" not in answers:
+            context.reply = await caller.ask()
+            return
+        with trio.move_on_after(0.2):
+            await caller.ask()
+        caller.close()
+        context.left_at = trio.current_time()
+        await trio.sleep(1.0)
+
+    context.world = users_platform.play(main, hosts=2, servers=1)
+
+
+@behave.then("through the peer the caller gets {result}")
+def result(context, result):
+    if "nothing" in result:
+        (run,) = context.world.runs
+        assert run.ended == "cut" and run.ended_at < context.left_at + 0.5, run
+    elif "whole" in result:
+        reply = context.reply
+        assert reply.status == 200 and reply.whole, reply
+        assert reply.body == b"plain body", reply
+    else:
+        assert not context.reply.whole or context.reply.status == 502, context.reply
+    assert context.world.lines("tunnel_opened")
