Import what only some situations need when they come

Change: the exchange of tables with peers, the tunnels and the garbage collector are imported when they are first needed, http and secrets not at all, and the requests on batch jobs stand with the other messages.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -3,7 +3,6 @@
 import collections.abc
 import enum
 import functools
-import http
 import math
 import random
 import typing
@@ -841,7 +840,7 @@
 
 
 def _succeeded(head: messages.ResponseHead) -> bool:
-    return head.signed and head.status < http.HTTPStatus.BAD_REQUEST
+    return head.signed and head.status < Refusal.BAD_REQUEST.value
 
 
 def choose_service(route: model.Route, rng: random.Random) -> str:
--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -8,7 +8,6 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import (
-    batch_requests,
     decoding,
     forwarder,
     http_server,
@@ -363,7 +362,7 @@
         self,
         exchange: http_server.Exchange,
         request: messages.Request,
-        batch_request: batch_requests.BatchRequest,
+        batch_request: messages.BatchRequest,
         team: str,
     ) -> str:
         time_left_s = (request.timeout_s or JOB_REQUEST_TIMEOUT_S) - RESPONSE_MARGIN_S
@@ -391,7 +390,7 @@
     async def _dispatch_job_request(
         self,
         exchange: http_server.Exchange,
-        batch_request: batch_requests.BatchRequest,
+        batch_request: messages.BatchRequest,
         team: str,
         deadline: float,
     ) -> str:
@@ -399,11 +398,11 @@
         if versioned is None or versioned.state.team != team:
             await exchange.refuse(forwarder.Refusal.NOT_FOUND, "no such job")
             return "no such job"
-        if isinstance(batch_request, batch_requests.ResultsRequest):
+        if isinstance(batch_request, messages.ResultsRequest):
             return await self._read_results(
                 exchange, batch_request, versioned, deadline
             )
-        if isinstance(batch_request, batch_requests.ItemBodyRequest):
+        if isinstance(batch_request, messages.ItemBodyRequest):
             return await self._read_item(exchange, batch_request, versioned)
         return await self._cancel_job(exchange, versioned)
 
@@ -428,7 +427,7 @@
     async def _read_results(
         self,
         exchange: http_server.Exchange,
-        batch_request: batch_requests.ResultsRequest,
+        batch_request: messages.ResultsRequest,
         versioned: jobs.VersionedState,
         deadline: float,
     ) -> str:
@@ -475,7 +474,7 @@
     async def _read_item(
         self,
         exchange: http_server.Exchange,
-        batch_request: batch_requests.ItemBodyRequest,
+        batch_request: messages.ItemBodyRequest,
         versioned: jobs.VersionedState,
     ) -> str:
         if versioned.state.cancelled:
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -1,11 +1,12 @@
 """Assemble and run an entry host that shares a row store with the others."""
 
 import contextlib
+import functools
 import importlib
 import itertools
 import json
+import os
 import random
-import secrets
 import typing
 
 import attrs
@@ -20,7 +21,6 @@
     dissemination,
     ejection,
     forwarder,
-    garbage_collector,
     gossip,
     handler,
     http_server,
@@ -39,9 +39,7 @@
     shutdown,
     store_health,
     sweep,
-    table_copies,
     takeover,
-    tunnels,
     watch,
     worker,
 )
@@ -56,6 +54,9 @@
 )
 from turmerictally.store import rows
 
+if typing.TYPE_CHECKING:
+    from turmerictally.entry import garbage_collector, table_copies, tunnels
+
 MAX_TEAM_HISTOGRAMS = 20  # the busiest teams get one each; the rest share one
 # Interval between reads of job changes, which batches them. With many hosts it grows
 # so that the fleet makes about MAX_JOBS_READS_PER_S.
@@ -71,6 +72,8 @@
 # Of a starting host's first write of its row, if the others' rows cannot be read.
 MAX_ROW_DELAY_S = 1.0
 ROW_POLL_S = 0.02
+GARBAGE_DELAY_S = 1.0  # until a starting host looks for expired rows
+PROBE_INTERVAL_S = 0.25  # between attempts to reach a server while paths are lost
 DRAIN_POLL_S = 0.05  # between checks for connections that became idle
 
 
@@ -112,7 +115,7 @@
         descriptor: int = 1,
     ) -> None:
         self.settings = config
-        self.instance = secrets.token_hex(6)
+        self.instance = os.urandom(6).hex()
         self.clock = clock or clocks.Clock()
         self.rng = rng or random.Random()
         self.trace = traces.Trace(config.host_id, descriptor)
@@ -250,17 +253,8 @@
             ejection.Ejector(config.failure_domain),
             self.availability,
         )
-        self.tunnels = tunnels.Tunnels(
-            self.network,
-            self.pool,
-            self.inflight,
-            self.hosts,
-            clock,
-            trace,
-            self.rng,
-            config.failure_domain,
-        )
-        self.pool.tunnels = self.tunnels
+        self.pool.paths_lost = self._are_paths_lost
+        self.pool.open_tunnel = self._open_tunnel
         self.pool.on_connected = self.inflight.record_connected
         self.inflight.on_paths_change = self._on_paths_change
         self.inflight.disabled = disabled
@@ -303,9 +297,6 @@
         )
         self.registry.on_leaving = self._on_leaving
         self.takeover = takeover.Takeover(self.worker)
-        self.garbage_collector = garbage_collector.GarbageCollector(
-            self.takeover, config.batch.keep_s
-        )
         self.admission = self._make_admission()
         self.forwarder = forwarder.Forwarder(
             inflight=self.inflight,
@@ -392,7 +383,17 @@
             self.settings.memory.limit_mb
         )
         self.health = make(listen.health, self._health)
-        self.table_copies = table_copies.TableCopies(
+        self.peer_server = make(listen.peers, self._serve_peer)
+        self.metrics_server = make(listen.metrics, self._metrics)
+
+    # Starts wait for each module, so those that only some situations need are imported
+    # then.
+
+    @functools.cached_property
+    def table_copies(self) -> "table_copies.TableCopies":
+        """Return the exchange of tables with peers, for a store outage."""
+        module = importlib.import_module("turmerictally.entry.table_copies")
+        return module.TableCopies(
             self.watches,
             self.hosts,
             # Connections to hosts say nothing of the paths to servers.
@@ -401,8 +402,44 @@
             self.trace,
             self.rng,
         )
-        self.peer_server = make(listen.peers, self._serve_peer)
-        self.metrics_server = make(listen.metrics, self._metrics)
+
+    @functools.cached_property
+    def tunnels(self) -> "tunnels.Tunnels":
+        """Return the tunnels to servers, for hosts whose own paths are lost."""
+        module = importlib.import_module("turmerictally.entry.tunnels")
+        return module.Tunnels(
+            self.network,
+            self.pool,
+            self.inflight,
+            self.hosts,
+            self.clock,
+            self.trace,
+            self.rng,
+            self.settings.failure_domain,
+        )
+
+    @functools.cached_property
+    def garbage_collector(self) -> "garbage_collector.GarbageCollector":
+        """Return what deletes expired rows."""
+        module = importlib.import_module("turmerictally.entry.garbage_collector")
+        return module.GarbageCollector(self.takeover, self.settings.batch.keep_s)
+
+    async def _collect_garbage(self) -> None:
+        await trio.sleep(GARBAGE_DELAY_S)
+        await self.garbage_collector.run()
+
+    def _are_paths_lost(self) -> bool:
+        return self.inflight.reach.lost_since is not None
+
+    async def _open_tunnel(self, address: str) -> network.Stream:
+        return await self.tunnels.connect(address)
+
+    async def _probe_paths(self) -> None:
+        """Try to reach servers directly while the paths are lost, until cancelled."""
+        while True:
+            await trio.sleep(PROBE_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+            if self._are_paths_lost():
+                await self.tunnels.probe()
 
     async def run(self) -> None:
         """Serve until stopped, then drain."""
@@ -435,8 +472,8 @@
         nursery.start_soon(self._register)
         nursery.start_soon(self._run_maintenance, nursery)
         nursery.start_soon(self.worker.run)
-        nursery.start_soon(self.garbage_collector.run)
-        nursery.start_soon(self.tunnels.run_probes)
+        nursery.start_soon(self._collect_garbage)
+        nursery.start_soon(self._probe_paths)
 
     def stop(self) -> None:
         """Request a graceful shutdown."""
@@ -586,7 +623,7 @@
         )
 
     async def _serve_peer(self, exchange: http_server.Exchange) -> None:
-        if exchange.target.startswith(tunnels.PATH.encode()):
+        if exchange.target.startswith(pool.TUNNELS_PATH.encode()):
             await self.tunnels.serve(exchange)
         else:
             await self.table_copies.serve(exchange)
@@ -772,7 +809,8 @@
     async def _run_maintenance(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(MAINTENANCE_INTERVAL_S * self.rng.uniform(0.8, 1.2))
-            self.table_copies.refresh_stale(nursery)
+            if any(table_watch.is_stale() for table_watch in self.watches.values()):
+                self.table_copies.refresh_stale(nursery)
             self.takeover.start_takeovers(nursery)
             self.registry.expire()
             self.availability.expire()
--- a/turmerictally/entry/messages.py
+++ b/turmerictally/entry/messages.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmerictally.entry import batch_requests, jobs
+from turmerictally.entry import jobs
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -48,6 +48,33 @@
         return self.target.decode("latin-1").partition("?")[2]
 
 
+@attrs.frozen
+class ResultsRequest:
+    """Request results from a position on, waiting up to ``wait_s`` for the first."""
+
+    job: str
+    after: int
+    wait_s: float
+
+
+@attrs.frozen
+class ItemBodyRequest:
+    """Request the body of an item."""
+
+    job: str
+    item: str
+
+
+@attrs.frozen
+class CancelRequest:
+    """Request the cancellation of a job."""
+
+    job: str
+
+
+BatchRequest = ResultsRequest | ItemBodyRequest | CancelRequest
+
+
 @attrs.frozen
 class ForwardingContext:
     """Hold what an entry host adds to the headers of a forwarded request.
@@ -103,9 +130,7 @@
     def item_request(self, item: jobs.Item, hostname: str) -> Request:
         """Return the request that runs a batch item."""
 
-    def read_batch_request(
-        self, request: Request
-    ) -> batch_requests.BatchRequest | None:
+    def read_batch_request(self, request: Request) -> BatchRequest | None:
         """Decode a request on a batch job; None if the request is of another kind."""
 
     def read_items(self, body: bytes) -> list[jobs.Item]:
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -2,7 +2,6 @@
 
 import collections
 import collections.abc
-import typing
 
 import attrs
 import trio
@@ -24,6 +23,7 @@
     0.7  # an idle connection is closed this long before the server's end
 )
 END_CHECK_DELAY_S = 0.03
+TUNNELS_PATH = "/tunnels/"  # at the address for other hosts
 MAX_HEAD_BYTES = 64 * 1024
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024  # of a response to another request
 MAX_INFORMATIONAL_HEADS = 8  # of status 1xx before the final response
@@ -192,14 +192,8 @@
     return Connection(address, stream, reader, clock, tunnelled=tunnelled)
 
 
-class Tunnels(typing.Protocol):
-    """Open connections through other hosts."""
-
-    def needed(self) -> bool:
-        """Return whether no server is reached directly."""
-
-    async def connect(self, address: str) -> network.Stream:
-        """Open a connection; raises ``OSError``."""
+# Opens a connection to a server through another host; raises ``OSError``.
+OpenTunnel = collections.abc.Callable[[str], collections.abc.Awaitable[network.Stream]]
 
 
 class Pool:
@@ -210,7 +204,8 @@
         self.clock = clock
         self.idle: dict[str, list[Connection]] = collections.defaultdict(list)
         self.connect_times = connect_timeout.ConnectTimes()
-        self.tunnels: Tunnels | None = None
+        self.paths_lost: collections.abc.Callable[[], bool] = lambda: False
+        self.open_tunnel: OpenTunnel | None = None
         self.on_connected: collections.abc.Callable[[], None] = lambda: None
         self.opened = 0
         self.abandoned = 0
@@ -234,7 +229,7 @@
         return await self._open(address)
 
     async def _open(self, address: str) -> Connection:
-        if self.tunnels is not None and self.tunnels.needed():
+        if self.paths_lost():
             return await self._open_tunnel(address)
         started_at = trio.current_time()
         try:
@@ -249,7 +244,7 @@
 
     async def _open_tunnel(self, address: str) -> Connection:
         try:
-            stream = await self.tunnels.connect(address)
+            stream = await self.open_tunnel(address)
         except OSError as error:
             raise ConnectError(str(error)) from error
         return make_connection(address, stream, self.clock, tunnelled=True)
--- a/turmerictally/entry/prompt_guard.py
+++ b/turmerictally/entry/prompt_guard.py
@@ -2,7 +2,6 @@
 
 import collections
 import collections.abc
-import http
 
 import attrs
 
@@ -14,6 +13,7 @@
 # Until a batch item with a quarantined part is looked at again: the quarantine may end,
 # or the trial fall to this host, at any time.
 ITEM_RECHECK_S = 1.0
+MISDIRECTED_REQUEST = 421  # status of an answer by another server at the same address
 
 
 ONLINE, BATCH = "online", "batch"
@@ -123,8 +123,7 @@
         self, server: model.Server, head: messages.ResponseHead, sent_at: float
     ) -> None:
         """Record a server's answer to a request that was sent at ``sent_at``."""
-        if head.status == http.HTTPStatus.MISDIRECTED_REQUEST:
-            # From another server at the same address.
+        if head.status == MISDIRECTED_REQUEST:
             return
         now = self.clock.monotonic()
         incarnation = _incarnation(server)
--- a/turmerictally/entry/table_copies.py
+++ b/turmerictally/entry/table_copies.py
@@ -11,7 +11,6 @@
 from turmerictally.entry import trace as traces
 
 PATH = "/copies/"
-STALE_S = 2.2  # longer than a long poll takes; the interval between reads is added
 MIN_FRESHER_S = 0.5  # a peer's copy is fetched if it is fresher by this much
 FETCH_TIMEOUT_S = 1.0
 AGE_HEADER = b"age-ms"
@@ -44,11 +43,7 @@
 
     def stale_tables(self) -> list[str]:
         """Return the tables whose copies the store has not updated in time."""
-        return [
-            name
-            for name, table in self.watches.items()
-            if table.age_s() > STALE_S + table.interval_s()
-        ]
+        return [name for name, table in self.watches.items() if table.is_stale()]
 
     def refresh_stale(self, nursery: trio.Nursery) -> None:
         """Start to fetch stale tables from peers, unless a fetch is running."""
--- a/turmerictally/entry/tunnels.py
+++ b/turmerictally/entry/tunnels.py
@@ -14,14 +14,12 @@
 from turmerictally.entry import gossip, http_server, inflight, network, pool
 from turmerictally.entry import trace as traces
 
-PATH = "/tunnels/"
 # To open a tunnel: two round trips between hosts and the peer's connection.
 OPEN_TIMEOUT_S = 0.4
 CONNECT_TIMEOUT_S = 0.3  # of the peer's connection to the server
 MAX_PEERS_TRIED = 2  # for one connection
 # Carried for other hosts at once; each takes two file descriptors and some 10 kB.
 MAX_CARRIED = 1000
-PROBE_INTERVAL_S = 0.25  # between attempts to reach a server directly again
 PROBE_TIMEOUT_S = 0.2
 
 
@@ -81,7 +79,10 @@
         try:
             connection = pool.make_connection(peer, stream, self.clock)
             await connection.send_request(
-                b"POST", f"{PATH}{address}".encode(), [(b"Host", peer.encode())], b""
+                b"POST",
+                f"{pool.TUNNELS_PATH}{address}".encode(),
+                [(b"Host", peer.encode())],
+                b"",
             )
             head = await connection.read_head()
             if head.status != 200:
@@ -93,7 +94,7 @@
 
     async def serve(self, exchange: http_server.Exchange) -> None:
         """Carry a connection of another host to a server."""
-        address = exchange.target.decode("latin-1").removeprefix(PATH)
+        address = exchange.target.decode("latin-1").removeprefix(pool.TUNNELS_PATH)
         servers = self.inflight.registry.servers.values()
         if address not in {server.address for server in servers}:
             await exchange.reply(404)
@@ -123,17 +124,15 @@
             for source, target in ((near, server), (server, near)):
                 nursery.start_soon(_copy, source, target, nursery.cancel_scope)
 
-    async def run_probes(self) -> None:
-        """Try to reach servers directly while the paths are lost, until cancelled."""
-        while True:
-            await trio.sleep(PROBE_INTERVAL_S * self.rng.uniform(0.8, 1.2))
-            if not self.needed() or not self.inflight.registry.servers:
-                continue
-            server = self.rng.choice(list(self.inflight.registry.servers.values()))
-            with contextlib.suppress(OSError), trio.move_on_after(PROBE_TIMEOUT_S):
-                stream = await self.network.connect(server.address)
-                self.pool.add_idle(server.address, stream)
-                self.inflight.record_connected()
+    async def probe(self) -> None:
+        """Try to reach a server directly; a connection is kept and ends the tunnels."""
+        servers = list(self.inflight.registry.servers.values())
+        if not servers:
+            return
+        address = self.rng.choice(servers).address
+        with contextlib.suppress(OSError), trio.move_on_after(PROBE_TIMEOUT_S):
+            self.pool.add_idle(address, await self.network.connect(address))
+            self.inflight.record_connected()
 
 
 async def _copy(
--- a/turmerictally/entry/watch.py
+++ b/turmerictally/entry/watch.py
@@ -14,6 +14,7 @@
 from turmerictally.store import rows
 
 LONG_POLL_S = 1.5  # delays the detection of a dead connection by as much
+STALE_S = 2.2  # longer than a long poll takes; the interval between reads is added
 MIN_RETRY_S = 0.15  # doubled with each failed call
 MAX_RETRY_S = 0.6  # detects within a second that the store is available again
 OUTAGE_S = 1.0  # without a response, after which the store counts as unavailable
@@ -89,6 +90,10 @@
         """Return the seconds since the copy was known to be up to date."""
         return self.clock.monotonic() - self.fresh_at
 
+    def is_stale(self) -> bool:
+        """Return whether the store has not updated the copy in time."""
+        return self.age_s() > STALE_S + self.interval_s()
+
     def store_now_s(self) -> float | None:
         """Return the store's steady clock, advanced by the local one, if known."""
         if self.store_clock_s is None:
--- a/turmerictally/platform/codec.py
+++ b/turmerictally/platform/codec.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from turmerictally.entry import batch_requests, jobs, messages
+from turmerictally.entry import jobs, messages
 from turmerictally.platform import jobs as job_requests
 from turmerictally.platform import requests
 
@@ -44,7 +44,7 @@
 
     def read_batch_request(
         self, request: messages.Request
-    ) -> batch_requests.BatchRequest | None:
+    ) -> messages.BatchRequest | None:
         """Decode a request on a batch job; return None for any other request."""
         return job_requests.read_batch_request(request)
 
--- a/turmerictally/platform/jobs.py
+++ b/turmerictally/platform/jobs.py
@@ -3,7 +3,7 @@
 import re
 import urllib.parse
 
-from turmerictally.entry import batch_requests, decoding, http1, jobs, messages
+from turmerictally.entry import decoding, http1, jobs, messages
 
 RESULTS_PATH = re.compile(r"/-/lots/([^/?]+)$")
 ITEM_PATH = re.compile(r"/-/items/([^/?]+)$")
@@ -13,19 +13,19 @@
 STATES = {True: "succeeded", False: "dead_letter"}
 
 
-def read_batch_request(request: messages.Request) -> batch_requests.BatchRequest | None:
+def read_batch_request(request: messages.Request) -> messages.BatchRequest | None:
     """Decode a request on a batch job; return None for any other request."""
     query = dict(urllib.parse.parse_qsl(request.query))
     matched = RESULTS_PATH.match(request.path)
     if matched and request.method == b"GET":
         after = query.get("after", "")
         position = int(after) if POSITION.fullmatch(after) else 0
-        return batch_requests.ResultsRequest(matched[1], position, request.poll_wait_s)
+        return messages.ResultsRequest(matched[1], position, request.poll_wait_s)
     if matched and request.method == b"DELETE":
-        return batch_requests.CancelRequest(matched[1])
+        return messages.CancelRequest(matched[1])
     matched = ITEM_PATH.match(request.path)
     if matched and request.method == b"GET":
-        return batch_requests.ItemBodyRequest(matched[1], query.get("id", ""))
+        return messages.ItemBodyRequest(matched[1], query.get("id", ""))
     return None
 
 
