Decode digests with evidence against prompt parts again

What callers saw: nothing in a release.

Result: the new scenario, which encodes what the modules report and decodes it, failed with 'Expected array of length 3, got 4' and passes. The checks now cover the other new fields too; malformed values of theirs are in entry_malformed.feature, and the one case that had become the old valid form stays as a malformed one.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -174,11 +174,26 @@
 
 _VALUES = operator.attrgetter(*(field.name for field in attrs.fields(Digest)))
 _ENCODER = msgspec.msgpack.Encoder()
+_ACCUSED_PARTS = dict[
+    str,
+    tuple[
+        decoding.Count, decoding.Seconds, decoding.Seconds, dict[str, decoding.Seconds]
+    ],
+]
 _TYPES = typing.get_type_hints(Digest, include_extras=True) | {
-    "accused_parts": dict[
+    "accused_parts": _ACCUSED_PARTS,
+    "accused_item_parts": _ACCUSED_PARTS,
+    "accused_requests": dict[
         str,
-        tuple[decoding.Count, decoding.Seconds, dict[str, decoding.Seconds]],
+        tuple[
+            tuple[str, ...],
+            decoding.Seconds,
+            decoding.Seconds,
+            dict[str, tuple[decoding.Seconds, bool]],
+        ],
     ],
+    "answered_servers": dict[str, decoding.Seconds],
+    "answer_age_s": decoding.Seconds,
     "limits": dict[str, tuple[decoding.Number, decoding.Seconds, decoding.Count]],
 }
 _DECODER = msgspec.msgpack.Decoder(tuple[*_TYPES.values()])
--- a/turmerictally/tests/features/scheduling_quarantine.feature
+++ b/turmerictally/tests/features/scheduling_quarantine.feature
@@ -45,6 +45,11 @@
       | 10    | 5       |
       | 400   | 10      |
 
+  # Guards against digests that no host can read, as a report's form had changed.
+  Scenario: Digests with evidence are read as they were written
+    When a host has evidence against prompt parts, items' parts and a request, and a refuted crash
+    Then its digest is decoded with all of that
+
   Scenario: An operator's lists go before the evidence
     Given four hosts that exchange evidence each second
     And a part that every host has quarantined
--- a/turmerictally/tests/features/steps/entry_malformed_steps.py
+++ b/turmerictally/tests/features/steps/entry_malformed_steps.py
@@ -124,6 +124,12 @@
 TOO_LARGE = 2**64 - 1
 COUNTS = (-1, TOO_LARGE, 1.5, "a", None, math.nan)
 COUNTS_BY_NAME = ({"s0": -1}, {"s0": TOO_LARGE}, {"s0": "a"}, {7: 1}, ["s0"], 7)
+ODD_PARTS = (
+    {"p": [0, math.nan, 0.0, {}]},
+    {"p": [TOO_LARGE, 0.0, 0.0, {}]},
+    {"p": [0, 0.0, 0.0, {"s0/1": math.inf}]},
+    {"p": [0, 0.0, {}]},
+)
 DIGEST_FIELDS = {
     "host": (7, b"a", None, []),
     "address": ("a b:80", "10.1.0.9:99999", "10.1.0.9:8_0", "", 7),
@@ -142,12 +148,17 @@
     "job_states": ({"j": [1]}, {"j": [-1, b""]}),
     "waiting_urgencies": ([math.nan], [TOO_LARGE]),
     "batch_urgencies": ({"s0": [TOO_LARGE]}, {"s0": 1}),
-    "accused_parts": (
-        {"p": [0, math.nan, {}]},
-        {"p": [TOO_LARGE, 0.0, {}]},
-        {"p": [0, 0.0, {"s0/1": math.inf}]},
-        {"p": [0]},
+    "accused_parts": ODD_PARTS,
+    "accused_item_parts": ODD_PARTS,
+    "accused_requests": (
+        {"r": [["p"], math.nan, 0.0, {}]},
+        {"r": [[7], 0.0, 0.0, {}]},
+        {"r": [["p"], 0.0, 0.0, {"s0/1": [math.inf, True]}]},
+        {"r": [["p"], 0.0, 0.0, {"s0/1": [0.0, 7]}]},
     ),
+    "answered_servers": ({"s0/1": math.nan}, {"s0/1": "0"}, {"s0/1": math.inf}),
+    "paths_lost": (7, "yes"),
+    "answer_age_s": (math.nan, math.inf, "0"),
     "limits": ({"s0": [-1.0, 0.0, 1]}, {"s0": [1.0, math.nan, 1]}, {"s0": [1.0, 0.0]}),
 }
 DATAGRAMS = (b"", b"\xff", b"\x91" * 60_000, b"\x96" + b"\x91" * 60_000)
--- a/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
@@ -2,7 +2,12 @@
 
 import behave
 
-from turmerictally.scheduling import prompt_quarantine
+from turmerictally.entry import gossip
+from turmerictally.scheduling import (
+    prompt_quarantine,
+    request_quarantine,
+    server_answers,
+)
 
 EXCHANGE_S = 1.0
 APART_S = 0.2
@@ -213,6 +218,47 @@
     assert all(gap_s >= 5.0 for gap_s in apart), context.trials
 
 
+@behave.when(
+    "a host has evidence against prompt parts, items' parts and a request, and a "
+    "refuted crash"
+)
+def all_evidence(context):
+    answers = server_answers.ServerAnswers()
+    parts = prompt_quarantine.PromptQuarantine("h0", lambda: NAMES, answers=answers)
+    parts.record_crash("s0/1", ("aa", "bad"), 10.0)
+    parts.quarantined["bad"] = prompt_quarantine.Quarantine("bad", 1, 10.0, 10.0)
+    parts.start_trials(("bad",), 11.0)
+    requests = request_quarantine.RequestQuarantine(answers, "h0")
+    requests.record_crash("00ff", "s0/1", ("aa",), strong=True, now=10.0)
+    answers.record_answer("s0/1", 10.5, 10.6)
+    fields = {
+        "accused_parts": parts.report(12.0),
+        "accused_item_parts": parts.report(12.0),
+        "accused_requests": requests.report(12.0),
+        "answered_servers": answers.report(12.0),
+    }
+    assert all(fields.values()), fields
+    counts = dict.fromkeys(
+        ("online", "batch", "admitted", "requested", "table_ages"), {}
+    )
+    context.digest = gossip.Digest(
+        host="h0",
+        instance="i",
+        address="10.1.0.0:82",
+        sequence=1,
+        items_waiting=0,
+        store_age_s=0.0,
+        failing=[],
+        **counts,
+        **fields,
+    )
+
+
+@behave.then("its digest is decoded with all of that")
+def decoded(context):
+    assert gossip.decode(context.digest.encode()) == context.digest
+
+
 @behave.when("the operator exempts that part and lists another one")
 def lists(context):
     for host in context.fleet.hosts.values():
