Refute only the crashes before an answer, on all hosts alike

Real crashes could be refuted, so that requests went on to crash servers: hosts passed answers on that they were only told of, each time a little younger; a refuted crash that came back with another host's report grew younger as well until it counted again; and what a restart had taken back came back with the next digest of a host that had not seen it.

Change: hosts report the answers that they got themselves. Of two times of a crash the earlier is kept unless one is refuted and the other is not. Answers of incarnations that were replaced are ignored.

Result: three examples, of which two failed before ('10 s later the same servers crash', 'the server starts again under its name'), pass.

--- a/turmerictally/scheduling/prompt_quarantine.py
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -297,12 +297,13 @@
         return bool(evidence.unexplained((), self.answers))
 
     def _add_crash(self, evidence: Evidence, server: str, at: float) -> None:
-        known_at = evidence.crashes.get(server)
-        if known_at is None or self.answers.refutes(server, known_at):
-            evidence.crashes[server] = at
-        else:
+        known_at = evidence.crashes.get(server, at)
+        known_counts = not self.answers.refutes(server, known_at)
+        if known_counts == (not self.answers.refutes(server, at)):
             # A report is late by its way here, so that the earliest is the truest.
             evidence.crashes[server] = min(at, known_at)
+        elif not known_counts:
+            evidence.crashes[server] = at
 
     def _merge(self, evidence: Evidence, crashes: dict[str, float], now: float) -> None:
         for server, at in crashes.items():
--- a/turmerictally/scheduling/request_quarantine.py
+++ b/turmerictally/scheduling/request_quarantine.py
@@ -324,11 +324,15 @@
         return counted
 
     def _add_crash(self, evidence: Evidence, server: str, crash: Crash) -> None:
-        known = evidence.crashes.get(server)
-        if known is not None and not self.answers.refutes(server, known.at):
+        known = evidence.crashes.get(server, crash)
+        known_counts = not self.answers.refutes(server, known.at)
+        if known_counts == (not self.answers.refutes(server, crash.at)):
             # A report is late by its way here, so that the earliest is the truest.
-            crash = Crash(min(crash.at, known.at), crash.strong or known.strong)
-        evidence.crashes[server] = crash
+            evidence.crashes[server] = Crash(
+                min(crash.at, known.at), crash.strong or known.strong
+            )
+        elif not known_counts:
+            evidence.crashes[server] = crash
 
     def _merge(self, evidence: Evidence, crashes: dict[str, Crash], now: float) -> None:
         for server, crash in crashes.items():
--- a/turmerictally/scheduling/server_answers.py
+++ b/turmerictally/scheduling/server_answers.py
@@ -25,11 +25,15 @@
     """Hold which incarnations of servers answered after they seemed to have crashed.
 
     ``suspected_at`` is when this host learned of a crash that no answer refutes, and
-    ``answered_at`` when an answer refuted one, on any host. All times are monotonic.
+    ``answered_at`` when an answer refuted one, on any host; ``own`` names those that
+    answered this host, and ``ended`` incarnations that have been replaced, with the
+    time of that. All times are monotonic.
     """
 
     suspected_at: dict[str, float] = attrs.Factory(dict)
     answered_at: dict[str, float] = attrs.Factory(dict)
+    own: set[str] = attrs.Factory(set)
+    ended: dict[str, float] = attrs.Factory(dict)
 
     def refutes(self, server: str, crashed_at: float) -> bool:
         """Return whether an answer shows that a crash was none."""
@@ -55,29 +59,39 @@
         if suspected_at is None or sent_at <= suspected_at:
             return False
         self._refute(server, now)
+        self.own.add(server)
         return True
 
     def record_restart(self, server: str, now: float) -> bool:
         """Record that an incarnation has ended; return if an answer proved nothing."""
         answered_at = self.answered_at.get(server, float("-inf"))
+        if server in self.suspected_at or now - answered_at <= RESTART_SEEN_S:
+            # Other hosts that have not seen the restart report the answer again.
+            self.ended[server] = now
+            _evict_oldest(self.ended)
         if now - answered_at > RESTART_SEEN_S:
             return False
-        del self.answered_at[server]
+        self._forget(server)
         return True
 
     def report(self, now: float) -> Report:
         """Return the answers for the other hosts, and drop those long ago."""
         for server, at in list(self.answered_at.items()):
             if now - at > ANSWER_TTL_S:
-                del self.answered_at[server]
-        return {server: round(now - at, 3) for server, at in self.answered_at.items()}
+                self._forget(server)
+        # Only own answers: an age that is passed on would never grow old.
+        return {
+            server: round(now - self.answered_at[server], 3)
+            for server in self.own & self.answered_at.keys()
+        }
 
     def receive(self, report: Report, now: float) -> list[str]:
         """Merge another host's answers; return the servers with a refuted crash."""
         refuted = []
         for server, age_s in report.items():
+            if server in self.ended:
+                continue
             answered_at = now - age_s
-            # An age that was passed on is late: the earliest report is the truest.
             known_at = self.answered_at.get(server, float("-inf"))
             if answered_at > known_at + REFUTES_LATER_CRASHES_S:
                 self._refute(server, answered_at)
@@ -88,7 +102,12 @@
         self.suspected_at.pop(server, None)
         self.answered_at.pop(server, None)
         self.answered_at[server] = answered_at
-        _evict_oldest(self.answered_at)
+        if len(self.answered_at) > MAX_SERVERS:
+            self._forget(next(iter(self.answered_at)))
+
+    def _forget(self, server: str) -> None:
+        del self.answered_at[server]
+        self.own.discard(server)
 
 
 def _evict_oldest(times: dict[str, float]) -> None:
--- a/turmerictally/tests/features/scheduling_quarantine.feature
+++ b/turmerictally/tests/features/scheduling_quarantine.feature
@@ -50,6 +50,18 @@
     When a host has evidence against prompt parts, items' parts and a request, and a refuted crash
     Then its digest is decoded with all of that
 
+  # Guards against real crashes that are refuted by old answers.
+  Scenario Outline: An answer refutes the crashes before it only, on all hosts
+    Given four hosts that exchange evidence each second
+    When a crash was refuted and <what happens then>
+    Then every host has quarantined <parts>
+
+    Examples:
+      | what happens then                                                          | parts |
+      | 10 s later the same servers crash, with digests 0.2 s late                 | bad   |
+      | the server starts again under its name 1 s later, as two hosts know sooner | bad   |
+      | nothing else                                                               | none  |
+
   Scenario: An operator's lists go before the evidence
     Given four hosts that exchange evidence each second
     And a part that every host has quarantined
--- a/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
@@ -19,6 +19,7 @@
 
     def __init__(self, names=NAMES):
         self.now = 1000.0
+        self.late_s = 0.03
         self.hosts = {
             name: prompt_quarantine.PromptQuarantine(name, lambda: names)
             for name in names
@@ -31,9 +32,12 @@
         for name in told_by or self.hosts:
             host = self.hosts[name]
             report = host.report(self.now)
+            answers = host.answers.report(self.now)
             for other, receiver in self.hosts.items():
                 if other != name and not {name, other} & self.cut_off:
-                    receiver.receive(report, self.now + 0.03)
+                    now = self.now + self.late_s
+                    receiver.answers.receive(answers, now)
+                    receiver.receive(report, now)
 
     def crash(self, name, *parts):
         self.crashes += 1
@@ -218,6 +222,43 @@
     assert all(gap_s >= 5.0 for gap_s in apart), context.trials
 
 
+@behave.when("a crash was refuted and {then}")
+def refuted_then(context, then):
+    fleet = context.fleet
+    if "late" in then:
+        fleet.late_s = 0.2
+    servers = [fleet.crash("h0", "aa", "bad")]
+    fleet.now += APART_S
+    servers.append(fleet.crash("h0", "aa", "bad"))
+    fleet.exchange()
+    fleet.now += APART_S
+    for server in servers:
+        answers = fleet.hosts["h1"].answers
+        assert answers.record_answer(server, fleet.now + fleet.late_s, fleet.now + 0.5)
+    fleet.now += 0.5
+    if "starts again" in then:
+        fleet.exchange()
+        fleet.now += 1.0
+        for early, late in (("h0", "h1"), ("h2", "h3")):
+            for server in servers:
+                fleet.hosts[early].answers.record_restart(server, fleet.now)
+            fleet.exchange()
+            fleet.now += 0.5
+            for server in servers:
+                fleet.hosts[late].answers.record_restart(server, fleet.now)
+    for _ in range(10):
+        fleet.exchange()
+        fleet.now += EXCHANGE_S
+    if "crash" in then:
+        for server in servers:
+            fleet.hosts["h2"].record_crash(server, ("aa", "bad"), fleet.now)
+            fleet.now += APART_S
+    fleet.exchange()
+    fleet.exchange()
+    for host in fleet.hosts.values():
+        host.update()
+
+
 @behave.when(
     "a host has evidence against prompt parts, items' parts and a request, and a "
     "refuted crash"
