Start batch items elsewhere after a server answered one with an error

What callers saw: items ended as failed, or were never done, while a sound server had free slots: a server that fails at once has the most free slots, and its errors kept items away no more than its refusals had.

--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -29,7 +29,8 @@
 SCHEDULE_INTERVAL_S = 0.1  # as often as hosts report their free slots
 RETRY_S = 0.3  # before an item runs again after a refusal or a broken connection
 ERROR_RETRY_S = 0.8  # after a server error, so that a transient cause can clear
-# A server that refused an item gets none for this long while others have free slots.
+# A server that refused an item, or answered it with an error, gets none for this long
+# while others have free slots.
 REFUSAL_PAUSE_S = 2.0
 SAVE_DELAY_S = 0.06  # lets results that finish close together share a transaction
 SAVE_RETRY_S = 0.4
@@ -65,7 +66,7 @@
 
     With ``fair_to_teams`` teams take free slots in turn. ``max_running_items``
     limits the items that run on this host at once; None sets no limit.
-    ``refused_until`` holds the servers that refused an item lately.
+    ``refused_until`` holds the servers that refused or failed an item lately.
     """
 
     host_id: str
@@ -390,7 +391,7 @@
     def _without_refusing(
         self, loads: list[placement.ServerLoad]
     ) -> list[placement.ServerLoad]:
-        """Leave out servers that refused an item lately, if others have free slots."""
+        """Leave out servers that failed an item lately, if others have free slots."""
         now = self.clock.monotonic()
         for name in [n for n, until in self.refused_until.items() if now >= until]:
             del self.refused_until[name]
@@ -540,7 +541,7 @@
         if outcome == "impossible":
             self._finish_item(owned, task, False, "impossible")
             return
-        if outcome == item_runner.NOT_RUN:
+        if outcome == item_runner.NOT_RUN or outcome.startswith(("error", "answered")):
             self.refused_until[name] = now + REFUSAL_PAUSE_S
         if outcome.startswith("broken"):
             refused = outcome == item_runner.NOT_CONNECTED
