Give the turn for a trial to one host after one without an outcome too

Turns counted from the time at which a trial was due first, so that five seconds after a trial without an outcome all ten hosts might make the next one at once, each at the price of a server.

--- a/turmerictally/scheduling/prompt_quarantine.py
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -260,11 +260,10 @@
             self.update()
 
     def _may_try(self, quarantine: Quarantine, now: float) -> bool:
-        due_s = now - quarantine.trial_at
+        tried_at = self.evidence[quarantine.part].tried_at
+        due_s = now - max(quarantine.trial_at, tried_at + TRIAL_TIMEOUT_S)
         if due_s < 0:
             return False
-        if now - self.evidence[quarantine.part].tried_at < TRIAL_TIMEOUT_S:
-            return False
         # Hosts that are not reachable count too: a cut must not add trials at once.
         others = set(self.read_hosts()) - {self.host}
         rank = rank_host(quarantine.part, self.host)
--- a/turmerictally/tests/features/scheduling_quarantine.feature
+++ b/turmerictally/tests/features/scheduling_quarantine.feature
@@ -45,6 +45,13 @@
       | 10    | 5       |
       | 400   | 10      |
 
+  # Guards against trials by all hosts at once after one that had no outcome.
+  Scenario: A trial without an outcome is made again by one host at a time
+    Given 10 hosts that exchange evidence each second
+    And a part that every host has quarantined
+    When a trial has no outcome and every host has requests with the part 5.2 s later
+    Then at most 2 hosts may make the next one
+
   # Guards against digests that no host can read, as a report's form had changed.
   Scenario: Digests with evidence are read as they were written
     When a host has evidence against prompt parts, items' parts and a request, and a refuted crash
--- a/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
@@ -222,6 +222,28 @@
     assert all(gap_s >= 5.0 for gap_s in apart), context.trials
 
 
+@behave.when(
+    "a trial has no outcome and every host has requests with the part {later_s:g} s "
+    "later"
+)
+def no_outcome(context, later_s):
+    fleet = context.fleet
+    fleet.now = fleet.hosts["h0"].quarantined["bad"].trial_at + 20.0
+    fleet.hosts["h0"].start_trials(("bad",), fleet.now)
+    fleet.exchange()
+    fleet.now += later_s
+    context.allowed = [
+        name
+        for name, host in fleet.hosts.items()
+        if host.check(("aa", "bad"), fleet.now) is None
+    ]
+
+
+@behave.then("at most {most:d} hosts may make the next one")
+def few_may_try(context, most):
+    assert 1 <= len(context.allowed) <= most, context.allowed
+
+
 @behave.when("a crash was refuted and {then}")
 def refuted_then(context, then):
     fleet = context.fleet
