Count what else runs on a server before its end is checked

The others end within the 0.03 s of the check.

A silent server's request that is itself in quarantine is no longer given up for another server, and connections that the check keeps stay within the pool's bound. No test of their own.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -483,15 +483,19 @@
     async def _check_crash(self, pending: PendingRequest, server: model.Server) -> None:
         """Find out whether the server of a request that it broke off has ended."""
         pending.server_ended = True
+        # The others that ran there end while this one waits.
+        others = self.inflight.count_on(server.instance)
         try:
             pending.server_ended = await self.pool.has_ended(server.address)
         finally:
             # Counts as a crash if the caller leaves meanwhile; an answer refutes it.
             if pending.server_ended:
-                self._record_crash(pending, server)
+                self._record_crash(pending, server, others)
 
-    def _record_crash(self, pending: PendingRequest, server: model.Server) -> None:
-        """Record that a server ended under a request."""
+    def _record_crash(
+        self, pending: PendingRequest, server: model.Server, others: int
+    ) -> None:
+        """Record that a server ended under a request, and so many others."""
         request = pending.request
         self.requests.record_crash(
             request.request_id,
@@ -500,7 +504,7 @@
             request.shared_parts,
             began_without_event=pending.response_head is not None
             and not pending.attempt_events,
-            others=self.inflight.count_on(server.instance),
+            others=others,
         )
         if not pending.attempt_events:
             self.prompts.record_crash(request.request_id, server, request.shared_parts)
@@ -750,7 +754,10 @@
             trusted_only=True,
         )
         can_take_over = bool(wait_queue.with_free_slots(loads))
-        if can_take_over and self.prompts.check(pending.request.shared_parts) is None:
+        refused = self.requests.check(pending.identity) or self.prompts.check(
+            pending.request.shared_parts
+        )
+        if can_take_over and not refused:
             return -math.inf
         return trio.current_time() + SILENCE_CHECK_S
 
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -282,7 +282,10 @@
             connection = await self._open(address)
         except ConnectError:
             return True
-        self._keep_idle(connection, DEFAULT_KEEP_ALIVE_S)
+        if len(self.idle.get(address, ())) < MAX_IDLE_PER_SERVER:
+            self._keep_idle(connection, DEFAULT_KEEP_ALIVE_S)
+        else:
+            connection.close()
         return False
 
     def release(self, connection: Connection, keep_alive_s: float | None) -> None:
