Read the evidence against prompt parts in digests again

What callers saw: nothing in a release.

Cause: the bounds of decoded digests name the types of reports once more.

Evidence: digest_unreadable, "Expected `array` of length 3, got 4"; all hosts quarantined the request when they read rows, 3 s later.

The bounds hold all four fields, and those of items' parts, requests, answered servers and answer_age_s as well, which had none.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -140,7 +140,7 @@
     accused_requests: request_quarantine.Report = attrs.Factory(dict)
     accused_item_parts: prompt_quarantine.Report = attrs.Factory(dict)
     paths_lost: bool = False
-    answer_age_s: float = MAX_AGE_S
+    answer_age_s: decoding.Seconds = MAX_AGE_S
 
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
@@ -174,11 +174,23 @@
 
 _VALUES = operator.attrgetter(*(field.name for field in attrs.fields(Digest)))
 _ENCODER = msgspec.msgpack.Encoder()
-_TYPES = typing.get_type_hints(Digest, include_extras=True) | {
-    "accused_parts": dict[
-        str,
-        tuple[decoding.Count, decoding.Seconds, dict[str, decoding.Seconds]],
+_AGES = dict[str, decoding.Seconds]
+_PARTS = dict[str, tuple[decoding.Count, decoding.Seconds, decoding.Seconds, _AGES]]
+_REQUESTS = dict[
+    str,
+    tuple[
+        tuple[str, ...],
+        decoding.Seconds,
+        decoding.Seconds,
+        dict[str, tuple[decoding.Seconds, bool]],
     ],
+]
+# Reports of modules that don't know the bounds of decoded values.
+_TYPES = typing.get_type_hints(Digest, include_extras=True) | {
+    "accused_parts": _PARTS,
+    "accused_item_parts": _PARTS,
+    "accused_requests": _REQUESTS,
+    "answered_servers": _AGES,
     "limits": dict[str, tuple[decoding.Number, decoding.Seconds, decoding.Count]],
 }
 _DECODER = msgspec.msgpack.Decoder(tuple[*_TYPES.values()])
--- a/turmerictally/tests/features/entry_crashing_requests.feature
+++ b/turmerictally/tests/features/entry_crashing_requests.feature
@@ -5,6 +5,7 @@
     When the same crashing request comes again and again at six hosts while <event>
     Then later than 3 s after the third crash it reaches at most 3 more servers
     And no sound request is refused for a crash
+    And every host can read what the others report
 
     Examples:
       | event                                 |
--- a/turmerictally/tests/features/steps/entry_crashing_requests_steps.py
+++ b/turmerictally/tests/features/steps/entry_crashing_requests_steps.py
@@ -140,6 +140,12 @@
     assert not refused, (len(refused), refused[0])
 
 
+@behave.then("every host can read what the others report")
+def readable(context):
+    assert not context.world.lines("digest_unreadable")
+    assert not context.world.lines("datagram_not_applied")
+
+
 @behave.then(
     "each answer 503 went to one that reached no server and names the time of the next "
     "trial"
