--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -157,6 +157,7 @@
             enabled=mechanisms.Mechanism.PROMPT_QUARANTINE
             not in config.scheduling.disabled_mechanisms,
         )
+        self.item_prompts = prompt_guard.make_item_guard(self.prompts)
         self._configure_prompts()
         self.quotas = quota.Quotas(clock, config.quota.overshoot, config.quota.window_s)
         self.hosts.on_unreachable = self.quotas.remove_peer
@@ -211,12 +212,14 @@
         )
         self.hosts.on_reachable = self.disseminator.on_peer_reachable
         self.prompts.on_evidence = self.disseminator.send_full_digest
+        self.item_prompts.on_evidence = self.disseminator.send_full_digest
         self.availability.on_limit_change = self.disseminator.send_full_digest
         self.prompts.on_quarantine = lambda: self.row_changed.set()
 
     def _configure_prompts(self) -> None:
         prompts = self.settings.prompts
-        self.prompts.configure(prompts.exempt, prompts.quarantined)
+        for guard in (self.prompts, self.item_prompts):
+            guard.configure(prompts.exempt, prompts.quarantined)
 
     def _build_request_path(self, codec: messages.Codec) -> None:
         config, clock, trace = self.settings, self.clock, self.trace
@@ -252,12 +255,12 @@
             runner=item_runner.ItemRunner(
                 self.pool,
                 codec,
-                self.availability.record_head,
+                self._on_item_head,
                 self.inflight.use_permit,
                 self.inflight.record_events,
-                self.prompts.record_first_event,
+                self.item_prompts.record_first_event,
             ),
-            prompts=self.prompts,
+            prompts=self.item_prompts,
             clock=clock,
             trace=trace,
             rng=self.rng,
@@ -486,6 +489,7 @@
         after = self.registry.servers
         for name, server in before.items():
             if name in after and after[name].born_ms != server.born_ms:
+                self.prompts.record_restart(server)
                 self.inflight.reset_server(name)
                 self.availability.limits.remove(name)
         self.availability.update_cold_servers(
@@ -521,6 +525,12 @@
         self.job_states.update(changed)
         self.worker.apply_changes(changed)
 
+    def _on_item_head(
+        self, server: model.Server, head: messages.ResponseHead, sent_at: float
+    ) -> None:
+        self.availability.record_head(server, head)
+        self.prompts.record_answer(server, head, sent_at)
+
     def _on_job(self, versioned: jobs.VersionedState) -> None:
         state = versioned.state
         self.disseminator.send_job_state(state.job, versioned.version, state.encode())
@@ -541,8 +551,12 @@
             self.registry.apply_peer_leaving(digest.host, digest.leaving)
         if digest.limits:
             self.availability.receive_limits(digest.host, digest.limits)
+        if digest.answered_servers:
+            self.prompts.receive_answers(digest.host, digest.answered_servers)
         if digest.accused_parts:
             self.prompts.receive(digest.host, digest.accused_parts)
+        if digest.accused_item_parts:
+            self.item_prompts.receive(digest.host, digest.accused_item_parts)
         if digest.speeds and self.inflight.speed_tracker is not None:
             now = self.clock.monotonic()
             self.inflight.speed_tracker.receive(digest.host, digest.speeds, now)
@@ -610,6 +624,8 @@
             limits=self.availability.limits.report(self.clock.monotonic())
             if full
             else {},
+            answered_servers=self.prompts.report_answers() if full else {},
+            accused_item_parts=self.item_prompts.report() if full else {},
         )
 
     def _demand(self) -> dict[str, int]:
