--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -9,6 +9,7 @@
 from turmerictally import clock as clocks
 from turmerictally.entry import (
     batch_requests,
+    decoding,
     forwarder,
     http_server,
     jobs,
@@ -34,13 +35,13 @@
 OTHER_HOST_RETRY_AFTER_S = (0.05, 0.15)
 QUOTA_RETRY_AFTER_S = 2.0  # if a job would exceed its team's limit of waiting tokens
 MAX_ITEMS_PER_JOB = 200
-MAX_JOB_ID_LENGTH = 120  # a job's id is part of row keys
 # A local copy of the job states older than this may lack the newest results, and a
 # host that has not reached the store for this long counts as without it.
 MAX_COPY_AGE_S = 2.5
 # With a longer interval between reads, a local copy may lack results that callers have
 # seen on other hosts, so the store is read before a job counts as without new results.
 MAX_READ_INTERVAL_S = 0.4
+MAX_ERROR_LENGTH = 200  # of an unexpected error in the log, in characters
 RESPONSE_MARGIN_S = 0.05  # to send a response before its deadline
 
 
@@ -77,6 +78,18 @@
                 outcome="left",
             )
             raise
+        except http_server.CallerDisconnectedError:
+            raise
+        except Exception as error:
+            self.trace.emit(
+                "request_error",
+                request.request_id,
+                error=f"{type(error).__name__}: {error}"[:MAX_ERROR_LENGTH],
+                status=exchange.status,
+                config=self._version(),
+                outcome="failed",
+            )
+            raise
         elapsed_s = self.clock.monotonic() - exchange.received_at
         self.trace.emit(
             "answered",
@@ -165,7 +178,20 @@
         pending = forwarder.PendingRequest(
             request, exchange.body, route, team, deadline, exchange
         )
-        outcome = await self.forwarder.run(pending)
+        try:
+            outcome = await self.forwarder.run(pending)
+        except http_server.CallerDisconnectedError:
+            raise
+        except Exception:
+            if not pending.runs:
+                self.quotas.refund(team)
+                retry_after_s = self.rng.uniform(*forwarder.RETRY_AFTER_S)
+                await exchange.fail(
+                    forwarder.Refusal.UNAVAILABLE,
+                    http_server.INTERNAL_ERROR,
+                    retry_after_s,
+                )
+            raise
         if not pending.runs:
             self.quotas.refund(team)
         return outcome
@@ -177,18 +203,15 @@
         route: model.Route,
         team: str,
     ) -> str:
+        job_id = request.request_id
         try:
+            jobs.check_id(job_id)
             items = self.codec.read_items(exchange.body)
-        except ValueError as error:
-            await exchange.refuse(forwarder.Refusal.BAD_REQUEST, str(error))
+        except decoding.DecodeError as error:
+            reason = f"not a batch job: {error}"
+            await exchange.refuse(forwarder.Refusal.BAD_REQUEST, reason)
             return "unreadable"
-        job_id = request.request_id
-        bad_id = not 0 < len(job_id) <= MAX_JOB_ID_LENGTH or "/" in job_id
-        if (
-            bad_id
-            or not 0 < len(items) <= MAX_ITEMS_PER_JOB
-            or exchange.method != b"POST"
-        ):
+        if not 0 < len(items) <= MAX_ITEMS_PER_JOB or exchange.method != b"POST":
             await exchange.refuse(forwarder.Refusal.BAD_REQUEST, "not a batch job")
             return "unreadable"
         if job_id in self.job_states.by_id:
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -83,6 +83,7 @@
         self.extra_answer = False  # an answer to no request comes first
         self.trailing = b""  # bytes after each whole answer
         self.silent = False  # requests hang
+        self.pauses = {}  # seconds of silence by the number of the event they precede
         self.status = 200
         self.state = "ready"
         self.leaving = False  # each answer says that the server leaves
@@ -90,6 +91,7 @@
         self.endless_bytes = 0
         self.raw_answer = b""  # sent as it is, after which the connection ends
         self.refuses_next = False
+        self.refuses_all = False
         self.repeated_refusal = ""  # how the last refusal comes again
         self.refusals = {}  # by connection, the last one
         self.refusals_repeated = 0
@@ -180,7 +182,7 @@
     async def answer(self, stream, parser, request, headers, body):
         if headers.get("x-expect-instance", self.name) != self.name:
             return await self.refuse(stream, parser, headers, 421)
-        if self.refuses_next:
+        if self.refuses_next or self.refuses_all:
             self.refuses_next = False
             return await self.refuse(stream, parser, headers, 503)
         waited = trio.current_time()
@@ -329,6 +331,7 @@
         self.lose_answers -= lost
         for number in range(first, self.events + 1):
             await trio.sleep(EVENT_S * self.world.slowness.get(self.name, 1.0))
+            await trio.sleep(self.pauses.get(number, 0.0))
             event = f"id: {number}\ndata: {run.request}.{number}\n\n".encode()
             if self.break_after is not None and number - first >= self.break_after:
                 await stream.send_all(head + parser.send(h11.Data(data=event[:7])))
