--- a/turmerictally/entry/ejection.py
+++ b/turmerictally/entry/ejection.py
@@ -77,10 +77,10 @@
     ``repeats`` counts the ejections in a row that came before this one.
     """
 
-    ejected_at: float
     until: float
     probation_until: float
     repeats: int
+    ejected_at: float = float("-inf")
 
 
 @attrs.define(eq=False)
@@ -103,7 +103,7 @@
         ejection_s = min(MAX_EJECTION_S, EJECTION_S * 2**repeats)
         # Outcomes from before the ejection have expired when the probation begins.
         until = now + max(WINDOW_S, ejection_s)
-        self.ejections[server] = Ejection(now, until, until + PROBATION_S, repeats)
+        self.ejections[server] = Ejection(until, until + PROBATION_S, repeats, now)
         return True
 
     def reconsider(self, server: str, outcomes: Outcomes, now: float) -> bool:
