Leave one choice of a server in a scenario about failover, not the likelier one

The step only made that less likely, with one of eight slots taken there, and the random numbers of a host are drawn in another order since hosts probe lost paths. All eight slots are taken now until the request is placed; the check is the same.

Hosts draw no random number for that probe any more while paths are sound.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -437,7 +437,7 @@
     async def _probe_paths(self) -> None:
         """Try to reach servers directly while the paths are lost, until cancelled."""
         while True:
-            await trio.sleep(PROBE_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+            await trio.sleep(PROBE_INTERVAL_S)
             if self._are_paths_lost():
                 await self.tunnels.probe()
 
--- a/turmerictally/tests/features/steps/entry_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_answers_steps.py
@@ -102,11 +102,17 @@
 )
 def silent_then_lost(context, seconds):
     async def main(world):
-        entry, taken = world.hosts[0], world.servers["s1"].slots + 1
+        async def free_others():
+            await trio.sleep(0.3)
+            entry.inflight.add_online("s1", 1 - slots)
+
+        entry, slots = world.hosts[0], world.servers["s1"].slots
+        taken = slots + 1
         entry.admission.wait_queue.service_times.mean_s = 100.0
         world.servers["s0"].silent = True
-        # Makes s0 the first choice.
-        entry.inflight.add_online("s1", 1)
+        # Makes s0 the only choice at first.
+        entry.inflight.add_online("s1", slots)
+        world.nursery.start_soon(free_others)
         finished = entry.inflight.on_finished
 
         def take_slot(server):
