Use a server that one other host avoids once the rest are full

Cause: a server that any host reports as failing was left out by all as long as another trusted one was registered, full or not.

Change: if no trusted server has a free slot, those that a single host reports are used as well.

Result: the example '1 host, full' failed before and passes; with two reports the server is still left out.

--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -75,8 +75,9 @@
     ) -> list[placement.ServerLoad]:
         """Return the loads of a service's servers that may get a request now.
 
-        Servers that failed recently are among them only if no other is left, and not at
-        all with ``trusted_only``.
+        Servers that failed recently are among them only if no other is left, or no
+        other has a free slot and a single host reports them; not at all with
+        ``trusted_only``.
         """
         now = self.clock.monotonic()
         usable = [
@@ -108,9 +109,17 @@
             open_circuits = self.open_circuits()
             chosen = [s for s in trusted if s.instance not in open_circuits]
         # If no other is left, a server that failed is better than refusing the request.
-        return [
+        loads = [
             self._load_of(server, own_outcomes, now, estimates) for server in chosen
         ]
+        if trusted_only or any(load.total < load.slots for load in loads):
+            return loads
+        # With a single report, the fault may lie in that host's connections.
+        return loads + [
+            self._load_of(server, own_outcomes, now, estimates)
+            for server in healthy
+            if server not in chosen and reported_failing[server.instance] <= 1
+        ]
 
     def limits_per_s(self, service: str) -> dict[str, float]:
         """Return the limits that a service's servers named, in requests a second."""
--- a/turmerictally/tests/features/entry_servers.feature
+++ b/turmerictally/tests/features/entry_servers.feature
@@ -30,3 +30,14 @@
   Scenario: Store calls of a host do not grow with the number of hosts
     When 3 and 12 hosts are idle for 10 s
     Then a host of the larger group makes at most 1.3 times the calls of the smaller
+
+  # Guards against capacity that nobody uses, as one host lost its path to a server.
+  Scenario Outline: A server that one other host avoids is used once the rest are full
+    When <count> hosts report one of two servers as failing, and the other one is <state>
+    Then the first server is <used>
+
+    Examples:
+      | count | state     | used     |
+      | 1     | not full  | left out |
+      | 1     | full      | used     |
+      | 2     | full      | left out |
--- a/turmerictally/tests/features/steps/entry_servers_steps.py
+++ b/turmerictally/tests/features/steps/entry_servers_steps.py
@@ -127,3 +127,23 @@
 def calls_bounded(context, ratio):
     small, large = context.calls
     assert large <= ratio * small, context.calls
+
+
+@behave.when(
+    "{count:d} hosts report one of two servers as failing, and the other one is {state}"
+)
+def reported(context, count, state):
+    async def main(world):
+        served = world.hosts[0]
+        served.hosts.totals.failing["s0"] = count
+        if state == "full":
+            served.inflight.add_online("s1", world.servers["s1"].slots)
+        context.usable = {load.name for load in served.inflight.server_loads("llm")}
+
+    users_platform.play(main, hosts=1)
+
+
+@behave.then("the first server is {used}")
+def is_used(context, used):
+    expected = {"s0", "s1"} if used == "used" else {"s1"}
+    assert context.usable == expected, context.usable
