Count crashes under a prompt part from the first of each group

Cause: a crash within 0.05 s of the one before it did not count, so that a chain of any length counted once, and its part was not quarantined while servers went on ending. Coincident crashes stand for one cause, such as a power failure; a chain that lasts is none.

Evidence: the new example, six servers 0.04 s apart, ended with no part in quarantine on any host on the code before.

Change: a crash counts if it is later than 0.05 s after the last one that counted. Six servers at one moment still count once.

Result: scheduling_quarantine.feature 19 passed; with this code also scheduling_requests, entry_crashing_prompts and entry_path_loss, 45 passed together.

--- a/turmerictally/scheduling/prompt_quarantine.py
+++ b/turmerictally/scheduling/prompt_quarantine.py
@@ -78,11 +78,11 @@
             and at - CLEARS_LATER_CRASHES_S > self.begun_at
             and not answers.refutes(server, at)
         )
-        return [
-            at
-            for index, at in enumerate(times)
-            if not index or at - times[index - 1] > COINCIDENT_S
-        ]
+        counted: list[float] = []
+        for at in times:
+            if not counted or at - counted[-1] > COINCIDENT_S:
+                counted.append(at)
+        return counted
 
 
 @attrs.frozen
--- a/turmerictally/tests/features/scheduling_quarantine.feature
+++ b/turmerictally/tests/features/scheduling_quarantine.feature
@@ -14,6 +14,7 @@
       | six servers crash at one moment under prompts of aa,rare                 | none   |
       | servers crash under prompts of aa while others serve it                  | none   |
       | two servers crash under prompts of aa,bad and one also of cc,rare        | bad    |
+      | servers crash under prompts of aa,bad in quick succession                | bad    |
 
   # Guards against a quarantine that comes back from a host that has not heard of its end.
   Scenario: A part that is served again stays out of quarantine
--- a/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_quarantine_steps.py
@@ -114,6 +114,17 @@
     fleet.exchange()
 
 
+@behave.when("servers crash under prompts of aa,bad in quick succession")
+def quick_succession(context):
+    fleet = context.fleet
+    fleet.hosts["h2"].record_first_event(["aa"], fleet.now - 30.0)
+    for _ in range(6):
+        fleet.crash("h0", "aa", "bad")
+        fleet.now += 0.04
+    fleet.exchange()
+    fleet.exchange()
+
+
 @behave.then("every host has quarantined {parts}")
 def quarantined(context, parts):
     expected = [] if parts == "none" else [parts]
