--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,4 +1,4 @@
-"""Lose all servers of one service while batch jobs of two services wait."""
+"""Lose the one server of a service while batch jobs of two services wait."""
 
 import asyncio
 import os
@@ -11,8 +11,9 @@
 import standins  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOSTS, SERVERS, ITEMS = 3, 2, 10
-LOST_JOBS, SOUND_JOBS = 6, 6
+HOSTS, ITEMS = 3, 10
+SERVERS = {"llm-lost": 1, "llm-sound": 2}
+LOST_JOBS, SOUND_JOBS = 4, 6
 TRAFFIC_S, FINISH_S, CALM_S, IDLE_S = 6.0, 18.0, 5.0, 3.0
 KEY = [("Authorization", "Bearer key-of-the-shop"), ("X-Deadline-Ms", "4000")]
 LOST, SOUND = "/lost/", "/sound/"  # prefixes of the two routes
@@ -35,8 +36,8 @@
     routes = [route(LOST, "llm-lost"), route(SOUND, "llm-sound")]
     store.put("op", "config", standins.configuration(routes, [tenant]))
     servers = {}
-    for service in ("llm-lost", "llm-sound"):
-        for n in range(SERVERS):
+    for service, count in SERVERS.items():
+        for n in range(count):
             server = standins.Server(store, f"{service}-{n}", record, service=service)
             server.zone = "b" if service == "llm-lost" else "a"
             servers[server] = asyncio.ensure_future(server.run())
@@ -51,7 +52,7 @@
         await standins.submit(record, host, f"f{n}b", 2, KEY, LOST)
     await asyncio.sleep(6.0)
     if TROUBLE:
-        record.write("the servers of llm-lost are lost for good")
+        record.write("the server of llm-lost is lost for good")
         lost = [s.lose(task) for s, task in servers.items() if s.service == "llm-lost"]
         await asyncio.gather(*lost)
     await asyncio.sleep(1.0)
