--- a/review/2/play.py
+++ b/review/2/play.py
@@ -48,6 +48,8 @@
     ]
     ip, port = host.listen["callers"].split(":")
     data = b""
+    if events == LONG:
+        record.write(f"the client sends {request} to {host.name}")
     try:
         async with asyncio.timeout(8.0):
             reader, writer = await asyncio.open_connection(ip, int(port))
--- a/review/standins.py
+++ b/review/standins.py
@@ -29,6 +29,8 @@
 STRIDE = 6  # tokens of an event
 UNFRAMED = "u"  # begins the ids of requests whose answers have no length
 PR_SET_PDEATHSIG = 1
+# Exit code of a play; an error of Python itself ends with 1.
+BROKEN = 10
 LIBC = ctypes.CDLL(None)
 GIVEN_PORTS = set()
 
@@ -561,7 +563,7 @@
         try:
             broken = loop.run_until_complete(script(record, folder, hosts))
             record.write("the rule was broken" if broken else "the rule held")
-            code = 1 if broken else 0
+            code = BROKEN if broken else 0
         except Exception as error:
             record.write(f"the case could not run: {error!r}")
             code = 2
