Take only the server's orderly end of a tunnel for the end of a response

Cause: a response without a length or chunks ends with its connection. On a connection through a peer, http1.Reader took the end of the connection between the hosts for that of the server's. A peer that stops closes it, and the kernel of a peer that dies ends it in order as well.

Change: the peer sends the server's bytes in chunks, and the last chunk only once the server ended its connection in order. Every other end counts as a break. Hosts ask for this with a header, which peers of the version before ignore: the end of such a tunnel always counts as a break. Towards hosts of that version, a tunnel that is cut off is reset. The peer logs each end (tunnel_ended).

Why it works: the end of a response is no longer told by a signal that the next hop can give. Buffered responses and batch items use the same stream and are mended with it.

Ten of the eleven new scenarios in entry_tunnels.feature fail on the code before, among them stops and deaths of the peer beside streams, plain bodies and items (those without framing fail there as the name is missing); all pass now.

--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -142,7 +142,8 @@
         try:
             data = await self.stream.receive_some()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise BrokenError("connection reset", peer_closed=True) from error
+            reason = str(error) if self.tunnelled else "connection reset"
+            raise BrokenError(reason, peer_closed=True) from error
         self.reader.feed(data)
 
     def is_reusable(self) -> bool:
--- a/turmerictally/entry/tunnels.py
+++ b/turmerictally/entry/tunnels.py
@@ -2,8 +2,14 @@
 
 A tunnel carries the bytes of one connection. Requests, retries, streams, quotas and
 batch items stay with the host that has the request; the peer sees none of them.
+
+The server's bytes travel in the chunks of the peer's response. Only the last chunk
+stands for the orderly end of the server's connection: the end of the connection between
+the hosts says nothing of the server. Peers of versions before this send the bytes as
+they are; the end of such a tunnel always counts as cut off.
 """
 
+import collections.abc
 import contextlib
 import random
 
@@ -21,6 +27,52 @@
 # Carried for other hosts at once; each takes two file descriptors and some 10 kB.
 MAX_CARRIED = 1000
 PROBE_TIMEOUT_S = 0.2
+# Asks the peer for the server's bytes in chunks.
+FRAMING_HEADER = (b"tunnel-framing", b"chunked")
+CUT_OFF = "tunnel cut off"
+
+
+@attrs.define(eq=False)
+class TunnelStream:
+    """Implement ``network.Stream`` on the connection to a peer.
+
+    ``framed`` is whether the peer tells the server's orderly end from its own.
+    """
+
+    connection: pool.Connection
+    framed: bool
+
+    async def send_all(self, data: bytes) -> None:
+        """Send bytes; raises ``trio.BrokenResourceError``."""
+        await self.connection.stream.send_all(data)
+
+    async def receive_some(self) -> bytes:
+        """Return the server's next bytes, empty at its orderly end."""
+        if not self.framed:
+            data = await self.connection.stream.receive_some()
+            if not data:
+                raise trio.BrokenResourceError(CUT_OFF)
+            return data
+        try:
+            return await self.connection.read_data() or b""
+        except pool.BrokenError as error:
+            raise trio.BrokenResourceError(f"{CUT_OFF}: {error}") from error
+
+    async def send_eof(self) -> None:
+        """Shut down the sending side."""
+        await self.connection.stream.send_eof()
+
+    def close(self) -> None:
+        """Close at once."""
+        self.connection.stream.close()
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        self.connection.stream.reset()
+
+    def is_idle(self) -> bool:
+        """Return whether the tunnel is open and has nothing to read."""
+        return not self.connection.reader.buffer and self.connection.stream.is_idle()
 
 
 @attrs.define(eq=False)
@@ -74,14 +126,14 @@
         self.rng.shuffle(peers)
         return sorted(peers, key=lambda digest: digest.domain != self.domain)
 
-    async def _open(self, peer: str, address: str) -> network.Stream:
+    async def _open(self, peer: str, address: str) -> TunnelStream:
         stream = await self.network.connect(peer)
         try:
             connection = pool.make_connection(peer, stream, self.clock)
             await connection.send_request(
                 b"POST",
                 f"{pool.TUNNELS_PATH}{address}".encode(),
-                [(b"Host", peer.encode())],
+                [(b"Host", peer.encode()), FRAMING_HEADER],
                 b"",
             )
             head = await connection.read_head()
@@ -90,7 +142,7 @@
         except BaseException:
             stream.close()
             raise
-        return stream
+        return TunnelStream(connection, framed=head.chunked)
 
     async def serve(self, exchange: http_server.Exchange) -> None:
         """Carry a connection of another host to a server."""
@@ -109,20 +161,43 @@
         except (OSError, trio.TooSlowError):
             await exchange.reply(502)
             return
+        framed = FRAMING_HEADER in exchange.headers
+        started_at = self.clock.monotonic()
         self.carried += 1
         try:
-            await exchange.reply(200)
-            await self._carry(await exchange.detach(), server)
+            await self._carry(exchange, server, framed=framed)
         finally:
             self.carried -= 1
             server.close()
-            # The connection has ended with the tunnel.
-            exchange.abort()
+            if not exchange.finished:
+                # Whatever ended the tunnel, the server's answer may be incomplete.
+                exchange.stream.reset()
+            self.trace.emit(
+                "tunnel_ended",
+                to=address,
+                framed=framed,
+                after_s=round(self.clock.monotonic() - started_at, 3),
+                outcome="server ended" if exchange.finished else "cut off",
+            )
 
-    async def _carry(self, near: network.Stream, server: network.Stream) -> None:
+    async def _carry(
+        self, exchange: http_server.Exchange, server: network.Stream, *, framed: bool
+    ) -> None:
+        """Carry bytes both ways until one side ends; then the exchange is finished.
+
+        It stays unfinished unless the server ended its connection in order.
+        """
+        # The connection between the hosts ends with the tunnel.
+        exchange.close_after = True
+        await exchange.start(200, [], None if framed else 0)
+        await exchange.send(b"")
+        near = await exchange.detach()
         async with trio.open_nursery() as nursery:
-            for source, target in ((near, server), (server, near)):
-                nursery.start_soon(_copy, source, target, nursery.cancel_scope)
+            nursery.start_soon(_copy_to_server, near, server, nursery.cancel_scope)
+            send = exchange.send if framed else near.send_all
+            if await _copy_from_server(server, send):
+                await exchange.finish()
+            nursery.cancel_scope.cancel()
 
     async def probe(self) -> None:
         """Try to reach a server directly; a connection is kept and ends the tunnels."""
@@ -135,14 +210,32 @@
             self.inflight.record_connected()
 
 
-async def _copy(
-    source: network.Stream, target: network.Stream, scope: trio.CancelScope
+async def _copy_to_server(
+    near: network.Stream, server: network.Stream, scope: trio.CancelScope
 ) -> None:
-    """Copy bytes until one side ends; a reset is passed on as one."""
-    try:
-        while data := await source.receive_some():
-            await target.send_all(data)
-        await target.send_eof()
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        target.reset()
+    """Copy bytes; the end of the connection between the hosts ends the tunnel."""
+    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        while data := await near.receive_some():
+            try:
+                await server.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                # It may have responded before it read the entire request.
+                return
     scope.cancel()
+
+
+async def _copy_from_server(
+    server: network.Stream,
+    send: collections.abc.Callable[[bytes], collections.abc.Awaitable[None]],
+) -> bool:
+    """Copy bytes until a connection ends; return whether the server's did in order."""
+    try:
+        while data := await server.receive_some():
+            await send(data)
+    except (
+        http_server.CallerDisconnectedError,
+        trio.BrokenResourceError,
+        trio.ClosedResourceError,
+    ):
+        return False
+    return True
--- a/turmerictally/tests/features/entry_tunnels.feature
+++ b/turmerictally/tests/features/entry_tunnels.feature
@@ -32,3 +32,32 @@
       | sends a plain body without a length            | the whole body        |
       | breaks its connection within each answer       | no complete response  |
       | is never asked, as the caller leaves after 0.2 s | nothing, and the run ends within 0.5 s |
+
+  # Guards against the end of a peer, or of its connection, that passes for the orderly
+  # end of the server: partial responses and items that looked complete (MIXED).
+  Scenario Outline: What a peer stops carrying does not look complete
+    Given a host that reaches servers through a peer <of version>
+    When through the peer a server sends <response> without a length and the peer <ends>
+    Then through the peer no part of <response> counts as the whole
+
+    Examples:
+      | of version      | response     | ends  |
+      | of this version | a stream     | stops |
+      | of this version | a stream     | dies  |
+      | of this version | a plain body | stops |
+      | of this version | a plain body | dies  |
+      | of this version | an item      | stops |
+      | of this version | an item      | dies  |
+      | without framing | a stream     | stops |
+      | without framing | a stream     | dies  |
+      | without framing | an item      | dies  |
+
+  # Guards against hosts of the version before taking a stopping peer for the server.
+  Scenario Outline: A host of the version before is carried as before
+    When a host of the version before opens a tunnel and <event>
+    Then that tunnel <ends>
+
+    Examples:
+      | event               | ends                     |
+      | the server responds | ends in order after that |
+      | the peer stops      | is reset                 |
--- a/turmerictally/tests/features/steps/entry_tunnels_steps.py
+++ b/turmerictally/tests/features/steps/entry_tunnels_steps.py
@@ -1,13 +1,18 @@
 """Steps for hosts that reach servers through other hosts."""
 
+import attrs
 import behave
 import trio
 
+from turmerictally.entry import pool, settings, tunnels
 from turmerictally.tests.support import users_platform
 
 HOSTS, SERVERS = 6, 8
 BEFORE_S, LOST_S, AFTER_S = 3.0, 6.0, 3.0
 GAP_S = 0.04
+LONG = 200  # events of a stream that a peer stops carrying
+EVENT_S = users_platform.EVENT_S
+SHORT_STOP = settings.Stop(1.0, 0.1)
 GROUPS = {
     "one": (0,),
     "all hosts of a domain": (0, 2, 4),
@@ -141,6 +146,126 @@
     pass
 
 
+@behave.given("a host that reaches servers through a peer {version}")
+def through_peer_of_version(context, version):
+    context.framed = "this" in version
+
+
+async def reach_through_peer(world):
+    """Make host 0 reach servers through host 1 only."""
+    cut(world, (0,), "resets")
+    world.hosts[0].inflight.reach.lost_since = trio.current_time()
+    await trio.lowlevel.checkpoint()
+
+
+def ignore_framing(served):
+    """Let a host serve tunnels as versions without framing do."""
+    handle = served.peer_server.handle
+
+    async def handle_without(exchange):
+        exchange.headers = [h for h in exchange.headers if h != tunnels.FRAMING_HEADER]
+        await handle(exchange)
+
+    served.peer_server.handle = handle_without
+
+
+async def end_peer(world, how):
+    peer = world.hosts[1]
+    if how == "stops":
+        peer.settings = attrs.evolve(peer.settings, stop=SHORT_STOP)
+        peer.stop()
+        await peer.ended.wait()
+    else:
+        # The kernel ends the connections of a killed process in order.
+        world.fabric.close_all("10.1.0.1")
+        world.scopes[1].cancel()
+    await trio.sleep(0.5)
+
+
+@behave.when(
+    "through the peer a server sends {response} without a length and the peer {ends}"
+)
+def carry_until_end(context, response, ends):
+    async def ask():
+        context.reply = await users_platform.Caller(context.world, 0).ask()
+
+    async def run_item():
+        job, _ = users_platform.lot(context.world, count=1)
+        caller = users_platform.Caller(context.world, 0)
+        reply = await caller.ask("/night/1", body=job, request_id="lot")
+        assert reply.status == 202, reply
+
+    async def main(world):
+        context.world = world
+        await reach_through_peer(world)
+        if not context.framed:
+            ignore_framing(world.hosts[1])
+        (server,) = world.servers.values()
+        server.streams_until_close, server.events = True, LONG
+        if response == "a plain body":
+            server.plain, server.plain_s = "without a length", LONG * EVENT_S
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_item if response == "an item" else ask)
+            await trio.sleep(1.0)
+            await end_peer(world, ends)
+        if response == "an item":
+            world.fabric.broken_paths.clear()
+            await trio.sleep(2 * LONG * EVENT_S)
+            path = "/-/lots/lot?after=0"
+            context.reply = await users_platform.Caller(world, 0).ask(path, "GET", b"")
+
+    context.world = users_platform.play(main, hosts=2, servers=1)
+
+
+@behave.then("through the peer no part of {response} counts as the whole")
+def not_the_whole(context, response):
+    assert context.world.lines("tunnel_opened")
+    reply = context.reply
+    if response == "an item":
+        (result,) = reply.json()["results"]
+        assert result["state"] == "succeeded", result
+        assert len(result["text"].splitlines()) == LONG, result
+        assert len(context.world.runs) > 1
+        return
+    if response == "a stream":
+        assert 0 < len(reply.ids) < LONG, reply
+    assert not reply.whole or reply.status == 502, reply
+
+
+@behave.when("a host of the version before opens a tunnel and {event}")
+def carry_raw(context, event):
+    async def main(world):
+        (server,) = world.servers.values()
+        if "stops" in event:
+            server.plain_s = 4.0
+        server.plain = "without a length"
+        stream = await world.fabric.host("10.1.0.9").connect("10.1.0.1:82")
+        target = f"{pool.TUNNELS_PATH}{server.address}"
+        await stream.send_all(f"POST {target} HTTP/1.1\r\nHost: h\r\n\r\n".encode())
+        context.head = await stream.receive_some()
+        await stream.send_all(b"POST /a HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\n\r\n")
+        if "stops" in event:
+            await trio.sleep(0.2)
+            await end_peer(world, "stops")
+        context.raw, context.tunnel_reset = b"", False
+        try:
+            while data := await stream.receive_some():
+                context.raw += data
+        except trio.BrokenResourceError:
+            context.tunnel_reset = True
+
+    context.world = users_platform.play(main, hosts=2, servers=1)
+
+
+@behave.then("that tunnel {ends}")
+def tunnel_ended(context, ends):
+    assert context.head.startswith(b"HTTP/1.1 200")
+    assert b"chunked" not in context.head
+    if "order" in ends:
+        assert context.raw.endswith(b"\r\n\r\nplain body"), context.raw
+    assert context.tunnel_reset is ("reset" in ends)
+
+
 @behave.when("through the peer a server {answers} and the caller asks")
 def ask_through_peer(context, answers):
     async def main(world):
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -69,6 +69,8 @@
         self.service = service
         self.plain_paths = ()  # prefixes of paths with such answers
         self.plain = ""  # how answers that are no streams are sent
+        self.plain_s = 0.0  # for which an answer that is no stream takes, half sent
+        self.streams_until_close = False  # only the connection's end ends a stream
         self.closes = False  # each answer closes its connection
         self.world = world
         self.name = name
@@ -352,6 +354,8 @@
                 b"Content-Length: %d\r\n\r\n%b"
                 % (run.request.encode(), len(whole), whole)
             )
+        if self.streams_until_close:
+            return await self.stream_until_close(stream, run, range(first, events + 1))
         head = parser.send(h11.Response(status_code=200, headers=named))
         lost = self.lose_answers > 0
         self.lose_answers -= lost
@@ -377,6 +381,18 @@
         await stream.send_all(head + parser.send(h11.EndOfMessage()) + self.trailing)
         return not self.closes
 
+    async def stream_until_close(self, stream, run, numbers):
+        head = STREAM.replace(b"ID", run.request.encode())
+        for number in numbers:
+            await trio.sleep(EVENT_S)
+            event = f"id: {number}\ndata: {run.request}.{number}\n\n".encode()
+            await stream.send_all(head + event)
+            run.events_made += 1
+            head = b""
+        run.ended = "done"
+        await stream.send_eof()
+        return False
+
     async def answer_whole(self, stream, parser, run):
         named = [*self.named(run), ("Content-Length", "5")]
         data = parser.send(h11.Response(status_code=200, headers=named))
@@ -394,8 +410,14 @@
             head += f"Content-Length: {len(body)}\r\n"
         if "less" in self.plain:
             body = body[:-3]
+        if self.plain_s:
+            await stream.send_all(head.encode() + b"\r\n" + body[:3])
+            body, head = body[3:], ""
+            await trio.sleep(self.plain_s)
+        else:
+            head += "\r\n"
         run.ended = "plain"
-        await stream.send_all(head.encode() + b"\r\n" + body)
+        await stream.send_all(head.encode() + body)
         if "without" in self.plain or "less" in self.plain:
             await stream.send_eof()
         return False
