Drop a cancelled job while a write of it is pending

A job is cancelled with a 200 while its owner's writes get no answer: the owner stops the items that run, and starts others of the same job until a write is answered (UNASKED once that takes cancelMs).

Cause: with a write pending, Worker.apply_changes cancelled the running items only and left the rest to the conflict of the write. The state of the job stayed open until then.

Change: a cancellation is applied at once in any case. The pending write then conflicts or had come before; a dropped job ignores its outcome, and what was listed stays listed.

--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -214,10 +214,10 @@
             if owned is None or row.version <= owned.versioned.version:
                 continue
             versioned = None if row.value is None else jobs.decode(row)
-            if not owned.writing:
+            cancelled = versioned is not None and versioned.state.cancelled
+            # Otherwise the conflict of the pending write tells what has changed.
+            if cancelled or not owned.writing:
                 self._apply_state(owned, versioned)
-            elif versioned is not None and versioned.state.cancelled:
-                self._cancel_items(owned)
 
     def preempt_items(self) -> None:
         """Preempt items of this host on servers with more requests than slots."""
@@ -658,6 +658,8 @@
     def _apply_state(
         self, owned: OwnedJob, versioned: jobs.VersionedState | None
     ) -> None:
+        if owned.dropped:
+            return
         state = None if versioned is None else versioned.state
         owned_here = state is not None and (state.owner, state.instance) == (
             self.host_id,
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -61,6 +61,12 @@
       | another host reads its items to take it over      |
       | the store delays the answer to its first write    |
 
+  # Guards against items of a cancelled job that start while its owner waits for an
+  # answer to a write (UNASKED).
+  Scenario: A cancelled job starts no items while its owner's writes get no answer
+    When a job is cancelled while the store does not answer the writes of its owner
+    Then no item of it starts later than 1 s after the response
+
   Scenario: An item that can never succeed fails without delaying others
     When a server responds 422 to every item
     Then each item fails after 1 runs
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -9,6 +9,7 @@
 
 from turmerictally.entry import item_runner, jobs, settings, worker
 from turmerictally.scheduling import placement
+from turmerictally.store import rows
 from turmerictally.tests.support import users_platform
 
 SHORT_STOP = settings.Stop(1.0, 0.1)
@@ -617,6 +618,29 @@
     play(context, main)
 
 
+class UnansweredWrites(LateResponses):
+    """Wrap a store so that writes get no answer and have no effect."""
+
+    async def transact(self, expected, puts):
+        await trio.sleep(self.delay_s)
+        raise rows.UnavailableError("silent", maybe_applied=True)
+
+
+@behave.when(
+    "a job is cancelled while the store does not answer the writes of its owner"
+)
+def cancelled_beside_writes(context):
+    async def main(world):
+        await submit(world, 0, count=60)
+        job_store = world.hosts[0].jobs
+        job_store.store = UnansweredWrites(job_store.store)
+        # Some items have ended, and their results wait to be written.
+        await trio.sleep(1.2)
+        await cancel(context, world, 1)
+
+    play(context, main)
+
+
 def stored_state(world, job="j1"):
     return jobs.decode(world.store.rows[jobs.state_address(job)]).state
 
