Leave running items alone when a takeover comes too late

In the scenario a text has events 1 to 30 and then 129 and on.

Cause: a takeover reads a job's progress for a while. If the job was started here meanwhile in the same or a newer version, Worker.start_job returned without a word, and the takeover set the running items back to the events that it had read as saved. Their streams went on with the next event.

Change: start_job returns the job that it started, or None; a takeover resumes only the items of that.

--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -102,8 +102,8 @@
         except (rows.ConflictError, rows.UnavailableError) as error:
             worker.trace.emit("job_not_taken", job=previous.job, reason=str(error))
             return
-        worker.start_job(written, items, {result.id for result in results})
-        owned = worker.owned_jobs.get(owned_state.job)
+        finished = {result.id for result in results}
+        owned = worker.start_job(written, items, finished)
         if owned is not None:
             _resume(owned.tasks, jobs.join_progress(progress))
         worker.trace.emit(
@@ -112,7 +112,7 @@
             owner_before=previous.owner,
             listed=previous.listed,
             **_log_fields(evidence),
-            outcome="ended meanwhile"
+            outcome="ended or owned meanwhile"
             if owned is None
             else f"{len(items) - len(results)} items left",
         )
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -123,11 +123,12 @@
 
     def start_job(
         self, versioned: jobs.VersionedState, items: list[jobs.Item], finished: set[str]
-    ) -> None:
+    ) -> OwnedJob | None:
         """Start the unfinished items of a job whose row names this host as owner.
 
         A takeover may read the row before the store has responded to its writer, so
-        both call this for the same job; the newer version wins.
+        both call this for the same job; the newer version wins. Returns None if this
+        one has lost, or has ended meanwhile.
         """
         previous = self.owned_jobs.get(versioned.state.job)
         if previous is not None:
@@ -137,7 +138,7 @@
                     job=versioned.state.job,
                     version=previous.versioned.version,
                 )
-                return
+                return None
             previous.dropped = True
             self._cancel_items(previous)
         tasks = {
@@ -145,9 +146,8 @@
             for position, item in enumerate(items)
             if item.id not in finished
         }
-        self.owned_jobs[versioned.state.job] = OwnedJob(
-            versioned, versioned.version, tasks
-        )
+        owned = OwnedJob(versioned, versioned.version, tasks)
+        self.owned_jobs[versioned.state.job] = owned
         self.has_jobs.set()
         self.publish(versioned)
         # The feed may have passed on a newer state before the job was owned here.
@@ -156,6 +156,7 @@
         )
         if newer is not None:
             self.apply_changes([newer])
+        return None if owned.dropped else owned
 
     def _remove_job(self, owned: OwnedJob) -> None:
         job = owned.versioned.state.job
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -67,6 +67,12 @@
     When a job is cancelled while the store does not answer the writes of its owner
     Then no item of it starts later than 1 s after the response
 
+  # Guards against texts with a gap, as a takeover that comes too late sets running items
+  # back to the events that were saved (ORDER).
+  Scenario: A takeover that comes too late does not touch running items
+    When a host takes over a job that it has begun to run meanwhile
+    Then each item has its whole text
+
   Scenario: An item that can never succeed fails without delaying others
     When a server responds 422 to every item
     Then each item fails after 1 runs
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -576,18 +576,18 @@
 
 
 class SlowReads:
-    """Wrap a store so that it answers reads of items late."""
+    """Wrap a store so that it answers reads of some tables late."""
 
-    def __init__(self, store):
+    def __init__(self, store, **delays_s):
         self.store = store
+        self.delays_s = delays_s
 
     def __getattr__(self, name):
         return getattr(self.store, name)
 
     async def read(self, name, *given, **more):
         page = await self.store.read(name, *given, **more)
-        if name == jobs.ITEMS:
-            await trio.sleep(2.0)
+        await trio.sleep(self.delays_s.get(name, 0.0))
         return page
 
 
@@ -596,7 +596,7 @@
     async def main(world):
         await submit(world, 0, count=30)
         for n in (1, 2):
-            world.hosts[n].jobs.store = SlowReads(world.hosts[n].jobs.store)
+            world.hosts[n].jobs.store = SlowReads(world.hosts[n].jobs.store, items=2.0)
         world.kill_host(0)
         while stored_state(world).owner == "h0":
             await trio.sleep(0.05)
@@ -618,6 +618,31 @@
     play(context, main)
 
 
+@behave.when("a host takes over a job that it has begun to run meanwhile")
+def taken_over_too_late(context):
+    async def main(world):
+        context.events = 200
+        for server in world.servers.values():
+            server.events = context.events
+        job_store = world.hosts[0].jobs
+        # The host reads the job by its feed before its write is answered, and takes it
+        # over; progress is read once some has been saved.
+        slow = SlowReads(job_store.store, items=2.5, progress=1.0)
+        job_store.store = LateResponses(slow)
+        _, context.ids = await submit(world)
+        context.results = await read_all(world, 0, "j1", len(context.ids))
+
+    play(context, main, hosts=1)
+
+
+@behave.then("each item has its whole text")
+def whole_texts(context):
+    assert context.world.lines("job_owned_already")
+    assert sorted(r["id"] for r in context.results) == sorted(context.ids)
+    for result in context.results:
+        assert result["text"] == complete_text(result["id"], context.events), result
+
+
 class UnansweredWrites(LateResponses):
     """Wrap a store so that writes get no answer and have no effect."""
 
