Leave free slots to waiting items of the same service only

Cause: hosts number a service's free slots alike, and the n-th most urgent waiting item takes the n-th slot. The urgencies that digests told were those of the waiting items of all services, so that items which could not run took the numbers of slots that they could not use.

Change: digests tell the urgencies of waiting items by service, and only of those that their host could start (it reaches a server of the service and may run more items). Digests are arrays whose length is checked on reading; to be read by hosts of the version before, the layout stays, and the new figures travel among those of servers under names that no server has.

Why it works: an item competes only with those that can take the same slot.

--- a/turmerictally/bench/crowd.py
+++ b/turmerictally/bench/crowd.py
@@ -391,6 +391,7 @@
         """Return a digest of this host's state."""
         self.sequence += 1
         queue, counts = self.admission.wait_queue, self.inflight
+        waiting = self.worker.waiting_urgencies()
         return gossip.Digest(
             host=self.name,
             instance=self.instance,
@@ -408,11 +409,8 @@
             outcomes=counts.recent_outcomes.counts(trio.current_time()),
             demand=queue.demand.own_demand(trio.current_time()),
             callers_waiting=queue.count_in_share(),
-            waiting_urgencies=self.worker.waiting_urgencies(),
-            batch_urgencies={
-                name: list(urgencies)
-                for name, urgencies in counts.batch_urgencies.items()
-            },
+            waiting_urgencies=gossip.most_urgent(waiting),
+            batch_urgencies=gossip.named_urgencies(counts.batch_urgencies, waiting),
         )
 
 
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import itertools
 import operator
 import typing
 
@@ -66,6 +67,9 @@
 # this much misses renewals; a single call may take 1.5 s.
 STALE_TABLE_S = 1.6
 MAX_AGE_S = 1e6  # stands for "never" in digests
+MAX_MOST_URGENT = 16  # of all services together, in one digest
+# Precedes the name of a service among the names of servers in a digest.
+WAITING_PREFIX = "waiting for "
 
 
 # Answered and failed requests.
@@ -88,10 +92,12 @@
     the host's start; unless ``baseline``, teams without recent requests are omitted.
     ``baseline_requests`` names the hosts whose baseline this one misses, ``failing``
     the servers that it avoids. ``speeds`` gives by server the fields of
-    ``scheduling.server_speeds.SpeedReport``, ``waiting_urgencies`` those of its most
-    urgent queued items and ``batch_urgencies``, by server, those of its running ones as
-    in ``scheduling.item_order.urgency``, ``job_states`` the rows of job states that
-    it wrote recently, each with its version.
+    ``scheduling.server_speeds.SpeedReport``, ``batch_urgencies``, by server, the
+    urgencies of its running items as in ``scheduling.item_order.urgency``, and under
+    ``waiting_name`` of a service those of the most urgent items that wait for it.
+    ``waiting_urgencies`` holds the most urgent of all services, for hosts of versions
+    that don't know those names. ``job_states`` holds the rows of job states that it
+    wrote recently, each with its version.
 
     ``outcomes`` (recently answered and failed requests by server) and ``table_ages``
     (version and age in seconds of each watched table) are sent in ``full`` digests
@@ -172,6 +178,29 @@
         return _ENCODER.encode(_VALUES(self))
 
 
+def waiting_name(service: str) -> str:
+    """Return the name under which a digest tells of items that wait for a service.
+
+    No server has it, so that versions which look up servers only ignore it. They read
+    no digests with further fields.
+    """
+    return f"{WAITING_PREFIX}{service}"
+
+
+def named_urgencies(
+    running: collections.abc.Mapping[str, list[int]],
+    waiting: collections.abc.Mapping[str, list[int]],
+) -> dict[str, list[int]]:
+    """Return the urgencies of items that run, by server, or wait, by service."""
+    by_server = {server: list(urgencies) for server, urgencies in running.items()}
+    return by_server | {waiting_name(name): each for name, each in waiting.items()}
+
+
+def most_urgent(waiting: collections.abc.Mapping[str, list[int]]) -> list[int]:
+    """Return the lowest urgencies of items that wait for any service."""
+    return sorted(itertools.chain(*waiting.values()))[:MAX_MOST_URGENT]
+
+
 _VALUES = operator.attrgetter(*(field.name for field in attrs.fields(Digest)))
 _ENCODER = msgspec.msgpack.Encoder()
 _AGES = dict[str, decoding.Seconds]
@@ -530,12 +559,16 @@
         teams = set().union(*recent)
         return {team: min(levels.get(team, 0.0) for levels in recent) for team in teams}
 
-    def waiting_urgencies(self) -> list[int]:
-        """Return the urgencies of the batch items that wait on reachable hosts."""
+    def waiting_urgencies(self, service: str) -> list[int]:
+        """Return the urgencies of the items that wait for a service elsewhere.
+
+        Items on hosts of versions that tell them for all services together don't count.
+        """
+        name = waiting_name(service)
         return [
             urgency
             for digest in self.reachable()
-            for urgency in digest.waiting_urgencies
+            for urgency in digest.batch_urgencies.get(name, ())
         ]
 
     def batch_urgencies(self, server: str) -> dict[str, list[int]]:
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -692,6 +692,7 @@
         self.disseminator.send_early_digest()
 
     def _digest(self, sequence: int, full: bool, base: bool) -> gossip.Digest:
+        waiting = self.worker.waiting_urgencies()
         self.quotas.set_group(*self.hosts.count_quota_holders())
         admitted, requested = self.quotas.report(base)
         return gossip.Digest(
@@ -725,11 +726,10 @@
             callers_waiting=self.admission.wait_queue.count_in_share()
             if self.admission
             else 0,
-            waiting_urgencies=self.worker.waiting_urgencies(),
-            batch_urgencies={
-                server: list(urgencies)
-                for server, urgencies in self.inflight.batch_urgencies.items()
-            },
+            waiting_urgencies=gossip.most_urgent(waiting),
+            batch_urgencies=gossip.named_urgencies(
+                self.inflight.batch_urgencies, waiting
+            ),
             accused_parts=self.prompts.report() if full else {},
             limits=self.availability.limits.report(self.clock.monotonic())
             if full
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -22,8 +22,9 @@
 class ItemTask:
     """Hold the progress of one item.
 
-    ``position`` is its index among the items of the job. ``saved_events`` counts the
-    events that are saved in the store. ``server_time_s`` is the time of its runs,
+    ``position`` is its index among the items of the job. ``service`` is the one whose
+    servers it waits for, empty while none of them can be used. ``saved_events`` counts
+    the events that are saved in the store. ``server_time_s`` is the time of its runs,
     scaled to a server of median speed. ``not_before`` is the monotonic time from which
     it may run again. ``urgency`` is that of its latest start. ``run_events`` counts the
     events of the latest run, ``server_closed`` is whether the server ended that run's
@@ -34,6 +35,7 @@
 
     item: jobs.Item
     position: int
+    service: str = ""
     event_data: list[bytes] = attrs.Factory(list)
     last_event: int | None = None
     saved_events: int = 0
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -38,7 +38,7 @@
 # Bounds the work that an item loses when its host fails, at the cost of about one
 # transaction a second for each running job.
 CHECKPOINT_INTERVAL_S = 1.0
-MAX_REPORTED_URGENCIES = 16  # per digest, some 100 bytes
+MAX_REPORTED_URGENCIES = 16  # per digest and service, some 100 bytes
 INTERNAL_ERROR = "internal error"
 MIN_CHECKPOINT_EVENTS = 10  # regenerating fewer events is faster than writing them
 
@@ -203,10 +203,25 @@
         )
         return candidate, state.created_s if now_s is None else now_s
 
-    def waiting_urgencies(self) -> list[int]:
-        """Return the urgencies of the most urgent waiting items, for digests."""
-        urgencies = sorted(self._urgency(*pair) for pair in self.waiting_items())
-        return urgencies[:MAX_REPORTED_URGENCIES]
+    def waiting_urgencies(self) -> dict[str, list[int]]:
+        """Return by service the urgencies of the most urgent items, for digests.
+
+        Other hosts leave free slots to these, so only items that this host could start
+        count.
+        """
+        limit = MAX_REPORTED_URGENCIES
+        if (capacity := self._remaining_capacity()) is not None:
+            limit = min(limit, capacity)
+        by_service: dict[str, list[int]] = {}
+        for owned, task in self.waiting_items():
+            if task.service:
+                urgencies = by_service.setdefault(task.service, [])
+                urgencies.append(self._urgency(owned, task))
+        return {
+            service: sorted(urgencies)[:limit]
+            for service, urgencies in by_service.items()
+            if limit
+        }
 
     def apply_changes(self, changed: list[rows.Row]) -> None:
         """Apply changes by other hosts to owned jobs: cancellation or a new owner."""
@@ -373,13 +388,14 @@
             service = self._service_or_end(owned, task)
             if service is not None:
                 by_service.setdefault(service, []).append((owned, task))
-        waiting_elsewhere = self.hosts.waiting_urgencies()
         for service, pairs in by_service.items():
             loads = self._without_refusing(self.inflight.server_loads(service))
+            for _, task in pairs:
+                task.service = service if loads else ""
             servers = placement.choose_batch_starts(
                 loads,
                 waiting=sorted(self._urgency(*pair) for pair in pairs),
-                waiting_elsewhere=waiting_elsewhere,
+                waiting_elsewhere=self.hosts.waiting_urgencies(service),
                 limit=self._remaining_capacity(),
             )
             loads_by_name = {load.name: load for load in loads}
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -128,6 +128,23 @@
     When results are read at one host and then at another that polls every 5 s
     Then the other host shows all of them at once
 
+  # Guards against items of a service with idle servers that never run, as free slots were
+  # left to items that wait on other hosts for another service (LOST).
+  Scenario Outline: Items of a service are done while items of another wait for servers
+    When jobs of a service <without> wait at two hosts and jobs of another are submitted
+    Then every item of the other service is done within 6 s
+
+    Examples:
+      | without                                  |
+      | without any server                       |
+      | whose only server is registered but dead |
+
+  # Guards against hosts that cannot read each other's digests during a release.
+  Scenario: Hosts of the version before read digests that tell what waits by service
+    When a host tells of items that wait for two services
+    Then its digest has the fields of the version before
+    And the version before sees the most urgent items of all services
+
   # Guards against an item that is never done, as each attempt goes to the one server that
   # refuses it: idle, as it refuses, that server has the most free slots.
   Scenario Outline: Items are done though the server with the most free slots fails them
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -5,9 +5,10 @@
 
 import attrs
 import behave
+import msgspec
 import trio
 
-from turmerictally.entry import item_runner, jobs, settings, worker
+from turmerictally.entry import gossip, item_runner, jobs, settings, worker
 from turmerictally.scheduling import placement
 from turmerictally.store import rows
 from turmerictally.tests.support import users_platform
@@ -643,6 +644,91 @@
         assert result["text"] == complete_text(result["id"], context.events), result
 
 
+@behave.when(
+    "jobs of a service {without} wait at two hosts and jobs of another are submitted"
+)
+def wait_for_service(context, without):
+    lost = {"name": "lost", "hostname": users_platform.HOSTNAME, "prefix": "/lost/"}
+    lost |= {"kind": "batch", "timeoutMs": 15000, "targetLatencyMs": 500}
+    lost |= {"completionTargetMs": 18000, "retentionS": 60, "maxCount": 1_000_000}
+    lost |= {"service": "lost", "maxAttempts": 3}
+
+    async def submit_lost(world, n, job):
+        body, _ = users_platform.lot(world, 10, name=f"{job}-")
+        body = body.replace(b"/night/", b"/lost/")
+        caller = users_platform.Caller(world, n)
+        reply = await caller.ask("/lost/x", body=body, request_id=job)
+        assert reply.status == 202, reply
+
+    async def main(world):
+        world.configure(
+            routes=[lost],
+            services=[
+                {"name": name, "maxConnections": 200} for name in ("llm", "lost")
+            ],
+        )
+        await trio.sleep(1.0)
+        if "dead" in without:
+            dead = users_platform.Server(world, "dead", "10.9.0.99:80", service="lost")
+            dead.register()
+            await trio.sleep(1.0)
+        for n in range(4):
+            await submit_lost(world, 1 + n % 2, f"lost{n}")
+        await trio.sleep(1.0)
+        context.submitted_at = trio.current_time()
+        for n in range(6):
+            await submit(world, n % 3, job=f"sound{n}", count=10)
+        context.counts = []
+        await trio.sleep(6.0)
+        for n in range(6):
+            page = (await read(world, 0, f"sound{n}")).json()
+            context.counts.append(len(page["results"]))
+
+    play(context, main, hosts=3)
+
+
+@behave.then("every item of the other service is done within {seconds:g} s")
+def others_done(context, seconds):
+    assert context.counts == [10] * 6, context.counts
+
+
+# The wire of digests is an array of these fields, which hosts check on reading.
+FIELDS_BEFORE = """
+    host instance address sequence online batch items_waiting admitted requested
+    table_ages store_age_s failing domain outcomes full baseline baseline_requests
+    stopping removed leaving demand speeds callers_waiting job_states
+    waiting_urgencies batch_urgencies accused_parts limits answered_servers
+    accused_requests accused_item_parts paths_lost answer_age_s
+"""
+
+
+@behave.when("a host tells of items that wait for two services")
+def tell_of_waiting(context):
+    async def main(world):
+        context.digest = world.hosts[0]._digest(1, True, True)
+
+    waiting = {"a": [30, 40], "b": [20]}
+    with mock.patch.object(
+        worker.Worker, "waiting_urgencies", lambda self: dict(waiting)
+    ):
+        play(context, main)
+
+
+@behave.then("its digest has the fields of the version before")
+def fields_before(context):
+    fields = msgspec.msgpack.decode(context.digest.encode())
+    assert len(fields) == len(FIELDS_BEFORE.split())
+    assert [f.name for f in attrs.fields(gossip.Digest)] == FIELDS_BEFORE.split()
+    assert gossip.decode(context.digest.encode()) == context.digest
+
+
+@behave.then("the version before sees the most urgent items of all services")
+def most_urgent_before(context):
+    assert context.digest.waiting_urgencies == [20, 30, 40]
+    names = {gossip.waiting_name("a"): [30, 40], gossip.waiting_name("b"): [20]}
+    assert context.digest.batch_urgencies == names
+
+
 class UnansweredWrites(LateResponses):
     """Wrap a store so that writes get no answer and have no effect."""
 
