Let the simulated crowd's state watch tell that no row is newer

Since a started job looks for a newer row of its state, three scenarios of scheduling_patterns.feature ended with an AttributeError of the simulation's stand-in. The stand-in has no other writer, so that it knows no newer row.

--- a/turmerictally/bench/crowd.py
+++ b/turmerictally/bench/crowd.py
@@ -33,6 +33,7 @@
     server_rates,
     wait_queue,
 )
+from turmerictally.store import rows
 from turmerictally.tests.support import limits_fleet
 
 SERVICE = "llm"
@@ -228,6 +229,9 @@
     def apply(self, changed: list, version: int) -> None:
         """Drop a change, as no other host reads it."""
 
+    def newer_row(self, address: rows.Address, version: int) -> None:
+        """Return no row, as nothing else changes jobs."""
+
 
 class ActiveConfiguration:
     """Stand in for a configuration with one route for batch items."""
