Count waiting callers by service

A caller of a service with a slot about to become free is refused ("no room in time", with a later return), as callers of another service wait on other hosts.

Cause: digests told one number of callers that wait within their team's share, of all services. A host took them all for competitors for the slots of each service: it expected a longer wait, and took fewer of the freed slots.

Change: digests count them by service, among the counts by server under names that no server has, so that their layout stays. Digests of the version before tell the sum only, which counts for each service as before.

Evidence: the new scenario of entry_waiting.feature fails on the code before (503, "no room in time", Retry-After 1.1 s) and passes now: the caller gets the next slot.

--- a/turmerictally/entry/admission.py
+++ b/turmerictally/entry/admission.py
@@ -137,7 +137,7 @@
         ]
         return wait_queue.QueueConditions(
             slots=slots,
-            waiting_elsewhere=self.hosts.totals.callers_waiting,
+            waiting_elsewhere=self.hosts.callers_waiting(service),
             hosts=1 + len(report_times),
             age_s=round(now - min(report_times, default=now), 3),
         )
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -70,6 +70,7 @@
 MAX_MOST_URGENT = 16  # of all services together, in one digest
 # Precedes the name of a service among the names of servers in a digest.
 WAITING_PREFIX = "waiting for "
+CALLERS_PREFIX = "callers waiting for "
 
 
 # Answered and failed requests.
@@ -87,8 +88,9 @@
 
     ``online`` and ``batch`` count its requests in flight by server, ``items_waiting``
     its queued batch items, ``callers_waiting`` its queued online requests within their
-    team's share, and ``demand``, by service and team, the slots that its online
-    requests hold or wait for. ``admitted`` and ``requested`` are counters by team since
+    team's share, which ``online`` holds by service under ``callers_name``, and
+    ``demand``, by service and team, the slots that its online requests hold or wait
+    for. ``admitted`` and ``requested`` are counters by team since
     the host's start; unless ``baseline``, teams without recent requests are omitted.
     ``baseline_requests`` names the hosts whose baseline this one misses, ``failing``
     the servers that it avoids. ``speeds`` gives by server the fields of
@@ -148,6 +150,12 @@
     paths_lost: bool = False
     answer_age_s: decoding.Seconds = MAX_AGE_S
 
+    @property
+    def unnamed_callers(self) -> int:
+        """Return its waiting callers unless it tells them by service."""
+        named = any(name.startswith(CALLERS_PREFIX) for name in self.online)
+        return 0 if named else self.callers_waiting
+
     def has_same_load(self, other: "Digest") -> bool:
         """Return whether both report the same load and the same failing servers."""
         return (
@@ -187,6 +195,20 @@
     return f"{WAITING_PREFIX}{service}"
 
 
+def callers_name(service: str) -> str:
+    """Return the name under which a digest counts callers that wait for a service."""
+    return f"{CALLERS_PREFIX}{service}"
+
+
+def named_callers(
+    running: collections.abc.Mapping[str, int],
+    waiting: collections.abc.Mapping[str, int],
+) -> dict[str, int]:
+    """Return the callers that are served, by server, or wait, by service."""
+    by_server = {server: count for server, count in running.items() if count}
+    return by_server | {callers_name(name): n for name, n in waiting.items()}
+
+
 def named_urgencies(
     running: collections.abc.Mapping[str, list[int]],
     waiting: collections.abc.Mapping[str, list[int]],
@@ -331,7 +353,10 @@
 
 @attrs.define(eq=False)
 class FleetTotals:
-    """Sum the other hosts' counts; an update costs only its digest's own entries."""
+    """Sum the other hosts' counts; an update costs only its digest's own entries.
+
+    ``callers_waiting`` counts those of hosts that don't tell them by service.
+    """
 
     online: collections.Counter[str] = attrs.field(factory=collections.Counter)
     batch: dict[str, dict[str, int]] = attrs.field(
@@ -349,7 +374,7 @@
     def add(self, digest: Digest) -> None:
         """Add a host's newest digest, apart from its outcomes."""
         self.items_waiting += digest.items_waiting
-        self.callers_waiting += digest.callers_waiting
+        self.callers_waiting += digest.unnamed_callers
         _add(self.online, digest.online.items(), 1)
         _add(self.demand, digest.demand.items(), 1)
         _add(self.failing, ((name, 1) for name in digest.failing), 1)
@@ -358,7 +383,7 @@
     def remove(self, digest: Digest) -> None:
         """Subtract a digest that was added, apart from its outcomes."""
         self.items_waiting -= digest.items_waiting
-        self.callers_waiting -= digest.callers_waiting
+        self.callers_waiting -= digest.unnamed_callers
         _add(self.online, digest.online.items(), -1)
         _add(self.demand, digest.demand.items(), -1)
         _add(self.failing, ((name, 1) for name in digest.failing), -1)
@@ -367,7 +392,7 @@
     def replace(self, before: Digest, after: Digest) -> None:
         """Replace a host's digest by its next one, updating only what changed."""
         self.items_waiting += after.items_waiting - before.items_waiting
-        self.callers_waiting += after.callers_waiting - before.callers_waiting
+        self.callers_waiting += after.unnamed_callers - before.unnamed_callers
         if before.demand != after.demand:
             _add(self.demand, before.demand.items(), -1)
             _add(self.demand, after.demand.items(), 1)
@@ -571,6 +596,14 @@
             for urgency in digest.batch_urgencies.get(name, ())
         ]
 
+    def callers_waiting(self, service: str) -> int:
+        """Return how many callers within their team's share wait elsewhere.
+
+        Those on hosts of versions that count them for all services together count for
+        each.
+        """
+        return self.totals.callers_waiting + self.totals.online[callers_name(service)]
+
     def batch_urgencies(self, server: str) -> dict[str, list[int]]:
         """Return the urgencies of the batch items on a server, by other host."""
         return {
@@ -623,7 +656,16 @@
                 self.totals.remove(peer.digest)
                 self.totals.replace_outcomes(peer.digest, None)
                 peer.digest = attrs.evolve(
-                    peer.digest, failing=[], outcomes={}, demand={}, callers_waiting=0
+                    peer.digest,
+                    online={
+                        server: count
+                        for server, count in peer.digest.online.items()
+                        if not server.startswith(CALLERS_PREFIX)
+                    },
+                    failing=[],
+                    outcomes={},
+                    demand={},
+                    callers_waiting=0,
                 )
                 self.totals.add(peer.digest)
                 self.on_unreachable(name)
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -693,6 +693,7 @@
 
     def _digest(self, sequence: int, full: bool, base: bool) -> gossip.Digest:
         waiting = self.worker.waiting_urgencies()
+        callers = self._callers_waiting()
         self.quotas.set_group(*self.hosts.count_quota_holders())
         admitted, requested = self.quotas.report(base)
         return gossip.Digest(
@@ -700,7 +701,7 @@
             instance=self.instance,
             address=self.settings.listen.peers,
             sequence=sequence,
-            online={k: v for k, v in self.inflight.online.items() if v},
+            online=gossip.named_callers(self.inflight.online, callers),
             batch={k: v for k, v in self.inflight.batch.items() if v},
             items_waiting=len(self.worker.waiting_items()),
             admitted=admitted,
@@ -723,9 +724,7 @@
             leaving=self.registry.leaving_start_times() if full else {},
             speeds=self._speeds() if full else {},
             demand=self._demand(),
-            callers_waiting=self.admission.wait_queue.count_in_share()
-            if self.admission
-            else 0,
+            callers_waiting=sum(callers.values()),
             waiting_urgencies=gossip.most_urgent(waiting),
             batch_urgencies=gossip.named_urgencies(
                 self.inflight.batch_urgencies, waiting
@@ -745,6 +744,11 @@
         age_s = self.clock.monotonic() - self.inflight.reach.answered_at
         return round(min(gossip.MAX_AGE_S, age_s), 3)
 
+    def _callers_waiting(self) -> dict[str, int]:
+        if self.admission is None:
+            return {}
+        return self.admission.wait_queue.count_in_share()
+
     def _demand(self) -> dict[str, int]:
         if self.admission is None:
             return {}
--- a/turmerictally/scheduling/wait_queue.py
+++ b/turmerictally/scheduling/wait_queue.py
@@ -139,9 +139,11 @@
         """Return the requests queued for one service."""
         return [request for request in self.requests if request.service == service]
 
-    def count_in_share(self) -> int:
-        """Return how many of the queued requests are within their team's share."""
-        return sum(request.in_share for request in self.requests)
+    def count_in_share(self) -> collections.Counter[str]:
+        """Return by service how many requests within their team's share are queued."""
+        return collections.Counter(
+            request.service for request in self.requests if request.in_share
+        )
 
     def check_admission(
         self, request: QueuedRequest, conditions: QueueConditions, now: float
--- a/turmerictally/tests/features/entry_waiting.feature
+++ b/turmerictally/tests/features/entry_waiting.feature
@@ -37,3 +37,13 @@
   Scenario: Without the settings requests do not wait on their host
     When 8 streams run and another caller arrives 0.1 s after them without the settings
     Then the server had the request in its own queue at once
+
+  # Guards against callers of a service who are refused, as callers of another service
+  # wait on other hosts.
+  Scenario: Callers of another service who wait elsewhere do not count
+    When callers of another service wait on one host and a caller finds all slots used on another
+    Then that caller waits for the next slot and is served
+
+  Scenario: Waiting callers of hosts of the version before count for any service
+    When a host of the version before reports 9 waiting callers
+    Then they count for each service until the host is unreachable
