Search the bytes of a long event once

Cause: with each part that arrived, sse.EventSplitter searched the incomplete event from its start. Up to the bound of 1 MB that is some 8 MB for one event in parts of 64 kB, by a pattern without a literal start, and the host did nothing else meanwhile: no line of these requests had been written.

Change: the search goes on where it ended, the start of a long event is not matched again before its end has arrived, and the pattern begins with a literal.

--- a/turmerictally/entry/sse.py
+++ b/turmerictally/entry/sse.py
@@ -7,7 +7,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 # Comments and events without an id in a row; they do not advance a stream.
 MAX_UNNUMBERED_BYTES = 16 * 1024
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Begins with a literal, for which the search is fastest.
+_EVENT_END = re.compile(rb"\n\r?\n")
+_MAX_EVENT_END_BYTES = 3
 
 # What may stand between numbered events: comments and reconnection times.
 _UNNUMBERED = re.compile(
@@ -56,55 +58,67 @@
     event_count: int = 0
 
     def split(self, data: bytes) -> bytes:
-        """Return the bytes of the events that are now complete; raises as ``feed``."""
-        data = self.buffer + data
-        end = self._scan(data, [])
+        """Return the bytes of the events that are now complete.
+
+        Raises ``SequenceError``.
+        """
+        data, searched = self._join(data)
+        end = self._scan(data, searched, [])
         if end == len(data):
             return data
-        events = self.feed(data[end:])
+        events = self._parse(data[end:], searched - end)
         self.event_count += len(events)
         return b"".join([data[:end], *(event.raw for event in events)])
 
     def split_data(self, data: bytes) -> list[bytes]:
         """Return the data of the events that are now complete, all with ids.
 
-        Raises as ``feed`` does.
+        Raises ``SequenceError``.
         """
-        data = self.buffer + data
+        data, searched = self._join(data)
         texts: list[bytes] = []
-        end = self._scan(data, texts)
+        end = self._scan(data, searched, texts)
         if end < len(data):
-            for event in self.feed(data[end:]):
+            for event in self._parse(data[end:], searched - end):
                 if event.id is None:
                     raise SequenceError("event without an id")
                 texts.append(event.data())
         return texts
 
-    def _scan(self, data: bytes, texts: list[bytes]) -> int:
+    def _join(self, data: bytes) -> tuple[bytes, int]:
+        """Return the incomplete event with new data, and how much of it has no end."""
+        searched = max(0, len(self.buffer) + 1 - _MAX_EVENT_END_BYTES)
+        data, self.buffer = self.buffer + data, b""
+        return data, searched
+
+    def _scan(self, data: bytes, searched: int, texts: list[bytes]) -> int:
         """Consume leading simple events and collect their data; return their end."""
-        self.buffer = b""
         end = 0
-        while match := _SIMPLE_EVENT.match(data, end):
-            number = int(match[1])
-            if self.last_id is not None and number != self.last_id + 1:
-                break
-            self.last_id = number
-            texts.append(match[2])
-            end = match.end()
+        # The start of a long event isn't looked at again with each part of it.
+        if not searched or _EVENT_END.search(data, searched):
+            while match := _SIMPLE_EVENT.match(data, end):
+                number = int(match[1])
+                if self.last_id is not None and number != self.last_id + 1:
+                    break
+                self.last_id = number
+                texts.append(match[2])
+                end = match.end()
         self.event_count = len(texts)
         if texts:
             self.unnumbered_bytes = 0
         return end
 
-    def feed(self, data: bytes) -> list[Event]:
-        """Return the events that are now complete; raises ``SequenceError``."""
-        self.buffer += data
+    def _parse(self, data: bytes, searched: int) -> list[Event]:
+        """Return the complete events; the rest stays in ``buffer``.
+
+        The first ``searched`` bytes are known to contain no end of an event.
+        """
         events = []
         start = 0
-        for match in _EVENT_END.finditer(self.buffer):
-            events.append(self._parse_event(self.buffer[start : match.end()]))
+        for match in _EVENT_END.finditer(data, max(0, searched)):
+            events.append(self._parse_event(data[start : match.end()]))
             start = match.end()
-        self.buffer = self.buffer[start:]
+        self.buffer = data[start:]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise SequenceError("event too large")
         return events
--- a/turmerictally/tests/features/entry_broken_servers.feature
+++ b/turmerictally/tests/features/entry_broken_servers.feature
@@ -17,6 +17,18 @@
       | an error's body       |
       | a chunk's head        |
 
+  # Guards against a host kept busy by long events, each searched again from its start with
+  # every part that arrives: callers got no answer for seconds.
+  Scenario Outline: The bytes of a long event are searched once
+    When <kind> of 900 kB arrives in parts of 1 kB, complete at last
+    Then it is one event, and each byte was searched at most 3 times
+
+    Examples:
+      | kind                   |
+      | an event of one line   |
+      | an event with an id    |
+      | an event of many lines |
+
   Scenario Outline: After an endless response a request that may run only once counts as run
     Given a route whose streams may not be resumed
     When every server sends <part> without end
--- a/turmerictally/tests/features/steps/entry_broken_servers_steps.py
+++ b/turmerictally/tests/features/steps/entry_broken_servers_steps.py
@@ -1,5 +1,9 @@
 """Steps for servers, peers and stores that send endless data, or stall."""
 
+import re
+from unittest import mock
+
+import attrs
 import behave
 import trio
 
@@ -312,3 +316,52 @@
         ]
         expected = [f"{name}.{n}" for n in range(1, users_platform.EVENTS + 1)]
         assert data == expected, (name, data[:3])
+
+
+LONG_EVENTS = {
+    "an event of one line": (b"data: ", b"m" * 1000, b"\nid: 1\n\n"),
+    "an event with an id": (b"id: 1\ndata: ", b"m" * 1000, b"\n\n"),
+    "an event of many lines": (b"id: 1\n", b"data: " + b"m" * 993 + b"\n", b"\n"),
+}
+
+
+@attrs.define
+class CountingPattern:
+    """Search like a pattern and count the bytes that it may look at."""
+
+    pattern: re.Pattern[bytes]
+    searched_bytes: int = 0
+
+    def __getattr__(self, name):
+        def call(data, at=0):
+            found = getattr(self.pattern, name)(data, at)
+            # What doesn't begin like a simple event is not looked at further.
+            if name != "match" or data.startswith(b"id: ", at):
+                self.searched_bytes += len(data) - at
+            return found
+
+        return call
+
+
+@behave.when("{kind} of 900 kB arrives in parts of 1 kB, complete at last")
+def long_event(context, kind):
+    start, part, end = LONG_EVENTS[kind]
+    context.patterns = [
+        CountingPattern(getattr(sse, name)) for name in ("_EVENT_END", "_SIMPLE_EVENT")
+    ]
+    context.splitter = sse.EventSplitter()
+    with (
+        mock.patch.object(sse, "_EVENT_END", context.patterns[0]),
+        mock.patch.object(sse, "_SIMPLE_EVENT", context.patterns[1]),
+    ):
+        for data in (start, *[part] * 900):
+            assert not context.splitter.split(data)
+        context.searched_bytes = sum(p.searched_bytes for p in context.patterns)
+    context.event = start + part * 900 + end
+    context.found = context.splitter.split(end)
+
+
+@behave.then("it is one event, and each byte was searched at most {times:d} times")
+def searched_once(context, times):
+    assert context.found == context.event and context.splitter.event_count == 1
+    assert context.searched_bytes <= times * len(context.event), context.searched_bytes
