Let the scenario of an endless table copy test the bound of copies

Its peer sends no age, so that the copy is given up at its head, and whether the peer's kernel had accepted any part by then was a race. It never tested the bound.

The peer now sends an age, the error must be that of the bound, and the bytes counted are those that the host received instead of those that the peer's kernel accepted: above 0 and at most 17 MB, as before.

--- a/turmerictally/tests/features/steps/entry_broken_servers_steps.py
+++ b/turmerictally/tests/features/steps/entry_broken_servers_steps.py
@@ -17,7 +17,8 @@
 
 CALLERS = 8
 MB = 1_000_000
-NO_END = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
+# With the age that a peer's copy of a table has.
+NO_END = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nage-ms: 5\r\n\r\n"
 
 
 def part_of(text):
@@ -179,15 +180,36 @@
     trio.run(body)
 
 
+class CountingStream(network.SocketStream):
+    """Count the bytes received; what the kernels hold on the way is not bounded here."""
+
+    received = []
+
+    async def receive_some(self):
+        data = await super().receive_some()
+        self.received.append(len(data))
+        return data
+
+
+class CountingNetwork(network.SocketNetwork):
+    """Open connections that count what they receive."""
+
+    async def connect(self, address):
+        return CountingStream((await super().connect(address)).sock)
+
+
 @behave.when("a peer sends a copy of a table without end")
 def endless_copy(context):
     async def call(address):
         clock = clocks.Clock()
-        connections = pool.Pool(network.SocketNetwork(), clock)
+        connections = pool.Pool(CountingNetwork(), clock)
         copies = table_copies.TableCopies({}, None, connections, clock, None, None)
         await copies.fetch(address, "jobs")
 
+    CountingStream.received.clear()
     call_endless_server(context, call)
+    context.sent = CountingStream.received
+    assert str(context.error) == "answer too long"
 
 
 @behave.when("the store sends a response without end")
