Bound what a host holds of servers' responses together

Cause: each response that is passed on whole was bounded at 8 MB, and each incomplete event at 1 MB. Nothing bounded their sum: the memory budget counted only what callers send and what waits for them.

Change: connections of the pool count what is held of their response, by server. Above half of the memory budget the server whose responses hold most loses its largest incomplete one. Its caller gets 502, or another server's answer if it may run again; the log names the server (response_dropped).

Why it works: the sum is bounded as it grows, with the bytes released before the next are read, and a sound server's single large answer outweighs no flood.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -700,6 +700,7 @@
             if data is None:
                 break
             events = splitter.split(data)
+            connection.record_held(len(splitter.buffer))
             if not events:
                 continue
             if not pending.attempt_events:
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -50,6 +50,7 @@
     mechanisms,
     memory_budget,
     placement,
+    response_memory,
     server_speeds,
 )
 from turmerictally.store import rows
@@ -382,6 +383,10 @@
         self.callers.memory.limit_bytes = memory_budget.budget_bytes(
             self.settings.memory.limit_mb
         )
+        self.responses = response_memory.ResponseMemory(
+            self.callers.memory, self._on_response_dropped
+        )
+        self.pool.responses = self.responses
         self.health = make(listen.health, self._health)
         self.peer_server = make(listen.peers, self._serve_peer)
         self.metrics_server = make(listen.metrics, self._metrics)
@@ -393,11 +398,13 @@
     def table_copies(self) -> "table_copies.TableCopies":
         """Return the exchange of tables with peers, for a store outage."""
         module = importlib.import_module("turmerictally.entry.table_copies")
+        # Connections to hosts say nothing of the paths to servers.
+        host_pool = pool.Pool(self.network, self.clock)
+        host_pool.responses = self.responses
         return module.TableCopies(
             self.watches,
             self.hosts,
-            # Connections to hosts say nothing of the paths to servers.
-            pool.Pool(self.network, self.clock),
+            host_pool,
             self.clock,
             self.trace,
             self.rng,
@@ -616,6 +623,18 @@
         if not tunnelled:
             self.inflight.record_answer(sent_at)
 
+    def _on_response_dropped(self, drop: response_memory.Drop) -> None:
+        servers = self.registry.servers.items()
+        self.trace.emit(
+            "response_dropped",
+            address=drop.server,
+            servers=[name for name, server in servers if server.address == drop.server],
+            held_bytes=drop.held_bytes,
+            server_bytes=drop.server_bytes,
+            total_bytes=drop.total_bytes,
+            bound_bytes=drop.bound_bytes,
+        )
+
     def _on_paths_change(self) -> None:
         reach = self.inflight.reach
         self.pool.close_unused_paths(
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -83,6 +83,12 @@
             "Unread.",
             served.callers.memory.refusals,
         ),
+        gauge(f"{prefix}_response_bytes", "Held.", served.responses.held_bytes),
+        prometheus_client.core.CounterMetricFamily(
+            f"{prefix}_responses_dropped",
+            "Of servers whose responses held too much.",
+            served.responses.dropped,
+        ),
         prometheus_client.core.CounterMetricFamily(
             f"{prefix}_streams_switched",
             "Begun late and offered to another server.",
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -8,7 +8,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import http1, messages, network
-from turmerictally.scheduling import connect_timeout
+from turmerictally.scheduling import connect_timeout, response_memory
 
 # A body up to this size is joined with the head into one call; a longer one isn't, as
 # that would copy it.
@@ -27,6 +27,7 @@
 MAX_HEAD_BYTES = 64 * 1024
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024  # of a response to another request
 MAX_INFORMATIONAL_HEADS = 8  # of status 1xx before the final response
+DROPPED = "response dropped: too many bytes held of this server's responses"
 
 
 class ConnectError(Exception):
@@ -48,8 +49,9 @@
 class Connection:
     """Hold one connection to a backend server.
 
-    ``idle_deadline`` is the monotonic time after which it must not be reused, and
-    ``tunnelled`` whether it goes through a peer.
+    ``idle_deadline`` is the monotonic time after which it must not be reused,
+    ``tunnelled`` whether it goes through a peer, and ``hold`` counts what is held of
+    the response.
     """
 
     address: str
@@ -60,6 +62,22 @@
     idle_deadline: float = float("inf")
     released_at: float = float("-inf")
     tunnelled: bool = False
+    hold: response_memory.Hold | None = None
+
+    def record_held(self, held_bytes: int, *, complete: bool = False) -> None:
+        """Count the bytes held of the response; raises ``BrokenError`` if dropped."""
+        if self.hold is None:
+            return
+        self.hold.complete = complete
+        if held_bytes != self.hold.held_bytes:
+            self.hold.resize(held_bytes)
+        if self.hold.dropped:
+            raise BrokenError(DROPPED)
+
+    @property
+    def dropped(self) -> bool:
+        """Return whether the response was dropped, as too many bytes are held."""
+        return self.hold is not None and self.hold.dropped
 
     async def send_request(
         self, method: bytes, target: bytes, headers: messages.Headers, body: bytes
@@ -70,6 +88,7 @@
         except http1.ProtocolError as error:
             raise BrokenError(f"request cannot be sent: {error}") from error
         self.requests_sent += 1
+        self.record_held(0)
         self.reader.expect_response(method)
         try:
             if len(body) <= MAX_JOINED_BODY_BYTES:
@@ -142,13 +161,16 @@
         try:
             data = await self.stream.receive_some()
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            if self.dropped:
+                raise BrokenError(DROPPED) from error
             reason = str(error) if self.tunnelled else "connection reset"
             raise BrokenError(reason, peer_closed=True) from error
         self.reader.feed(data)
 
     def is_reusable(self) -> bool:
         """Return whether another request may be sent on this connection."""
-        return self.reader.keeps_alive() and not self.reader.buffer
+        clean = self.reader.keeps_alive() and not self.reader.buffer
+        return clean and not self.dropped
 
     def is_usable(self) -> bool:
         """Return whether a pooled connection is unexpired, open and has no input."""
@@ -166,6 +188,8 @@
             size += len(data)
             if size > max_bytes:
                 raise BrokenError("answer too long")
+            self.record_held(size)
+        self.record_held(size, complete=True)
         return b"".join(parts)
 
     async def skip_response(self) -> None:
@@ -178,6 +202,8 @@
 
     def close(self) -> None:
         """Close at once."""
+        if self.hold is not None:
+            self.hold.resize(0)
         self.stream.close()
 
 
@@ -208,6 +234,7 @@
         self.paths_lost: collections.abc.Callable[[], bool] = lambda: False
         self.open_tunnel: OpenTunnel | None = None
         self.on_connected: collections.abc.Callable[[], None] = lambda: None
+        self.responses: response_memory.ResponseMemory | None = None
         self.opened = 0
         self.abandoned = 0
 
@@ -241,19 +268,27 @@
         self.connect_times.record(trio.current_time() - started_at)
         self.on_connected()
         self.opened += 1
-        return make_connection(address, stream, self.clock)
+        return self._connection(address, stream)
 
     async def _open_tunnel(self, address: str) -> Connection:
         try:
             stream = await self.open_tunnel(address)
         except OSError as error:
             raise ConnectError(str(error)) from error
-        return make_connection(address, stream, self.clock, tunnelled=True)
+        return self._connection(address, stream, tunnelled=True)
+
+    def _connection(
+        self, address: str, stream: network.Stream, *, tunnelled: bool = False
+    ) -> Connection:
+        connection = make_connection(address, stream, self.clock, tunnelled=tunnelled)
+        if self.responses is not None:
+            connection.hold = self.responses.hold(address, stream.close)
+        return connection
 
     def add_idle(self, address: str, stream: network.Stream) -> None:
         """Keep an open connection for the next request."""
         self.opened += 1
-        connection = make_connection(address, stream, self.clock)
+        connection = self._connection(address, stream)
         self._keep_idle(connection, DEFAULT_KEEP_ALIVE_S)
 
     def close_unused_paths(self, *, lost: bool, answered_at: float) -> None:
@@ -306,6 +341,8 @@
         self._keep_idle(connection, idle_s)
 
     def _keep_idle(self, connection: Connection, idle_s: float) -> None:
+        if connection.hold is not None:
+            connection.hold.resize(0)
         connection.released_at = self.clock.monotonic()
         connection.idle_deadline = connection.released_at + idle_s
         self.idle[connection.address].append(connection)
--- a/turmerictally/tests/features/steps/entry_broken_servers_steps.py
+++ b/turmerictally/tests/features/steps/entry_broken_servers_steps.py
@@ -181,7 +181,7 @@
 
 
 class CountingStream(network.SocketStream):
-    """Count the bytes received; what the kernels hold on the way is not bounded here."""
+    """Count the bytes received; those that kernels hold on the way have no bound."""
 
     received = []
 
--- a/turmerictally/tests/features/steps/entry_pressure_steps.py
+++ b/turmerictally/tests/features/steps/entry_pressure_steps.py
@@ -4,7 +4,7 @@
 import trio
 
 from turmerictally.entry import settings
-from turmerictally.scheduling import memory_budget
+from turmerictally.scheduling import memory_budget, response_memory
 from turmerictally.tests.support import users_platform
 
 BODY = b"b" * 1_100_000
@@ -144,3 +144,114 @@
 @behave.then("every request gets a complete response")
 def all_complete(context):
     assert all(reply.whole and reply.ids for reply in context.replies.values())
+
+
+CALL = {"hostname": users_platform.HOSTNAME, "kind": "streaming", "timeoutMs": 5000}
+CALL |= {"targetLatencyMs": 2000, "gapTargetMs": 250, "maxAttempts": 1}
+
+
+def flood(context, part, callers, settings_given):
+    async def ask(path, replies):
+        replies.append(await users_platform.Caller(context.world).ask(path))
+
+    async def watch(responses):
+        while True:
+            context.peak_bytes = max(context.peak_bytes, responses.held_bytes)
+            await trio.sleep(POLL_S)
+
+    async def main(world):
+        context.world = world
+        route = CALL | {"name": "flood", "prefix": "/flood/", "service": "flood"}
+        world.configure(
+            routes=[route],
+            services=[{"name": n, "maxConnections": 200} for n in ("llm", "flood")],
+        )
+        server = users_platform.Server(
+            world, "flood", "10.9.0.9:80", slots=64, service="flood"
+        )
+        server.endless = part
+        await world.nursery.start(server.run)
+        server.register()
+        sound = world.servers["s0"]
+        sound.plain, sound.plain_s = "with a length", 0.05
+        sound.plain_body = bytes(2_000_000)
+        await trio.sleep(1.0)
+        context.responses = world.hosts[0].responses
+        context.peak_bytes, context.replies, context.sound = 0, [], []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, context.responses)
+            async with trio.open_nursery() as asking:
+                asking.start_soon(ask, "/ask/1", context.sound)
+                for _ in range(callers):
+                    asking.start_soon(ask, "/flood/1", context.replies)
+            nursery.cancel_scope.cancel()
+        context.lines = world.lines("response_dropped")
+
+    users_platform.play(main, hosts=1, servers=1, settings=settings_given)
+
+
+@behave.when(
+    "30 callers ask a server that sends {part} without end, beside 2 MB of a sound "
+    "server"
+)
+def flood_limited(context, part):
+    limit_mb = memory_budget.BASELINE_MB + 24 * memory_budget.BODY_COPIES
+    flood(context, part, 30, {"memory": settings.Memory(limit_mb)})
+
+
+@behave.then(
+    "at most {limit:d} MB of responses are held at any time, and none in the end"
+)
+def held(context, limit):
+    bound_bytes = limit * memory_budget.MB
+    assert context.responses.bound_bytes == bound_bytes
+    assert 0 < context.peak_bytes <= bound_bytes, context.peak_bytes
+    assert context.responses.held_bytes == 0 and not context.responses.by_server
+    assert context.responses.budget.reserved_bytes == 0
+
+
+@behave.then("the sound response is complete and the other callers get an error")
+def sound_complete(context):
+    (reply,) = context.sound
+    assert reply.status == 200 and reply.whole and len(reply.body) == 2_000_000
+    assert len(context.replies) == 30
+    assert {reply.status for reply in context.replies} <= {502, 503}
+
+
+@behave.then("the log names the server whose responses were dropped, and no other")
+def named(context):
+    assert context.lines
+    assert {tuple(line["servers"]) for line in context.lines} == {("flood",)}
+
+
+@behave.when(
+    "3 callers of a host without a limit ask a server that sends a body without end"
+)
+def flood_unlimited(context):
+    flood(context, "body", 3, {})
+
+
+@behave.then("no response is dropped for the others")
+def none_dropped(context):
+    assert not context.lines and context.peak_bytes > 16 * memory_budget.MB
+    assert [reply.status for reply in context.replies] == [502] * 3
+
+
+@behave.when(
+    "a response of 5 MB and 9 of 1 MB from another server are held, with room for 13 MB"
+)
+def hold_several(context):
+    budget = memory_budget.MemoryBudget(26 * memory_budget.MB)
+    responses = response_memory.ResponseMemory(budget)
+    context.holds = []
+    for server, count, size in (("sound", 1, 5), ("flood", 9, 1)):
+        for _ in range(count):
+            hold = responses.hold(server, lambda: None)
+            context.holds.append(hold)
+            hold.resize(size * memory_budget.MB)
+
+
+@behave.then("one of 1 MB is dropped")
+def one_dropped(context):
+    dropped = [hold.server for hold in context.holds if hold.dropped]
+    assert dropped == ["flood"], dropped
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -3,6 +3,7 @@
 import base64
 import collections
 import contextlib
+import itertools
 import json
 import random
 
@@ -69,7 +70,8 @@
         self.service = service
         self.plain_paths = ()  # prefixes of paths with such answers
         self.plain = ""  # how answers that are no streams are sent
-        self.plain_s = 0.0  # for which an answer that is no stream takes, half sent
+        self.plain_s = 0.0  # for which an answer that is no stream stays half sent
+        self.plain_body = b"plain body"
         self.streams_until_close = False  # only the connection's end ends a stream
         self.closes = False  # each answer closes its connection
         self.world = world
@@ -259,10 +261,12 @@
 
     async def babble(self, stream, run):
         """Send bytes without end until the host closes the connection."""
-        start, more = ENDLESS[self.endless]
+        start, more = ENDLESS.get(self.endless, (STREAM, b""))
         with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
             await stream.send_all(start.replace(b"ID", run.request.encode()))
-            while True:
+            for number in itertools.count(1):
+                if self.endless == "numbered events":
+                    more = b"id: %d\ndata: %b\n\n" % (number, b"m" * 10_000)
                 await stream.send_all(more)
                 self.endless_bytes += len(more)
                 await trio.sleep(0.001)
@@ -402,7 +406,7 @@
         return True
 
     async def answer_plain(self, stream, parser, run):
-        body = b"fail" if "error" in self.plain else b"plain body"
+        body = b"fail" if "error" in self.plain else self.plain_body
         status = 500 if "error" in self.plain else 200
         head = f"HTTP/1.1 {status} X\r\nX-Request-Id: {run.request}\r\n"
         head += "X-Server-Stamp: stamp\r\n"
@@ -411,8 +415,9 @@
         if "less" in self.plain:
             body = body[:-3]
         if self.plain_s:
-            await stream.send_all(head.encode() + b"\r\n" + body[:3])
-            body, head = body[3:], ""
+            half = len(body) // 2
+            await stream.send_all(head.encode() + b"\r\n" + body[:half])
+            body, head = body[half:], ""
             await trio.sleep(self.plain_s)
         else:
             head += "\r\n"
