Bound the text of a batch item

What callers saw: none of their own reports; found while the buffers that servers fill were listed. A server that sends numbered events without end to an item made the host keep them all, for 30 s a run, and each further run went on after them.

Cause: the text of an item was bounded by time only, while each event passed for progress.

Change: a text of more than 1 MB, which is what a page of results holds, breaks the run off, and the item goes back to the events that are saved. The bytes count among the responses that a host holds; an item whose response is dropped goes back likewise. A checkpoint that was under way doesn't count events that have been discarded since.

Evidence: the new example of entry_broken_servers.feature ends with an error of its time-out on the code before (the items are not done in the scenario's time) and passes now: every item is done by the other server. entry_batch passes, scheduling_patterns but for the known red.

--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -15,6 +15,8 @@
 # Events of an item are read in batches: no caller waits for one, and each read costs a
 # host as much as forwarding an event to a caller.
 READ_INTERVAL_S = 0.15
+# Of an item's text: a page of results holds no more.
+MAX_TEXT_BYTES = 1024 * 1024
 FINAL_READ_TIMEOUT_S = 0.005  # enough for buffered data when an item is cancelled
 
 
@@ -22,7 +24,8 @@
 class ItemTask:
     """Hold the progress of one item.
 
-    ``position`` is its index among the items of the job. ``service`` is the one whose
+    ``position`` is its index among the items of the job. ``text_bytes`` is the size of
+    the data of its events. ``service`` is the one whose
     servers it waits for, empty while none of them can be used. ``saved_events`` counts
     the events that are saved in the store. ``server_time_s`` is the time of its runs,
     scaled to a server of median speed. ``not_before`` is the monotonic time from which
@@ -37,6 +40,7 @@
     position: int
     service: str = ""
     event_data: list[bytes] = attrs.Factory(list)
+    text_bytes: int = 0
     last_event: int | None = None
     saved_events: int = 0
     server_time_s: float = 0.0
@@ -51,6 +55,18 @@
     held_for: str = ""
     cancel_scope: trio.CancelScope | None = None
 
+    def add_events(self, event_data: list[bytes], last_event: int | None) -> None:
+        """Add the data of further events, up to the one with this id."""
+        self.event_data += event_data
+        self.text_bytes += sum(map(len, event_data))
+        self.last_event = last_event
+
+    def discard_unsaved(self) -> None:
+        """Go back to the events that are saved in the store."""
+        del self.event_data[self.saved_events :]
+        self.text_bytes = sum(map(len, self.event_data))
+        self.last_event = self.saved_events or None
+
     @property
     def running(self) -> bool:
         """Return whether the item runs on a server."""
@@ -106,6 +122,8 @@
                 released = True
             return outcome
         except (pool.BrokenError, sse.SequenceError) as error:
+            if connection.dropped or task.text_bytes > MAX_TEXT_BYTES:
+                task.discard_unsaved()
             task.server_closed = getattr(error, "peer_closed", False)
             return f"broken: {error}"
         except trio.TooSlowError:
@@ -154,7 +172,11 @@
         reported_events = len(task.event_data)
         while (data := await connection.read_data()) is not None:
             first = not task.run_events
-            if _collect(task, splitter, data):
+            collected = _collect(task, splitter, data)
+            connection.record_held(task.text_bytes + len(splitter.buffer))
+            if task.text_bytes > MAX_TEXT_BYTES:
+                raise pool.BrokenError("answer too long")
+            if collected:
                 if first:
                     self.on_first_event(self.shared_parts(state, task))
                 now = trio.current_time()
@@ -175,7 +197,6 @@
 def _collect(task: ItemTask, splitter: sse.EventSplitter, data: bytes) -> bool:
     """Add the events that bytes of a stream complete; return whether there are any."""
     texts = splitter.split_data(data)
-    task.event_data += texts
+    task.add_events(texts, splitter.last_id)
     task.run_events += len(texts)
-    task.last_event = splitter.last_id
     return bool(texts)
--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -135,5 +135,5 @@
     for item, event_data in progress.items():
         task = tasks.get(item)
         if task is not None and event_data:
-            task.event_data = [data.encode() for data in event_data]
-            task.last_event = task.saved_events = len(event_data)
+            task.add_events([data.encode() for data in event_data], len(event_data))
+            task.saved_events = len(event_data)
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -270,9 +270,10 @@
             await self.job_store.add_rows(owned.versioned, puts)
             for progress in written:
                 if progress.item in owned.tasks:
-                    owned.tasks[progress.item].saved_events = (
-                        progress.first_event - 1 + len(progress.event_data)
-                    )
+                    task = owned.tasks[progress.item]
+                    saved_events = progress.first_event - 1 + len(progress.event_data)
+                    # Some may have been discarded since.
+                    task.saved_events = min(saved_events, len(task.event_data))
         except rows.ConflictError as error:
             current = [jobs.decode(row) for row in error.current_rows if row.value]
             self._apply_state(owned, current[0] if current else None)
--- a/turmerictally/tests/features/entry_broken_servers.feature
+++ b/turmerictally/tests/features/entry_broken_servers.feature
@@ -52,6 +52,7 @@
       | an event        |
       | comments        |
       | an error's body |
+      | numbered events |
 
   Scenario: An endless table copy from a peer is cut off
     When a peer sends a copy of a table without end
