Take no response without a length for complete if its server has died

Cause: a response without a length or chunks ends with its connection. The kernel of a process that dies ends its connections in order, as a server does that is done, and the host took the one for the other.

Change: after such a response the host looks whether the server still accepts connections, as it does for crashes; the connection is kept. If it accepts none, the response counts as cut off: resumable streams and items go on at another server, others break off or get 502.

Evidence: the four new scenarios of entry_broken_answers.feature fail on the code before and pass now; a fifth shows that a living server's stream is whole and sent once.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -653,6 +653,7 @@
     ) -> tuple[AttemptResult, messages.ResponseHead]:
         """Pass on a response that is not a stream, once it is complete."""
         body = await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
+        await self.pool.check_sender(connection)
         if head.status < 300 and not head.signed:
             raise pool.BrokenError("answer without the server's signature")
         if head.status >= 500 and not head.signed:
@@ -710,7 +711,8 @@
                 await pending.response.start(
                     head.status, self.codec.caller_headers(head), None
                 )
-            if connection.complete and not splitter.buffer:
+            ended = connection.complete and not connection.ends_with_connection
+            if ended and not splitter.buffer:
                 pending.last_event = splitter.last_id
                 await pending.response.finish(events)
                 return
@@ -725,6 +727,7 @@
             if coalesce and connection.needs_data:
                 await trio.sleep(COALESCE_S)
         connection.check_stream_end(pending.attempt_events, splitter.buffer)
+        await self.pool.check_sender(connection)
         if not pending.response.started:
             await pending.response.start(
                 head.status, self.codec.caller_headers(head), None
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -191,6 +191,7 @@
                     _collect(task, splitter, await connection.read_data() or b"")
                 raise
         connection.check_stream_end(task.run_events, splitter.buffer)
+        await self.pool.check_sender(connection)
         return "done", head
 
 
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -139,6 +139,11 @@
         """Return whether the response was read to its end."""
         return self.reader.complete
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the connection's end tells that of the response."""
+        return self.reader.ends_with_connection
+
     @property
     def needs_data(self) -> bool:
         """Return whether the response is incomplete and all received was returned."""
@@ -324,6 +329,15 @@
             connection.close()
         return False
 
+    async def check_sender(self, connection: Connection) -> None:
+        """Check that the server outlives a response; raises ``BrokenError``.
+
+        The kernel of a server that dies ends its connections in order, as a server does
+        that is done with a response without a length.
+        """
+        if connection.ends_with_connection and await self.has_ended(connection.address):
+            raise BrokenError("server ended with its response", peer_closed=True)
+
     def release(self, connection: Connection, keep_alive_s: float | None) -> None:
         """Return a connection to the pool after a complete response, or close it.
 
--- a/turmerictally/tests/features/entry_broken_answers.feature
+++ b/turmerictally/tests/features/entry_broken_answers.feature
@@ -44,3 +44,20 @@
   Scenario: A stream that ends with its connection is complete
     When servers send streams without length or chunks and close
     Then every caller gets all events from one run
+
+  # Guards against a part of a response that passes for the whole, as the kernel of a server
+  # that died ended its connections in order (ORDER).
+  Scenario Outline: What a server was sending as it died is not passed on as whole
+    When a server dies in the middle of <response> without a length, and its kernel ends its connections
+    Then <outcome>
+
+    Examples:
+      | response                              | outcome                                          |
+      | a stream that may be resumed          | the stream goes on at the other server and is whole |
+      | a stream that may run once            | the stream breaks off                            |
+      | a plain body                          | the caller gets no part of the body              |
+      | an item's stream                      | the item goes on at the other server and is whole |
+
+  Scenario: What a server that lives ends with its connection is whole
+    When a server ends a stream without a length and goes on
+    Then the stream is whole and was sent once
--- a/turmerictally/tests/features/steps/entry_broken_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_broken_answers_steps.py
@@ -164,3 +164,92 @@
         assert reply.whole
         assert reply.ids == list(range(1, users_platform.EVENTS + 1))
     assert len(context.world.runs) == CALLERS
+
+
+async def run_begins(world):
+    with trio.fail_after(5.0):
+        while not world.runs:
+            await trio.sleep(0.01)
+    return world.servers[world.runs[0].server]
+
+
+@behave.when(
+    "a server dies in the middle of {response} without a length, and its kernel ends "
+    "its connections"
+)
+def dies_in_order(context, response):
+    context.plain = response == "a plain body"
+
+    async def ask():
+        context.reply = await users_platform.Caller(context.world).ask()
+
+    async def main(world):
+        context.world = world
+        for server in world.servers.values():
+            server.streams_until_close = True
+            if context.plain:
+                server.plain, server.plain_s = "without a length", 0.4
+        async with trio.open_nursery() as nursery:
+            if "item" in response:
+                body, _ = users_platform.lot(world, count=1)
+                caller = users_platform.Caller(world)
+                await caller.ask("/night/1", body=body, request_id="lot")
+            else:
+                nursery.start_soon(ask)
+            server = await run_begins(world)
+            await trio.sleep(0.3)
+            # Its tasks close their connections, as the kernel does for a process.
+            server.scope.cancel()
+        if "item" in response:
+            await trio.sleep(4.0)
+            path = "/-/lots/lot?after=0"
+            context.reply = await users_platform.Caller(world).ask(path, "GET", b"")
+
+    users_platform.play(
+        main, hosts=1, servers=2, resumable="once" not in response, seed=1
+    )
+
+
+@behave.then("the stream goes on at the other server and is whole")
+def stream_goes_on(context):
+    assert context.reply.whole, context.reply
+    assert context.reply.ids == list(range(1, users_platform.EVENTS + 1))
+    assert len({run.server for run in context.world.runs}) == 2
+
+
+@behave.then("the stream breaks off")
+def stream_breaks_off(context):
+    assert 0 < len(context.reply.ids) < users_platform.EVENTS
+    assert not context.reply.whole, context.reply
+    assert len(context.world.runs) == 1
+
+
+@behave.then("the caller gets no part of the body")
+def no_part(context):
+    reply = context.reply
+    assert reply.status == 502 or reply.body == b"plain body", reply
+
+
+@behave.then("the item goes on at the other server and is whole")
+def item_goes_on(context):
+    (result,) = context.reply.json()["results"]
+    assert result["state"] == "succeeded", result
+    texts = [f"i0.{n}" for n in range(1, users_platform.EVENTS + 1)]
+    assert result["text"].split("\n") == texts
+    assert len({run.server for run in context.world.runs}) == 2
+
+
+@behave.when("a server ends a stream without a length and goes on")
+def ends_and_lives(context):
+    async def main(world):
+        world.servers["s0"].streams_until_close = True
+        context.reply = await users_platform.Caller(world).ask()
+
+    context.world = users_platform.play(main, hosts=1, servers=1)
+
+
+@behave.then("the stream is whole and was sent once")
+def whole_and_once(context):
+    assert context.reply.whole, context.reply
+    assert context.reply.ids == list(range(1, users_platform.EVENTS + 1))
+    assert len(context.world.runs) == 1
