Carry begun responses to their end in a planned stop

Cause: a stopping host waited for its own callers only. It did not know what it carried.

Change: a carried tunnel knows when bytes last passed each way. The stop waits, within its grace, while a request waits for its response or a response is under way. Idle tunnels are not waited for, and a stopping host takes no further ones, also from hosts that don't know yet that it stops.

Evidence: the scenario of a stream of 4 s in entry_tunnels.feature fails on the code before (the stream is cut 2.7 s after the stop) and passes; a host with an idle tunnel still ends within 3.2 s, and one with a stream that outlasts its grace within 9 s.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -643,6 +643,9 @@
 
     async def _serve_peer(self, exchange: http_server.Exchange) -> None:
         if exchange.target.startswith(pool.TUNNELS_PATH.encode()):
+            if self.stopping:
+                await exchange.reply(503)
+                return
             await self.tunnels.serve(exchange)
         else:
             await self.table_copies.serve(exchange)
@@ -873,6 +876,7 @@
                 self.callers.refuse_unread()
                 nursery.start_soon(self._deregister)
                 await self._close_idle_callers()
+                await self._finish_tunnels()
 
     async def _close_idle_callers(self) -> None:
         """Close callers' connections as they become idle, until none is open."""
@@ -880,6 +884,12 @@
             self.callers.close_idle()
             await trio.sleep(DRAIN_POLL_S)
 
+    async def _finish_tunnels(self) -> None:
+        """Wait until no request of another host is on its way through this one."""
+        # Without tunnels their module has not been imported.
+        while "tunnels" in self.__dict__ and self.tunnels.is_busy():
+            await trio.sleep(DRAIN_POLL_S)
+
     async def _deregister(self) -> None:
         address = rows.Address(gossip.TABLE, "", self.settings.host_id)
         with (
--- a/turmerictally/entry/tunnels.py
+++ b/turmerictally/entry/tunnels.py
@@ -27,6 +27,9 @@
 # Carried for other hosts at once; each takes two file descriptors and some 10 kB.
 MAX_CARRIED = 1000
 PROBE_TIMEOUT_S = 0.2
+# A tunnel without bytes for longer counts as idle, unless a request is unanswered:
+# servers that are slow but sound send more often.
+IDLE_AFTER_S = 1.2
 # Asks the peer for the server's bytes in chunks.
 FRAMING_HEADER = (b"tunnel-framing", b"chunked")
 CUT_OFF = "tunnel cut off"
@@ -75,11 +78,27 @@
         return not self.connection.reader.buffer and self.connection.stream.is_idle()
 
 
+@attrs.define(eq=False)
+class CarriedTunnel:
+    """Hold when bytes last passed in each direction, in monotonic seconds."""
+
+    clock: clocks.Clock
+    to_server_at: float = float("-inf")
+    from_server_at: float = float("-inf")
+
+    def is_busy(self) -> bool:
+        """Return whether a request waits for its response or is being answered."""
+        awaits_response = self.to_server_at > self.from_server_at
+        idle_at = self.from_server_at + IDLE_AFTER_S
+        return awaits_response or self.clock.monotonic() < idle_at
+
+
 @attrs.define(eq=False)
 class Tunnels:
     """Open connections to servers through peers, and carry those of other hosts.
 
-    ``carried`` counts the open tunnels of other hosts, ``opened`` this host's own.
+    ``carried`` holds the open tunnels of other hosts, ``opened`` counts those that this
+    host opened.
     """
 
     network: network.Network
@@ -91,7 +110,7 @@
     rng: random.Random
     domain: str
     max_carried: int = MAX_CARRIED
-    carried: int = 0
+    carried: set[CarriedTunnel] = attrs.Factory(set)
     opened: int = 0
 
     def needed(self) -> bool:
@@ -152,7 +171,7 @@
             await exchange.reply(404)
             return
         # Through one other host only: two that lost their paths would go in circles.
-        if self.needed() or self.carried >= self.max_carried:
+        if self.needed() or len(self.carried) >= self.max_carried:
             await exchange.reply(503)
             return
         try:
@@ -163,11 +182,12 @@
             return
         framed = FRAMING_HEADER in exchange.headers
         started_at = self.clock.monotonic()
-        self.carried += 1
+        tunnel = CarriedTunnel(self.clock)
+        self.carried.add(tunnel)
         try:
-            await self._carry(exchange, server, framed=framed)
+            await self._carry(exchange, server, tunnel, framed=framed)
         finally:
-            self.carried -= 1
+            self.carried.remove(tunnel)
             server.close()
             if not exchange.finished:
                 # Whatever ended the tunnel, the server's answer may be incomplete.
@@ -180,8 +200,17 @@
                 outcome="server ended" if exchange.finished else "cut off",
             )
 
+    def is_busy(self) -> bool:
+        """Return whether requests of other hosts are on their way through this one."""
+        return any(tunnel.is_busy() for tunnel in self.carried)
+
     async def _carry(
-        self, exchange: http_server.Exchange, server: network.Stream, *, framed: bool
+        self,
+        exchange: http_server.Exchange,
+        server: network.Stream,
+        tunnel: CarriedTunnel,
+        *,
+        framed: bool,
     ) -> None:
         """Carry bytes both ways until one side ends; then the exchange is finished.
 
@@ -193,9 +222,11 @@
         await exchange.send(b"")
         near = await exchange.detach()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_copy_to_server, near, server, nursery.cancel_scope)
+            nursery.start_soon(
+                _copy_to_server, near, server, tunnel, nursery.cancel_scope
+            )
             send = exchange.send if framed else near.send_all
-            if await _copy_from_server(server, send):
+            if await _copy_from_server(server, send, tunnel):
                 await exchange.finish()
             nursery.cancel_scope.cancel()
 
@@ -211,11 +242,15 @@
 
 
 async def _copy_to_server(
-    near: network.Stream, server: network.Stream, scope: trio.CancelScope
+    near: network.Stream,
+    server: network.Stream,
+    tunnel: CarriedTunnel,
+    scope: trio.CancelScope,
 ) -> None:
     """Copy bytes; the end of the connection between the hosts ends the tunnel."""
     with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
         while data := await near.receive_some():
+            tunnel.to_server_at = tunnel.clock.monotonic()
             try:
                 await server.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -227,10 +262,12 @@
 async def _copy_from_server(
     server: network.Stream,
     send: collections.abc.Callable[[bytes], collections.abc.Awaitable[None]],
+    tunnel: CarriedTunnel,
 ) -> bool:
     """Copy bytes until a connection ends; return whether the server's did in order."""
     try:
         while data := await server.receive_some():
+            tunnel.from_server_at = tunnel.clock.monotonic()
             await send(data)
     except (
         http_server.CallerDisconnectedError,
--- a/turmerictally/tests/features/entry_tunnels.feature
+++ b/turmerictally/tests/features/entry_tunnels.feature
@@ -61,3 +61,15 @@
       | event               | ends                     |
       | the server responds | ends in order after that |
       | the peer stops      | is reset                 |
+
+  # Guards against responses that are cut as the host which carries them stops, although it
+  # has time to carry them to their end.
+  Scenario Outline: A host that stops carries what has begun to its end
+    When a host that stops carries <what>
+    Then <outcome>
+
+    Examples:
+      | what                         | outcome                                         |
+      | a stream of 4 s              | the stream is whole and the host ends after it  |
+      | a connection that is idle    | the host ends within 3.2 s                      |
+      | a stream that outlasts its grace | the host ends within 9 s                    |
--- a/turmerictally/tests/features/steps/entry_tunnels_steps.py
+++ b/turmerictally/tests/features/steps/entry_tunnels_steps.py
@@ -302,3 +302,42 @@
     else:
         assert not context.reply.whole or context.reply.status == 502, context.reply
     assert context.world.lines("tunnel_opened")
+
+
+@behave.when("a host that stops carries {what}")
+def stops_carrying(context, what):
+    async def ask():
+        context.reply = await users_platform.Caller(context.world, 0).ask()
+        context.answered_at = trio.current_time()
+
+    async def main(world):
+        context.world = world
+        await reach_through_peer(world)
+        (server,) = world.servers.values()
+        server.events = 800 if "outlasts" in what else LONG
+        if "idle" in what:
+            server.events = 2
+            server.keep_alive_s = 30
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask)
+            await trio.sleep(1.5 if "idle" in what else 0.5)
+            stopped_at = trio.current_time()
+            world.hosts[1].stop()
+            await world.hosts[1].ended.wait()
+            context.ended_at = trio.current_time()
+            context.took_s = context.ended_at - stopped_at
+            nursery.cancel_scope.cancel()
+
+    users_platform.play(main, hosts=2, servers=1)
+
+
+@behave.then("the stream is whole and the host ends after it")
+def carried_to_end(context):
+    assert context.reply.whole and len(context.reply.ids) == LONG, context.reply
+    assert context.answered_at <= context.ended_at
+
+
+@behave.then("the host ends within {seconds:g} s")
+def ends_within(context, seconds):
+    assert context.took_s < seconds, context.took_s
+    assert context.world.lines("tunnel_opened")
