Let items of an unknown route wait for the configuration of their job

Cause: an owner without the route of an item took the route for ended. Neither the job nor the takeover knew by which version the job had been accepted.

Change: a job's state holds the version of the configuration by which it was accepted. Items without a route wait while the owner's version is older. Hosts of the version before ignore the field.

Evidence: the new scenario of entry_batch.feature fails on the code before (all items dead_letter before the host has the new configuration) and passes; items of a route that has ended are still given up, as the scenario beside it shows.

--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -274,6 +274,7 @@
             created_s=now_s,
             completion_s=route.completion_s,
             retention_s=route.retention_s,
+            configuration=self.active_configuration.current.version,
         )
         if self.worker.stopping:
             # Without an owner, another host takes it over at once.
--- a/turmerictally/entry/jobs.py
+++ b/turmerictally/entry/jobs.py
@@ -67,6 +67,8 @@
     ``created_s`` is a time of the store's clock. ``listed`` counts the results, and
     ``tokens`` the tokens of the items without a result. ``pieces`` is the number of
     rows that hold the items. A job without an owner has an empty ``owner``.
+    ``configuration`` is the version of the configuration by which it was accepted, 0 if
+    unknown.
     """
 
     job: str
@@ -84,6 +86,7 @@
     completion_s: decoding.Seconds
     retention_s: decoding.Seconds
     cancelled: bool = False
+    configuration: decoding.Count = 0
 
     @property
     def open(self) -> bool:
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -28,6 +28,7 @@
 
 SCHEDULE_INTERVAL_S = 0.1  # as often as hosts report their free slots
 RETRY_S = 0.3  # before an item runs again after a refusal or a broken connection
+CONFIGURATION_RECHECK_S = 0.3  # while this host's configuration is older than a job's
 ERROR_RETRY_S = 0.8  # after a server error, so that a transient cause can clear
 # A server that refused an item, or answered it with an error, gets none for this long
 # while others have free slots.
@@ -49,7 +50,8 @@
 
     ``ownership_version`` is the version of the job's row at which this host became its
     owner. ``writing`` is set while a task writes rows of the job: one writer at a time.
-    A ``dropped`` job is cancelled or no longer owned here.
+    A ``dropped`` job is cancelled or no longer owned here. ``awaits_configuration`` is
+    set once its items have waited for a newer configuration.
     """
 
     versioned: jobs.VersionedState
@@ -58,6 +60,7 @@
     unsaved_results: list[jobs.Result] = attrs.Factory(list)
     writing: bool = False
     dropped: bool = False
+    awaits_configuration: bool = False
 
 
 @attrs.define(eq=False)
@@ -496,17 +499,30 @@
     ) -> str | None:
         """Return the service that runs an item, None if it may not run.
 
-        The item is ended if there is none, and waits if its prompt crashes servers.
+        The item is ended if there is none. It waits if its prompt crashes servers, or
+        while this host may not have heard of its route.
         """
         state = owned.versioned.state
-        route = self.active_configuration.current.route(state.hostname, task.item.path)
-        if route is None:
+        current = self.active_configuration.current
+        route = current.route(state.hostname, task.item.path)
+        if route is None and current.version >= state.configuration:
             self._finish_item(owned, task, False, "route ended")
             return None
         now_s = self.state_watch.store_now_s()
         if now_s is not None and now_s >= state.created_s + state.retention_s:
             self._finish_item(owned, task, False, "retention is over")
             return None
+        if route is None:
+            task.not_before = self.clock.monotonic() + CONFIGURATION_RECHECK_S
+            if not owned.awaits_configuration:
+                owned.awaits_configuration = True
+                self.trace.emit(
+                    "job_awaits_configuration",
+                    job=state.job,
+                    wanted=state.configuration,
+                    version=current.version,
+                )
+            return None
         if self._is_quarantined(owned, task):
             return None
         return forwarder.choose_service(route, self.rng)
--- a/turmerictally/tests/features/entry_batch.feature
+++ b/turmerictally/tests/features/entry_batch.feature
@@ -139,6 +139,16 @@
       | without any server                       |
       | whose only server is registered but dead |
 
+  # Guards against items of a new route that are given up for good by an owner whose
+  # configuration is older than the job (MIXED).
+  Scenario: Items of a new route wait for an owner's configuration
+    When a host takes over a job of a route that its configuration does not have yet
+    Then no item of it is given up, and all are done once the host has that configuration
+
+  Scenario: Items of a route that has ended are given up
+    When the route of a waiting job is removed
+    Then its items are given up and none runs later
+
   # Guards against hosts that cannot read each other's digests during a release.
   Scenario: Hosts of the version before read digests that tell what waits by service
     When a host tells of items that wait for two services
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -729,6 +729,91 @@
     assert context.digest.batch_urgencies == names
 
 
+NEW_ROUTE = {
+    "name": "new",
+    "hostname": users_platform.HOSTNAME,
+    "prefix": "/new/",
+    "kind": "batch",
+    "timeoutMs": 15000,
+    "targetLatencyMs": 500,
+    "completionTargetMs": 18000,
+    "retentionS": 60,
+    "maxCount": 1_000_000,
+    "service": "llm",
+    "maxAttempts": 3,
+}
+
+
+async def submit_new(world, job="new"):
+    body, ids = users_platform.lot(world, 6, name=f"{job}-")
+    body = body.replace(b"/night/", b"/new/")
+    reply = await users_platform.Caller(world).ask("/new/x", body=body, request_id=job)
+    assert reply.status == 202, reply
+    return ids
+
+
+@behave.when(
+    "a host takes over a job of a route that its configuration does not have yet"
+)
+def taken_over_with_older(context):
+    async def main(world):
+        for server in world.servers.values():
+            server.refuses_all = True
+        world.store.refused_tables.add(("h1", "op"))
+        # No peer tells it either.
+        world.hosts[1].table_copies.fetching = True
+        await trio.sleep(2.0)
+        world.configure(routes=[NEW_ROUTE])
+        await trio.sleep(1.0)
+        context.ids = await submit_new(world)
+        world.hosts[0].stop()
+        for server in world.servers.values():
+            server.refuses_all = False
+        await trio.sleep(4.0)
+        assert stored_state(world, "new").owner == "h1"
+        context.early = (await read(world, 1, "new")).json()["results"]
+        context.waited = world.lines("job_awaits_configuration")
+        world.store.refused_tables.clear()
+        context.results = await read_all(world, 1, "new", len(context.ids))
+
+    play(context, main)
+
+
+@behave.then(
+    "no item of it is given up, and all are done once the host has that configuration"
+)
+def none_given_up(context):
+    assert context.early == [] and len(context.waited) == 1, context.early
+    assert sorted(r["id"] for r in context.results) == sorted(context.ids)
+    assert {result["state"] for result in context.results} == {"succeeded"}
+
+
+@behave.when("the route of a waiting job is removed")
+def route_removed(context):
+    async def main(world):
+        for server in world.servers.values():
+            server.refuses_all = True
+        world.configure(routes=[NEW_ROUTE])
+        await trio.sleep(1.0)
+        context.ids = await submit_new(world)
+        await trio.sleep(0.5)
+        world.configure()
+        await trio.sleep(1.0)
+        for server in world.servers.values():
+            server.refuses_all = False
+        context.results = await read_all(world, 1, "new", len(context.ids))
+        await trio.sleep(3.0)
+
+    play(context, main)
+
+
+@behave.then("its items are given up and none runs later")
+def all_given_up(context):
+    assert sorted(r["id"] for r in context.results) == sorted(context.ids)
+    assert {result["state"] for result in context.results} == {"dead_letter"}
+    assert not context.world.runs
+
+
 class UnansweredWrites(LateResponses):
     """Wrap a store so that writes get no answer and have no effect."""
 
