Load no further module for the bound of servers' responses

It is part of memory_budget now, whose budget it shares. entry_cost, entry_pressure and entry_broken_servers pass.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -50,7 +50,6 @@
     mechanisms,
     memory_budget,
     placement,
-    response_memory,
     server_speeds,
 )
 from turmerictally.store import rows
@@ -383,7 +382,7 @@
         self.callers.memory.limit_bytes = memory_budget.budget_bytes(
             self.settings.memory.limit_mb
         )
-        self.responses = response_memory.ResponseMemory(
+        self.responses = memory_budget.ResponseMemory(
             self.callers.memory, self._on_response_dropped
         )
         self.pool.responses = self.responses
@@ -623,7 +622,7 @@
         if not tunnelled:
             self.inflight.record_answer(sent_at)
 
-    def _on_response_dropped(self, drop: response_memory.Drop) -> None:
+    def _on_response_dropped(self, drop: memory_budget.Drop) -> None:
         servers = self.registry.servers.items()
         self.trace.emit(
             "response_dropped",
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -24,16 +24,15 @@
 class ItemTask:
     """Hold the progress of one item.
 
-    ``position`` is its index among the items of the job. ``text_bytes`` is the size of
-    the data of its events. ``service`` is the one whose
-    servers it waits for, empty while none of them can be used. ``saved_events`` counts
-    the events that are saved in the store. ``server_time_s`` is the time of its runs,
-    scaled to a server of median speed. ``not_before`` is the monotonic time from which
-    it may run again. ``urgency`` is that of its latest start. ``run_events`` counts the
-    events of the latest run, ``server_closed`` is whether the server ended that run's
-    connection, ``shared_parts`` names the parts of its prompt that other requests may
-    share, None until they are needed, and ``held_for`` is the quarantined part for
-    which it waits.
+    ``position`` is its index among the items of the job. ``service`` is the one whose
+    servers it waits for, empty while none of them can be used. ``text_bytes`` is the
+    size of the data of its events, and ``saved_events`` counts those that are saved in
+    the store. ``server_time_s`` is the time of its runs, scaled to a server of median
+    speed. ``not_before`` is the monotonic time from which it may run again. ``urgency``
+    is that of its latest start. ``run_events`` counts the events of the latest run,
+    ``server_closed`` is whether the server ended that run's connection,
+    ``shared_parts`` names the parts of its prompt that other requests may share, None
+    until they are needed, and ``held_for`` is the quarantined part for which it waits.
     """
 
     item: jobs.Item
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -8,7 +8,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import http1, messages, network
-from turmerictally.scheduling import connect_timeout, response_memory
+from turmerictally.scheduling import connect_timeout, memory_budget
 
 # A body up to this size is joined with the head into one call; a longer one isn't, as
 # that would copy it.
@@ -62,7 +62,7 @@
     idle_deadline: float = float("inf")
     released_at: float = float("-inf")
     tunnelled: bool = False
-    hold: response_memory.Hold | None = None
+    hold: memory_budget.Hold | None = None
 
     def record_held(self, held_bytes: int, *, complete: bool = False) -> None:
         """Count the bytes held of the response; raises ``BrokenError`` if dropped."""
@@ -239,7 +239,7 @@
         self.paths_lost: collections.abc.Callable[[], bool] = lambda: False
         self.open_tunnel: OpenTunnel | None = None
         self.on_connected: collections.abc.Callable[[], None] = lambda: None
-        self.responses: response_memory.ResponseMemory | None = None
+        self.responses: memory_budget.ResponseMemory | None = None
         self.opened = 0
         self.abandoned = 0
 
--- a/turmerictally/tests/features/steps/entry_pressure_steps.py
+++ b/turmerictally/tests/features/steps/entry_pressure_steps.py
@@ -4,7 +4,7 @@
 import trio
 
 from turmerictally.entry import settings
-from turmerictally.scheduling import memory_budget, response_memory
+from turmerictally.scheduling import memory_budget
 from turmerictally.tests.support import users_platform
 
 BODY = b"b" * 1_100_000
@@ -242,7 +242,7 @@
 )
 def hold_several(context):
     budget = memory_budget.MemoryBudget(26 * memory_budget.MB)
-    responses = response_memory.ResponseMemory(budget)
+    responses = memory_budget.ResponseMemory(budget)
     context.holds = []
     for server, count, size in (("sound", 1, 5), ("flood", 9, 1)):
         for _ in range(count):
