Read what follows a request in any number of parts

What callers saw (LOST): a connection closed without an answer to requests that had been read, and with a truncated response before them.

Cause: while a request is served, a task reads on. It entered one cancel scope for each read, which may be entered once: the second part that arrived raised an error that closed the connection.

Change: all reads are within one block of the scope.

Evidence: the new scenario of entry_answers.feature gets 1 of 4 answers on the code before and 4 now. entry_answers, entry_path, entry_relay and entry_tunnels pass.

--- a/turmerictally/entry/http_server.py
+++ b/turmerictally/entry/http_server.py
@@ -130,7 +130,10 @@
         self.aborted = True
 
     async def detach(self) -> network.Stream:
-        """Return the connection for other use; it is closed when the handler ends."""
+        """Return the connection for other use; it is closed when the handler ends.
+
+        What it has received since the request is in the reader's buffer.
+        """
         self.watch_scope.cancel()
         await self.watch_ended.wait()
         return self.stream
@@ -510,21 +513,18 @@
     async def _watch_for_disconnect(
         self, exchange: Exchange, scope: trio.CancelScope
     ) -> None:
-        for _ in range(MAX_PIPELINED_READS):
-            data = None
-            with exchange.watch_scope:
+        with exchange.watch_scope:
+            for _ in range(MAX_PIPELINED_READS):
                 try:
                     data = await exchange.stream.receive_some()
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     data = b""
-            if data is None:
-                exchange.watch_ended.set()
-                return
-            if not data:
-                exchange.abort()
-                scope.cancel()
-                return
-            exchange.reader.feed(data)
+                if not data:
+                    exchange.abort()
+                    scope.cancel()
+                    break
+                exchange.reader.feed(data)
+        exchange.watch_ended.set()
 
 
 def _map_error(reader: http1.Reader, error: http1.ProtocolError) -> Exception:
--- a/turmerictally/tests/features/entry_answers.feature
+++ b/turmerictally/tests/features/entry_answers.feature
@@ -71,3 +71,9 @@
   Scenario: A response about a job that is cut at its deadline is only truncated
     When a caller does not read the body of a job's item until its deadline has passed
     Then it gets a part of one response, and its connection is closed
+
+  # Guards against requests without any answer, as the next ones arrived in parts while
+  # they were served (LOST).
+  Scenario: Requests that follow in parts while one is served are all answered
+    When a caller sends three further requests in two parts each while the first is served
+    Then all four are answered whole, in order
--- a/turmerictally/tests/features/steps/entry_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_answers_steps.py
@@ -379,3 +379,44 @@
     assert context.data.startswith(b"HTTP/1.1 200 "), context.data[:100]
     assert context.data.count(b"HTTP/1.1") == 1, context.data[-200:]
     assert len(context.data) < BODY_BYTES, len(context.data)
+
+
+@behave.when(
+    "a caller sends three further requests in two parts each while the first is served"
+)
+def sends_further(context):
+    def request(name):
+        return (
+            b"POST /ask/1 HTTP/1.1\r\nHost: %b\r\nX-Request-Id: %b\r\n"
+            b"X-Token-Usage: 250,180\r\nAuthorization: Bearer %b\r\n"
+            b"Content-Length: 2\r\n\r\n{}"
+            % (
+                users_platform.HOSTNAME.encode(),
+                name.encode(),
+                users_platform.KEY.encode(),
+            )
+        )
+
+    async def main(world):
+        caller = users_platform.Caller(world)
+        await caller.open()
+        await caller.stream.send_all(request("r0"))
+        for name in ("r1", "r2", "r3"):
+            for part in (request(name)[:40], request(name)[40:]):
+                await trio.sleep(0.03)
+                await caller.stream.send_all(part)
+        context.data = b""
+        with trio.move_on_after(6.0):
+            while data := await caller.stream.receive_some():
+                context.data += data
+
+    play(context, main, servers=1)
+
+
+@behave.then("all four are answered whole, in order")
+def all_answered(context):
+    assert context.data.count(b"HTTP/1.1 200 ") == 4, context.data.count(b"HTTP/1.1")
+    assert context.data.count(b"0\r\n\r\n") == 4
+    last = users_platform.EVENTS
+    places = [context.data.index(b"data: r%d.%d\n" % (n, last)) for n in range(4)]
+    assert places == sorted(places)
