Pass on what follows the opening of a tunnel at once

Cause: the opening host sends its first request as soon as it has the answer. If that arrived before the peer had taken the connection over, the bytes went to the reader of the peer's HTTP server, and to no one.

Change: the peer sends the server first what its reader holds.

--- a/turmerictally/entry/tunnels.py
+++ b/turmerictally/entry/tunnels.py
@@ -221,9 +221,10 @@
         await exchange.start(200, [], None if framed else 0)
         await exchange.send(b"")
         near = await exchange.detach()
+        early, exchange.reader.buffer = exchange.reader.buffer, b""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                _copy_to_server, near, server, tunnel, nursery.cancel_scope
+                _copy_to_server, early, near, server, tunnel, nursery.cancel_scope
             )
             send = exchange.send if framed else near.send_all
             if await _copy_from_server(server, send, tunnel):
@@ -242,20 +243,22 @@
 
 
 async def _copy_to_server(
+    data: bytes,
     near: network.Stream,
     server: network.Stream,
     tunnel: CarriedTunnel,
     scope: trio.CancelScope,
 ) -> None:
-    """Copy bytes; the end of the connection between the hosts ends the tunnel."""
+    """Copy bytes, first those given; the other host's end ends the tunnel."""
     with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-        while data := await near.receive_some():
+        while data := data or await near.receive_some():
             tunnel.to_server_at = tunnel.clock.monotonic()
             try:
                 await server.send_all(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 # It may have responded before it read the entire request.
                 return
+            data = b""
     scope.cancel()
 
 
--- a/turmerictally/tests/features/entry_tunnels.feature
+++ b/turmerictally/tests/features/entry_tunnels.feature
@@ -73,3 +73,8 @@
       | a stream of 4 s              | the stream is whole and the host ends after it  |
       | a connection that is idle    | the host ends within 3.2 s                      |
       | a stream that outlasts its grace | the host ends within 9 s                    |
+
+  # Guards against a request that is lost in a tunnel, as it follows closely on its opening.
+  Scenario: What follows on the opening of a tunnel at once reaches the server
+    When a host opens a tunnel and sends a request with it
+    Then the server runs that request
--- a/turmerictally/tests/features/steps/entry_tunnels_steps.py
+++ b/turmerictally/tests/features/steps/entry_tunnels_steps.py
@@ -341,3 +341,22 @@
 def ends_within(context, seconds):
     assert context.took_s < seconds, context.took_s
     assert context.world.lines("tunnel_opened")
+
+
+@behave.when("a host opens a tunnel and sends a request with it")
+def sends_at_once(context):
+    async def main(world):
+        (server,) = world.servers.values()
+        stream = await world.fabric.host("10.1.0.9").connect("10.1.0.1:82")
+        target = f"{pool.TUNNELS_PATH}{server.address}"
+        opening = f"POST {target} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+        request = b"POST /a HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\n\r\n"
+        await stream.send_all(opening + request)
+        await trio.sleep(1.0)
+
+    context.world = users_platform.play(main, hosts=2, servers=1)
+
+
+@behave.then("the server runs that request")
+def runs_it(context):
+    assert [run.request for run in context.world.runs] == ["r"]
