Log on which exchange of a connection a request was not run

A refusal that a server writes once more can't be told from a true one in the logs: they name the server, not the connection, and not whether that connection had carried the id before. attempt_failed and item_not_done now name the connection, the exchange and whether the id had been sent on it before. No decision changes.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -131,7 +131,8 @@
     ``attempt_events`` the number of events of the last attempt, ``server_closed``
     whether the server ended that attempt's connection, and ``server_ended`` whether it
     accepted no other one then. ``rerouted`` is set once it tries servers again because
-    the host's paths are lost.
+    the host's paths are lost. ``connection`` is that of the last attempt, None if it
+    wasn't sent.
     ``server_error`` is an error response, passed on if no other attempt succeeds.
     ``failed_over`` is whether a server that might have gone on was given up.
     """
@@ -162,6 +163,7 @@
     server_closed: bool = False
     server_ended: bool = False
     rerouted: bool = False
+    connection: pool.Connection | None = None
 
     @functools.cached_property
     def identity(self) -> str:
@@ -417,6 +419,7 @@
         pending.response_head = None
         pending.attempt_events = 0
         pending.server_closed = pending.server_ended = False
+        pending.connection = None
         parts = pending.request.shared_parts
         self.prompts.record_send(pending.request.request_id, name, parts)
         self.requests.record_send(pending.request.request_id, pending.identity, name)
@@ -483,6 +486,7 @@
                 shared_parts=pending.request.shared_parts,
                 reason=pending.reason,
                 outcome=result.value,
+                **(pending.connection.log_fields() if pending.connection else {}),
             )
         return result
 
@@ -532,6 +536,7 @@
         finally:
             self.inflight.use_permit(server.instance)
         released = False
+        pending.connection = connection
         pending.runs += 1
         try:
             silence_deadline = trio.current_time() + self._max_silence_s(
@@ -583,7 +588,11 @@
         headers = self.codec.server_headers(pending.request, context, len(pending.body))
         sent_at = trio.current_time()
         await connection.send_request(
-            pending.request.method, pending.request.target, headers, pending.body
+            pending.request.method,
+            pending.request.target,
+            headers,
+            pending.body,
+            pending.request.request_id,
         )
         head = await self._read_head(pending, server, connection)
         silence_timer.set_deadline(math.inf)
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -1,6 +1,7 @@
 """Run a batch item on a backend server, resuming after its last received event."""
 
 import collections.abc
+import typing
 
 import attrs
 import trio
@@ -31,6 +32,7 @@
     speed. ``not_before`` is the monotonic time from which it may run again. ``urgency``
     is that of its latest start. ``run_events`` counts the events of the latest run,
     ``server_closed`` is whether the server ended that run's connection,
+    ``connection_fields`` tells in logs which connection that was,
     ``shared_parts`` names the parts of its prompt that other requests may share, None
     until they are needed, and ``held_for`` is the quarantined part for which it waits.
     """
@@ -50,6 +52,7 @@
     counted_on_server: bool = False
     run_events: int = 0
     server_closed: bool = False
+    connection_fields: dict[str, typing.Any] = attrs.Factory(dict)
     shared_parts: tuple[str, ...] | None = None
     held_for: str = ""
     cancel_scope: trio.CancelScope | None = None
@@ -104,6 +107,7 @@
     async def run(self, state: jobs.State, task: ItemTask, server: model.Server) -> str:
         """Run an item on one server; return the outcome."""
         task.run_events, task.server_closed = 0, False
+        task.connection_fields = {}
         try:
             connection = await self.pool.acquire(server.address)
         except pool.ConnectError:
@@ -146,8 +150,9 @@
         headers = self.codec.server_headers(request, context, len(task.item.body))
         sent_at = trio.current_time()
         await connection.send_request(
-            request.method, request.target, headers, task.item.body
+            request.method, request.target, headers, task.item.body, request.request_id
         )
+        task.connection_fields = connection.log_fields()
         head = await forwarder.read_response_head(
             self.codec, connection, request.request_id
         )
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import typing
 
 import attrs
 import trio
@@ -49,16 +50,21 @@
 class Connection:
     """Hold one connection to a backend server.
 
-    ``idle_deadline`` is the monotonic time after which it must not be reused,
-    ``tunnelled`` whether it goes through a peer, and ``hold`` counts what is held of
-    the response.
+    ``number`` tells the connections of one pool apart. ``idle_deadline`` is the
+    monotonic time after which it must not be reused, ``tunnelled`` whether it goes
+    through a peer, ``carried_ids`` holds hashes of the ids of the requests sent on it,
+    ``id_repeated`` is whether the last of them had been sent on it before, and ``hold``
+    counts what is held of the response.
     """
 
     address: str
     stream: network.Stream
     reader: http1.Reader
     clock: clocks.Clock
+    number: int = 0
     requests_sent: int = 0
+    carried_ids: set[int] = attrs.Factory(set)
+    id_repeated: bool = False
     idle_deadline: float = float("inf")
     released_at: float = float("-inf")
     tunnelled: bool = False
@@ -80,7 +86,12 @@
         return self.hold is not None and self.hold.dropped
 
     async def send_request(
-        self, method: bytes, target: bytes, headers: messages.Headers, body: bytes
+        self,
+        method: bytes,
+        target: bytes,
+        headers: messages.Headers,
+        body: bytes,
+        request_id: str = "",
     ) -> None:
         """Send a complete request; raises ``BrokenError``."""
         try:
@@ -88,6 +99,9 @@
         except http1.ProtocolError as error:
             raise BrokenError(f"request cannot be sent: {error}") from error
         self.requests_sent += 1
+        self.id_repeated = self.has_carried(request_id)
+        if request_id:
+            self.carried_ids.add(hash(request_id))
         self.record_held(0)
         self.reader.expect_response(method)
         try:
@@ -172,6 +186,18 @@
             raise BrokenError(reason, peer_closed=True) from error
         self.reader.feed(data)
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id was sent on the connection before."""
+        return hash(request_id) in self.carried_ids
+
+    def log_fields(self) -> dict[str, typing.Any]:
+        """Return the log fields that tell which exchange of a connection this is."""
+        return {
+            "connection": self.number,
+            "exchange": self.requests_sent,
+            "id_repeated": self.id_repeated,
+        }
+
     def is_reusable(self) -> bool:
         """Return whether another request may be sent on this connection."""
         clean = self.reader.keeps_alive() and not self.reader.buffer
@@ -240,6 +266,7 @@
         self.open_tunnel: OpenTunnel | None = None
         self.on_connected: collections.abc.Callable[[], None] = lambda: None
         self.responses: memory_budget.ResponseMemory | None = None
+        self.made = 0  # connections, tunnels too
         self.opened = 0
         self.abandoned = 0
 
@@ -286,6 +313,8 @@
         self, address: str, stream: network.Stream, *, tunnelled: bool = False
     ) -> Connection:
         connection = make_connection(address, stream, self.clock, tunnelled=tunnelled)
+        self.made += 1
+        connection.number = self.made
         if self.responses is not None:
             connection.hold = self.responses.hold(address, stream.close)
         return connection
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -602,6 +602,7 @@
             shared_parts=self.runner.shared_parts(owned.versioned.state, task),
             errors=task.errors,
             outcome=outcome,
+            **task.connection_fields,
         )
         if outcome.startswith("broken") and task.server_closed and not task.run_events:
             await self._record_crash(owned, task, server)
