--- a/turmerictally/tests/features/entry_broken_answers.feature
+++ b/turmerictally/tests/features/entry_broken_answers.feature
@@ -10,6 +10,19 @@
       | with its id   |
       | without an id |
 
+  # Guards against a request that is sent on while a server runs it, as the copy of its own
+  # refusal was taken for the answer (TWICE).
+  Scenario Outline: The copy of a refusal is not taken for the answer to the same request
+    When <requests> are refused, sent again, and servers then copy the refusals
+    Then each of them ran once, and none that ran was answered as not run
+
+    Examples:
+      | requests                                                   |
+      | batch items                                                |
+      | streams that go on                                         |
+      | requests whose caller repeats their id                     |
+      | requests that may run once, as the paths of a host are lost |
+
   # Guards against an error's text in a stream, or a stream that ends early as whole.
   Scenario Outline: A stream that broke off goes on with events or breaks off
     When a stream breaks off and the next server answers <with>
--- a/turmerictally/tests/features/steps/entry_broken_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_broken_answers_steps.py
@@ -84,6 +84,136 @@
         assert not runs[name] or reply.status not in (429, 503), (name, reply.status)
 
 
+def copying_servers(world):
+    for server in world.servers.values():
+        server.repeated_refusal = "with its id"
+
+
+async def refuse_items(context, world):
+    copying_servers(world)
+    for server in world.servers.values():
+        server.refuses_all = True
+    body, names = users_platform.lot(world, count=10)
+    await users_platform.Caller(world).ask("/night/j", body=body, request_id="job")
+    await trio.sleep(0.35)
+    for server in world.servers.values():
+        server.refuses_all = False
+    await trio.sleep(8.0)
+    context.runs_once = names
+
+
+async def refuse_stream(context, world):
+    """Break a stream off while all servers are full for a moment."""
+    copying_servers(world)
+    servers = list(world.servers.values())
+    for server in servers:
+        server.break_after = FIRST_EVENTS
+
+    async def ask():
+        reply = await users_platform.Caller(world).ask(request_id="own-0", **MIDDLE)
+        context.replies.append(("own-0", reply))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        await run_begins(world)
+        for server in servers:
+            server.refuses_all = True
+        await trio.sleep(0.5)
+        for server in servers:
+            server.refuses_all, server.break_after = False, None
+    context.goes_on_once = ["own-0"]
+
+
+async def repeat_ids(context, world):
+    copying_servers(world)
+    caller = users_platform.Caller(world)
+    for number in range(CALLERS):
+        name = f"own-{number}"
+        for server in world.servers.values():
+            server.refuses_next = True
+        await caller.ask("/once/1", request_id=name, **SHORT)
+        for server in world.servers.values():
+            server.refuses_next = False
+        context.replies.append(
+            (name, await caller.ask("/once/1", request_id=name, **SHORT))
+        )
+    context.runs_once = [name for name, _ in context.replies]
+
+
+async def lose_paths(context, world):
+    """Refuse a request on a kept connection, as new ones are not accepted."""
+    copying_servers(world)
+    served, near = world.hosts[0], world.servers["s0"]
+    near.refusal_body_s = 0.002
+    caller, other = users_platform.Caller(world), users_platform.Caller(world, 1)
+    while not served.pool.idle.get(near.address):
+        await caller.ask("/once/1", **SHORT)
+    addresses = [s.address.partition(":")[0] for s in world.servers.values()]
+    world.fabric.break_paths(["10.1.0.0"], addresses, new_only=True)
+    served.pool.close_idle(world.servers["s1"].address)
+    served.inflight.record_no_answer("s0", connecting=True)
+    await trio.sleep(0.05)
+    await other.ask("/once/1", **SHORT)
+    await trio.sleep(0.15)
+    near.refuses_next = True
+    reply = await caller.ask("/once/1", request_id="own-0", **SHORT)
+    assert served.inflight.reach.lost_since is not None
+    context.replies.append(("own-0", reply))
+    context.runs_once = ["own-0"]
+
+
+MIDDLE = {"X-Token-Usage": "10,30"}
+SHORT = {"X-Token-Usage": "10,5"}
+COPIED = {
+    "batch items": (refuse_items, {}),
+    "streams that go on": (refuse_stream, {}),
+    "requests whose caller repeats their id": (repeat_ids, {}),
+    "requests that may run once, as the paths of a host are lost": (
+        lose_paths,
+        {"hosts": 2, "seed": 1},
+    ),
+}
+ONCE = {
+    "name": "once",
+    "hostname": users_platform.HOSTNAME,
+    "prefix": "/once/",
+    "kind": "non_idempotent",
+    "timeoutMs": 5000,
+    "targetLatencyMs": 300,
+    "service": "llm",
+    "maxAttempts": 2,
+}
+
+
+@behave.when("{requests} are refused, sent again, and servers then copy the refusals")
+def refusal_of_the_same(context, requests):
+    context.replies = []
+    context.runs_once, context.goes_on_once = [], []
+    body, options = COPIED[requests]
+
+    async def main(world):
+        world.configure(routes=[ONCE])
+        await trio.sleep(0.5)
+        for server in world.servers.values():
+            server.sized = True
+        await body(context, world)
+
+    context.world = users_platform.play(main, **({"hosts": 1, "servers": 2} | options))
+
+
+@behave.then("each of them ran once, and none that ran was answered as not run")
+def ran_once(context):
+    runs = users_platform.counts(context.world.runs)
+    counted = {name: runs[name] for name in context.runs_once}
+    assert set(counted.values()) <= {1}, counted
+    for name, reply in context.replies:
+        assert not runs[name] or reply.status not in (429, 503), (name, reply.status)
+    for name in context.goes_on_once:
+        found = [run for run in context.world.runs if run.request == name]
+        # One run that broke off, and the one that goes on.
+        assert len(found) == 2, (name, found)
+
+
 @behave.when("a stream breaks off and the next server answers {answer}")
 def next_answers(context, answer):
     context.replies = []
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -101,6 +101,7 @@
         self.repeated_refusal = ""  # how the last refusal comes again
         self.refusals = {}  # by connection, the last one
         self.refusals_repeated = 0
+        self.refusal_body_s = 0.0  # until the body of a refusal follows its head
         self.limit_per_s = None  # which each answer names
         self.arrived_at = []
         self.crashing_part = None  # ends the server when it begins to answer it
@@ -290,13 +291,19 @@
         return found
 
     async def refuse(self, stream, parser, headers, status):
+        body = b"full" if self.refusal_body_s else b""
         named = [
             ("X-Request-Id", headers["x-request-id"]),
             ("X-Not-Executed", "1"),
-            ("Content-Length", "0"),
+            ("Content-Length", str(len(body))),
         ]
         data = parser.send(h11.Response(status_code=status, headers=named))
-        await stream.send_all(data + parser.send(h11.EndOfMessage()))
+        if body:
+            await stream.send_all(data)
+            await trio.sleep(self.refusal_body_s)
+        rest = parser.send(h11.Data(data=body)) + parser.send(h11.EndOfMessage())
+        await stream.send_all(rest if body else data + rest)
+        data += rest
         if "without" in self.repeated_refusal:
             name = headers["x-request-id"].encode()
             data = data.replace(b"X-Request-Id: " + name + b"\r\n", b"")
