Send no request id twice on one connection to a server

What callers saw: requests, items and streams ran twice (TWICE), the second time at another server while the first worked on. Cause: the id in an answer was taken to name one exchange of a connection, but it names a request. A server may write a refusal once more with its id; where the same request is under way again on that connection, the copy was believed, the request sent on, and the connection kept with the true response to come. The pool hands out the connection released last, so a refused item that comes back soon mostly met it. Class: an identifier that is unique for one party used as unique on a channel of another. Change: the pool passes over connections that have carried the id of the request to be sent. A connection remembers hashes of the ids, and is closed after 1,000 requests. It holds for all senders, whichever way a request comes to be sent again: items, streams, requests that may run once as paths are lost, callers that use an id twice, tunnels. Ruled out: closing each connection after a refusal. New connections are priced and full servers refuse often.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -529,7 +529,9 @@
     ) -> AttemptResult:
         try:
             max_idle_s = None if pending.route.repeatable else pool.SAFE_IDLE_S
-            connection = await self.pool.acquire(server.address, max_idle_s)
+            connection = await self.pool.acquire(
+                server.address, max_idle_s, pending.request.request_id
+            )
         except pool.ConnectError as error:
             pending.reason = f"not connected: {error}"
             return AttemptResult.UNSENT
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -109,7 +109,9 @@
         task.run_events, task.server_closed = 0, False
         task.connection_fields = {}
         try:
-            connection = await self.pool.acquire(server.address)
+            connection = await self.pool.acquire(
+                server.address, request_id=task.item.id
+            )
         except pool.ConnectError:
             return NOT_CONNECTED
         finally:
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -110,6 +110,11 @@
             "Reset in the middle of an exchange.",
             served.pool.abandoned,
         ),
+        prometheus_client.core.CounterMetricFamily(
+            f"{prefix}_server_connections_passed_over",
+            "Idle, but had carried the request's id.",
+            served.pool.passed_over,
+        ),
         _stopping(served),
         *_evacuated(served),
         *_cold(served),
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import math
 import typing
 
 import attrs
@@ -27,6 +28,8 @@
 TUNNELS_PATH = "/tunnels/"  # at the address for other hosts
 MAX_HEAD_BYTES = 64 * 1024
 MAX_SKIPPED_BODY_BYTES = 1024 * 1024  # of a response to another request
+# After this many a connection is closed, which bounds the ids remembered for it.
+MAX_REQUESTS_PER_CONNECTION = 1000
 MAX_INFORMATIONAL_HEADS = 8  # of status 1xx before the final response
 DROPPED = "response dropped: too many bytes held of this server's responses"
 
@@ -201,7 +204,8 @@
     def is_reusable(self) -> bool:
         """Return whether another request may be sent on this connection."""
         clean = self.reader.keeps_alive() and not self.reader.buffer
-        return clean and not self.dropped
+        has_room = len(self.carried_ids) < MAX_REQUESTS_PER_CONNECTION
+        return clean and has_room and not self.dropped
 
     def is_usable(self) -> bool:
         """Return whether a pooled connection is unexpired, open and has no input."""
@@ -268,26 +272,39 @@
         self.responses: memory_budget.ResponseMemory | None = None
         self.made = 0  # connections, tunnels too
         self.opened = 0
+        self.passed_over = 0  # idle connections that had carried the request's id
         self.abandoned = 0
 
     async def acquire(
-        self, address: str, max_idle_s: float | None = None
+        self, address: str, max_idle_s: float | None = None, request_id: str = ""
     ) -> Connection:
         """Return a connection that was idle for at most ``max_idle_s``, or a new one.
 
-        Raises ``ConnectError``.
+        A connection that has carried ``request_id`` is passed over: a copy of the
+        earlier response could not be told from the response to come. Raises
+        ``ConnectError``.
         """
-        connections = self.idle.get(address, [])
-        since = self.clock.monotonic() - max_idle_s if max_idle_s is not None else None
-        while connections and (since is None or connections[-1].released_at >= since):
-            connection = connections.pop()
-            if not connections:
-                del self.idle[address]
+        since = -math.inf
+        if max_idle_s is not None:
+            since = self.clock.monotonic() - max_idle_s
+        for connection in reversed(self.idle.get(address, ())):
+            if connection.released_at < since:
+                break
+            if connection.has_carried(request_id):
+                self.passed_over += 1
+                continue
+            self._remove_idle(connection)
             if connection.is_usable():
                 return connection
             connection.close()
         return await self._open(address)
 
+    def _remove_idle(self, connection: Connection) -> None:
+        connections = self.idle[connection.address]
+        connections.remove(connection)
+        if not connections:
+            del self.idle[connection.address]
+
     async def _open(self, address: str) -> Connection:
         if self.paths_lost():
             return await self._open_tunnel(address)
