Log the version of each server's software and which stream a request takes up

No line told a server's version, nor that a request takes a stream up (Resumes), so that the hypotheses on joined streams could not be told apart. Both are decoded and logged; no decision changes.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -384,6 +384,8 @@
             **self.inflight.speed_log_fields(chosen.name),
             of=len(loads),
             sends=pending.sends,
+            last_event=pending.last_event,
+            resumes=pending.request.resumes,
             **self.inflight.registry.log_fields(server.instance),
         )
         if chosen.total + 1 > chosen.slots:
--- a/turmerictally/entry/messages.py
+++ b/turmerictally/entry/messages.py
@@ -15,6 +15,8 @@
 
     ``timeout_s`` is how long the caller waits, ``poll_wait_s`` how long a poll may be
     held open, and ``resume_after`` the id of the last event that the caller has.
+    ``resumes`` is the id of the request that brought the stream's first event, if this
+    one takes the stream up.
     ``prompt_parts`` names the prompt's parts in order, the shared ones first.
     ``output_tokens`` is the expected number.
     """
@@ -31,6 +33,7 @@
     poll_wait_s: float = 0.0
     prompt_tokens: int = 0
     output_tokens: int = 0
+    resumes: str = ""
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
--- a/turmerictally/entry/model.py
+++ b/turmerictally/entry/model.py
@@ -135,6 +135,7 @@
     ``instance`` is the server's name. ``born_ms`` is the start time in Unix
     milliseconds, which distinguishes incarnations under one name. ``cold_s`` is the
     remaining warm-up time that the server reports, or None if it can't be parsed.
+    ``software`` is the version of the server's software, empty if unknown.
     """
 
     instance: str
@@ -145,6 +146,7 @@
     draining: bool = False
     born_ms: int = 0
     cold_s: float | None = 0.0
+    software: str = ""
 
 
 # Both raise ``decoding.DecodeError``.
--- a/turmerictally/entry/registry.py
+++ b/turmerictally/entry/registry.py
@@ -173,6 +173,7 @@
                     address=server.address,
                     draining=server.draining,
                     born_ms=server.born_ms,
+                    software=server.software,
                     version=row.version,
                 )
 
@@ -259,6 +260,8 @@
     def log_fields(self, name: str) -> dict[str, typing.Any]:
         """Return the log fields that explain why a server is still registered."""
         fields = {"registered": self.versions.get(name)}
+        if name in self.servers:
+            fields["software"] = self.servers[name].software
         if name in self.lapsed:
             now = self.clock.monotonic()
             fields["lapsed_s"] = round(now - self.lapsed[name].missing_since, 2)
@@ -341,8 +344,9 @@
 
 
 def _differs(before: model.Server, after: model.Server) -> bool:
-    return (before.draining, before.born_ms, before.address) != (
+    return (before.draining, before.born_ms, before.address, before.software) != (
         after.draining,
         after.born_ms,
         after.address,
+        after.software,
     )
--- a/turmerictally/platform/configuration.py
+++ b/turmerictally/platform/configuration.py
@@ -51,6 +51,7 @@
         draining=state == "draining",
         born_ms=row.integer("born", default=0),
         cold_s=_cold_s(row.values.get("coldRemainingMs", 0)),
+        software=row.name("version", default=""),
     )
 
 
--- a/turmerictally/platform/requests.py
+++ b/turmerictally/platform/requests.py
@@ -71,6 +71,7 @@
         poll_wait_s=(_number(named, b"x-wait-ms") or 0) / 1000,
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens if hint is None else min(hint, output_tokens),
+        resumes=_text(named, b"resumes").strip(),
     )
 
 
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -68,6 +68,7 @@
 
     def __init__(self, world, name, address, domain="a", slots=8, service="llm"):
         self.service = service
+        self.software = "v1"
         self.plain_paths = ()  # prefixes of paths with such answers
         self.plain = ""  # how answers that are no streams are sent
         self.plain_s = 0.0  # for which an answer that is no stream stays half sent
@@ -128,6 +129,7 @@
             "slots": self.slots,
             "state": self.state,
             "born": self.born,
+            "version": self.software,
         }
         if self.cold_ms is not None:
             value["coldRemainingMs"] = self.cold_ms
