Show that streams go on at another version of their server

Servers of several versions may serve side by side in one service; what two versions write doesn't fit together, and a stream may go on only at the version that began it. No choice of a server looks at the version, so that callers get answers joined from two versions: within one answer, when they take a stream up at another host, after a kill of all hosts and at hosts out of touch.

--- /dev/null
+++ b/turmerictally/tests/features/steps/entry_stream_versions_steps.py
@@ -0,0 +1,591 @@
+"""Steps for services whose servers run several versions of their software."""
+
+import contextlib
+import functools
+
+import attrs
+import behave
+import trio
+
+from turmerictally.tests.support import users_platform
+
+REFUSED_WITHIN_S = 0.5
+ATTEMPT_EVENTS_S = 0.11  # after which a caller leaves a stream
+APART_S = 0.02  # between the first requests of two streams
+STREAM_S = users_platform.EVENTS * users_platform.EVENT_S
+CALLERS_IP = "10.7.0.1"
+
+
+@attrs.define(eq=False)
+class Stream:
+    """Hold what a caller got of a stream over its attempts.
+
+    ``first_id`` is the request that brought the first event; ``attempts`` holds the
+    request of each attempt with its reply, in order.
+    """
+
+    world: users_platform.World
+    first_id: str = ""
+    attempts: list[tuple[str, users_platform.Reply]] = attrs.Factory(list)
+
+    @property
+    def replies(self) -> list[users_platform.Reply]:
+        """Return the reply of each attempt."""
+        return [reply for _, reply in self.attempts]
+
+    @property
+    def events(self) -> list[tuple[int, str]]:
+        """Return the number and the data of each event that the caller has."""
+        served = [reply for reply in self.replies if reply.status == 200]
+        return [event for reply in served for event in reply.whole_events]
+
+    @property
+    def versions(self) -> set[str]:
+        """Return the versions of the servers that wrote its events."""
+        return {data.partition(" ")[2] for _, data in self.events}
+
+    @property
+    def servers(self) -> set[str]:
+        """Return the servers that wrote its events."""
+        requests = {request for request, _ in self.attempts}
+        runs = [run for run in self.world.runs if run.request in requests]
+        return {run.server for run in runs if run.events_made}
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the caller has each event once and the end."""
+        numbers = [number for number, _ in self.events]
+        every = list(range(1, users_platform.EVENTS + 1))
+        return self.replies[-1].whole and numbers == every
+
+    async def ask(self, n: int, for_s: float = float("inf")) -> None:
+        """Ask a host for the stream, or for what is left of it; leave after a time."""
+        request, reply = self.world.new_id(), users_platform.Reply()
+        self.attempts.append((request, reply))
+        caller = users_platform.Caller(self.world, n, ip=CALLERS_IP)
+        # Its connection may be reset at its own end.
+        with (
+            trio.move_on_after(for_s),
+            contextlib.suppress(trio.ClosedResourceError),
+        ):
+            if self.events:
+                await caller.take_up(
+                    self.first_id, self.events[-1][0], request_id=request, reply=reply
+                )
+            else:
+                self.first_id = request
+                await caller.ask(request_id=request, reply=reply)
+        caller.close()
+
+
+def play(context, main, **options):
+    options = {"software": context.versions} | options
+    context.world = users_platform.play(main, **options)
+
+
+def show(streams):
+    """Return what a message tells of streams."""
+    return [
+        (
+            [(request, r.status, round(r.took_s, 2)) for request, r in stream.attempts],
+            sorted(stream.versions),
+            len(stream.events),
+        )
+        for stream in streams
+    ]
+
+
+async def ask_all(context, world, count, ask):
+    """Run ``ask(number, stream)`` for new streams that begin one after another."""
+    context.streams = [Stream(world) for _ in range(count)]
+    async with trio.open_nursery() as nursery:
+        for number, stream in enumerate(context.streams):
+            nursery.start_soon(ask, number, stream)
+            await trio.sleep(APART_S)
+
+
+async def add_servers(world, software, addresses):
+    """Start servers of a version."""
+    for number, address in enumerate(addresses):
+        name = f"{software}-{number}"
+        server = users_platform.Server(world, name, address, "ab"[number % 2])
+        server.software, server.marks_software = software, True
+        await world.add_server(server)
+
+
+def reset_servers(world, software=None):
+    """Reset the connections to all servers, or to those of a version."""
+    for server in world.servers.values():
+        if software in (None, server.software):
+            world.fabric.reset_all(server.address.partition(":")[0])
+
+
+async def until_first_ready(world, n):
+    """Wait until a host takes callers."""
+    with trio.fail_after(10.0):
+        while world.hosts[n].not_ready():
+            await trio.sleep(0.01)
+
+
+async def kill_all(world, down_s, change=None):
+    """Kill all hosts and start them again."""
+    killed = list(world.hosts)
+    for n in killed:
+        world.kill_host(n)
+    until = trio.current_time() + down_s
+    if change is not None:
+        await change()
+    await trio.sleep_until(until)
+    for n in killed:
+        world.start_host(n)
+
+
+@behave.given("servers of versions {versions}")
+def versions_given(context, versions):
+    named = versions.split(", ")
+    context.versions = tuple(None if name == "none" else name for name in named)
+
+
+async def break_answers(world):
+    """Have servers of v1 break each answer off for a while, after some events."""
+    for server in world.servers.values():
+        if server.software == "v1":
+            server.break_after = 8
+    await trio.sleep(0.3)
+    for server in world.servers.values():
+        server.break_after = None
+
+
+async def reset_twice(world, software):
+    for _ in range(2):
+        await trio.sleep(0.3)
+        reset_servers(world, software)
+
+
+IN_ANSWERS = {
+    "servers of v1 break their answers off": break_answers,
+    "connections to all servers are reset": functools.partial(
+        reset_twice, software=None
+    ),
+    "connections to servers of v1 are reset": functools.partial(
+        reset_twice, software="v1"
+    ),
+}
+
+
+@behave.when("{trouble} in the middle of {count:d} streams with seed {seed:d}")
+def broken_in_answers(context, trouble, count, seed):
+    async def main(world):
+        async with trio.open_nursery() as nursery:
+            if trouble in IN_ANSWERS:
+                nursery.start_soon(IN_ANSWERS[trouble], world)
+            await ask_all(context, world, count, ask)
+
+    async def ask(number, stream):
+        if trouble in IN_ANSWERS:
+            await stream.ask(number % 2)
+        else:
+            assert trouble == "callers take them up elsewhere", trouble
+            await stream.ask(number % 2, ATTEMPT_EVENTS_S)
+            await stream.ask((number + 1) % 2)
+
+    play(context, main, seed=seed, maxAttempts=3)
+
+
+@behave.when("a server of {software} is removed and then breaks its streams off {rest}")
+def removed_and_breaks(context, software, rest):
+    context.versions = (software, "v2", "v2")
+
+    async def main(world):
+        world.servers["s1"].refuses_all = world.servers["s2"].refuses_all = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, context, world, 6, ask)
+            await trio.sleep(0.25)
+            world.servers["s1"].refuses_all = world.servers["s2"].refuses_all = False
+            world.store.put("servers", "s0", None)
+            await trio.sleep(0.1)
+            context.ends_from = trio.current_time()
+            context.began = [stream for stream in context.streams if stream.events]
+            world.servers["s0"].crash()
+
+    async def ask(number, stream):
+        await stream.ask(number % 2)
+
+    play(context, main)
+
+
+@behave.when(
+    "the only server ends and starts again at {software} under its id, "
+    "{gone_s:g} s later"
+)
+def starts_again(context, software, gone_s):
+    context.versions = ("v1",)
+
+    async def main(world):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, context, world, 6, ask)
+            await trio.sleep(0.3)
+            context.began = [stream for stream in context.streams if stream.events]
+            await trio.sleep(0.001)
+            before = world.servers["s0"]
+            before.crash()
+            await trio.sleep(gone_s)
+            again = users_platform.Server(world, "s0", before.address, slots=8)
+            again.software, again.marks_software, again.born = software, True, 2
+            # Its registration precedes its first answer.
+            again.register()
+            await world.add_server(again)
+            context.ends_from = trio.current_time()
+
+    async def ask(number, stream):
+        await stream.ask(number % 2)
+
+    play(context, main)
+
+
+@behave.then("their callers get the end of the answer within {seconds:g} s of that")
+def ends_within(context, seconds):
+    assert len(context.began) >= 4, show(context.streams)
+    for stream in context.began:
+        (reply,) = stream.replies
+        ended_at = reply.asked_at + reply.took_s
+        assert not reply.whole, show([stream])
+        assert ended_at <= context.ends_from + seconds, show([stream])
+
+
+@behave.when(
+    "callers take {count:d} streams up {times:d} times at other hosts, "
+    "{pause_s:g} s after they leave, with seed {seed:d}"
+)
+def taken_up(context, count, times, pause_s, seed):
+    async def main(world):
+        await ask_all(context, world, count, ask)
+
+    async def ask(number, stream):
+        await stream.ask(number % 4, ATTEMPT_EVENTS_S)
+        for attempt in range(1, times + 1):
+            await trio.sleep(pause_s)
+            last = attempt == times
+            await stream.ask(
+                (number + attempt) % 4, float("inf") if last else ATTEMPT_EVENTS_S
+            )
+
+    play(context, main, hosts=4, seed=seed)
+
+
+async def change_none(world):
+    """Leave all servers as they are."""
+
+
+async def end_first(world):
+    for name in [n for n, s in world.servers.items() if s.software == "v1"]:
+        await world.end_server(name)
+
+
+async def replace(world, software):
+    addresses = [server.address for server in world.servers.values()]
+    for name in list(world.servers):
+        await world.end_server(name)
+    await add_servers(world, software, addresses)
+
+
+async def replace_by_id(world, software):
+    for name, before in list(world.servers.items()):
+        await world.end_server(name)
+        again = users_platform.Server(world, name, before.address, before.domain)
+        again.software, again.marks_software, again.born = software, True, 2
+        await world.add_server(again)
+
+
+CHANGES = {
+    "no server changes": change_none,
+    "servers of v1 end": end_first,
+    "v2 replaces all servers": functools.partial(replace, software="v2"),
+    "v3 replaces all servers": functools.partial(replace, software="v3"),
+    "v2 replaces all servers by their id": functools.partial(
+        replace_by_id, software="v2"
+    ),
+}
+
+
+@behave.when(
+    "all hosts are killed for {down_s:g} s in the middle of {count:d} streams, "
+    "while {change}, with seed {seed:d}"
+)
+def all_killed(context, down_s, count, change, seed):
+    async def main(world):
+        context.back = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, context, world, count, ask)
+            # All have events then, and none has all.
+            await trio.sleep(count * APART_S + 0.05)
+            await kill_all(world, down_s, functools.partial(CHANGES[change], world))
+            context.back.set()
+
+    async def ask(number, stream):
+        await stream.ask(number % 4)
+        await context.back.wait()
+        n = (number + 1) % 4
+        await until_first_ready(stream.world, n)
+        await stream.ask(n)
+
+    play(context, main, hosts=4, seed=seed)
+    assert_broken(context, count)
+
+
+def assert_broken(context, at_least):
+    """Check that so many streams were taken up in their middle."""
+    taken = [s for s in context.streams if len(s.attempts) > 1 and s.replies[0].body]
+    assert len(taken) >= at_least, show(context.streams)
+
+
+@behave.when(
+    "servers of v2 come, and all hosts are killed {after_s:g} s after its first event, "
+    "while the store takes {call_s:g} s"
+)
+def came_and_went(context, after_s, call_s):
+    context.after_s, context.call_s = after_s, call_s
+
+
+@behave.when("the servers of v2 are gone before the hosts are back")
+def gone_before(context):
+    async def main(world):
+        world.store.faults.delay_s = context.call_s
+        context.back = trio.Event()
+        await trio.sleep(1.0)
+        await add_servers(world, "v2", [f"10.9.1.{n}:80" for n in range(4)])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, context, world, 40, ask)
+            while not any("v2" in stream.versions for stream in context_streams()):
+                await trio.sleep(0.001)
+            await trio.sleep(context.after_s)
+            await kill_all(world, 1.0, functools.partial(end_second, world))
+            context.back.set()
+
+    def context_streams():
+        return getattr(context, "streams", [])
+
+    async def end_second(world):
+        for name in [n for n, s in world.servers.items() if s.software == "v2"]:
+            await world.end_server(name)
+
+    async def ask(number, stream):
+        n = number % 4
+        if n not in stream.world.hosts:
+            return
+        await stream.ask(n)
+        if stream.is_whole or not stream.events:
+            return
+        await context.back.wait()
+        n = (number + 1) % 4
+        await until_first_ready(stream.world, n)
+        await stream.ask(n)
+
+    play(context, main, hosts=4)
+    taken = [stream for stream in context.streams if len(stream.attempts) > 1]
+    assert taken, show(context.streams)
+
+
+@behave.when(
+    "a version comes and goes while a host is down, "
+    "and the others are killed before it is back"
+)
+def came_while_down(context):
+    async def main(world):
+        world.kill_host(0)
+        await trio.sleep(0.5)
+        await add_servers(world, "v2", ["10.9.1.0:80", "10.9.1.1:80"])
+        await trio.sleep(1.0)
+        for server in list(world.servers.values()):
+            server.refuses_all = server.software == "v1"
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, context, world, 12, begin)
+            await trio.sleep(0.35)
+            for name in ("v2-0", "v2-1"):
+                await world.end_server(name)
+            for n in (1, 2):
+                world.kill_host(n)
+        for server in world.servers.values():
+            server.refuses_all = False
+        assert {"v2"} == set().union(*(s.versions for s in context.streams))
+        world.start_host(0)
+        await until_first_ready(world, 0)
+        async with trio.open_nursery() as nursery:
+            for stream in context.streams:
+                if stream.events:
+                    nursery.start_soon(stream.ask, 0)
+
+    async def begin(number, stream):
+        await stream.ask(1 + number % 2)
+
+    play(context, main, hosts=3)
+    assert_broken(context, 8)
+
+
+@behave.when(
+    "callers take {count:d} streams up at other hosts while all hosts are {trouble} "
+    "by the store"
+)
+def store_away(context, count, trouble):
+    async def main(world):
+        for n in world.hosts:
+            deny_store(world, n, trouble)
+        await ask_all(context, world, count, ask)
+
+    async def ask(number, stream):
+        await stream.ask(number % 4, ATTEMPT_EVENTS_S)
+        await trio.sleep(0.3 * (number % 2))
+        await stream.ask((number + number // 8) % 4)
+
+    play(context, main, hosts=4)
+
+
+def deny_store(world, n, trouble):
+    """Turn one host's calls away, or leave them without an answer."""
+    if trouble == "refused":
+        world.store.refused.add(f"h{n}")
+    else:
+        assert trouble == "silenced", trouble
+        world.store.silence(f"h{n}")
+
+
+@behave.when(
+    "a host is {trouble} by the store and {peers}, {second}, "
+    "and callers take {count:d} streams of other hosts up there"
+)
+def host_out_of_touch(context, trouble, peers, second, count):
+    async def main(world):
+        deny_store(world, 0, trouble)
+        if peers == "cut off from others":
+            world.fabric.separate(["10.1.0.0"], ["10.1.0.1", "10.1.0.2"])
+        await trio.sleep(0.5)
+        if second == "servers of v2 come then":
+            await add_servers(world, "v2", [f"10.9.1.{n}:80" for n in range(4)])
+        await ask_all(context, world, count, ask)
+
+    async def ask(number, stream):
+        await stream.ask(1 + number % 2, ATTEMPT_EVENTS_S)
+        await stream.ask(0)
+
+    play(context, main, hosts=3)
+    assert_broken(context, count)
+
+
+@behave.when("servers register with a version that is no text")
+def other_types(context):
+    async def main(world):
+        for number, software in enumerate((7, ["v1"], {"v": 1}, True, "")):
+            server = users_platform.Server(
+                world, f"other{number}", f"10.9.1.{number}:80"
+            )
+            server.software = software
+            await world.add_server(server)
+        await trio.sleep(1.0)
+        await ask_all(context, world, 24, ask)
+
+    async def ask(number, stream):
+        await stream.ask(number % 2)
+
+    context.versions = ("v1", "v1")
+    play(context, main)
+
+
+@behave.then("no request reaches them")
+def not_reached(context):
+    assert sum(stream.is_whole for stream in context.streams) >= 12
+    assert {run.server for run in context.world.runs} == {"s0", "s1"}
+
+
+@behave.when(
+    "connections of servers and callers are reset under {load:g} of the servers' "
+    "capacity with seed {seed:d}"
+)
+def reset_under_load(context, load, seed):
+    async def main(world):
+        capacity = sum(server.slots for server in world.servers.values()) / STREAM_S
+        context.streams, context.new = [], []
+        async with trio.open_nursery() as nursery:
+            for at in (2.0, 4.5, 7.0):
+                nursery.start_soon(reset, world, at)
+            number, until = 0, trio.current_time() + 9.0
+            while trio.current_time() < until:
+                stream = Stream(world)
+                context.streams.append(stream)
+                nursery.start_soon(ask, number, stream)
+                number += 1
+                await trio.sleep(world.rng.expovariate(load * capacity))
+
+    async def reset(world, at):
+        await trio.sleep(at)
+        reset_servers(world)
+        world.fabric.reset_all(CALLERS_IP)
+        context.reset_at = trio.current_time()
+
+    async def ask(number, stream):
+        asked_at = trio.current_time()
+        await stream.ask(number % 4)
+        # New streams of the time at which others are taken up.
+        reset_at = getattr(context, "reset_at", float("inf"))
+        if reset_at <= asked_at <= reset_at + 1.0:
+            context.new.append(stream)
+        if stream.events and not stream.replies[0].whole:
+            await trio.sleep(stream.world.rng.uniform(0.0, 0.3))
+            await stream.ask((number + 1) % 4)
+
+    context.seed = seed
+    play(context, main, hosts=4, seed=seed)
+
+
+@behave.then(
+    "of {count:d} or more take-ups at least half as large a share goes on as new "
+    "streams begin"
+)
+def share_goes_on(context, count):
+    taken = [stream for stream in context.streams if len(stream.attempts) > 1]
+    assert len(taken) >= count, len(taken)
+    assert len(context.new) >= count, len(context.new)
+    on = sum(bool(stream.replies[1].whole_events) for stream in taken) / len(taken)
+    new = sum(bool(s.replies[0].whole_events) for s in context.new) / len(context.new)
+    context.shares = f"{on:.3f} of {len(taken)} go on, {new:.3f} of new ones begin"
+    assert on >= new / 2, context.shares
+
+
+@behave.then("at least half of the take-ups go on")
+def half_goes_on(context):
+    taken = [stream for stream in context.streams if len(stream.attempts) > 1]
+    on = sum(bool(stream.replies[1].whole_events) for stream in taken)
+    context.shares = f"{on} of {len(taken)} go on"
+    assert on >= len(taken) / 2, context.shares
+
+
+@behave.then(
+    "every take-up goes on at its version or gets {status:d} within {seconds:g} s"
+)
+def goes_on_or_refused(context, status, seconds):
+    for stream in context.streams:
+        for reply in stream.replies[1:]:
+            if reply.status != 200:
+                assert reply.status == status, show([stream])
+                assert reply.took_s <= seconds, show([stream])
+
+
+@behave.then("every stream is whole")
+def all_whole(context):
+    broken = [stream for stream in context.streams if not stream.is_whole]
+    assert not broken, f"{len(broken)} of {len(context.streams)}: {show(broken)}"
+
+
+@behave.then("no stream holds events of two versions")
+def none_joined(context):
+    joined = [stream for stream in context.streams if len(stream.versions) > 1]
+    assert not joined, f"{len(joined)} of {len(context.streams)}: {show(joined)}"
+
+
+@behave.then("no stream holds events of two servers that name no version")
+def none_between_unknown(context):
+    joined = [
+        stream
+        for stream in context.streams
+        if "None" in stream.versions and len(stream.servers) > 1
+    ]
+    assert not joined, f"{len(joined)} of {len(context.streams)}: {show(joined)}"
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -68,7 +68,8 @@
 
     def __init__(self, world, name, address, domain="a", slots=8, service="llm"):
         self.service = service
-        self.software = "v1"
+        self.software = "v1"  # as its registration tells, None if it doesn't
+        self.marks_software = False  # events show which version wrote them
         self.plain_paths = ()  # prefixes of paths with such answers
         self.plain = ""  # how answers that are no streams are sent
         self.plain_s = 0.0  # for which an answer that is no stream stays half sent
@@ -129,8 +130,9 @@
             "slots": self.slots,
             "state": self.state,
             "born": self.born,
-            "version": self.software,
         }
+        if self.software is not None:
+            value["version"] = self.software
         if self.cold_ms is not None:
             value["coldRemainingMs"] = self.cold_ms
         self.world.store.put("servers", self.name, json.dumps(value).encode())
@@ -246,7 +248,7 @@
             head += b"half a body"
         await stream.send_all(head)
         for number in range(1, 1 + self.events_before_crash):
-            event = f"id: {number}\ndata: {run.request}.{number}\n\n".encode()
+            event = self.event(run, number)
             await stream.send_all(parser.send(h11.Data(data=event)))
             await trio.sleep(EVENT_S)
         if self.unframed:
@@ -280,6 +282,11 @@
             await trio.sleep(0.3)
             await stream.send_all(parser.send(h11.Data(data=b"d")))
 
+    def event(self, run, number):
+        """Return the bytes of one event of a stream."""
+        software = f" {self.software}" if self.marks_software else ""
+        return f"id: {number}\ndata: {run.request}.{number}{software}\n\n".encode()
+
     def named(self, run):
         """Return the headers of an answer to a request that ran."""
         found = [
@@ -375,7 +382,7 @@
         for number in range(first, events + 1):
             await trio.sleep(EVENT_S * self.world.slowness.get(self.name, 1.0))
             await trio.sleep(self.pauses.get(number, 0.0))
-            event = f"id: {number}\ndata: {run.request}.{number}\n\n".encode()
+            event = self.event(run, number)
             if self.break_after is not None and number - first >= self.break_after:
                 await stream.send_all(head + parser.send(h11.Data(data=event[:7])))
                 stream.reset()
@@ -398,8 +405,7 @@
         head = STREAM.replace(b"ID", run.request.encode())
         for number in numbers:
             await trio.sleep(EVENT_S)
-            event = f"id: {number}\ndata: {run.request}.{number}\n\n".encode()
-            await stream.send_all(head + event)
+            await stream.send_all(head + self.event(run, number))
             run.events_made += 1
             head = b""
         run.ended = "done"
@@ -462,7 +468,14 @@
     """Hold a deployment on the users' platform."""
 
     def __init__(
-        self, hosts=2, servers=2, seed=0, scheduling=None, settings=None, **route
+        self,
+        hosts=2,
+        servers=2,
+        seed=0,
+        scheduling=None,
+        settings=None,
+        software=(),
+        **route,
     ):
         self.settings = {} if scheduling is None else {"scheduling": scheduling}
         self.settings |= settings or {}
@@ -476,7 +489,8 @@
         self.scopes = {}
         self.servers = {}
         self.host_count = hosts
-        self.server_count = servers
+        self.software = software  # by server; their events show it
+        self.server_count = len(software) or servers
         self.version = 0
         self.route = route
         self.nursery = None
@@ -528,13 +542,26 @@
         self.configure()
         for n in range(self.server_count):
             server = Server(self, f"s{n}", f"10.9.0.{n}:80", domain="ab"[n % 2])
-            self.servers[server.name] = server
-            await nursery.start(server.run)
-            server.register()
+            if self.software:
+                server.software, server.marks_software = self.software[n], True
+            await self.add_server(server)
         for n in range(self.host_count):
             self.start_host(n)
         await self.until_ready()
 
+    async def add_server(self, server):
+        """Start a server and register it."""
+        self.servers[server.name] = server
+        await self.nursery.start(server.run)
+        server.register()
+
+    async def end_server(self, name):
+        """End a server and its registration, and leave its address free."""
+        server = self.servers.pop(name)
+        self.store.put("servers", name, None)
+        server.crash()
+        await trio.sleep(0.001)
+
     async def replace_server(self, before):
         """Start a crashed server again under a new name."""
         await trio.sleep(LEASE_S)
@@ -547,9 +574,7 @@
         again.crashing_body = before.crashing_body
         again.events_before_crash = before.events_before_crash
         again.crashes_plain = before.crashes_plain
-        self.servers[name] = again
-        await self.nursery.start(again.run)
-        again.register()
+        await self.add_server(again)
 
     def start_host(self, n):
         ip = f"10.1.0.{n}"
@@ -625,6 +650,17 @@
         lines = self.body.decode().splitlines()
         return [int(line[3:]) for line in lines if line.startswith("id:")]
 
+    @property
+    def whole_events(self):
+        """Return the number and the data of each event that ended."""
+        found = []
+        for event in self.body.split(b"\n\n")[:-1]:
+            number, data = event.decode().splitlines()
+            found.append(
+                (int(number.removeprefix("id: ")), data.removeprefix("data: "))
+            )
+        return found
+
     def json(self):
         return json.loads(self.body)
 
@@ -645,7 +681,13 @@
         self.parser = h11.Connection(h11.CLIENT)
 
     async def ask(
-        self, path="/ask/1", method="POST", body=b"{}", request_id="", **more
+        self,
+        path="/ask/1",
+        method="POST",
+        body=b"{}",
+        request_id="",
+        reply=None,
+        **more,
     ):
         if self.stream is None:
             await self.open()
@@ -665,7 +707,8 @@
             data += self.parser.send(h11.Data(data=body))
         data += self.parser.send(h11.EndOfMessage())
         started = trio.current_time()
-        reply = Reply(asked_at=started)
+        reply = Reply() if reply is None else reply
+        reply.asked_at = started
         try:
             await self.stream.send_all(data)
             await self.read(reply)
@@ -678,6 +721,11 @@
             self.close()
         return reply
 
+    async def take_up(self, first_id, last_event, **more):
+        """Ask for the rest of a stream whose first event that request brought."""
+        resumed = {"Last-Event-Id": str(last_event), "Resumes": first_id}
+        return await self.ask(**resumed, **more)
+
     async def read(self, reply):
         while True:
             event = self.parser.next_event()
