Show that starts, stops and hosts of the version before join streams of two versions

What a host of the version before wrote tells nothing of versions or streams, and a planned stop deletes rows. Callers who take streams up after that get answers joined from two versions. Digests and rows are held against a fixed sample and a fixed reader of the version before, since its hosts read no digests with other fields.

--- a/turmerictally/tests/features/entry_stream_versions.feature
+++ b/turmerictally/tests/features/entry_stream_versions.feature
@@ -177,3 +177,41 @@
       | down_s | seed |
       | 0.2    | 1    |
       | 1.0    | 2    |
+
+  # Guards against rows that stopping hosts delete with what they know of versions.
+  Scenario: After a planned stop of all hosts no stream goes on at another version
+    Given servers of versions v1, v1, v1, v1
+    When all hosts are stopped in order after callers left 24 streams, and v2 replaces all servers before they start again
+    Then every take-up goes on at its version or gets 503 within 0.5 s
+    And no stream holds events of two versions
+
+  # Guards against digests and rows that hosts of another version can't read.
+  Scenario: Hosts read the digests and rows of the version before
+    When a host gets the digest and the row of a host of the version before
+    Then it reads every field of both
+
+  # Guards against digests and rows that hosts of another version can't read.
+  Scenario: Hosts of the version before read the digests and rows of hosts
+    Given servers of versions v1, v1, v2, v2
+    When hosts write digests and rows while callers have 24 streams
+    Then the version before reads every digest and row
+    And they name no servers but the registered ones
+
+  # Guards against taking silence of hosts that tell of no streams for knowledge.
+  Scenario Outline: No stream of a host of the version before goes on at another version
+    Given servers of versions <versions>
+    When <second> beside hosts of the version before, and callers take 16 of their streams up at another host
+    Then every take-up goes on at its version or gets 503 within 0.5 s
+    And no stream holds events of two versions
+
+    Examples:
+      | versions       | second                 |
+      | v1, v1, v2, v2 | no version comes       |
+      | v1, v1         | servers of v2 come then |
+
+  # Guards against taking rows that tell of no versions for knowledge of one version.
+  Scenario: After a kill of hosts of the version before no stream goes on at another version
+    Given servers of versions v1, v1, v1, v1
+    When all hosts were of the version before as they are killed in the middle of 24 streams, and v2 replaces all servers
+    Then every take-up goes on at its version or gets 503 within 0.5 s
+    And no stream holds events of two versions
--- a/turmerictally/tests/features/steps/entry_stream_versions_steps.py
+++ b/turmerictally/tests/features/steps/entry_stream_versions_steps.py
@@ -1,12 +1,19 @@
 """Steps for services whose servers run several versions of their software."""
 
+import base64
 import contextlib
 import functools
+import json
+import typing
 
 import attrs
 import behave
+import msgspec
 import trio
 
+from turmerictally.entry import decoding, gossip, settings
+from turmerictally.standins import rows as standin_rows
+from turmerictally.store import rows
 from turmerictally.tests.support import users_platform
 
 REFUSED_WITHIN_S = 0.5
@@ -15,6 +22,84 @@
 STREAM_S = users_platform.EVENTS * users_platform.EVENT_S
 CALLERS_IP = "10.7.0.1"
 
+# What a host of the version before wrote.
+DIGEST_BEFORE = base64.b64decode(
+    b"3AAhomgxqmluc3RhbmNlLTGrMTAuMS4wLjE6ODIHgqJzMAK3Y2FsbGVycyB3YWl0aW5nIGZvciBs"
+    b"bG0BgaJzMQMEgadjb3VudGVyBYGnY291bnRlcgaBp3NlcnZlcnOSCcs/0AAAAAAAAMs/4AAAAAAA"
+    b"AJGiczGhYoGiczCSCAHDwpGiaDLCgaJzOQOBonM4DIGrbGxtCmNvdW50ZXICgaJzMJPLP/gAAAAA"
+    b"AADLP9AAAAAAAADLQAgAAAAAAAABgaNqb2KSC8QFc3RhdGWSFOKConMxkvsor3dhaXRpbmcgZm9y"
+    b"IGxsbZEUgaRwYXJ0lAHLP+AAAAAAAADLP9AAAAAAAACBonMwyz/4AAAAAAAAgaJzMJPLQAQAAAAA"
+    b"AADLP+AAAAAAAAADgaJzMMs/6AAAAAAAAIGncmVxdWVzdJSRpHBhcnTLP+AAAAAAAADLP9AAAAAA"
+    b"AACBonMwkss/8AAAAAAAAMOBqWl0ZW0gcGFydJQCyz/gAAAAAAAAyz/QAAAAAAAAgaJzMcs/+AAA"
+    b"AAAAAMPLP/QAAAAAAAA="
+)
+ROW_BEFORE = {
+    "instance": "instance-1",
+    "address": "10.1.0.1:82",
+    "renewals": 7,
+    "domain": "b",
+    "cores": 0.5,
+    "quota_levels": {"counter": 2.5},
+    "levels_at_s": 12.25,
+    "quarantined_parts": {"part": [1, {"s0": 3.5}]},
+    "quarantined_requests": {"request": [["part"], {"s0": [4.5, True]}]},
+}
+# How the version before reads digests: an array of exactly these types.
+COUNT = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53 - 1)]
+INTEGER = typing.Annotated[int, msgspec.Meta(ge=-(2**53) + 1, le=2**53 - 1)]
+NUMBER = typing.Annotated[float, msgspec.Meta(ge=0, le=1e13)]
+SECONDS = typing.Annotated[float, msgspec.Meta(ge=-1e13, le=1e13)]
+COUNTS = dict[str, COUNT]
+AGES = dict[str, SECONDS]
+PARTS = dict[str, tuple[COUNT, SECONDS, SECONDS, AGES]]
+READER_BEFORE = msgspec.msgpack.Decoder(
+    tuple[
+        str,  # host
+        str,  # instance
+        str,  # address
+        COUNT,  # sequence
+        COUNTS,  # online
+        COUNTS,  # batch
+        COUNT,  # items_waiting
+        COUNTS,  # admitted
+        COUNTS,  # requested
+        dict[str, tuple[COUNT, SECONDS]],  # table_ages
+        SECONDS,  # store_age_s
+        list[str],  # failing
+        str,  # domain
+        dict[
+            str, typing.Annotated[list[COUNT], msgspec.Meta(min_length=2, max_length=2)]
+        ],  # outcomes
+        bool,  # full
+        bool,  # baseline
+        list[str],  # baseline_requests
+        bool,  # stopping
+        COUNTS,  # removed
+        COUNTS,  # leaving
+        COUNTS,  # demand
+        dict[
+            str,
+            typing.Annotated[list[NUMBER], msgspec.Meta(min_length=3, max_length=3)],
+        ],  # speeds
+        COUNT,  # callers_waiting
+        dict[str, tuple[COUNT, bytes]],  # job_states
+        list[INTEGER],  # waiting_urgencies
+        dict[str, list[INTEGER]],  # batch_urgencies
+        PARTS,  # accused_parts
+        dict[str, tuple[NUMBER, SECONDS, COUNT]],  # limits
+        AGES,  # answered_servers
+        dict[
+            str,
+            tuple[tuple[str, ...], SECONDS, SECONDS, dict[str, tuple[SECONDS, bool]]],
+        ],  # accused_requests
+        PARTS,  # accused_item_parts
+        bool,  # paths_lost
+        SECONDS,  # answer_age_s
+    ]
+)
+BATCH_URGENCIES = 25  # their place among the fields
+WAITING_BEFORE = "waiting for "  # begins names in them that are no server's
+
 
 @attrs.define(eq=False)
 class Stream:
@@ -471,6 +556,198 @@
     assert_broken(context, count)
 
 
+@behave.when(
+    "all hosts are stopped in order after callers left {count:d} streams, "
+    "and v2 replaces all servers before they start again"
+)
+def all_stopped(context, count):
+    async def main(world):
+        await ask_all(context, world, count, begin)
+        stopped = dict(world.hosts)
+        for served in stopped.values():
+            served.settings = attrs.evolve(
+                served.settings, stop=settings.Stop(2.0, 0.3)
+            )
+            served.stop()
+        for served in stopped.values():
+            await served.ended.wait()
+        await replace(world, "v2")
+        for n in stopped:
+            world.start_host(n)
+        await until_first_ready(world, 0)
+        async with trio.open_nursery() as nursery:
+            for stream in context.streams:
+                nursery.start_soon(stream.ask, 0)
+
+    async def begin(number, stream):
+        await stream.ask(number % 4, ATTEMPT_EVENTS_S)
+
+    play(context, main, hosts=4)
+    assert_broken(context, count)
+
+
+@attrs.frozen
+class RowsBefore(standin_rows.View):
+    """Write the row of a host as the version before does."""
+
+    async def transact(self, expected, puts):
+        known = {
+            address: value
+            if value is None or address.table != gossip.TABLE
+            else json.dumps(
+                {k: v for k, v in json.loads(value).items() if k in ROW_BEFORE}
+            ).encode()
+            for address, value in puts.items()
+        }
+        return await super().transact(expected, known)
+
+
+def write_as_before(world, served):
+    """Have a host tell others no more than one of the version before does."""
+    name = served.settings.host_id
+    served.store = RowsBefore(world.store, name)
+    make_digest = served._digest
+
+    def digest(sequence, full, base):
+        made = make_digest(sequence, full, base)
+        made.batch_urgencies = {
+            key: urgencies
+            for key, urgencies in made.batch_urgencies.items()
+            if key in world.servers or key.startswith(WAITING_BEFORE)
+        }
+        return made
+
+    served._digest = digest
+    if "disseminator" in vars(served):
+        served.disseminator.make_digest = digest
+
+
+@behave.when("a host gets the digest and the row of a host of the version before")
+def from_before(context):
+    async def main(world):
+        served = world.hosts[0]
+        world.store.put(gossip.TABLE, "h1", json.dumps(ROW_BEFORE).encode())
+        while "h1" not in served.hosts.records:
+            await trio.sleep(0.1)
+        context.digest = gossip.decode(DIGEST_BEFORE)
+        context.is_taken = served.hosts.receive(context.digest)
+        served._on_digest(context.digest)
+        context.record = served.hosts.records["h1"]
+
+    context.versions = ("v1",)
+    play(context, main, hosts=1)
+
+
+@behave.then("it reads every field of both")
+def reads_before(context):
+    before = msgspec.msgpack.decode(DIGEST_BEFORE)
+    assert msgspec.msgpack.decode(context.digest.encode()) == before
+    assert context.digest.host == "h1"
+    assert context.digest.batch_urgencies == before[BATCH_URGENCIES]
+    assert context.is_taken
+    record = context.record
+    assert record.quarantined_parts == {"part": (1, {"s0": 3.5})}
+    assert record.quarantined_requests == {"request": (("part",), {"s0": (4.5, True)})}
+    simple = set(ROW_BEFORE) - {"quarantined_parts", "quarantined_requests"}
+    for field in simple:
+        assert getattr(record, field) == ROW_BEFORE[field], field
+
+
+@behave.when("hosts write digests and rows while callers have {count:d} streams")
+def written(context, count):
+    async def main(world):
+        context.digests, context.rows = [], []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, context, world, count, ask)
+            for _ in range(60):
+                await trio.sleep(0.02)
+                for served in world.hosts.values():
+                    context.digests += [
+                        served._digest(1, full, full).encode() for full in (True, False)
+                    ]
+                    address = rows.Address(gossip.TABLE, "", served.settings.host_id)
+                    context.rows.append(world.store.rows[address].value)
+
+    async def ask(number, stream):
+        await stream.ask(number % 4, ATTEMPT_EVENTS_S)
+        await stream.ask((number + 1) % 4)
+
+    play(context, main, hosts=4)
+
+
+@behave.then("the version before reads every digest and row")
+def read_by_before(context):
+    context.fields = [READER_BEFORE.decode(digest) for digest in context.digests]
+    for value in context.rows:
+        row = json.loads(value)
+        decoding.check_name(row["instance"])
+        decoding.check_address(row["address"])
+        decoding.check_integer(row["renewals"])
+        decoding.check_text(row["domain"])
+        decoding.check_number(row["cores"])
+
+
+@behave.then("they name no servers but the registered ones")
+def name_registered(context):
+    for fields in context.fields:
+        for name in fields[BATCH_URGENCIES]:
+            is_server = name in context.world.servers
+            # No name of a server holds a space.
+            assert is_server or " " in name, name
+        assert set(fields[5]) <= set(context.world.servers), fields[5]
+
+
+@behave.when(
+    "{second} beside hosts of the version before, and callers take {count:d} of their "
+    "streams up at another host"
+)
+def beside_before(context, second, count):
+    async def main(world):
+        for n in (1, 2):
+            write_as_before(world, world.hosts[n])
+        await trio.sleep(1.0)
+        if second == "servers of v2 come then":
+            await add_servers(world, "v2", [f"10.9.1.{n}:80" for n in range(4)])
+        await ask_all(context, world, count, ask)
+
+    async def ask(number, stream):
+        await stream.ask(1 + number % 2, ATTEMPT_EVENTS_S)
+        await stream.ask(0)
+
+    play(context, main, hosts=3)
+    assert_broken(context, count)
+
+
+@behave.when(
+    "all hosts were of the version before as they are killed in the middle of "
+    "{count:d} streams, and v2 replaces all servers"
+)
+def before_killed(context, count):
+    async def main(world):
+        for n in list(world.hosts):
+            # No row is left that a host of this version wrote.
+            world.kill_host(n)
+            world.store.put(gossip.TABLE, f"h{n}", None)
+            world.start_host(n)
+            write_as_before(world, world.hosts[n])
+        await world.until_ready()
+        context.back = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, context, world, count, ask)
+            await trio.sleep(count * APART_S + 0.05)
+            await kill_all(world, 1.0, functools.partial(replace, world, "v2"))
+            context.back.set()
+
+    async def ask(number, stream):
+        await stream.ask(number % 4)
+        await context.back.wait()
+        await until_first_ready(stream.world, 0)
+        await stream.ask(0)
+
+    play(context, main, hosts=4)
+    assert_broken(context, count)
+
+
 @behave.when("servers register with a version that is no text")
 def other_types(context):
     async def main(world):
