Let streams go on only at servers of the version that began them

What callers saw: a stream that broke off went on at another version of its server, within one answer or when its caller took it up at any host. It was answered 200 and ran to its end; nothing showed that its text was joined. Cause: what a stream depends on wasn't part of what is known of it. The version in a registration was not read, no choice of a server looked at it, and Resumes was not read. Change: the origin of a stream is the service and software version of the server of its first event. Within an answer only such servers are chosen, waited for and offered slots; if none is registered the answer breaks off. A take-up is resolved from this host's memory, other hosts' digests (under names that older hosts ignore), hosts' rows, or from there being one version only, which is read from the store then. What can't be known is refused at once, 503. No stream begins at a version that no row tells of while there are other servers. Take-ups are not refused for their team's share. Takeovers load their module after the start, which keeps a host's start as light as it was.

--- a/turmerictally/bench/path.py
+++ b/turmerictally/bench/path.py
@@ -31,6 +31,7 @@
     prompt_guard,
     registry,
     request_guard,
+    resumption,
     shutdown,
     store_health,
     sweep,
@@ -154,6 +155,9 @@
         prompts=prompt_guard.PromptGuard(hosts, clock, trace),
         requests=request_guard.RequestGuard(hosts, clock, trace),
         shutdown=shutdown.Shutdown(hosts, clock, trace, random.Random(0)),
+        resumption=resumption.Resumption(
+            known, hosts, clock, trace, trio.lowlevel.checkpoint
+        ),
     )
 
     async def handle(exchange: http_server.Exchange) -> None:
--- a/turmerictally/entry/admission.py
+++ b/turmerictally/entry/admission.py
@@ -234,8 +234,13 @@
     ) -> None:
         conditions = self.conditions(service, loads)
         now = self.clock.monotonic()
+        servers = self.inflight.registry.servers
+        free = wait_queue.with_free_slots(loads)
+        versions = {
+            servers[load.name].software for load in free if server in ("", load.name)
+        }
         for _ in range(count):
-            request = self.wait_queue.next_request(service, conditions, now)
+            request = self.wait_queue.next_request(service, conditions, now, versions)
             if request is None:
                 return
             request.offered, request.server = True, server
--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -21,6 +21,7 @@
     pool,
     prompt_guard,
     request_guard,
+    resumption,
     shutdown,
     sse,
     sweep,
@@ -35,6 +36,7 @@
     prompt_quarantine,
     request_quarantine,
     server_speeds,
+    stream_origins,
     wait_queue,
 )
 
@@ -134,7 +136,8 @@
     the host's paths are lost. ``connection`` is that of the last attempt, None if it
     wasn't sent.
     ``server_error`` is an error response, passed on if no other attempt succeeds.
-    ``failed_over`` is whether a server that might have gone on was given up.
+    ``failed_over`` is whether a server that might have gone on was given up, and
+    ``origin`` where the events that the caller has come from, None if it has none.
     """
 
     request: messages.Request
@@ -156,6 +159,7 @@
         | prompt_quarantine.Refusal
         | request_quarantine.Refusal
         | drain.Refusal
+        | resumption.Refusal
         | None
     ) = None
     failed_over: bool = False
@@ -164,6 +168,7 @@
     server_ended: bool = False
     rerouted: bool = False
     connection: pool.Connection | None = None
+    origin: stream_origins.Origin | None = None
 
     @functools.cached_property
     def identity(self) -> str:
@@ -172,6 +177,16 @@
             self.team, self.request.method, self.request.target, self.body
         )
 
+    @property
+    def takes_up(self) -> bool:
+        """Return whether it goes on with a stream whose first events its caller has."""
+        return self.route.resumable and bool(self.request.resume_after)
+
+    @property
+    def software(self) -> str | None:
+        """Return the version of servers that it may be sent to, None for any."""
+        return self.origin.software if self.origin is not None else None
+
     @property
     def size(self) -> int:
         """Return its size, which determines the expected service time."""
@@ -200,6 +215,7 @@
     prompts: prompt_guard.PromptGuard
     requests: request_guard.RequestGuard
     shutdown: shutdown.Shutdown
+    resumption: resumption.Resumption
     admission: admissions.Admission | None = None
     failover_budget: failover.FailoverBudget | None = None
     disabled: frozenset[mechanisms.Mechanism] = frozenset()
@@ -209,9 +225,15 @@
         """Forward a request and respond; return the outcome for the log."""
         if self.failover_budget is not None:
             self.failover_budget.record_request()
+        if pending.takes_up:
+            found = await self.resumption.find(pending.request, pending.route)
+            if isinstance(found, resumption.Refusal):
+                pending.refusal, pending.reason = found, found.reason
+                return await self._give_up(pending)
+            pending.origin = found
         if self.admission is None:
             return await self._run(pending)
-        pending.service = choose_service(pending.route, self.rng)
+        pending.service = self._choose_service(pending)
         with self.admission.track_demand(pending.service, pending.team):
             return await self._run(pending)
 
@@ -269,10 +291,19 @@
         """Wait until some server can continue a stream, also one that failed it."""
         if pending.sends >= MAX_SENDS:
             await trio.sleep(RESEND_PAUSE_S)
-        while not self._loads(pending):
+        while not self._loads(pending) and self._can_go_on(pending):
             await trio.sleep(RESUME_CHECK_S)
             pending.tried.clear()
 
+    def _can_go_on(self, pending: PendingRequest) -> bool:
+        """Return whether some server may still go on with a started stream."""
+        return pending.origin is None or self.resumption.can_go_on(pending.origin)
+
+    def _choose_service(self, pending: PendingRequest) -> str:
+        if pending.origin is not None:
+            return pending.origin.service
+        return choose_service(pending.route, self.rng)
+
     def _is_quarantined(self, pending: PendingRequest) -> bool:
         """Return whether the request must not be sent, and note why."""
         refusal = self.requests.check(pending.identity)
@@ -320,30 +351,37 @@
 
     def _loads(self, pending: PendingRequest) -> list[placement.ServerLoad]:
         if self.admission is None:
-            pending.service = choose_service(pending.route, self.rng)
+            pending.service = self._choose_service(pending)
+        if not self._can_go_on(pending):
+            return []
+        exclude = frozenset(pending.tried)
+        if pending.origin is None and pending.route.resumable:
+            exclude |= self.resumption.unlisted_servers(pending.service)
         return self.inflight.server_loads(
-            pending.service, exclude=frozenset(pending.tried)
+            pending.service, exclude=exclude, software=pending.software
         )
 
     def _queued_request(self, pending: PendingRequest) -> wait_queue.QueuedRequest:
         now = self.clock.monotonic()
         objective_s = pending.route.objective_s * wait_queue.START_RATIO
         start_by = pending.deadline - MIN_TIME_LEFT_S
-        must_wait = pending.response.started or pending.failed_over
+        must_wait = pending.origin is not None or pending.failed_over
         if objective_s and not must_wait:
             start_by = min(start_by, now + objective_s)
         return wait_queue.QueuedRequest(
             service=pending.service,
             team=pending.team,
-            # A request that a server may have run must not be refused for its rank.
+            # A request that a server may have run must not be refused for its rank,
+            # nor one whose caller has its first events.
             rank=0.0
-            if pending.runs
+            if pending.runs or pending.origin is not None
             else fair_shares.request_rank(pending.request.request_id),
             size=pending.size,
             body_bytes=len(pending.body),
             start_by=start_by,
             deadline=pending.deadline,
             must_wait=must_wait,
+            software=pending.software,
         )
 
     def _choose_server(
@@ -372,6 +410,8 @@
                 pending.reason = self.inflight.availability.unavailable_reason(
                     pending.service
                 )
+                if not self._can_go_on(pending):
+                    pending.reason = resumption.REASON_GONE
             return None
         server = servers[chosen.name]
         self.trace.emit(
@@ -636,7 +676,9 @@
                 self.codec, connection, pending.request.request_id
             )
         excluded = frozenset(pending.tried | {server.instance})
-        loads = self.inflight.server_loads(server.service, exclude=excluded)
+        loads = self.inflight.server_loads(
+            server.service, exclude=excluded, software=pending.software
+        )
         if self.failover_budget.try_spend(loads):
             pending.failed_over = True
             raise FirstEventTimeoutError
@@ -719,6 +761,7 @@
                 continue
             if not pending.attempt_events:
                 self.prompts.record_first_event(pending.request.shared_parts)
+                self._record_origin(pending, server)
             pending.attempt_events += splitter.event_count
             if not pending.response.started:
                 await pending.response.start(
@@ -747,6 +790,13 @@
             )
         await pending.response.finish()
 
+    def _record_origin(self, pending: PendingRequest, server: model.Server) -> None:
+        """Bind a stream to the version of the server of its first event."""
+        if pending.route.resumable:
+            self.resumption.record_stream(pending.request, server)
+        if pending.origin is None:
+            pending.origin = self.resumption.begun_at(server)
+
     def _max_silence_s(
         self, pending: PendingRequest, *, before_first_event: bool
     ) -> float:
@@ -780,6 +830,7 @@
             pending.service,
             exclude=frozenset(pending.tried | {server.instance}),
             trusted_only=True,
+            software=pending.software,
         )
         can_take_over = bool(wait_queue.with_free_slots(loads))
         refused = self.requests.check(pending.identity) or self.prompts.check(
@@ -854,6 +905,11 @@
     }
 
 
+@_refusal_log_fields.register
+def _(refusal: resumption.Refusal) -> dict[str, typing.Any]:
+    return {"retry_after_s": round(refusal.retry_after_s, 3)}
+
+
 @_refusal_log_fields.register
 def _(refusal: drain.Refusal) -> dict[str, typing.Any]:
     return {
--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -13,12 +13,12 @@
 from turmerictally.entry import decoding
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import (
-    ownership,
     prompt_quarantine,
     request_quarantine,
     server_answers,
     server_limits,
     server_reach,
+    stream_origins,
 )
 from turmerictally.store import rows
 
@@ -96,7 +96,9 @@
     the servers that it avoids. ``speeds`` gives by server the fields of
     ``scheduling.server_speeds.SpeedReport``, ``batch_urgencies``, by server, the
     urgencies of its running items as in ``scheduling.item_order.urgency``, and under
-    ``waiting_name`` of a service those of the most urgent items that wait for it.
+    ``waiting_name`` of a service those of the most urgent items that wait for it. It
+    also lists the streams that began lately, as ``scheduling.stream_origins`` names
+    them.
     ``waiting_urgencies`` holds the most urgent of all services, for hosts of versions
     that don't know those names. ``job_states`` holds the rows of job states that it
     wrote recently, each with its version.
@@ -286,6 +288,8 @@
     ``cores`` is the share of processor cores that the host may use. ``quota_levels``
     holds the levels of the teams' buckets at ``levels_at_s`` on the store's clock, and
     ``quarantined_parts`` and ``quarantined_requests`` the evidence against those.
+    ``software_versions`` gives the time on the store's clock at which it last knew a
+    server of each version, and ``streams`` the streams that began there lately.
     """
 
     host: str
@@ -299,6 +303,8 @@
     levels_at_s: float = 0.0
     quarantined_parts: prompt_quarantine.Record = attrs.Factory(dict)
     quarantined_requests: request_quarantine.Record = attrs.Factory(dict)
+    software_versions: dict[stream_origins.Origin, float] = attrs.Factory(dict)
+    streams: stream_origins.Report = attrs.Factory(dict)
 
 
 def _read_record(name: str, value: bytes, now: float) -> HostRecord:
@@ -316,6 +322,42 @@
         fields.number("levels_at_s", default=0.0),
         fields.map("quarantined_parts", _read_part),
         fields.map("quarantined_requests", _read_request),
+        dict(map(_read_version, _lists(fields, "software_versions"))),
+        dict(map(_read_streams, _lists(fields, "streams"))),
+    )
+
+
+def _lists(fields: decoding.Object, field: str) -> list[list[typing.Any]]:
+    values = fields.get(field, decoding.check_list, default=[])
+    return [decoding.check_list(value) for value in values]
+
+
+def _read_version(value: list[typing.Any]) -> tuple[stream_origins.Origin, float]:
+    """Return an origin and when it last had a server, on the store's clock."""
+    match value:
+        case [service, software, seen_at_s]:
+            return _read_origin(service, software), decoding.check_number(
+                seen_at_s, -decoding.MAX_NUMBER
+            )
+    raise decoding.DecodeError("expected a service, a version and a time")
+
+
+def _read_streams(
+    value: list[typing.Any],
+) -> tuple[stream_origins.Origin, list[int]]:
+    """Return an origin and the keys of streams that began there."""
+    match value:
+        case [service, software, keys]:
+            return _read_origin(service, software), [
+                decoding.check_integer(key) for key in decoding.check_list(keys)
+            ]
+    raise decoding.DecodeError("expected a service, a version and streams")
+
+
+def _read_origin(service: typing.Any, software: typing.Any) -> stream_origins.Origin:
+    return stream_origins.Origin(
+        decoding.check_name(service),
+        decoding.check_text(software, decoding.MAX_NAME_LENGTH),
     )
 
 
@@ -700,23 +742,6 @@
             return False
         return peer.digest.instance == instance
 
-    def owner_evidence(self, host: str, instance: str) -> ownership.OwnerEvidence:
-        """Return what is known of an incarnation of a host that owns batch jobs."""
-        now = self.clock.monotonic()
-        peer, record = self.peers.get(host), self.records.get(host)
-        is_known = peer is not None and peer.digest.instance == instance
-        return ownership.OwnerEvidence(
-            registered=record is not None and record.instance == instance,
-            reachable=self.is_reachable(host, instance),
-            store_age_s=peer.digest.store_age_s if is_known else 0.0,
-            silent_s=now - (peer.received_at if is_known else self.started_at),
-            row_age_s=self._renewals_known_until() - record.renewed_at
-            if record is not None
-            else float("inf"),
-            row_renewal_s=self.row_renewal_s(),
-            reaches_majority=self.reaches_majority(),
-        )
-
     def reaches_majority(self) -> bool:
         """Return whether more than half of the hosts with rows are reachable."""
         reachable = 1 + sum(not peer.unreachable for peer in self.peers.values())
@@ -727,9 +752,9 @@
 
         Time during which this host could not read renewals does not count.
         """
-        return record.renewed_at > self._renewals_known_until() - seconds
+        return record.renewed_at > self.renewals_known_until() - seconds
 
-    def _renewals_known_until(self) -> float:
+    def renewals_known_until(self) -> float:
         """Return the monotonic time up to which this host has read renewals."""
         table_age_s = self.table_age_s()
         missed_s = (
@@ -751,7 +776,7 @@
         return self.last_count
 
     def _count_quota_holders(self) -> tuple[int, int]:
-        since = self._renewals_known_until() - ROW_TTL_S
+        since = self.renewals_known_until() - ROW_TTL_S
         names = {
             name for name, record in self.records.items() if record.renewed_at > since
         }
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -35,11 +35,11 @@
     quota,
     registry,
     request_guard,
+    resumption,
     settings,
     shutdown,
     store_health,
     sweep,
-    takeover,
     watch,
     worker,
 )
@@ -55,7 +55,12 @@
 from turmerictally.store import rows
 
 if typing.TYPE_CHECKING:
-    from turmerictally.entry import garbage_collector, table_copies, tunnels
+    from turmerictally.entry import (
+        garbage_collector,
+        table_copies,
+        takeover,
+        tunnels,
+    )
 
 MAX_TEAM_HISTOGRAMS = 20  # the busiest teams get one each; the rest share one
 # Interval between reads of job changes, which batches them. With many hosts it grows
@@ -233,6 +238,14 @@
         self.requests.on_quarantine = self.prompts.on_quarantine
 
         self.shutdown = shutdown.Shutdown(self.hosts, clock, trace, self.rng)
+        self.resumption = resumption.Resumption(
+            self.registry,
+            self.hosts,
+            clock,
+            trace,
+            self._read_newest_servers,
+            lambda: self.row_changed.set(),
+        )
 
     def _configure_quarantines(self) -> None:
         prompts, requests = self.settings.prompts, self.settings.requests
@@ -296,7 +309,6 @@
             disabled=disabled,
         )
         self.registry.on_leaving = self._on_leaving
-        self.takeover = takeover.Takeover(self.worker)
         self.admission = self._make_admission()
         self.forwarder = forwarder.Forwarder(
             inflight=self.inflight,
@@ -312,6 +324,7 @@
             prompts=self.prompts,
             requests=self.requests,
             shutdown=self.shutdown,
+            resumption=self.resumption,
             failover_budget=failover.FailoverBudget()
             if self._enables(
                 config.scheduling.switch_late, mechanisms.Mechanism.FAILOVER
@@ -424,6 +437,12 @@
             self.settings.failure_domain,
         )
 
+    @functools.cached_property
+    def takeover(self) -> "takeover.Takeover":
+        """Return what takes over orphaned jobs."""
+        module = importlib.import_module("turmerictally.entry.takeover")
+        return module.Takeover(self.worker)
+
     @functools.cached_property
     def garbage_collector(self) -> "garbage_collector.GarbageCollector":
         """Return what deletes expired rows."""
@@ -567,11 +586,27 @@
                 self.requests.restore(name, record.quarantined_requests, store_now_s)
             if record.quarantined_parts:
                 self.prompts.restore(name, record.quarantined_parts, store_now_s)
+            self.resumption.restore(
+                record.software_versions,
+                record.streams,
+                store_now_s,
+                own=name == self.settings.host_id,
+            )
+
+    async def _read_newest_servers(self) -> None:
+        """Apply the newest registrations; raises ``rows.UnavailableError``.
+
+        Rows of hosts tell which versions were there before this host started.
+        """
+        if not (self.hosts_watch.complete and self.servers_watch.complete):
+            raise rows.UnavailableError("tables not read yet")
+        await self.servers_watch.catch_up()
 
     def _on_servers(self, changed: list[rows.Row]) -> None:
         before = dict(self.registry.servers)
         self.registry.update(changed, from_peer=self.servers_watch.from_peer)
         after = self.registry.servers
+        self.resumption.record_servers([*before.values(), *after.values()])
         for name, server in before.items():
             if name in after and after[name].born_ms != server.born_ms:
                 self.prompts.record_restart(server)
@@ -664,6 +699,8 @@
 
     def _on_digest(self, digest: gossip.Digest) -> None:
         self._on_heartbeat(digest)
+        if digest.batch_urgencies:
+            self.resumption.receive_digest(digest.batch_urgencies, digest.host)
         if digest.paths_lost and digest.full:
             self.inflight.reconsider_ejections()
         if self.settings.host_id in digest.baseline_requests:
@@ -749,7 +786,8 @@
             waiting_urgencies=gossip.most_urgent(waiting),
             batch_urgencies=gossip.named_urgencies(
                 self.inflight.batch_urgencies, waiting
-            ),
+            )
+            | self.resumption.digest_lists(),
             accused_parts=self.prompts.report() if full else {},
             limits=self.availability.limits.report(self.clock.monotonic())
             if full
@@ -818,10 +856,13 @@
                 quarantined := self.requests.record(store_now_s)
             ):
                 value["quarantined_requests"] = quarantined
+            if store_now_s is not None:
+                value |= self.resumption.row_fields(store_now_s)
             started_at = self.clock.monotonic()
             try:
                 await self.store.transact({}, {address: json.dumps(value).encode()})
                 self.availability.record_renewal(started_at)
+                self.resumption.record_row(value)
                 renewals += 1
                 pause_s = self.hosts.row_renewal_s()
             except rows.UnavailableError as error:
@@ -830,6 +871,7 @@
             self.row_changed = trio.Event()
             with trio.move_on_after(pause_s * self.rng.uniform(0.8, 1.2)):
                 await self.row_changed.wait()
+            await trio.sleep(self.resumption.row_wait_s())
 
     async def _run_maintenance(self, nursery: trio.Nursery) -> None:
         while True:
@@ -839,6 +881,7 @@
             self.takeover.start_takeovers(nursery)
             self.registry.expire()
             self.availability.expire()
+            self.resumption.expire()
             self.pool.close_expired()
             self.callers.close_stalled()
             if self.inflight.speed_tracker is not None:
--- a/turmerictally/entry/inflight.py
+++ b/turmerictally/entry/inflight.py
@@ -72,9 +72,12 @@
         *,
         exclude: frozenset[str] = frozenset(),
         trusted_only: bool = False,
+        software: str | None = None,
     ) -> list[placement.ServerLoad]:
         """Return the loads of a service's servers that may get a request now.
 
+        With ``software`` only servers of that version may.
+
         Servers that failed recently are among them only if no other is left, or no
         other has a free slot and a single host reports them; not at all with
         ``trusted_only``.
@@ -88,7 +91,11 @@
         ejected: set[str] = set()
         if mechanisms.Mechanism.EJECTION not in self.disabled:
             ejected = self.ejector.excluded([s.instance for s in usable], now)
-        servers = [s for s in usable if s.instance not in exclude]
+        servers = [
+            s
+            for s in usable
+            if s.instance not in exclude and software in (None, s.software)
+        ]
         healthy = [
             s
             for s in servers
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -116,6 +116,7 @@
             served.pool.passed_over,
         ),
         _stopping(served),
+        _taken_up(served),
         *_evacuated(served),
         *_cold(served),
         *_limited(served),
@@ -170,6 +171,17 @@
     return requests
 
 
+def _taken_up(served: "host.Host") -> prometheus_client.core.Metric:
+    streams = prometheus_client.core.CounterMetricFamily(
+        f"{exposition.PREFIX}_streams_taken_up",
+        "Streams that callers took up after a broken connection.",
+        labels=["outcome"],
+    )
+    for outcome, count in served.resumption.outcomes.items():
+        streams.add_metric([outcome], count)
+    return streams
+
+
 def _evacuated(served: "host.Host") -> list[prometheus_client.core.Metric]:
     def family(name: str, text: str) -> prometheus_client.core.Metric:
         return prometheus_client.core.GaugeMetricFamily(
--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from turmerictally.entry import item_runner, jobs
+from turmerictally.entry import gossip, item_runner, jobs
 from turmerictally.entry import worker as workers
 from turmerictally.scheduling import ownership
 from turmerictally.store import rows
@@ -68,7 +68,7 @@
     def _has_live_owner(self, state: jobs.State) -> bool:
         if not state.owner or state.owner == self.worker.host_id:
             return False
-        evidence = self.worker.hosts.owner_evidence(state.owner, state.instance)
+        evidence = owner_evidence(self.worker.hosts, state.owner, state.instance)
         return not ownership.is_lost(evidence)
 
     def rendezvous_rank(self, key: str) -> int:
@@ -83,7 +83,7 @@
 
     async def _take_over(self, versioned: jobs.VersionedState) -> None:
         previous, worker = versioned.state, self.worker
-        evidence = worker.hosts.owner_evidence(previous.owner, previous.instance)
+        evidence = owner_evidence(worker.hosts, previous.owner, previous.instance)
         owned_state = attrs.evolve(
             previous, owner=worker.host_id, instance=worker.instance
         )
@@ -120,6 +120,26 @@
             del self.orphaned_at[previous.job]
 
 
+def owner_evidence(
+    hosts: gossip.HostDirectory, host: str, instance: str
+) -> ownership.OwnerEvidence:
+    """Return what is known of an incarnation of a host that owns batch jobs."""
+    now = hosts.clock.monotonic()
+    peer, record = hosts.peers.get(host), hosts.records.get(host)
+    is_known = peer is not None and peer.digest.instance == instance
+    return ownership.OwnerEvidence(
+        registered=record is not None and record.instance == instance,
+        reachable=hosts.is_reachable(host, instance),
+        store_age_s=peer.digest.store_age_s if is_known else 0.0,
+        silent_s=now - (peer.received_at if is_known else hosts.started_at),
+        row_age_s=hosts.renewals_known_until() - record.renewed_at
+        if record is not None
+        else float("inf"),
+        row_renewal_s=hosts.row_renewal_s(),
+        reaches_majority=hosts.reaches_majority(),
+    )
+
+
 def _log_fields(evidence: ownership.OwnerEvidence) -> dict[str, float]:
     """Return what was known of a lost owner as log fields."""
     return {
--- a/turmerictally/entry/watch.py
+++ b/turmerictally/entry/watch.py
@@ -126,6 +126,14 @@
         self._record_page(page)
         self.apply(page.rows, page.version)
 
+    async def catch_up(self) -> None:
+        """Apply all that the store holds by now; raises ``rows.UnavailableError``."""
+        try:
+            page = await self.store.changes(self.name, after=self.version, wait_s=0.0)
+        except rows.HistoryLostError as error:
+            raise rows.UnavailableError("history lost") from error
+        self.apply(page.rows, page.version)
+
     async def _read_all(self) -> None:
         table_rows: list[rows.Row] = []
         version = None
--- a/turmerictally/scheduling/wait_queue.py
+++ b/turmerictally/scheduling/wait_queue.py
@@ -1,6 +1,7 @@
 """Queue requests that found no free slot and serve them in fair order."""
 
 import collections
+import collections.abc
 import random
 import typing
 
@@ -37,6 +38,7 @@
     when a slot is offered to it. While ``offered``, it has not yet used the offer;
     ``server`` is the server with the slot, empty for any. With ``must_wait`` it is not
     refused for its expected wait: a server has begun with it, and its caller waits.
+    ``software`` is the version of the servers that it may be sent to, None for any.
     """
 
     service: str
@@ -51,6 +53,11 @@
     offered: bool = False
     server: str = ""
     must_wait: bool = False
+    software: str | None = None
+
+    def may_use(self, versions: collections.abc.Collection[str] | None) -> bool:
+        """Return whether servers of these versions may get it; None for any version."""
+        return None in (self.software, versions) or self.software in versions
 
 
 @attrs.frozen
@@ -247,14 +254,21 @@
             self.requests.remove(request)
 
     def next_request(
-        self, service: str, conditions: QueueConditions, now: float
+        self,
+        service: str,
+        conditions: QueueConditions,
+        now: float,
+        versions: collections.abc.Collection[str] | None = None,
     ) -> QueuedRequest | None:
         """Return the queued request that gets a service's next slot, or None.
 
-        Requests already offered a slot are skipped.
+        Requests already offered a slot are skipped, and those that may not be sent to
+        servers of the ``versions`` with a slot.
         """
         candidates = [
-            request for request in self.queued_for(service) if not request.offered
+            request
+            for request in self.queued_for(service)
+            if not request.offered and request.may_use(versions)
         ]
         if len(candidates) < 2:
             return candidates[0] if candidates else None
