Let the soak's servers refuse requests and write a refusal once more

Change: servers refuse one in four of the requests that come for the first time, and repeat the refusal if the same id comes again on the same connection.

--- a/turmerictally/tests/features/soak.feature
+++ b/turmerictally/tests/features/soak.feature
@@ -14,6 +14,10 @@
       | a stream holds another request's events            | whole_answers  |
       | a stream holds an event twice                      | whole_answers  |
       | a request that may run once runs twice             | once           |
+      | a refused request comes again on its connection    | distinct_answers |
+      | an item runs at two servers for 0.41 s             | one_server     |
+      | a stream runs at two servers after another host's fault | one_server |
+      | an item runs at two servers and the first run never ends | one_server |
       | a request is answered 503 and runs                 | not_run        |
       | an item of a refused job runs                      | not_run        |
       | a server runs what nobody sent                     | unasked        |
@@ -34,6 +38,14 @@
       | a team runs more than its quota                    | quota          |
       | a host takes too much memory                       | bounded        |
 
+  Scenario: What two servers run at once is found only where hosts could have known
+    Then no check finds an item at two servers for 0.39 s, nor for 0.41 s beside faults
+
+  # Guards against a soak whose servers copy nothing, or copy where the id tells.
+  Scenario: A server of the soak copies a refusal where the same request comes again
+    When requests come again to a server that refused them
+    Then it copies the refusals of those that come on the same connection, and no others
+
   Scenario: A schedule depends on its seed only and leaves the end calm
     Then two draws of one seed are the same and no fault begins in the last 14 s
 
--- a/turmerictally/tests/features/steps/soak_steps.py
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -11,7 +11,7 @@
 import trio
 import trio.testing
 
-from turmerictally.tests.soak import checks, faults, schedule
+from turmerictally.tests.soak import checks, faults, schedule, server
 from turmerictally.tests.support import users_platform
 
 HANG_GUARD_S = 180
@@ -78,6 +78,7 @@
         asked=[asked(), *late],
         jobs=[job],
         runs=[ran(), *(ran(a.request, a.at) for a in late), ran("i0", 20.0)],
+        again=[{"request": "i0", "server": "s0-1", "copied": False}],
         calm_from=CALM_AT,
         quota=(1.0, 1.0),
     )
@@ -108,6 +109,15 @@
     record.runs += [ran(each.request, 30.0) for each in hot]
 
 
+def _beside(record, name="i0", more_s=0.41, ends=True):
+    """Let a request run at another server while the first works on for a while."""
+    before = next(run for run in record.runs if run["request"] == name)
+    record.runs.append(ran(name, before["at"] + 0.1, "s1-1"))
+    end = {"request": name, "server": "s0-1", "arrived": before["arrived"]}
+    if ends:
+        record.ends.append(end | {"at": before["at"] + 0.1 + more_s})
+
+
 def _text(record):
     name, state, text = record.jobs[0].results[0]
     record.jobs[0].results[0] = (name, state, text.rpartition("\n")[0])
@@ -123,6 +133,17 @@
         setattr(r.asked[0], "kind", "once"),
         r.runs.append(ran()),
     ),
+    "a refused request comes again on its connection": lambda r: r.again.append(
+        {"request": "r1", "server": "s0-1", "copied": True}
+    ),
+    "an item runs at two servers for 0.41 s": _beside,
+    "a stream runs at two servers after another host's fault": lambda r: (
+        _beside(r, "r1"),
+        r.touched.append(("host1", 9.0, 9.5)),
+    ),
+    "an item runs at two servers and the first run never ends": lambda r: _beside(
+        r, ends=False
+    ),
     "a request is answered 503 and runs": _refused,
     "an item of a refused job runs": _refused_job,
     "a server runs what nobody sent": lambda r: r.runs.append(ran("unknown")),
@@ -174,6 +195,62 @@
     assert {line.partition(":")[0] for line in broken} >= {name}, broken
 
 
+@behave.then(
+    "no check finds an item at two servers for 0.39 s, nor for 0.41 s beside faults"
+)
+def allowed_beside(context):
+    for more_s, harmed in (
+        (0.39, []),
+        (9.0, [("server0", 20.05, 20.06)]),
+        (0.41, [("host0", 17.0, 17.2)]),
+        (0.41, [("server0", 20.0, 20.2)]),
+        (0.41, [("store", 20.0, 20.2)]),
+    ):
+        good_record(context)
+        _beside(context.record, more_s=more_s)
+        context.record.touched += harmed
+        assert checks.find_broken(context.record) == [], (more_s, harmed)
+
+
+@behave.when("requests come again to a server that refused them")
+def come_again(context):
+    context.written = {}
+
+    async def main(world):
+        made = server.Server(world, "s9", "10.1.0.9:9000")
+        made.refuses = lambda request, headers: True
+        await world.nursery.start(made.run)
+        for name, reconnects in (("same", False), ("other", True)):
+            stream = await world.fabric.host("10.9.0.1").connect(made.address)
+            await _send(stream, name)
+            if reconnects:
+                stream = await world.fabric.host("10.9.0.1").connect(made.address)
+            context.written[name] = await _send(stream, name)
+
+    users_platform.play(main, hosts=1, servers=1)
+
+
+async def _send(stream, name):
+    """Return what a server writes to a request in a second."""
+    head = f"POST /ask/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {name}\r\n"
+    await stream.send_all(f"{head}Content-Length: 0\r\n\r\n".encode())
+    data = b""
+    with trio.move_on_after(1.0):
+        while more := await stream.receive_some():
+            data += more
+    return data
+
+
+@behave.then(
+    "it copies the refusals of those that come on the same connection, and no others"
+)
+def copied_where(context):
+    refusals = {name: data.count(b" 503 ") for name, data in context.written.items()}
+    assert refusals == {"same": 1, "other": 0}, refusals
+    for name, data in context.written.items():
+        assert data.count(b" 200 ") == 1, (name, data)
+
+
 @behave.then("two draws of one seed are the same and no fault begins in the last 14 s")
 def same_draw(context):
     for seed in range(20):
--- a/turmerictally/tests/soak/__main__.py
+++ b/turmerictally/tests/soak/__main__.py
@@ -81,6 +81,8 @@
                 record.runs.append(found)
             elif found["event"] == "end":
                 record.ends.append(found)
+            elif found["event"] == "again":
+                record.again.append(found)
             elif found["event"] == "serving":
                 record.serving[found["server"]] = found["at"]
             elif found["event"] == "leaving":
@@ -99,6 +101,8 @@
         "served": sum(a.status == 200 and a.whole for a in record.asked),
         "jobs": len(record.jobs),
         "runs": len(record.runs),
+        "again": len(record.again),
+        "copies": sum(each["copied"] for each in record.again),
         "faults": len(record.touched),
         "broken": len(broken),
     }
--- a/turmerictally/tests/soak/checks.py
+++ b/turmerictally/tests/soak/checks.py
@@ -1,6 +1,7 @@
 """Compare what callers got and what servers ran with what was promised."""
 
 import collections
+import itertools
 
 import attrs
 
@@ -8,6 +9,7 @@
 from turmerictally.tests.support import users_platform
 
 EVACUATE_S = 5.0  # the same after an evacuation
+OVERLAP_S = 0.4  # for which a server may work on while another one does
 COLD_SLACK = 5  # requests in a second beyond a cold server's rate
 DRAIN_S = 2.0  # after the store knows of it, no request may reach a server
 # Within this time of a withdrawn key's acknowledgement it stops working.
@@ -63,6 +65,7 @@
     jobs: list = attrs.Factory(list)
     runs: list = attrs.Factory(list)
     ends: list = attrs.Factory(list)
+    again: list = attrs.Factory(list)  # requests at a server that had refused them
     drains: dict = attrs.Factory(dict)
     withdrawn: dict = attrs.Factory(dict)
     evacuations: list = attrs.Factory(list)  # domain, acknowledged, asked to end
@@ -78,8 +81,10 @@
     """Return the broken promises, a line each; ``timed`` adds those with a clock."""
     found = []
     checks = [whole_answers, once, not_run, unasked, kept_jobs, recovered, exits]
+    checks += [distinct_answers]
     if timed:
         checks += [draining, evacuated, cold_servers, withdrawn_keys, quota, bounded]
+        checks += [one_server]
     for check in checks:
         found += [f"{check.__name__}: {line}" for line in check(record)]
     return found
@@ -108,6 +113,42 @@
             yield f"{asked.request} ran {counts[asked.request]} times"
 
 
+def one_server(record):
+    """A request goes on at another server only if the one before stops in time."""
+    host_of = {asked.request: asked.host for asked in record.asked}
+    ends = {_run_key(end): end["at"] for end in record.ends}
+    runs = collections.defaultdict(list)
+    for run in record.runs:
+        runs[run["request"]].append(run)
+    for name, found in runs.items():
+        # A batch item may come from any host.
+        hosts = (host_of.get(name, "host"), "store")
+        for before, after in itertools.combinations(found, 2):
+            over = after["at"] + OVERLAP_S
+            if before["server"] == after["server"]:
+                continue
+            if ends.get(_run_key(before), float("inf")) <= over:
+                continue
+            way = f"server{before['server'][1:].partition('-')[0]}"
+            calm_since = after["at"] - TOUCH_S
+            # A server that was killed meanwhile logs no end.
+            running_since = min(before["at"], calm_since)
+            harmed = _touched(record.touched, calm_since, over, hosts)
+            if not harmed and not _touched(record.touched, running_since, over, (way,)):
+                yield f"{name} ran at {after['server']} beside {before['server']}"
+
+
+def distinct_answers(record):
+    """No connection carries a request again whose refusal a server may repeat on it."""
+    for each in record.again:
+        if each["copied"]:
+            yield f"{each['request']} met the copy of its refusal at {each['server']}"
+
+
+def _run_key(line):
+    return line["request"], line["server"], line["arrived"]
+
+
 def not_run(record):
     """A request that was refused as not run did not run and never does."""
     ran = {run["request"] for run in record.runs}
--- a/turmerictally/tests/soak/server.py
+++ b/turmerictally/tests/soak/server.py
@@ -2,7 +2,8 @@
 
 It writes a JSON line for each request that it begins or ends to work on. On SIGTERM it
 registers as draining, serves on for a while and leaves; on SIGUSR1 it leaves in the
-same way without saying so before.
+same way without saying so before. It refuses some of what comes for the first time, and
+writes the refusal once more if the same request comes again on the same connection.
 """
 
 import base64
@@ -11,6 +12,7 @@
 import sys
 import time
 import types
+import zlib
 
 import httpx
 import trio
@@ -24,6 +26,8 @@
 RETRY_S = 0.1
 DRAIN_S = 2.0  # promised after the store knows that it drains
 LINGER_S = 2.0  # that it serves beyond that, so that late requests are seen
+REFUSED_ONE_IN = 4  # of the requests that come for the first time
+COPY_LEAD_S = 0.5  # from the copy of a refusal to the run's first event, at least
 
 
 def note(event, **fields):
@@ -36,16 +40,37 @@
     def __init__(self, *given, **more):
         super().__init__(*given, **more)
         self.arrived = {}
+        self.refused = {}  # by request: the connection and the refusal
         self.cold_until = time.monotonic() + world.COLD_S
 
     def remaining_ms(self):
         return max(0.0, self.cold_until - time.monotonic()) * 1000
 
+    def refuses(self, request, headers):
+        """Return whether a request that comes for the first time is refused."""
+        drawn = headers["x-request-id"]
+        if "last-event-id" not in headers and not request.target.startswith(b"/night/"):
+            # Another server takes it. What waits for a slot is refused by all of them,
+            # so that it comes again to a connection that carried its refusal.
+            drawn += self.name
+        return zlib.crc32(drawn.encode()) % REFUSED_ONE_IN == 0
+
     async def answer(self, stream, parser, request, headers, body):
-        self.arrived[headers["x-request-id"]] = time.monotonic()
+        name = headers["x-request-id"]
+        new = name not in self.arrived
+        self.arrived[name] = time.monotonic()
+        if new and self.refuses(request, headers):
+            return await self.refuse(stream, parser, headers, 503)
         return await super().answer(stream, parser, request, headers, body)
 
+    async def refuse(self, stream, parser, headers, status):
+        kept = await super().refuse(stream, parser, headers, status)
+        name = headers["x-request-id"]
+        self.refused[name] = stream, self.refusals.pop(id(stream))
+        return kept
+
     async def work(self, stream, parser, run):
+        arrived = self.arrived[run.request]
         note(
             "run",
             request=run.request,
@@ -54,12 +79,31 @@
             target=run.target,
             body=base64.b64encode(run.body).decode(),
             after=run.resumed_after,
-            arrived=self.arrived[run.request],
+            arrived=arrived,
         )
         try:
+            await self.copy_refusal(stream, run.request)
             return await super().work(stream, parser, run)
         finally:
-            note("end", request=run.request, server=self.name, ended=run.ended)
+            note(
+                "end",
+                request=run.request,
+                server=self.name,
+                arrived=arrived,
+                ended=run.ended,
+            )
+
+    async def copy_refusal(self, stream, name):
+        """Repeat a request's refusal if it was written on this connection."""
+        if name not in self.refused:
+            return
+        connection, refusal = self.refused[name]
+        copied = connection is stream
+        note("again", request=name, server=self.name, copied=copied)
+        if copied:
+            del self.refused[name]
+            await stream.send_all(refusal)
+            await trio.sleep(COPY_LEAD_S)
 
 
 async def change(store, put=(), remove=()):
