Let the soak's check of two servers know of stalls and of requests that arrive late

Servers now log when their process did not run for 0.2 s. The check leaves out a first server that stalled in the 400 ms, and a second one that a fault or a stall held up in the 3 s before. A stall of any other server excuses nothing.

--- a/turmerictally/tests/features/soak.feature
+++ b/turmerictally/tests/features/soak.feature
@@ -17,6 +17,7 @@
       | a refused request comes again on its connection    | distinct_answers |
       | an item runs at two servers for 0.41 s             | one_server     |
       | a stream runs at two servers after another host's fault | one_server |
+      | an item runs at two servers after a stall and a fault beside | one_server |
       | an item runs at two servers and the first run never ends | one_server |
       | a request is answered 503 and runs                 | not_run        |
       | an item of a refused job runs                      | not_run        |
--- a/turmerictally/tests/features/steps/soak_steps.py
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -141,6 +141,11 @@
         _beside(r, "r1"),
         r.touched.append(("host1", 9.0, 9.5)),
     ),
+    "an item runs at two servers after a stall and a fault beside": lambda r: (
+        _beside(r),
+        r.stalls.append(("s0-1", 19.5, 20.0)),
+        r.touched.append(("server2", 19.0, 20.0)),
+    ),
     "an item runs at two servers and the first run never ends": lambda r: _beside(
         r, ends=False
     ),
@@ -199,17 +204,22 @@
     "no check finds an item at two servers for 0.39 s, nor for 0.41 s beside faults"
 )
 def allowed_beside(context):
-    for more_s, harmed in (
-        (0.39, []),
-        (9.0, [("server0", 20.05, 20.06)]),
-        (0.41, [("host0", 17.0, 17.2)]),
-        (0.41, [("server0", 20.0, 20.2)]),
-        (0.41, [("store", 20.0, 20.2)]),
+    for more_s, touched, stalls in (
+        (0.39, [], []),
+        (9.0, [("server0", 20.05, 20.06)], []),
+        (0.41, [("host0", 17.0, 17.2)], []),
+        (0.41, [("server0", 20.0, 20.2)], []),
+        (0.41, [("store", 20.0, 20.2)], []),
+        (0.41, [("server1", 19.0, 20.0)], []),
+        (0.41, [], [("s0-1", 20.0, 20.2)]),
+        (0.41, [], [("s1-1", 19.0, 20.05)]),
     ):
         good_record(context)
         _beside(context.record, more_s=more_s)
-        context.record.touched += harmed
-        assert checks.find_broken(context.record) == [], (more_s, harmed)
+        context.record.touched += touched
+        context.record.stalls += stalls
+        broken = checks.find_broken(context.record)
+        assert broken == [], (broken, more_s, touched, stalls)
 
 
 @behave.when("requests come again to a server that refused them")
--- a/turmerictally/tests/soak/__main__.py
+++ b/turmerictally/tests/soak/__main__.py
@@ -83,6 +83,8 @@
                 record.ends.append(found)
             elif found["event"] == "again":
                 record.again.append(found)
+            elif found["event"] == "stalled":
+                record.stalls.append((found["server"], found["since"], found["at"]))
             elif found["event"] == "serving":
                 record.serving[found["server"]] = found["at"]
             elif found["event"] == "leaving":
--- a/turmerictally/tests/soak/checks.py
+++ b/turmerictally/tests/soak/checks.py
@@ -66,6 +66,7 @@
     runs: list = attrs.Factory(list)
     ends: list = attrs.Factory(list)
     again: list = attrs.Factory(list)  # requests at a server that had refused them
+    stalls: list = attrs.Factory(list)  # when servers' processes did not run
     drains: dict = attrs.Factory(dict)
     withdrawn: dict = attrs.Factory(dict)
     evacuations: list = attrs.Factory(list)  # domain, acknowledged, asked to end
@@ -124,20 +125,31 @@
         # A batch item may come from any host.
         hosts = (host_of.get(name, "host"), "store")
         for before, after in itertools.combinations(found, 2):
-            over = after["at"] + OVERLAP_S
+            at, over = after["at"], after["at"] + OVERLAP_S
             if before["server"] == after["server"]:
                 continue
             if ends.get(_run_key(before), float("inf")) <= over:
                 continue
-            way = f"server{before['server'][1:].partition('-')[0]}"
-            calm_since = after["at"] - TOUCH_S
+            calm_since = at - TOUCH_S
             # A server that was killed meanwhile logs no end.
             running_since = min(before["at"], calm_since)
-            harmed = _touched(record.touched, calm_since, over, hosts)
-            if not harmed and not _touched(record.touched, running_since, over, (way,)):
+            harmed = (
+                _touched(record.touched, calm_since, over, hosts),
+                _touched(record.touched, running_since, over, (_way(before),)),
+                # What a server is sent before it is harmed, it may run after the other.
+                _touched(record.touched, calm_since, at, (_way(after),)),
+                # A server that did not run worked on nothing.
+                _touched(record.stalls, at, over, (before["server"],)),
+                _touched(record.stalls, calm_since, at, (after["server"],)),
+            )
+            if not any(harmed):
                 yield f"{name} ran at {after['server']} beside {before['server']}"
 
 
+def _way(run):
+    return f"server{run['server'][1:].partition('-')[0]}"
+
+
 def distinct_answers(record):
     """No connection carries a request again whose refusal a server may repeat on it."""
     for each in record.again:
--- a/turmerictally/tests/soak/server.py
+++ b/turmerictally/tests/soak/server.py
@@ -27,6 +27,7 @@
 DRAIN_S = 2.0  # promised after the store knows that it drains
 LINGER_S = 2.0  # that it serves beyond that, so that late requests are seen
 REFUSED_ONE_IN = 4  # of the requests that come for the first time
+STALL_S = 0.1  # by which a sleep may take too long on a busy machine
 COPY_LEAD_S = 0.5  # from the copy of a refusal to the run's first event, at least
 
 
@@ -125,6 +126,7 @@
     async with httpclient.client(base_url=store_url, timeout=1.0) as store:
         async with trio.open_nursery() as nursery:
             await nursery.start(server.run)
+            nursery.start_soon(note_stalls, name)
             note("serving", server=name)
             if await serve_until_told(server, store):
                 server.state = "draining"
@@ -137,6 +139,15 @@
     note("left", server=name)
 
 
+async def note_stalls(name):
+    """Log when this process did not run, as it then does not see that callers leave."""
+    while True:
+        since = time.monotonic()
+        await trio.sleep(STALL_S)
+        if time.monotonic() - since > 2 * STALL_S:
+            note("stalled", server=name, since=since)
+
+
 async def serve_until_told(server, store):
     """Keep the server registered; return whether it shall say that it leaves."""
     told = trio.Event()
