--- a/turmerictally/tests/features/entry_stream_versions.feature
+++ b/turmerictally/tests/features/entry_stream_versions.feature
@@ -178,6 +178,18 @@
       | 0.2    | 1    |
       | 1.0    | 2    |
 
+  # Guards against streams of some seconds that are lost to a kill of all hosts.
+  Scenario Outline: After a kill of all hosts long streams of two versions still go on
+    Given servers of versions v1, v1, v2, v2
+    When all hosts are killed for <down_s> s in the middle of 24 long streams, while no server changes, with seed <seed>
+    Then at least half of the take-ups go on
+    And no stream holds events of two versions
+
+    Examples:
+      | down_s | seed |
+      | 0.2    | 1    |
+      | 1.0    | 2    |
+
   # Guards against rows that stopping hosts delete with what they know of versions.
   Scenario: After a planned stop of all hosts no stream goes on at another version
     Given servers of versions v1, v1, v1, v1
@@ -215,3 +227,18 @@
     When all hosts were of the version before as they are killed in the middle of 24 streams, and v2 replaces all servers
     Then every take-up goes on at its version or gets 503 within 0.5 s
     And no stream holds events of two versions
+
+  # Guards against results of batch items of which another version wrote the rest.
+  Scenario Outline: The text of a batch item goes on only at its version
+    Given servers of versions v1, v1, v2, v2
+    When <trouble> in the middle of a batch job of 16 items with seed <seed>
+    Then every item has its whole text
+    And no text holds events of two versions
+
+    Examples:
+      | trouble                                             | seed |
+      | connections to all servers are reset                | 1    |
+      | the owner is killed                                 | 2    |
+      | all hosts are killed                                | 3    |
+      | all hosts are killed and v2 replaces all servers    | 4    |
+      | servers of v1 end and the owner is killed           | 5    |
--- a/turmerictally/tests/features/steps/entry_stream_versions_steps.py
+++ b/turmerictally/tests/features/steps/entry_stream_versions_steps.py
@@ -21,6 +21,7 @@
 APART_S = 0.02  # between the first requests of two streams
 STREAM_S = users_platform.EVENTS * users_platform.EVENT_S
 CALLERS_IP = "10.7.0.1"
+LONG_EVENTS = 100  # of batch items and of streams that last for some seconds
 
 # What a host of the version before wrote.
 DIGEST_BEFORE = base64.b64decode(
@@ -180,13 +181,13 @@
     ]
 
 
-async def ask_all(context, world, count, ask):
+async def ask_all(context, world, count, ask, apart_s=APART_S):
     """Run ``ask(number, stream)`` for new streams that begin one after another."""
     context.streams = [Stream(world) for _ in range(count)]
     async with trio.open_nursery() as nursery:
         for number, stream in enumerate(context.streams):
             nursery.start_soon(ask, number, stream)
-            await trio.sleep(APART_S)
+            await trio.sleep(apart_s)
 
 
 async def add_servers(world, software, addresses):
@@ -394,16 +395,22 @@
 
 
 @behave.when(
-    "all hosts are killed for {down_s:g} s in the middle of {count:d} streams, "
+    "all hosts are killed for {down_s:g} s in the middle of {count:d} {which}, "
     "while {change}, with seed {seed:d}"
 )
-def all_killed(context, down_s, count, change, seed):
+def all_killed(context, down_s, count, which, change, seed):
+    is_long = which == "long streams"
+    # New streams begin until all hosts are killed.
+    apart_s = LONG_EVENTS * users_platform.EVENT_S / count if is_long else APART_S
+
     async def main(world):
+        for server in world.servers.values():
+            server.events = LONG_EVENTS if is_long else users_platform.EVENTS
         context.back = trio.Event()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask_all, context, world, count, ask)
+            nursery.start_soon(ask_all, context, world, count, ask, apart_s)
             # All have events then, and none has all.
-            await trio.sleep(count * APART_S + 0.05)
+            await trio.sleep(count * apart_s + 0.05 - is_long * 0.1)
             await kill_all(world, down_s, functools.partial(CHANGES[change], world))
             context.back.set()
 
@@ -414,6 +421,7 @@
         await until_first_ready(stream.world, n)
         await stream.ask(n)
 
+    assert which in ("streams", "long streams"), which
     play(context, main, hosts=4, seed=seed)
     assert_broken(context, count)
 
@@ -748,6 +756,92 @@
     assert_broken(context, count)
 
 
+async def reset_all_servers(world):
+    reset_servers(world)
+
+
+async def kill_owner(world):
+    world.kill_host(0)
+    await trio.sleep(3.0)
+    world.start_host(0)
+
+
+async def kill_owner_and_end_first(world):
+    await end_first(world)
+    await kill_owner(world)
+
+
+async def kill_all_hosts(world):
+    await kill_all(world, 1.0)
+
+
+async def kill_all_and_replace(world):
+    await kill_all(world, 1.0, functools.partial(replace, world, "v2"))
+    for server in world.servers.values():
+        server.events = LONG_EVENTS
+
+
+IN_JOBS = {
+    "connections to all servers are reset": reset_all_servers,
+    "the owner is killed": kill_owner,
+    "servers of v1 end and the owner is killed": kill_owner_and_end_first,
+    "all hosts are killed": kill_all_hosts,
+    "all hosts are killed and v2 replaces all servers": kill_all_and_replace,
+}
+
+
+@behave.when(
+    "{trouble} in the middle of a batch job of {count:d} items with seed {seed:d}"
+)
+def broken_jobs(context, trouble, count, seed):
+    async def main(world):
+        for server in world.servers.values():
+            server.events = LONG_EVENTS
+        body, context.items = users_platform.lot(world, count)
+        reply = await users_platform.Caller(world, 0).ask(
+            "/night/x", body=body, request_id="job"
+        )
+        assert reply.status == 202, reply
+        while not world.runs:
+            await trio.sleep(0.01)
+        await trio.sleep(1.2)
+        await IN_JOBS[trouble](world)
+        await trio.sleep(1.0)
+        context.results = []
+        with trio.move_on_after(40.0):
+            while len(context.results) < count:
+                await trio.sleep(0.2)
+                reply = await users_platform.Caller(world, 1).ask(
+                    f"/-/lots/job?after={len(context.results)}", "GET", b""
+                )
+                if reply.status == 200:
+                    context.results += reply.json()["results"]
+
+    play(context, main, hosts=3, seed=seed)
+    resumed = [run for run in context.world.runs if run.resumed_after]
+    assert trouble != "connections to all servers are reset" or resumed
+
+
+@behave.then("every item has its whole text")
+def whole_texts(context):
+    assert sorted(r["id"] for r in context.results) == sorted(context.items)
+    for result in context.results:
+        assert result["state"] == "succeeded", result
+        events = [line.partition(" ")[0] for line in result["text"].splitlines()]
+        every = [f"{result['id']}.{n}" for n in range(1, LONG_EVENTS + 1)]
+        assert events == every, result
+
+
+@behave.then("no text holds events of two versions")
+def no_joined_text(context):
+    joined = {}
+    for result in context.results:
+        lines = result["text"].splitlines()
+        if len(found := {line.partition(" ")[2] for line in lines}) > 1:
+            joined[result["id"]] = sorted(found)
+    assert not joined, f"{len(joined)} of {len(context.results)}: {joined}"
+
+
 @behave.when("servers register with a version that is no text")
 def other_types(context):
     async def main(world):
