Show joins after two kills, at servers gone elsewhere and at servers not yet registered again

A second kill may come before a start has read what the first left; a host out of touch may stream from servers whose registrations are gone for longer than hosts remember a version; a server may serve under its id at another version before its registration says so.

--- a/turmerictally/tests/features/entry_stream_versions.feature
+++ b/turmerictally/tests/features/entry_stream_versions.feature
@@ -242,3 +242,37 @@
       | all hosts are killed                                | 3    |
       | all hosts are killed and v2 replaces all servers    | 4    |
       | servers of v1 end and the owner is killed           | 5    |
+
+  # Guards against starts that overwrite what rows tell of versions before they have read it.
+  Scenario Outline: A second kill of all hosts loses nothing that the first left
+    Given servers of versions v1, v1, v2, v2
+    When all hosts are killed twice, <after_s> s after they start, and servers of v2 end before, while the store takes <call_s> s
+    Then every take-up goes on at its version or gets 503 within 0.5 s
+    And no stream holds events of two versions
+
+    Examples:
+      | after_s | call_s |
+      | 0.05    | 0.005  |
+      | 0.3     | 0.005  |
+      | 2.0     | 0.005  |
+      | 0.3     | 0.4    |
+      | 1.5     | 0.4    |
+      | 2.5     | 1.5    |
+      | 4.0     | 1.5    |
+
+  # Guards against a server that hosts still use though its registration is gone elsewhere.
+  Scenario: A version that only a host out of touch still uses is remembered
+    Given servers of versions v1, v1
+    When a host out of touch streams from servers whose registrations are gone for 32 s, and v2 replaces them elsewhere
+    Then every take-up goes on at its version or gets 503 within 0.5 s
+    And no stream holds events of two versions
+
+  # Guards against servers whose process is newer than their registration.
+  Scenario Outline: No stream goes on at a server that serves before it registers again
+    When the only server ends and starts again at v2 under its id, and registers <late_s> s after it serves
+    Then no stream holds events of two versions
+
+    Examples:
+      | late_s |
+      | 0.05   |
+      | 0.5    |
--- a/turmerictally/tests/features/steps/entry_stream_versions_steps.py
+++ b/turmerictally/tests/features/steps/entry_stream_versions_steps.py
@@ -363,8 +363,8 @@
     """Leave all servers as they are."""
 
 
-async def end_first(world):
-    for name in [n for n, s in world.servers.items() if s.software == "v1"]:
+async def end_version(world, software):
+    for name in [n for n, s in world.servers.items() if s.software == software]:
         await world.end_server(name)
 
 
@@ -385,7 +385,7 @@
 
 CHANGES = {
     "no server changes": change_none,
-    "servers of v1 end": end_first,
+    "servers of v1 end": functools.partial(end_version, software="v1"),
     "v2 replaces all servers": functools.partial(replace, software="v2"),
     "v3 replaces all servers": functools.partial(replace, software="v3"),
     "v2 replaces all servers by their id": functools.partial(
@@ -452,16 +452,12 @@
             while not any("v2" in stream.versions for stream in context_streams()):
                 await trio.sleep(0.001)
             await trio.sleep(context.after_s)
-            await kill_all(world, 1.0, functools.partial(end_second, world))
+            await kill_all(world, 1.0, functools.partial(end_version, world, "v2"))
             context.back.set()
 
     def context_streams():
         return getattr(context, "streams", [])
 
-    async def end_second(world):
-        for name in [n for n, s in world.servers.items() if s.software == "v2"]:
-            await world.end_server(name)
-
     async def ask(number, stream):
         n = number % 4
         if n not in stream.world.hosts:
@@ -767,7 +763,7 @@
 
 
 async def kill_owner_and_end_first(world):
-    await end_first(world)
+    await end_version(world, "v1")
     await kill_owner(world)
 
 
@@ -842,6 +838,84 @@
     assert not joined, f"{len(joined)} of {len(context.results)}: {joined}"
 
 
+@behave.when(
+    "all hosts are killed twice, {after_s:g} s after they start, and servers of v2 end "
+    "before, while the store takes {call_s:g} s"
+)
+def killed_twice(context, after_s, call_s):
+    async def main(world):
+        context.back = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, context, world, 24, ask)
+            await trio.sleep(24 * APART_S + 0.05)
+            world.store.faults.delay_s = call_s
+            await kill_all(world, 0.5, functools.partial(end_version, world, "v2"))
+            await trio.sleep(after_s)
+            await kill_all(world, 0.5)
+            context.back.set()
+
+    async def ask(number, stream):
+        await stream.ask(number % 4)
+        await context.back.wait()
+        n = (number + 1) % 4
+        await until_first_ready(stream.world, n)
+        await stream.ask(n)
+
+    play(context, main, hosts=4)
+    assert_broken(context, 24)
+
+
+@behave.when(
+    "a host out of touch streams from servers whose registrations are gone for "
+    "{gone_s:g} s, and v2 replaces them elsewhere"
+)
+def used_out_of_touch(context, gone_s):
+    async def main(world):
+        deny_store(world, 0, "refused")
+        world.fabric.separate(["10.1.0.0"], ["10.1.0.1", "10.1.0.2"])
+        await trio.sleep(0.5)
+        for name in ("s0", "s1"):
+            world.store.put("servers", name, None)
+        await add_servers(world, "v2", ["10.9.1.0:80", "10.9.1.1:80"])
+        await trio.sleep(gone_s)
+        await ask_all(context, world, 12, ask)
+
+    async def ask(number, stream):
+        await stream.ask(0, ATTEMPT_EVENTS_S)
+        await stream.ask(1 + number % 2)
+
+    play(context, main, hosts=3)
+    assert any(stream.events for stream in context.streams), show(context.streams)
+
+
+@behave.when(
+    "the only server ends and starts again at {software} under its id, "
+    "and registers {late_s:g} s after it serves"
+)
+def registers_late(context, software, late_s):
+    context.versions = ("v1",)
+
+    async def main(world):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, context, world, 6, ask)
+            await trio.sleep(0.3)
+            before = world.servers.pop("s0")
+            before.crash()
+            await trio.sleep(0.1)
+            again = users_platform.Server(world, "s0", before.address, slots=8)
+            again.software, again.marks_software, again.born = software, True, 2
+            await nursery.start(again.run)
+            await trio.sleep(late_s)
+            again.register()
+            await trio.sleep(5.0)
+            nursery.cancel_scope.cancel()
+
+    async def ask(number, stream):
+        await stream.ask(number % 2)
+
+    play(context, main)
+
+
 @behave.when("servers register with a version that is no text")
 def other_types(context):
     async def main(world):
