Give no port to two programs of a soak

A host's addresses are probed free and bound later, so that two hosts of one run could be given the same port. Change: the soak remembers the ports that it has given. Ports of two soaks beside each other may still meet.

--- a/turmerictally/tests/features/soak.feature
+++ b/turmerictally/tests/features/soak.feature
@@ -56,3 +56,8 @@
   Scenario: Faults on one host never overlap
     When a host is killed while all hosts are stopped in turn
     Then each host is harmed by one fault at a time
+
+  # A host's callers once reached the health check of another host of the same run.
+  Scenario: Programs of a run are never given the same port
+    When ports are drawn one after the other from a range that is hardly larger
+    Then all of them differ
--- a/turmerictally/tests/features/steps/soak_steps.py
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -6,12 +6,13 @@
 import subprocess
 import sys
 import types
+import unittest.mock
 
 import behave
 import trio
 import trio.testing
 
-from turmerictally.tests.soak import checks, faults, schedule, server
+from turmerictally.tests.soak import checks, faults, processes, schedule, server
 from turmerictally.tests.support import users_platform
 
 HANG_GUARD_S = 180
@@ -330,3 +331,14 @@
 @behave.then("each host is harmed by one fault at a time")
 def one_at_a_time(context):
     assert context.played.played == 2, context.played
+
+
+@behave.when("ports are drawn one after the other from a range that is hardly larger")
+def draw_ports(context):
+    with unittest.mock.patch.object(processes, "PORTS", (20_000, 20_040)):
+        context.ports = [processes.free_ports(1)[0] for _ in range(20)]
+
+
+@behave.then("all of them differ")
+def differ(context):
+    assert len(set(context.ports)) == 20, context.ports
--- a/turmerictally/tests/soak/processes.py
+++ b/turmerictally/tests/soak/processes.py
@@ -23,6 +23,7 @@
 # not begun to listen then.
 STARTING_S = 3.0
 libc = ctypes.CDLL(None)
+given_ports = set()  # programs bind theirs later
 
 
 def die_with_parent():
@@ -37,7 +38,9 @@
         port = random.randrange(*PORTS)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
-            found.add(port)
+            if port not in given_ports:
+                found.add(port)
+    given_ports.update(found)
     return list(found)
 
 
