Let a soak's server count its cold time from when it serves

The check cold_servers counts 2 s from the moment at which a server says that it serves; the server counted them from its creation, which on a busy machine is over half a second sooner, and told hosts so. Hosts did as told. The check stays as it is; the server now tells what the check counts. Not measured: how often it came before.

--- a/turmerictally/tests/soak/server.py
+++ b/turmerictally/tests/soak/server.py
@@ -42,7 +42,7 @@
         super().__init__(*given, **more)
         self.arrived = {}
         self.refused = {}  # by request: the connection and the refusal
-        self.cold_until = time.monotonic() + world.COLD_S
+        self.cold_until = 0.0
 
     def remaining_ms(self):
         return max(0.0, self.cold_until - time.monotonic()) * 1000
@@ -127,6 +127,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(server.run)
             nursery.start_soon(note_stalls, name)
+            server.cold_until = time.monotonic() + world.COLD_S
             note("serving", server=name)
             if await serve_until_told(server, store):
                 server.state = "draining"
