Begin a soak's traffic once its hosts and servers serve

The balancer counted a host that had not answered yet as ready until its second miss, so that the wait for all hosts ended after one round, whether they had started or not. Change: a host is not ready before its first 200, and the soak waits for its servers as well; the time limit stays.

--- a/turmerictally/tests/soak/world.py
+++ b/turmerictally/tests/soak/world.py
@@ -26,6 +26,7 @@
 READY_S = 20.0  # for all hosts to start, on a busy machine
 STORE_TIMEOUT_S = 3.0
 BALANCER_S = 0.5
+MISSES = 2  # until a host gets no more callers
 
 
 class World:
@@ -85,9 +86,14 @@
             await self.add_host(nursery, n)
         nursery.start_soon(self.balance)
         with trio.fail_after(READY_S):
-            while not all(self.ready.values()) or len(self.ready) < self.host_count:
+            while not self.is_ready():
                 await trio.sleep(0.1)
 
+    def is_ready(self):
+        """Return whether all hosts are ready and all servers have begun to serve."""
+        serving = all(server.log.stat().st_size for server in self.servers.values())
+        return serving and sum(self.ready.values()) == self.host_count
+
     async def add_server(self, nursery, n):
         """Start a server; a new start is a new instance at the same address."""
         if n not in self.server_ways:
@@ -144,7 +150,7 @@
 
     async def balance(self):
         """Ask each host whether it is ready, as the platform's balancer does."""
-        missed = dict.fromkeys(self.health, 0)
+        missed = dict.fromkeys(self.health, MISSES)
 
         async def look(client, n, url):
             try:
@@ -152,7 +158,7 @@
             except httpx.HTTPError:
                 good = False
             missed[n] = 0 if good else missed[n] + 1
-            self.ready[n] = missed[n] < 2
+            self.ready[n] = missed[n] < MISSES
 
         async with httpclient.client(timeout=BALANCER_S) as client:
             while True:
