Soak servers of two software versions

Change: each start of a server draws its version from the seed and registers it; each event tells who wrote it. Callers take a stream that broke off up at any host, with Resumes and Last-Event-Id, and begin anew once refused. A release that is drawn apart replaces two servers in turn while callers' connections are reset, and then kills all hosts; the rest of a seed's schedule stays. Eight more callers make streams only, so that many are open then. Checks: one_version (always), taken_up (with those that have a clock). whole_answers and kept_jobs now want the name of a known version behind each event, and compare what follows Last-Event-Id; of an answer that is cut off only what comes behind its last whole event is left out, while a whole one is compared byte for byte. A read of a job that is answered with something else is a broken promise, no error of the soak.

--- a/turmerictally/tests/features/soak.feature
+++ b/turmerictally/tests/features/soak.feature
@@ -13,6 +13,9 @@
       | a stream ends as whole before its last event       | whole_answers  |
       | a stream holds another request's events            | whole_answers  |
       | a stream holds an event twice                      | whole_answers  |
+      | events come of an unknown version                  | whole_answers  |
+      | a stream that is taken up lacks its end            | whole_answers  |
+      | a stream that is taken up holds an event twice     | whole_answers  |
       | a request that may run once runs twice             | once           |
       | a refused request comes again on its connection    | distinct_answers |
       | an item runs at two servers for 0.41 s             | one_server     |
@@ -27,6 +30,10 @@
       | an accepted job lacks an item                      | kept_jobs      |
       | a job's position changes                           | kept_jobs      |
       | a job's text lacks an event                        | kept_jobs      |
+      | a job's text holds an event of an unknown version  | kept_jobs      |
+      | one answer holds events of two versions            | one_version    |
+      | a stream goes on at another version as it is taken up again | one_version |
+      | an item's text holds events of two versions        | one_version    |
       | nothing is served after the last fault             | recovered      |
       | a host ends by itself                              | exits          |
       | a server gets a request 2.1 s after it leaves      | draining       |
@@ -38,6 +45,21 @@
       | a withdrawn key is served                          | withdrawn_keys |
       | a team runs more than its quota                    | quota          |
       | a host takes too much memory                       | bounded        |
+      | twelve streams are taken up in vain                | taken_up       |
+      | twelve streams are taken up in vain after another host's fault | taken_up |
+
+  Scenario Outline: The checks on streams that are taken up find nothing else
+    Given a record of a run in which all went well
+    When in it <what happens>
+    Then no check finds anything
+
+    Examples:
+      | what happens                                                              |
+      | a stream is taken up twice at its own version                             |
+      | eleven streams are taken up in vain                                       |
+      | twelve streams are taken up in vain as one server of their version serves |
+      | twelve streams are taken up in vain as a server of their version leaves   |
+      | twelve streams are taken up in vain 2.9 s after their host's fault        |
 
   Scenario: What two servers run at once is found only where hosts could have known
     Then no check finds an item at two servers for 0.39 s, nor for 0.41 s beside faults
@@ -51,7 +73,7 @@
     Then two draws of one seed are the same and no fault begins in the last 14 s
 
   Scenario: A run with more kinds of faults plays the former ones at the same times
-    Then an evacuation comes beside the same other faults, and ends before the calm end
+    Then an evacuation and a release come beside the same other faults, and end before the calm end
 
   Scenario: Faults on one host never overlap
     When a host is killed while all hosts are stopped in turn
--- a/turmerictally/tests/features/steps/soak_steps.py
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -58,7 +58,7 @@
 
 
 def asked(name="r1", kind="repeatable", at=10.0, status=200):
-    data = [f"{name}.{number}" for number in IDS]
+    data = [f"{name}.{number} v1" for number in IDS]
     return checks.Asked(
         name, kind, at, BODY, "key-1", "host0", status, True, list(IDS), data, at, "t"
     )
@@ -71,7 +71,7 @@
 
 @behave.given("a record of a run in which all went well")
 def good_record(context):
-    text = "\n".join(f"i0.{number}" for number in IDS)
+    text = "\n".join(f"i0.{number} v1" for number in IDS)
     job = checks.Job("j", {"i0": BODY}, True, [202], whole=True)
     job.results[0] = ("i0", "succeeded", text)
     late = [asked(f"late{n}", at=CALM_AT + n) for n in range(10)]
@@ -88,7 +88,7 @@
 
 def _events(record, ids, data=None):
     record.asked[0].ids = ids
-    record.asked[0].data = data or [f"r1.{number}" for number in ids]
+    record.asked[0].data = data or [f"r1.{number} v1" for number in ids]
 
 
 def _refused(record):
@@ -119,17 +119,80 @@
         record.ends.append(end | {"at": before["at"] + 0.1 + more_s})
 
 
-def _text(record):
+def _text(record, *last):
     name, state, text = record.jobs[0].results[0]
-    record.jobs[0].results[0] = (name, state, text.rpartition("\n")[0])
+    lines = [*text.split("\n")[:-1], *last]
+    record.jobs[0].results[0] = (name, state, "\n".join(lines))
+
+
+def _joined(record, last):
+    """Let a stream be taken up twice, the second time at a version."""
+    for number, (version, after) in enumerate(((last, 20), ("v1", 10))):
+        taken = asked(f"t{number}")
+        taken.resumes, taken.after = "r1", after
+        taken.ids = list(range(after + 1, after + 11))
+        taken.data = [f"t{number}.{id_} {version}" for id_ in taken.ids]
+        taken.whole = after == 20
+        record.asked.append(taken)
+        record.runs.append(ran(taken.request))
+    _events(record, IDS[:10])
+    record.asked[0].whole = False
+
+
+def _refuse_taken_up(record, number=checks.MIN_TAKE_UPS, software=("v1", "v1", "v2")):
+    """Let streams be taken up in vain while servers of these versions serve."""
+    for n, version in enumerate(software):
+        record.serving[f"s{n}-1"], record.software[f"s{n}-1"] = 1.0, version
+    for n in range(number):
+        taken = asked(f"t{n}", status=503)
+        taken.resumes, taken.after, taken.ids, taken.data = "r1", 10, [], []
+        record.asked.append(taken)
 
 
 CASES = {
     "a stream ends as whole before its last event": lambda r: _events(r, IDS[:-1]),
     "a stream holds another request's events": lambda r: _events(
-        r, IDS, [f"r2.{number}" for number in IDS]
+        r, IDS, [f"r2.{number} v1" for number in IDS]
     ),
     "a stream holds an event twice": lambda r: _events(r, [1, *IDS]),
+    "events come of an unknown version": lambda r: _events(
+        r, IDS, [f"r1.{number} v3" for number in IDS]
+    ),
+    "a stream that is taken up lacks its end": lambda r: (
+        _joined(r, "v1"),
+        r.asked[-2].ids.pop(),
+        r.asked[-2].data.pop(),
+    ),
+    "a stream that is taken up holds an event twice": lambda r: (
+        _joined(r, "v1"),
+        r.asked[-1].ids.insert(0, 10),
+        r.asked[-1].data.insert(0, "t1.10 v1"),
+    ),
+    "one answer holds events of two versions": lambda r: _events(
+        r, IDS, [f"r1.{n} {'v2' if n > 10 else 'v1'}" for n in IDS]
+    ),
+    "a stream goes on at another version as it is taken up again": lambda r: _joined(
+        r, "v2"
+    ),
+    "an item's text holds events of two versions": lambda r: _text(r, "i0.30 v2"),
+    "a job's text holds an event of an unknown version": lambda r: _text(r, "i0.30 v3"),
+    "twelve streams are taken up in vain": _refuse_taken_up,
+    "twelve streams are taken up in vain after another host's fault": lambda r: (
+        _refuse_taken_up(r),
+        r.touched.append(("host1", 8.0, 9.5)),
+    ),
+    "a stream is taken up twice at its own version": lambda r: _joined(r, "v1"),
+    "eleven streams are taken up in vain": lambda r: _refuse_taken_up(r, 11),
+    "twelve streams are taken up in vain as one server of their version serves": (
+        lambda r: _refuse_taken_up(r, software=("v1", "v2", "v2"))
+    ),
+    "twelve streams are taken up in vain as a server of their version leaves": (
+        lambda r: (_refuse_taken_up(r), r.drains.update({"s1-1": 9.9}))
+    ),
+    "twelve streams are taken up in vain 2.9 s after their host's fault": lambda r: (
+        _refuse_taken_up(r),
+        r.touched.append(("host0", 6.0, 7.1)),
+    ),
     "a request that may run once runs twice": lambda r: (
         setattr(r.asked[0], "kind", "once"),
         r.runs.append(ran()),
@@ -201,6 +264,11 @@
     assert {line.partition(":")[0] for line in broken} >= {name}, broken
 
 
+@behave.then("no check finds anything")
+def finds_nothing(context):
+    assert checks.find_broken(context.record) == []
+
+
 @behave.then(
     "no check finds an item at two servers for 0.39 s, nor for 0.41 s beside faults"
 )
@@ -273,18 +341,20 @@
 
 
 @behave.then(
-    "an evacuation comes beside the same other faults, and ends before the calm end"
+    "an evacuation and a release come beside the same other faults, and end before the "
+    "calm end"
 )
 def beside(context):
     for seed in range(20):
         plan = schedule.draw(seed, 40.0)
-        # Another evacuation, or none, moves no other fault.
+        # Another evacuation or release, or none, moves no other fault.
         without = schedule.draw(seed, 20.0)
         early = [fault for fault in plan if fault.at < 4.0]
-        rest = [fault for fault in early if fault.kind != schedule.EVACUATE]
+        rest = [fault for fault in early if fault.kind not in schedule.APART]
         assert rest == [fault for fault in without if fault.at < 4.0]
-        (found,) = [fault for fault in plan if fault.kind == schedule.EVACUATE]
-        assert found.at + found.for_s <= 40.0 - schedule.CALM_S, found
+        for kind in schedule.APART:
+            (found,) = [fault for fault in plan if fault.kind == kind]
+            assert found.at + found.for_s <= 40.0 - schedule.CALM_S, found
 
 
 class Noting(faults.Injector):
--- a/turmerictally/tests/soak/__main__.py
+++ b/turmerictally/tests/soak/__main__.py
@@ -17,6 +17,7 @@
 HEAL_S = 6.0  # after the last fault until service must be back
 USAGE_S = 1.0
 COUNTERS = 8
+STREAMS = 8  # callers who make requests that can be taken up only
 
 
 async def play(seed, seconds, hosts, servers, folder, kinds):
@@ -24,7 +25,7 @@
     record = checks.Record(quota=(world.HOT_RATE, world.HOT_BURST))
     planned = schedule.draw(seed, seconds, kinds)
     plan = [attrs.asdict(fault) for fault in planned]
-    played = world.World(folder, hosts, servers)
+    played = world.World(folder, hosts, servers, seed)
     (played.folder / "schedule.json").write_text(json.dumps(plan, indent=1))
     try:
         async with trio.open_nursery() as outer:
@@ -36,7 +37,9 @@
                 for fault in planned:
                     nursery.start_soon(_at, begun + fault.at, injector, fault)
                 for _ in range(COUNTERS):
-                    nursery.start_soon(made.counter)
+                    nursery.start_soon(made.counter, callers.COUNTED)
+                for _ in range(STREAMS):
+                    nursery.start_soon(made.counter, ("repeatable",))
                 nursery.start_soon(made.hot, nursery)
                 nursery.start_soon(made.batches, nursery)
                 nursery.start_soon(_watch, played, record, begun + seconds)
@@ -87,6 +90,7 @@
                 record.stalls.append((found["server"], found["since"], found["at"]))
             elif found["event"] == "serving":
                 record.serving[found["server"]] = found["at"]
+                record.software[found["server"]] = found["software"]
             elif found["event"] == "leaving":
                 record.drains[found["server"]] = found["at"]
     record.runs.sort(key=lambda run: run["at"])
@@ -97,6 +101,7 @@
     shutil.rmtree(folder, ignore_errors=True)
     record = trio.run(play, seed, seconds, hosts, servers, folder, kinds)
     broken = checks.find_broken(record, timed)
+    resumed = [a for a in record.asked if a.resumes]
     counts = {
         "seed": seed,
         "asked": len(record.asked),
@@ -106,6 +111,12 @@
         "again": len(record.again),
         "copies": sum(each["copied"] for each in record.again),
         "faults": len(record.touched),
+        "taken_up": len(resumed),
+        "after_kill": sum(checks.follows_kill(record, a) for a in resumed),
+        "unanswered": sum(a.status == 0 for a in resumed),
+        "went_on": sum(a.went_on for a in resumed),
+        "refused": sum(a.status in checks.NOT_RUN for a in resumed),
+        "joined": len(list(checks.one_version(record))),
         "broken": len(broken),
     }
     print(json.dumps(counts), flush=True)
--- a/turmerictally/tests/soak/callers.py
+++ b/turmerictally/tests/soak/callers.py
@@ -12,11 +12,13 @@
 from turmerictally.tests.support import users_platform
 
 DEADLINE_S = 5.0
+TAKE_UP_PAUSE_S = 0.2  # between a caller's tries of a stream
 GIVE_UP_S = 6.5  # after which a caller takes the answer for lost
 SUBMIT_S = 12.0  # for which a batch job is submitted again
 READ_S = 18.0  # after the traffic, until all results must be listed
 PREFIXES = {"repeatable": "/ask/", "once": "/once/", "hot": "/ask/"}
 HOT_FACTOR = 5.0  # times its quota
+COUNTED = ("repeatable", "repeatable", "once")
 REPEATS_WITHDRAWN = 0.1  # of the requests use a withdrawn key
 
 
@@ -35,7 +37,7 @@
         found.address = self.world.caller_ways[host].address
         return found
 
-    async def counter(self):
+    async def counter(self, kinds):
         """Make requests one after another, on kept and on new connections."""
         caller, host = None, 0
         while time.monotonic() < self.ends:
@@ -44,9 +46,11 @@
                     caller.close()
                 host = self.world.pick_host(self.rng)
                 caller = self.caller(host, "")
-            kind = self.rng.choice(("repeatable", "repeatable", "once"))
+            kind = self.rng.choice(kinds)
             caller.key = self.key()
-            await self.ask(caller, host, kind, "counter")
+            asked = await self.ask(caller, host, kind, "counter")
+            if kind == "repeatable":
+                await self.follow(asked)
             await trio.sleep(self.rng.expovariate(5.0))
 
     def key(self):
@@ -64,8 +68,37 @@
             nursery.start_soon(self.ask, caller, host, "hot", "hot")
             await trio.sleep(1 / (HOT_FACTOR * world.HOT_RATE))
 
-    async def ask(self, caller, host, kind, team):
+    async def follow(self, asked):
+        """Take up a stream that breaks off, at any host; begin anew if refused."""
+        until = asked.at + DEADLINE_S
+        begun, after = asked, len(asked.ids)
+        while 0 < after < users_platform.EVENTS and not asked.final:
+            await trio.sleep(TAKE_UP_PAUSE_S)
+            left_ms = int(1000 * (until - time.monotonic()))
+            if left_ms <= 0:
+                return
+            host = self.world.pick_host(self.rng)
+            caller = self.caller(host, begun.key)
+            if asked.status in checks.NOT_RUN:
+                asked = await self.ask(caller, host, begun.kind, begun.team)
+                begun, after = asked, 0
+            else:
+                named = {
+                    "Resumes": begun.request,
+                    "Last-Event-Id": str(after),
+                    "X-Deadline-Ms": str(left_ms),
+                }
+                asked = await self.ask(
+                    caller, host, begun.kind, begun.team, begun, after, **named
+                )
+            after += len(asked.ids)
+            caller.close()
+
+    async def ask(self, caller, host, kind, team, begun=None, after=0, **named):
+        """Make a request, perhaps to take up the stream that another one began."""
         body = b'{"n": %d}' % self.rng.randrange(1_000_000)
+        if begun is not None:
+            body = base64.b64decode(begun.body)
         asked = checks.Asked(
             request=self.world.new_id(),
             kind=kind,
@@ -74,13 +107,18 @@
             key=caller.key,
             host=f"host{host}",
             team=team,
+            resumes=begun.request if begun is not None else "",
+            after=after,
         )
         self.record.asked.append(asked)
         reply = None
         with trio.move_on_after(GIVE_UP_S):
             try:
                 reply = await caller.ask(
-                    PREFIXES[kind] + "x", body=body, request_id=asked.request
+                    PREFIXES[kind] + "x",
+                    body=body,
+                    request_id=asked.request,
+                    **named,
                 )
             except OSError:
                 # No connection: the host is down just now.
@@ -91,13 +129,14 @@
         if reply is not None:
             asked.status, asked.whole = reply.status, reply.whole
             if reply.status == 200:
+                if not reply.whole:
+                    # What comes of an event that is cut off does not count.
+                    events, ended, _ = reply.body.rpartition(b"\n\n")
+                    reply.body = events + ended
                 asked.ids = reply.ids
                 lines = reply.body.decode().splitlines()
-                # What comes of an event that is cut off does not count.
-                data = [line[6:] for line in lines if line.startswith("data: ")]
-                asked.data = data[: len(asked.ids)]
-                if len(data) < len(asked.ids):
-                    asked.ids = asked.ids[: len(data)]
+                asked.data = [line[6:] for line in lines if line.startswith("data: ")]
+        return asked
 
     async def batches(self, nursery):
         """Submit batch jobs and let each have its reader."""
@@ -166,6 +205,9 @@
             job.changed.append(f"host{host} answered {reply.status}")
             return after
         page = reply.json()
+        if "total" not in page:
+            job.changed.append(f"host{host} answered {reply.body[:200]!r}")
+            return after
         if page["total"] != len(job.items):
             job.changed.append(f"host{host} said {page['total']} items")
         for position, result in enumerate(page["results"], after):
--- a/turmerictally/tests/soak/checks.py
+++ b/turmerictally/tests/soak/checks.py
@@ -15,6 +15,9 @@
 # Within this time of a withdrawn key's acknowledgement it stops working.
 APPLY_S = 2.0
 TOUCH_S = 3.0  # without a fault before a bound in time counts
+MIN_TAKE_UPS = 12
+MIN_SERVERS = 2  # of a stream's version, so that it may go on
+NOT_RUN = (408, 421, 429, 503)
 QUOTA_WINDOW_S = 5.0
 QUOTA_OVERSHOOT = 0.1
 QUOTA_SLACK = 20
@@ -27,7 +30,11 @@
 
 @attrs.define
 class Asked:
-    """Hold one request of a caller and its answer."""
+    """Hold one request of a caller and its answer.
+
+    ``resumes`` is the request that brought the first event of a stream that is taken
+    up, and ``after`` the last event that its caller has.
+    """
 
     request: str
     kind: str
@@ -41,6 +48,18 @@
     data: list = attrs.Factory(list)
     ended: float = 0.0
     team: str = ""
+    resumes: str = ""
+    after: int = 0
+
+    @property
+    def went_on(self):
+        return self.status == 200 and bool(self.ids)
+
+    @property
+    def final(self):
+        """Return whether a caller makes no other try after this answer."""
+        proper = self.status not in NOT_RUN and 400 <= self.status < 500
+        return proper or (self.status == 200 and self.whole)
 
 
 @attrs.define
@@ -71,6 +90,8 @@
     withdrawn: dict = attrs.Factory(dict)
     evacuations: list = attrs.Factory(list)  # domain, acknowledged, asked to end
     serving: dict = attrs.Factory(dict)  # when each server began to
+    software: dict = attrs.Factory(dict)  # each server's version
+    kills: list = attrs.Factory(list)  # of all hosts
     touched: list = attrs.Factory(list)
     exits: list = attrs.Factory(list)
     usage: list = attrs.Factory(list)
@@ -82,10 +103,10 @@
     """Return the broken promises, a line each; ``timed`` adds those with a clock."""
     found = []
     checks = [whole_answers, once, not_run, unasked, kept_jobs, recovered, exits]
-    checks += [distinct_answers]
+    checks += [distinct_answers, one_version]
     if timed:
         checks += [draining, evacuated, cold_servers, withdrawn_keys, quota, bounded]
-        checks += [one_server]
+        checks += [one_server, taken_up]
     for check in checks:
         found += [f"{check.__name__}: {line}" for line in check(record)]
     return found
@@ -93,11 +114,12 @@
 
 def whole_answers(record):
     """A success is the whole answer to its own request, in order."""
-    expected = list(range(1, users_platform.EVENTS + 1))
     for asked in record.asked:
+        expected = list(range(asked.after + 1, users_platform.EVENTS + 1))
         if asked.status != 200:
             continue
-        wanted = [f"{asked.request}.{number}" for number in asked.ids]
+        pairs = itertools.zip_longest(asked.ids, asked.data, fillvalue="")
+        wanted = [f"{asked.request}.{id_} {_version(text)}" for id_, text in pairs]
         if asked.data != wanted:
             yield f"{asked.request} got another request's events: {asked.data[:3]}"
         if asked.ids != expected[: len(asked.ids)]:
@@ -165,10 +187,10 @@
     """A request that was refused as not run did not run and never does."""
     ran = {run["request"] for run in record.runs}
     for asked in record.asked:
-        if asked.status in (408, 421, 429, 503) and asked.request in ran:
+        if asked.status in NOT_RUN and asked.request in ran:
             yield f"{asked.request} was answered {asked.status} and ran"
     for job in record.jobs:
-        refused = set(job.statuses) <= {408, 421, 429, 503} and job.statuses
+        refused = set(job.statuses) <= set(NOT_RUN) and job.statuses
         for item in job.items:
             if refused and item in ran:
                 yield f"item {item} of refused job {job.job} ran"
@@ -204,11 +226,52 @@
         if not job.whole or missing:
             yield f"job {job.job} lacks {len(missing)} of {len(job.items)} items"
         for item, state, text in job.results.values():
-            wanted = [f"{item}.{n}" for n in range(1, users_platform.EVENTS + 1)]
-            if state != "succeeded" or text.split("\n") != wanted:
+            lines = text.split("\n")
+            wanted = [f"{item}.{n} {_version(line)}" for n, line in enumerate(lines, 1)]
+            whole = len(lines) == users_platform.EVENTS and lines == wanted
+            if state != "succeeded" or not whole:
                 yield f"item {item} of job {job.job} is {state}: {text[:40]!r}"
 
 
+def one_version(record):
+    """What two versions wrote is never joined, also over several requests."""
+    versions = collections.defaultdict(set)
+    for asked in record.asked:
+        if asked.status == 200:
+            versions[asked.resumes or asked.request] |= set(map(_version, asked.data))
+    for job in record.jobs:
+        for item, _, text in job.results.values():
+            versions[item] |= set(map(_version, text.split("\n")))
+    for name, found in versions.items():
+        if len(found) > 1:
+            yield f"{name} holds events of {' and '.join(sorted(found))}"
+
+
+def taken_up(record):
+    """Streams are taken up at half the rate at which new ones begin, or better."""
+    firsts = {asked.request: asked for asked in record.asked}
+    began, went_on = [], []
+    for asked in record.asked:
+        start, near = asked.at - TOUCH_S, ("store", asked.host)
+        harmed = _touched(record.touched, start, asked.at, near)
+        if harmed or asked.kind != "repeatable" or asked.key in record.withdrawn:
+            continue
+        if not asked.resumes:
+            began.append(asked.went_on)
+        elif _serving(record, firsts[asked.resumes], asked.at) >= MIN_SERVERS:
+            went_on.append(asked.went_on)
+    if len(went_on) < MIN_TAKE_UPS:
+        return
+    if sum(went_on) / len(went_on) < sum(began) / max(1, len(began)) / 2:
+        share = f"{sum(went_on)} of {len(went_on)}"
+        yield f"{share} streams went on, {sum(began)} of {len(began)} began"
+
+
+def follows_kill(record, asked):
+    """Return whether a stream was taken up soon after a kill of all hosts."""
+    return any(at <= asked.at < at + TOUCH_S for at in record.kills)
+
+
 def recovered(record):
     """After the last fault requests are served again."""
     late = [a for a in record.asked if a.at > record.calm_from and a.kind != "hot"]
@@ -326,6 +389,32 @@
             yield f"{usage['host']} logged {usage['log_bytes_per_s']} bytes a second"
 
 
+def _version(line):
+    """Return the version that wrote an event, empty if none did."""
+    version = line.rpartition(" ")[2]
+    return version if version in world.VERSIONS else ""
+
+
+def _serving(record, begun, at):
+    """Return how many calm servers of the version that began a stream serve."""
+    newest = {}
+    for server, since in sorted(record.serving.items(), key=lambda item: item[1]):
+        if since <= at:
+            newest[server.partition("-")[0]] = server
+    count = 0
+    for number, server in newest.items():
+        way = f"server{number[1:]}"
+        left = record.drains.get(server, at) < at
+        evacuated = any(
+            domain == _domain(server) and since <= at < over + TOUCH_S
+            for domain, since, over in record.evacuations
+        )
+        harmed = _touched(record.touched, at - TOUCH_S, at, (way,))
+        same = record.software[server] == _version(begun.data[0])
+        count += same and not (left or evacuated or harmed)
+    return count
+
+
 def _touched(touched, start, end, targets):
     """Return whether a fault on one of the targets fell into a time."""
     return any(
--- a/turmerictally/tests/soak/faults.py
+++ b/turmerictally/tests/soak/faults.py
@@ -6,13 +6,16 @@
 import attrs
 import trio
 
-from turmerictally.tests.soak import processes
+from turmerictally.tests.soak import processes, schedule
 
 RESTART_S = 0.3  # until a program that ended is started again
 SLOW_LINK_S = 0.15
 SLOW_STORE_S = 0.25
 LOSE_ANSWERS = 0.3
 IN_TURN = 2  # hosts that are stopped one after the other, each for several seconds
+RELEASED = 2  # servers that are replaced in a release
+RELEASE_STEPS = 4
+RELEASE_GAP_S = 0.4
 
 
 @attrs.define(eq=False)
@@ -58,8 +61,8 @@
             return {f"way{n}"}, n
         if group == "configuration":
             return {"operator"}, fault.pick
-        if group == "domain":
-            return {"domain"}, fault.pick
+        if group in ("domain", "release"):
+            return {group}, fault.pick
         return {group}, None
 
     # Hosts.
@@ -91,6 +94,7 @@
         self.world.hosts[n].signal(signal.SIGHUP)
 
     async def hosts_kill_all(self, _, for_s):
+        self.record.kills.append(time.monotonic())
         async with trio.open_nursery() as nursery:
             for program in self.world.hosts.values():
                 nursery.start_soon(program.kill)
@@ -174,6 +178,25 @@
         await program.kill()
         await self.world.add_server(self.nursery, n)
 
+    async def release_servers(self, pick, for_s):
+        """Replace servers in turn, reset all callers meanwhile, and kill all hosts."""
+        hosts, servers = len(self.world.hosts), len(self.world.servers)
+        kill = schedule.Fault(0.0, "hosts_kill_all", for_s, pick)
+        async with trio.open_nursery() as nursery:
+            for step in range(RELEASE_STEPS):
+                if step < RELEASED:
+                    which = (pick + step / servers) % 1
+                    fault = schedule.Fault(0.0, "server_term", for_s, which)
+                    nursery.start_soon(self.run, fault)
+                await trio.sleep(RELEASE_GAP_S)
+                for n in range(hosts):
+                    which = (n + 0.5) / hosts
+                    await self.run(schedule.Fault(0.0, "callers_reset", 0.0, which))
+            with trio.move_on_after(for_s):
+                while self.busy & self._targets(kill)[0]:
+                    await trio.sleep(processes.POLL_S)
+            await self.run(kill)
+
     async def server_silent(self, n, for_s):
         await self._harm(self.world.server_ways[n], for_s, silent="down")
 
--- a/turmerictally/tests/soak/schedule.py
+++ b/turmerictally/tests/soak/schedule.py
@@ -36,6 +36,9 @@
 # Drawn apart, once in a run, so that the rest of a seed's schedule stays as it was.
 EVACUATE = "domain_evacuate"
 EVACUATED_S = 7.0  # longer than hosts have until nothing more may come
+RELEASE = "release_servers"
+RELEASE_S = 6.0
+APART = {EVACUATE: ("evacuation", EVACUATED_S), RELEASE: ("release", RELEASE_S)}
 FIRST_S = 2.0  # of traffic before the first fault
 CALM_S = 14.0  # at the end, so that service must be back
 SERIES = 3  # faults that come together, at most
@@ -55,7 +58,7 @@
     """Return a run's faults in order of time."""
     rng = random.Random(seed)
     found = []
-    drawn = [kind for kind in kinds if kind != EVACUATE]
+    drawn = [kind for kind in kinds if kind not in APART]
     now = FIRST_S
     while now < seconds - CALM_S:
         for _ in range(rng.randint(1, SERIES) if drawn else 0):
@@ -64,15 +67,17 @@
             found.append(Fault(at, kind, rng.uniform(0.3, 3.0), rng.random()))
         # Now and then a pause, in which bounds in time count.
         now += rng.choice((rng.uniform(0.5, 3.0), rng.uniform(5.0, 8.0)))
-    if kinds == KINDS or EVACUATE in kinds:
-        found += _evacuations(seed, seconds)
+    for kind in APART:
+        if kinds == KINDS or kind in kinds:
+            found += _draw_apart(kind, seed, seconds)
     return sorted(found, key=lambda fault: fault.at)
 
 
-def _evacuations(seed: int, seconds: float) -> list[Fault]:
-    latest = seconds - CALM_S - EVACUATED_S
+def _draw_apart(kind: str, seed: int, seconds: float) -> list[Fault]:
+    name, for_s = APART[kind]
+    latest = seconds - CALM_S - for_s
     if latest <= FIRST_S:
         return []
-    rng = random.Random(f"evacuation {seed}")
+    rng = random.Random(f"{name} {seed}")
     at = rng.uniform(FIRST_S, latest)
-    return [Fault(at, EVACUATE, EVACUATED_S, rng.random())]
+    return [Fault(at, kind, for_s, rng.random())]
--- a/turmerictally/tests/soak/server.py
+++ b/turmerictally/tests/soak/server.py
@@ -117,18 +117,19 @@
         return False
 
 
-async def main(name, domain, address, known_as, store_url):
+async def main(name, domain, address, known_as, store_url, software):
     quiet = types.SimpleNamespace(runs=[], slowness={}, store=None)
     quiet.fabric = types.SimpleNamespace(host=lambda ip: network.SocketNetwork())
     server = Server(quiet, name, address, domain)
     server.known_as = known_as
+    server.software, server.marks_software = software, True
     server.born = int(time.time() * 1000)
     async with httpclient.client(base_url=store_url, timeout=1.0) as store:
         async with trio.open_nursery() as nursery:
             await nursery.start(server.run)
             nursery.start_soon(note_stalls, name)
             server.cold_until = time.monotonic() + world.COLD_S
-            note("serving", server=name)
+            note("serving", server=name, software=software)
             if await serve_until_told(server, store):
                 server.state = "draining"
                 await leave(server, lambda: change_state(server, store))
@@ -182,6 +183,7 @@
         "slots": server.slots,
         "state": server.state,
         "born": server.born,
+        "version": server.software,
         "coldRemainingMs": server.remaining_ms(),
     }
     row = {"table": "servers", "part": "", "key": server.name}
--- a/turmerictally/tests/soak/world.py
+++ b/turmerictally/tests/soak/world.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import pathlib
+import random
 import time
 import types
 
@@ -21,6 +22,7 @@
 HOT_RATE = 10.0
 HOT_BURST = 10.0
 HOT_KEY = "key-of-the-hot-team"
+VERSIONS = ("v1", "v2")  # of the servers' software
 COLD_S = 2.0  # after a server's start
 COLD_PER_S = 4.0
 READY_S = 20.0  # for all hosts to start, on a busy machine
@@ -32,7 +34,7 @@
 class World:
     """Hold a deployment of real processes on loopback."""
 
-    def __init__(self, folder, hosts, servers):
+    def __init__(self, folder, hosts, servers, seed):
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
         self.host_count, self.server_count = hosts, servers
@@ -45,6 +47,9 @@
         self.health = {}
         self.ready = {}
         self.starts = 0
+        self.rng = random.Random(f"versions {seed}")
+        # Some runs begin with one version.
+        self.versions = VERSIONS[: self.rng.randint(1, len(VERSIONS))]
         self.keys = [f"key-{n}" for n in range(KEYS)]
         self.withdrawn = {}
         self.quota = HOT_RATE
@@ -82,6 +87,7 @@
                 await trio.sleep(0.1)
         for n in range(self.server_count):
             await self.add_server(nursery, n)
+        self.versions = VERSIONS
         for n in range(self.host_count):
             await self.add_host(nursery, n)
         nursery.start_soon(self.balance)
@@ -95,7 +101,7 @@
         return serving and sum(self.ready.values()) == self.host_count
 
     async def add_server(self, nursery, n):
-        """Start a server; a new start is a new instance at the same address."""
+        """Start a server; a new start is a new instance, maybe of another version."""
         if n not in self.server_ways:
             (port,) = processes.free_ports(1)
             self.server_ways[n] = proxy.Proxy(f"{HOST}:{port}")
@@ -113,6 +119,7 @@
                 way.target,
                 way.address,
                 f"http://{self.store_address}",
+                self.rng.choice(self.versions),
             ],
             self.folder,
         )
