Count no taken up stream that the soak itself breaks off before its first event

Change: a request without an event or a refusal does not count if its host or its caller's way is harmed within 1 s of it, neither among streams taken up nor among new ones; refusals, and requests that had no event for longer, count as before. The release resets connections every 1.2 s, so that streams are taken up in between.

--- a/turmerictally/tests/features/soak.feature
+++ b/turmerictally/tests/features/soak.feature
@@ -47,6 +47,9 @@
       | a host takes too much memory                       | bounded        |
       | twelve streams are taken up in vain                | taken_up       |
       | twelve streams are taken up in vain after another host's fault | taken_up |
+      | twelve streams are taken up without an answer      | taken_up       |
+      | twelve streams without an answer are reset 1.1 s later | taken_up   |
+      | twelve streams are refused whose connections are reset later | taken_up |
 
   Scenario Outline: The checks on streams that are taken up find nothing else
     Given a record of a run in which all went well
@@ -60,6 +63,7 @@
       | twelve streams are taken up in vain as one server of their version serves |
       | twelve streams are taken up in vain as a server of their version leaves   |
       | twelve streams are taken up in vain 2.9 s after their host's fault        |
+      | twelve streams without an answer are reset 0.9 s later                    |
 
   Scenario: What two servers run at once is found only where hosts could have known
     Then no check finds an item at two servers for 0.39 s, nor for 0.41 s beside faults
--- a/turmerictally/tests/features/steps/soak_steps.py
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -139,12 +139,15 @@
     record.asked[0].whole = False
 
 
-def _refuse_taken_up(record, number=checks.MIN_TAKE_UPS, software=("v1", "v1", "v2")):
+def _refuse_taken_up(
+    record, number=checks.MIN_TAKE_UPS, software=("v1", "v1", "v2"), status=503
+):
     """Let streams be taken up in vain while servers of these versions serve."""
     for n, version in enumerate(software):
         record.serving[f"s{n}-1"], record.software[f"s{n}-1"] = 1.0, version
     for n in range(number):
-        taken = asked(f"t{n}", status=503)
+        taken = asked(f"t{n}", status=status)
+        taken.ended = 11.5
         taken.resumes, taken.after, taken.ids, taken.data = "r1", 10, [], []
         record.asked.append(taken)
 
@@ -181,6 +184,21 @@
         _refuse_taken_up(r),
         r.touched.append(("host1", 8.0, 9.5)),
     ),
+    "twelve streams are taken up without an answer": lambda r: _refuse_taken_up(
+        r, status=0
+    ),
+    "twelve streams without an answer are reset 1.1 s later": lambda r: (
+        _refuse_taken_up(r, status=0),
+        r.touched.append(("way0", 11.1, 11.1)),
+    ),
+    "twelve streams without an answer are reset 0.9 s later": lambda r: (
+        _refuse_taken_up(r, status=0),
+        r.touched.append(("way0", 10.9, 11.0)),
+    ),
+    "twelve streams are refused whose connections are reset later": lambda r: (
+        _refuse_taken_up(r),
+        r.touched.append(("way0", 10.9, 11.0)),
+    ),
     "a stream is taken up twice at its own version": lambda r: _joined(r, "v1"),
     "eleven streams are taken up in vain": lambda r: _refuse_taken_up(r, 11),
     "twelve streams are taken up in vain as one server of their version serves": (
--- a/turmerictally/tests/soak/checks.py
+++ b/turmerictally/tests/soak/checks.py
@@ -16,6 +16,7 @@
 APPLY_S = 2.0
 TOUCH_S = 3.0  # without a fault before a bound in time counts
 MIN_TAKE_UPS = 12
+FIRST_EVENT_S = 1.0  # in which a fault may break a request off before its first event
 MIN_SERVERS = 2  # of a stream's version, so that it may go on
 NOT_RUN = (408, 421, 429, 503)
 QUOTA_WINDOW_S = 5.0
@@ -252,9 +253,9 @@
     firsts = {asked.request: asked for asked in record.asked}
     began, went_on = [], []
     for asked in record.asked:
-        start, near = asked.at - TOUCH_S, ("store", asked.host)
-        harmed = _touched(record.touched, start, asked.at, near)
-        if harmed or asked.kind != "repeatable" or asked.key in record.withdrawn:
+        if asked.kind != "repeatable" or asked.key in record.withdrawn:
+            continue
+        if _harmed(record, asked):
             continue
         if not asked.resumes:
             began.append(asked.went_on)
@@ -267,6 +268,18 @@
         yield f"{share} streams went on, {sum(began)} of {len(began)} began"
 
 
+def _harmed(record, asked):
+    """Return whether a request's host was not calm, or a fault broke it off soon."""
+    near, at = ("store", asked.host), asked.at
+    if _touched(record.touched, at - TOUCH_S, at, near):
+        return True
+    if asked.ids or asked.status not in (0, 200):
+        return False
+    over = min(asked.ended, at + FIRST_EVENT_S)
+    way = asked.host.replace("host", "way")
+    return _touched(record.touched, at, over, (asked.host, way))
+
+
 def follows_kill(record, asked):
     """Return whether a stream was taken up soon after a kill of all hosts."""
     return any(at <= asked.at < at + TOUCH_S for at in record.kills)
--- a/turmerictally/tests/soak/faults.py
+++ b/turmerictally/tests/soak/faults.py
@@ -14,8 +14,8 @@
 LOSE_ANSWERS = 0.3
 IN_TURN = 2  # hosts that are stopped one after the other, each for several seconds
 RELEASED = 2  # servers that are replaced in a release
-RELEASE_STEPS = 4
-RELEASE_GAP_S = 0.4
+RELEASE_STEPS = 3
+RELEASE_GAP_S = 1.2  # enough for streams to be taken up before the next reset
 
 
 @attrs.define(eq=False)
