Reset callers before a soak's release too, and print how many streams count

The check taken_up wants 12 streams that are taken up at calm hosts while two servers of their version serve; while servers leave few are left of them. The release now resets callers' connections twice before it. A run's line says how many streams counted.

--- a/turmerictally/tests/soak/__main__.py
+++ b/turmerictally/tests/soak/__main__.py
@@ -116,6 +116,7 @@
         "unanswered": sum(a.status == 0 for a in resumed),
         "went_on": sum(a.went_on for a in resumed),
         "refused": sum(a.status in checks.NOT_RUN for a in resumed),
+        "counted": len(checks.count_taken_up(record)[0]),
         "joined": len(list(checks.one_version(record))),
         "broken": len(broken),
     }
--- a/turmerictally/tests/soak/checks.py
+++ b/turmerictally/tests/soak/checks.py
@@ -250,6 +250,16 @@
 
 def taken_up(record):
     """Streams are taken up at half the rate at which new ones begin, or better."""
+    went_on, began = count_taken_up(record)
+    if len(went_on) < MIN_TAKE_UPS:
+        return
+    if sum(went_on) / len(went_on) < sum(began) / max(1, len(began)) / 2:
+        share = f"{sum(went_on)} of {len(went_on)}"
+        yield f"{share} streams went on, {sum(began)} of {len(began)} began"
+
+
+def count_taken_up(record):
+    """Return of each stream that is taken up, and each new one, whether it went on."""
     firsts = {asked.request: asked for asked in record.asked}
     began, went_on = [], []
     for asked in record.asked:
@@ -261,11 +271,7 @@
             began.append(asked.went_on)
         elif _serving(record, firsts[asked.resumes], asked.at) >= MIN_SERVERS:
             went_on.append(asked.went_on)
-    if len(went_on) < MIN_TAKE_UPS:
-        return
-    if sum(went_on) / len(went_on) < sum(began) / max(1, len(began)) / 2:
-        share = f"{sum(went_on)} of {len(went_on)}"
-        yield f"{share} streams went on, {sum(began)} of {len(began)} began"
+    return went_on, began
 
 
 def _harmed(record, asked):
--- a/turmerictally/tests/soak/faults.py
+++ b/turmerictally/tests/soak/faults.py
@@ -14,7 +14,7 @@
 LOSE_ANSWERS = 0.3
 IN_TURN = 2  # hosts that are stopped one after the other, each for several seconds
 RELEASED = 2  # servers that are replaced in a release
-RELEASE_STEPS = 3
+RELEASE_STEPS = 4
 RELEASE_GAP_S = 1.2  # enough for streams to be taken up before the next reset
 
 
@@ -179,12 +179,12 @@
         await self.world.add_server(self.nursery, n)
 
     async def release_servers(self, pick, for_s):
-        """Replace servers in turn, reset all callers meanwhile, and kill all hosts."""
+        """Reset callers, then replace servers in turn as well, and kill all hosts."""
         hosts, servers = len(self.world.hosts), len(self.world.servers)
         kill = schedule.Fault(0.0, "hosts_kill_all", for_s, pick)
         async with trio.open_nursery() as nursery:
             for step in range(RELEASE_STEPS):
-                if step < RELEASED:
+                if step >= RELEASE_STEPS - RELEASED:
                     which = (pick + step / servers) % 1
                     fault = schedule.Fault(0.0, "server_term", for_s, which)
                     nursery.start_soon(self.run, fault)
