Send requests without an id on connections of their own

Kin of the copied refusals, found in review: without an id on both sides the copy of an earlier refusal was taken for the answer to the next request on a kept connection; callers saw 503 for requests that ran, and what followed. Change: such a request always gets a new connection, whose first answer can't be a copy.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -571,6 +571,9 @@
     ) -> AttemptResult:
         try:
             max_idle_s = None if pending.route.repeatable else pool.SAFE_IDLE_S
+            if not pending.request.request_id:
+                # Nothing tells its response from a copy of an earlier one.
+                max_idle_s = pool.NEW_CONNECTION
             connection = await self.pool.acquire(
                 server.address, max_idle_s, pending.request.request_id
             )
--- a/turmerictally/entry/pool.py
+++ b/turmerictally/entry/pool.py
@@ -21,6 +21,7 @@
 # Servers may drop idle connections without notice. A request that may run only once
 # uses only a connection released this recently, as it couldn't be sent again.
 SAFE_IDLE_S = 1.0
+NEW_CONNECTION = -1.0  # in place of an idle time
 KEEP_ALIVE_MARGIN_S = (
     0.7  # an idle connection is closed this long before the server's end
 )
@@ -281,8 +282,8 @@
         """Return a connection that was idle for at most ``max_idle_s``, or a new one.
 
         A connection that has carried ``request_id`` is passed over: a copy of the
-        earlier response could not be told from the response to come. Raises
-        ``ConnectError``.
+        earlier response could not be told from the response to come. A negative
+        ``max_idle_s`` always opens a new one. Raises ``ConnectError``.
         """
         since = -math.inf
         if max_idle_s is not None:
--- a/turmerictally/tests/features/entry_broken_answers.feature
+++ b/turmerictally/tests/features/entry_broken_answers.feature
@@ -23,6 +23,12 @@
       | requests whose caller repeats their id                     |
       | requests that may run once, as the paths of a host are lost |
 
+  # Guards against a copied refusal that is taken for the answer to the next request, as neither
+  # has an id.
+  Scenario: Requests without an id are sent on connections of their own
+    When requests without an id are refused, and servers then copy the refusals
+    Then each request that ran was answered by its own response
+
   # Guards against an error's text in a stream, or a stream that ends early as whole.
   Scenario Outline: A stream that broke off goes on with events or breaks off
     When a stream breaks off and the next server answers <with>
--- a/turmerictally/tests/features/steps/entry_broken_answers_steps.py
+++ b/turmerictally/tests/features/steps/entry_broken_answers_steps.py
@@ -140,6 +140,17 @@
     context.runs_once = [name for name, _ in context.replies]
 
 
+async def omit_ids(context, world):
+    """Send requests without an id, of which every second one is refused."""
+    copying_servers(world)
+    caller = users_platform.Caller(world)
+    for number in range(2 * CALLERS):
+        for server in world.servers.values():
+            server.refuses_next = not number % 2
+        reply = await caller.ask("/once/1", **SHORT, **{"X-Request-Id": ""})
+        context.served += reply.status == 200
+
+
 async def lose_paths(context, world):
     """Refuse a request on a kept connection, as new ones are not accepted."""
     copying_servers(world)
@@ -201,9 +212,30 @@
     context.world = users_platform.play(main, **({"hosts": 1, "servers": 2} | options))
 
 
+@behave.when("requests without an id are refused, and servers then copy the refusals")
+def refusals_without_ids(context):
+    context.served = 0
+
+    async def main(world):
+        world.configure(routes=[ONCE])
+        await trio.sleep(0.5)
+        for server in world.servers.values():
+            server.sized = True
+        await omit_ids(context, world)
+
+    context.world = users_platform.play(main, hosts=1, servers=2)
+
+
+@behave.then("each request that ran was answered by its own response")
+def own_responses(context):
+    assert context.served == len(context.world.runs) == CALLERS, context.served
+
+
 @behave.then("each of them ran once, and none that ran was answered as not run")
 def ran_once(context):
     runs = users_platform.counts(context.world.runs)
+    hosts = context.world.hosts.values()
+    assert any(served.pool.passed_over for served in hosts), "no connection met twice"
     counted = {name: runs[name] for name in context.runs_once}
     assert set(counted.values()) <= {1}, counted
     for name, reply in context.replies:
