Know a stream by its team and by the request that began it only

A stream of another team under the same id, or a new stream that named it in Resumes without taking it up, replaced what a host knew of it, and the stream went on at the other one's version. Streams are known by team and id, and Resumes counts only for requests that take a stream up. Measured: two new scenarios of entry_stream_versions.feature fail without the change and pass with it.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -226,7 +226,9 @@
         if self.failover_budget is not None:
             self.failover_budget.record_request()
         if pending.takes_up:
-            found = await self.resumption.find(pending.request, pending.route)
+            found = await self.resumption.find(
+                pending.request, pending.route, pending.team
+            )
             if isinstance(found, resumption.Refusal):
                 pending.refusal, pending.reason = found, found.reason
                 return await self._give_up(pending)
@@ -796,7 +798,7 @@
     def _record_origin(self, pending: PendingRequest, server: model.Server) -> None:
         """Bind a stream to the version of the server of its first event."""
         if pending.route.resumable:
-            self.resumption.record_stream(pending.request, server)
+            self.resumption.record_stream(pending.request, pending.team, server)
         if pending.origin is None:
             pending.origin = self.resumption.begun_at(server)
 
--- a/turmerictally/entry/resumption.py
+++ b/turmerictally/entry/resumption.py
@@ -77,8 +77,10 @@
     listed: set[stream_origins.Origin] = attrs.Factory(set)
     row_at: float = float("-inf")
 
-    def record_stream(self, request: messages.Request, server: model.Server) -> None:
-        """Record that a caller gets events of a stream from a server.
+    def record_stream(
+        self, request: messages.Request, team: str, server: model.Server
+    ) -> None:
+        """Record that a caller of a team gets events of a stream from a server.
 
         A stream that was taken up is known by the request that began it.
         """
@@ -86,7 +88,9 @@
         if not origin.software:
             return
         now = self.clock.monotonic()
-        self.origins.record(request.resumes or request.request_id, origin, now)
+        began = request.resumes if request.resume_after else ""
+        name = stream_name(team, began or request.request_id)
+        self.origins.record(name, origin, now)
         if len(self.versions.lately(origin.service, now)) > 1:
             self.on_row_due()
 
@@ -129,17 +133,18 @@
         )
 
     async def find(
-        self, request: messages.Request, route: model.Route
+        self, request: messages.Request, route: model.Route, team: str
     ) -> stream_origins.Origin | Refusal:
         """Return where a stream that is taken up began, or why it can't go on."""
         now = self.clock.monotonic()
-        stream = self.origins.find(request.resumes) if request.resumes else None
+        name = stream_name(team, request.resumes)
+        stream = self.origins.find(name) if request.resumes else None
         if stream is None:
             stream = await self._find_only_version(route, now)
         if stream is None and request.resumes:
             # The digest of the host where it began may be on its way.
             await trio.sleep(self.hosts.digest_period_s() + DIGEST_DELAY_S)
-            stream = self.origins.find(request.resumes)
+            stream = self.origins.find(name)
         services = {target.service for target in route.targets}
         found: stream_origins.Origin | Refusal
         if stream is None:
@@ -299,3 +304,8 @@
 def origin_of(server: model.Server) -> stream_origins.Origin:
     """Return the origin of streams that begin at a server."""
     return stream_origins.Origin(server.service, server.software)
+
+
+def stream_name(team: str, request_id: str) -> str:
+    """Return the name of the stream that a request began; teams may use equal ids."""
+    return f"{team}/{request_id}"
--- a/turmerictally/tests/features/entry_stream_versions.feature
+++ b/turmerictally/tests/features/entry_stream_versions.feature
@@ -276,3 +276,14 @@
       | late_s |
       | 0.05   |
       | 0.5    |
+
+  # Guards against streams that are taken for others, as callers choose the ids.
+  Scenario Outline: A stream goes on at its version although <who> names its id
+    Given servers of versions v1, v1, v2, v2
+    When 12 streams are taken up after <who> names their ids
+    Then each of the 12 streams holds events of one version
+
+    Examples:
+      | who          |
+      | another team |
+      | a new stream |
--- a/turmerictally/tests/features/steps/entry_stream_versions_steps.py
+++ b/turmerictally/tests/features/steps/entry_stream_versions_steps.py
@@ -1034,3 +1034,54 @@
         if "None" in stream.versions and len(stream.servers) > 1
     ]
     assert not joined, f"{len(joined)} of {len(context.streams)}: {show(joined)}"
+
+
+OTHER_KEY = "key-of-the-workshop"
+
+
+async def ask_and_leave(world, name, key=users_platform.KEY, **more):
+    """Leave a stream after its first events; return what came of it."""
+    reply, caller = users_platform.Reply(), users_platform.Caller(world, 0, key)
+    with trio.move_on_after(ATTEMPT_EVENTS_S):
+        await caller.ask(request_id=name, reply=reply, **more)
+    caller.close()
+    return reply
+
+
+@behave.when("{count:d} streams are taken up after {who} names their ids")
+def names_their_ids(context, count, who):
+    context.texts = []
+
+    async def main(world):
+        teams = [
+            {"name": name, "apiKeys": [key], "ratePerS": 0, "burst": 0}
+            for name, key in (
+                ("counter", users_platform.KEY),
+                ("workshop", OTHER_KEY),
+            )
+        ]
+        world.configure(tenants=teams)
+        await trio.sleep(0.5)
+        for number in range(count):
+            name = f"x{number}"
+            first = await ask_and_leave(world, name)
+            if who == "another team":
+                await ask_and_leave(world, name, OTHER_KEY)
+            else:
+                await ask_and_leave(world, f"y{number}", Resumes=name)
+            await trio.sleep(0.1)
+            last = first.whole_events[-1][0]
+            rest = await users_platform.Caller(world, number % 2).take_up(name, last)
+            context.texts.append([data for _, data in first.whole_events])
+            if rest.status == 200:
+                context.texts[-1] += [data for _, data in rest.whole_events]
+
+    users_platform.play(main, hosts=2, software=["v1", "v1", "v2", "v2"], seed=1)
+
+
+@behave.then("each of the {count:d} streams holds events of one version")
+def one_version_each(context, count):
+    versions = [{data.partition(" ")[2] for data in text} for text in context.texts]
+    assert len(versions) == count
+    assert all(len(each) == 1 for each in versions), versions
+    assert any(len(text) == users_platform.EVENTS for text in context.texts)
