Review: an item that can never be done is run again by each new owner

A server got an item again after three answers of 422, when each owner had lost the store before it could write the result. review/8/run.sh shows it.

--- a/review/lib2/platform2.py
+++ b/review/lib2/platform2.py
@@ -120,6 +120,7 @@
         self.serve = serve
         self.open = set()
         self.server = None
+        self.cut = False
 
     async def start(self):
         """Begin to listen."""
@@ -148,6 +149,15 @@
         for writer in list(self.open):
             writer.transport.abort()
 
+    def cut_off(self):
+        """Leave all calls without an answer until the cut is healed."""
+        self.cut = True
+
+    def heal(self):
+        """End a cut; what was sent meanwhile is lost with its channels."""
+        self.cut = False
+        self.reset()
+
     def close(self):
         """Stop listening and reset all channels."""
         if self.server is not None:
@@ -168,9 +178,10 @@
 
     async def start(self, address):
         """Serve at one address."""
-        listener = Listener(address, self._serve)
+        listener = Listener(address, lambda *channel: self._serve(listener, *channel))
         await listener.start()
         self.listeners.append(listener)
+        return listener
 
     def close(self):
         """Stop serving."""
@@ -200,10 +211,13 @@
         if (table, "", key) in self.rows:
             self.apply({}, [(table, "", key)])
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, listener, reader, writer):
         while (head := await read_head(reader)) is not None:
             first, headers = head
             body = await read_body(reader, headers)
+            if listener.cut:
+                await asyncio.sleep(60.0)
+                return
             method, target, _ = first.split(" ")
             path, _, query = target.partition("?")
             given = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
@@ -216,6 +230,9 @@
                 status, answer = await self._feed(given)
             else:
                 status, answer = 404, {}
+            if listener.cut:
+                await asyncio.sleep(60.0)
+                return
             writer.write(
                 reply(
                     status,
@@ -403,6 +420,7 @@
         self.ip = f"{world.net}.{10 + number}"
         self.zone = zone
         self.store_address = f"{world.net}.{110 + number}:8688"
+        self.store = None  # the listener at which this host reaches the store
         self.process = None
         self.lines = []
         self.reading = None
@@ -617,7 +635,7 @@
         for number in range(hosts):
             host = Host(self, number, f"zone-{'abc'[number % 3]}")
             self.hosts.append(host)
-            await self.store.start(host.store_address)
+            host.store = await self.store.start(host.store_address)
             await host.start()
         deadline = time.monotonic() + READY_S
         while not all([await host.ready() for host in self.hosts]):
