--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Move a batch route to another service, whose server then crashes for some seconds."""
+"""Let servers break off some answers that have no length, between two events."""
 
 import asyncio
 import pathlib
@@ -7,64 +7,112 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib2"))
 import platform2
 
-ITEMS = 6
-EVENTS, EVENT_S = 100, 0.1  # of an item: 10 s of work
-CRASHED_S = 9.0
-APPLY_S = platform2.BOUNDS["configApplyMs"] / 1000
+HOSTS, SERVERS = 3, 4
+SPOILING = 2  # servers that spoil answers
+ONE_IN = 34  # of their answers: 0.03
+EVENTS, EVENT_S = 20, 0.03
+JOBS, ITEMS = 16, 10
+CLIENTS, STREAMS = 8, 20
+PATH = "/lohu930/2f"
+
+
+class SpoilingServer(platform2.Server):
+    """Send one answer in some without a length, and break it off under trouble."""
+
+    answers = 0
+
+    async def answer(self, reader, writer, headers, body, named):
+        """Answer one request; return whether the channel is kept."""
+        self.answers += 1
+        if self.answers % ONE_IN:
+            return await super().answer(reader, writer, headers, body, named)
+        named = [*named, ("X-Server-Stamp", f"stamp.{self.name}")]
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in named)]
+        lines += ["Content-Type: text/event-stream", "", ""]
+        writer.write("\r\n".join(lines).encode())
+        first = int(headers.get("last-event-id", 0)) + 1
+        last = (first + EVENTS) // 2 if self.world.trouble else EVENTS
+        for number in range(first, last + 1):
+            await asyncio.sleep(EVENT_S)
+            data = platform2.text_of(headers, number)
+            writer.write(f"id: {number}\ndata: {data}\n\n".encode())
+            await writer.drain()
+        self.world.record(
+            "answer_without_length",
+            server=self.name,
+            request=headers["x-request-id"],
+            last_event=last,
+            of=EVENTS,
+        )
+        return False
+
+
+async def ask_streams(world, host):
+    """Ask one host for streams, one after the other; return what the client got."""
+    channel = platform2.Channel(world, host)
+    return [await channel.ask(PATH) for _ in range(STREAMS)]
+
+
+async def read_all(world, job):
+    """Read a batch job's results until all are listed."""
+    found = []
+    for attempt in range(60):
+        host = world.hosts[attempt % HOSTS]
+        status, body = await platform2.results(world, host, job, len(found))
+        if status == 200:
+            found += body["results"]
+            if len(found) == body["total"]:
+                return found
+        await asyncio.sleep(0.5)
+    return found
 
 
 async def play(world, trouble):
     """Play the case; return the broken rule, or an empty text."""
-    for number in range(2):
-        world.add_server(number, "llm-old")
-    new = world.add_server(0, "llm-new")
-    for server in world.servers:
+    world.trouble = trouble
+    for number in range(SERVERS):
+        kind = SpoilingServer if number < SPOILING else platform2.Server
+        server = world.add_server(number, "llm", kind)
         server.events, server.event_s = EVENTS, EVENT_S
-    services = [platform2.service("llm-old"), platform2.service("llm-new")]
-    owner = {}
-
-    def note(host, line):
-        if line["event"] == "item_placed":
-            owner["host"] = host
-        if line["event"] in ("job_released", "job_taken", "item_begins_anew"):
-            world.record(
-                f"log_{line['event']}", host=host.name, item=line.get("request")
-            )
-
-    world.log_listeners.append(note)
-    routes = [platform2.batch_route("llm-old")]
-    await world.start(3, {"routes": routes, "services": services})
+    config = {
+        "routes": [
+            platform2.batch_route("llm"),
+            platform2.stream_route("llm", resumable=True),
+        ],
+        "services": [platform2.service("llm")],
+    }
+    await world.start(HOSTS, config)
     await asyncio.sleep(platform2.BOUNDS["stableMs"] / 1000 + 0.5)
-    job, items = platform2.new_id(), [platform2.new_id() for _ in range(ITEMS)]
-    if await platform2.submit(world, world.hosts[0], job, items) != 202:
-        raise RuntimeError("the batch job was not accepted")
-    await asyncio.sleep(2.5)
-    routes = [platform2.batch_route("llm-new")]
-    world.configure({"routes": routes, "services": services})
-    acked_at = world.record.now()
-    await asyncio.sleep(0.3)
-    if trouble:
-        new.crash()
-    await asyncio.sleep(APPLY_S + 2.5)
-    # A planned restart of one host, with and without the trouble.
-    restart = asyncio.create_task(owner["host"].restart())
-    await asyncio.sleep(CRASHED_S - APPLY_S - 2.5)
-    if trouble:
-        await new.start_again()
-    await restart
-    await asyncio.sleep(12.0)
-    await platform2.results(world, world.hosts[1], job)
-    late = [
-        line
-        for line in world.record.of("server_runs", service="llm-old")
-        if line["t"] > acked_at + APPLY_S
+    jobs = [platform2.new_id() for _ in range(JOBS)]
+    for number, job in enumerate(jobs):
+        items = [platform2.new_id() for _ in range(ITEMS)]
+        host = world.hosts[number % HOSTS]
+        if await platform2.submit(world, host, job, items) != 202:
+            raise RuntimeError("a batch job was not accepted")
+    listed = await asyncio.gather(*(read_all(world, job) for job in jobs))
+    asked = await asyncio.gather(
+        *(ask_streams(world, world.hosts[n % HOSTS]) for n in range(CLIENTS))
+    )
+    short_items = [
+        (result["id"], result["text"].count("\n") + 1)
+        for results in listed
+        for result in results
+        if result["state"] == "succeeded" and result["text"].count("\n") + 1 < EVENTS
+    ]
+    short_streams = [
+        (got["request"], got["events"])
+        for gots in asked
+        for got in gots
+        if got["status"] == 200 and got["whole"] and got["events"] < EVENTS
     ]
-    if not late:
+    world.record("short_items", items=short_items, of=JOBS * ITEMS)
+    world.record("short_streams", streams=short_streams, of=CLIENTS * STREAMS)
+    if not short_items and not short_streams:
         return ""
     return (
-        f"CONFIG: {len(late)} items reached servers of the old service, the last one "
-        f"{late[-1]['t'] - acked_at:.1f} s after the ack of the config that moved "
-        "their route"
+        f"MIXED: {len(short_items)} of {JOBS * ITEMS} items are listed as succeeded "
+        f"with a part of their text; ORDER: {len(short_streams)} of "
+        f"{CLIENTS * STREAMS} streams ended as complete before their last event"
     )
 
 
--- a/review/lib2/platform2.py
+++ b/review/lib2/platform2.py
@@ -183,6 +183,16 @@
         self.listeners.append(listener)
         return listener
 
+    def cut_off(self):
+        """Go down: no call is answered, and entries neither come nor go."""
+        for listener in self.listeners:
+            listener.cut_off()
+
+    def heal(self):
+        """Come back; the servers register again."""
+        for listener in self.listeners:
+            listener.heal()
+
     def close(self):
         """Stop serving."""
         for listener in self.listeners:
@@ -201,14 +211,21 @@
         self.changed = asyncio.Event()
         return self.version
 
+    @property
+    def down(self):
+        """Return whether all its listeners are cut off."""
+        return bool(self.listeners) and all(each.cut for each in self.listeners)
+
     def put(self, table, key, value):
-        """Write a row as the operator or a server does."""
+        """Write a row as the operator or a server does, unless the store is down."""
+        if self.down:
+            return None
         encoded = base64.b64encode(json.dumps(value).encode()).decode()
         return self.apply({(table, "", key): encoded})
 
     def remove(self, table, key):
         """Remove a row as the operator or the platform does."""
-        if (table, "", key) in self.rows:
+        if (table, "", key) in self.rows and not self.down:
             self.apply({}, [(table, "", key)])
 
     async def _serve(self, listener, reader, writer):
@@ -348,9 +365,12 @@
         self.beating.cancel()
         self.listener.close()
         self.world.record("server_crashed", server=self.name)
-        asyncio.get_running_loop().call_later(
-            3 * HEARTBEAT_S, self.world.store.remove, "servers", self.name
-        )
+        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, self._expire, self.born)
+
+    def _expire(self, born):
+        """Remove the entry, unless a later start has written it again."""
+        if self.born == born:
+            self.world.store.remove("servers", self.name)
 
     async def start_again(self):
         """Start under the same id and address, with nothing of before."""
@@ -385,6 +405,10 @@
         """Return how many events the answer to a prompt has."""
         return self.events
 
+    def data_of(self, headers, number):
+        """Return the data of an event."""
+        return text_of(headers, number)
+
     async def answer(self, reader, writer, headers, body, named):
         """Send a stream of events; return whether the channel is kept."""
         named = [*named, ("X-Server-Stamp", f"stamp.{self.name}")]
@@ -397,7 +421,8 @@
             await asyncio.sleep(self.event_s)
             if writer.transport.is_closing() or reader.at_eof():
                 return False
-            event = f"id: {number}\ndata: {text_of(headers, number)}\n\n".encode()
+            data = self.data_of(headers, number)
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             writer.write(head + b"%x\r\n%b\r\n" % (len(event), event))
             head = b""
             await writer.drain()
@@ -588,6 +613,7 @@
         sent = self.world.record.now()
         got = {"request": request, "sent": round(sent, 3), "status": 0}
         got |= {"events": 0, "whole": False}
+        lines_of_data = []
         try:
             self.writer.write("\r\n".join([*lines, "", ""]).encode() + body)
             await self.writer.drain()
@@ -597,6 +623,11 @@
                 if found.get("transfer-encoding") == "chunked":
                     while part := await read_chunk(self.reader):
                         got["events"] += part.count(b"\n\n")
+                        lines_of_data += [
+                            line
+                            for line in part.decode().splitlines()
+                            if line.startswith("data:")
+                        ]
                 else:
                     await read_body(self.reader, found)
                 got["whole"] = True
@@ -605,7 +636,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             self.close()
         self.world.record("client_got", host=self.host.name, **got)
-        return got
+        return got | {"data": lines_of_data}
 
     def close(self):
         """Close the channel; the next request opens another."""
