--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,118 +1,84 @@
-"""Let servers break off some answers that have no length, between two events."""
+"""Stop a host as planned while its clients' answers have become longer than before."""
 
 import asyncio
+import json
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib2"))
 import platform2
 
-HOSTS, SERVERS = 3, 4
-SPOILING = 2  # servers that spoil answers
-ONE_IN = 34  # of their answers: 0.03
-EVENTS, EVENT_S = 20, 0.03
-JOBS, ITEMS = 16, 10
-CLIENTS, STREAMS = 8, 20
+CLIENTS = 4
+EVENT_S = 0.05
+SHORT, LONG, LONGEST = 14, 76, 92  # events: 0.7 s, 3.8 s and 4.6 s
 PATH = "/lohu930/2f"
+# The clients' requests are of one size: the answers' lengths are the model's.
+USAGE = {"X_Token_Usage": "250,400"}
+EXCUSED_S = 3.0  # after the SIGTERM
+# An answer that ends later may have reached its deadline of 5 s, which excuses it.
+DEADLINE_S = 4.8
 
 
-class SpoilingServer(platform2.Server):
-    """Send one answer in some without a length, and break it off under trouble."""
+class LengthServer(platform2.Server):
+    """Answer with as many events as the prompt leads to."""
 
-    answers = 0
+    def events_for(self, body):
+        """Return how many events the prompt leads to."""
+        return json.loads(body)["events"]
 
-    async def answer(self, reader, writer, headers, body, named):
-        """Answer one request; return whether the channel is kept."""
-        self.answers += 1
-        if self.answers % ONE_IN:
-            return await super().answer(reader, writer, headers, body, named)
-        named = [*named, ("X-Server-Stamp", f"stamp.{self.name}")]
-        lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in named)]
-        lines += ["Content-Type: text/event-stream", "", ""]
-        writer.write("\r\n".join(lines).encode())
-        first = int(headers.get("last-event-id", 0)) + 1
-        last = (first + EVENTS) // 2 if self.world.trouble else EVENTS
-        for number in range(first, last + 1):
-            await asyncio.sleep(EVENT_S)
-            data = platform2.text_of(headers, number)
-            writer.write(f"id: {number}\ndata: {data}\n\n".encode())
-            await writer.drain()
-        self.world.record(
-            "answer_without_length",
-            server=self.name,
-            request=headers["x-request-id"],
-            last_event=last,
-            of=EVENTS,
-        )
-        return False
 
-
-async def ask_streams(world, host):
-    """Ask one host for streams, one after the other; return what the client got."""
-    channel = platform2.Channel(world, host)
-    return [await channel.ask(PATH) for _ in range(STREAMS)]
-
-
-async def read_all(world, job):
-    """Read a batch job's results until all are listed."""
-    found = []
-    for attempt in range(60):
-        host = world.hosts[attempt % HOSTS]
-        status, body = await platform2.results(world, host, job, len(found))
-        if status == 200:
-            found += body["results"]
-            if len(found) == body["total"]:
-                return found
-        await asyncio.sleep(0.5)
-    return found
+async def ask_all(channels, events):
+    """Ask on all channels at once; return what the clients got."""
+    body = json.dumps({"events": events}).encode()
+    return await asyncio.gather(*(c.ask(PATH, body, **USAGE) for c in channels))
 
 
 async def play(world, trouble):
     """Play the case; return the broken rule, or an empty text."""
-    world.trouble = trouble
-    for number in range(SERVERS):
-        kind = SpoilingServer if number < SPOILING else platform2.Server
-        server = world.add_server(number, "llm", kind)
-        server.events, server.event_s = EVENTS, EVENT_S
+    for number in range(3):
+        world.add_server(number, "llm", LengthServer).event_s = EVENT_S
     config = {
-        "routes": [
-            platform2.batch_route("llm"),
-            platform2.stream_route("llm", resumable=True),
-        ],
+        "routes": [platform2.stream_route("llm")],
         "services": [platform2.service("llm")],
     }
-    await world.start(HOSTS, config)
+    await world.start(3, config)
+    host = world.hosts[0]
+
+    def note(of, line):
+        if of is host and line["event"] in ("checked_in_stop", "response_cut"):
+            fields = {k: v for k, v in line.items() if k not in ("t", "event")}
+            world.record(f"log_{line['event']}", **fields)
+
+    world.log_listeners.append(note)
     await asyncio.sleep(platform2.BOUNDS["stableMs"] / 1000 + 0.5)
-    jobs = [platform2.new_id() for _ in range(JOBS)]
-    for number, job in enumerate(jobs):
-        items = [platform2.new_id() for _ in range(ITEMS)]
-        host = world.hosts[number % HOSTS]
-        if await platform2.submit(world, host, job, items) != 202:
-            raise RuntimeError("a batch job was not accepted")
-    listed = await asyncio.gather(*(read_all(world, job) for job in jobs))
-    asked = await asyncio.gather(
-        *(ask_streams(world, world.hosts[n % HOSTS]) for n in range(CLIENTS))
-    )
-    short_items = [
-        (result["id"], result["text"].count("\n") + 1)
-        for results in listed
-        for result in results
-        if result["state"] == "succeeded" and result["text"].count("\n") + 1 < EVENTS
-    ]
-    short_streams = [
-        (got["request"], got["events"])
-        for gots in asked
-        for got in gots
-        if got["status"] == 200 and got["whole"] and got["events"] < EVENTS
+    channels = [platform2.Channel(world, host) for _ in range(CLIENTS)]
+    for _ in range(6):
+        await ask_all(channels, SHORT)
+    # Answers are longer now; each client has had two when the stop begins or ends.
+    await ask_all(channels, LONG)
+    running = asyncio.create_task(ask_all(channels, LONG))
+    await asyncio.sleep(0.5)
+    stopped_at = world.record.now()
+    if trouble:
+        host.signal(signal.SIGTERM)
+    await running
+    last = await ask_all(channels, LONGEST)
+    await asyncio.sleep(1.0)
+    cut = [
+        got
+        for got in last
+        if not got["whole"]
+        and world.record.of("server_runs", request=got["request"])
+        and got["sent"] - stopped_at > EXCUSED_S
+        and got["ended"] - got["sent"] < DEADLINE_S
     ]
-    world.record("short_items", items=short_items, of=JOBS * ITEMS)
-    world.record("short_streams", streams=short_streams, of=CLIENTS * STREAMS)
-    if not short_items and not short_streams:
+    if not cut:
         return ""
+    after = ", ".join(f"{got['sent'] - stopped_at:.2f} s" for got in cut)
     return (
-        f"MIXED: {len(short_items)} of {JOBS * ITEMS} items are listed as succeeded "
-        f"with a part of their text; ORDER: {len(short_streams)} of "
-        f"{CLIENTS * STREAMS} streams ended as complete before their last event"
+        f"LOST: {len(cut)} requests, sent {after} after the SIGTERM, were passed on "
+        "to sound servers and cut"
     )
 
 
--- a/review/lib2/platform2.py
+++ b/review/lib2/platform2.py
@@ -409,16 +409,23 @@
         """Return the data of an event."""
         return text_of(headers, number)
 
+    def more_headers(self):
+        """Return further headers of an answer."""
+        return []
+
     async def answer(self, reader, writer, headers, body, named):
         """Send a stream of events; return whether the channel is kept."""
         named = [*named, ("X-Server-Stamp", f"stamp.{self.name}")]
+        named += self.more_headers()
         lines = ["HTTP/1.1 200 OK"]
         lines += [f"{name}: {value}" for name, value in named]
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         head = "\r\n".join([*lines, "", ""]).encode()
         first = int(headers.get("last-event-id", 0)) + 1
+        started_at = time.monotonic()
         for number in range(first, self.events_for(body) + 1):
-            await asyncio.sleep(self.event_s)
+            due_at = started_at + (number + 1 - first) * self.event_s
+            await asyncio.sleep(max(0.0, due_at - time.monotonic()))
             if writer.transport.is_closing() or reader.at_eof():
                 return False
             data = self.data_of(headers, number)
@@ -635,6 +642,7 @@
                     self.close()
         except (ConnectionError, asyncio.IncompleteReadError):
             self.close()
+        got["ended"] = round(self.world.record.now(), 3)
         self.world.record("client_got", host=self.host.name, **got)
         return got | {"data": lines_of_data}
 
