--- a/review/lib2/platform2.py
+++ b/review/lib2/platform2.py
@@ -8,12 +8,14 @@
 import asyncio
 import base64
 import contextlib
+import ctypes
 import json
 import os
 import pathlib
 import random
 import re
 import signal
+import socket
 import sys
 import time
 import tomllib
@@ -40,6 +42,32 @@
 HEARTBEAT_S = 1.2
 TX_S = 0.005
 READY_S = 20.0
+# Ports that the settings' template fixes, and those that hosts may choose from.
+FIXED_PORTS = (9464, *range(7360, 7376))
+DEATH_SIGNAL = 1  # of prctl
+
+
+def free_port(ip):
+    """Return a free port of a loopback address."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+def is_free(ip):
+    """Return whether the fixed ports of a loopback address are free."""
+    for port in FIXED_PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                return False
+    return True
+
+
+def end_with_parent():
+    """Let a started process end with the script, however that ends."""
+    ctypes.CDLL(None).prctl(DEATH_SIGNAL, signal.SIGKILL)
 
 
 class Record:
@@ -451,7 +479,13 @@
         self.name = f"edge-{zone}-{number}"
         self.ip = f"{world.net}.{10 + number}"
         self.zone = zone
-        self.store_address = f"{world.net}.{110 + number}:8688"
+        self.store_address = world.address(110 + number)
+        if not is_free(self.ip):
+            raise RuntimeError(f"ports of {self.ip} are in use")
+        ports = set()
+        while len(ports) < 3:
+            ports.add(free_port(self.ip))
+        self.front, self.readiness, self.control = (f"{self.ip}:{p}" for p in ports)
         self.store = None  # the listener at which this host reaches the store
         self.process = None
         self.lines = []
@@ -465,9 +499,9 @@
             "zone": self.zone,
             "ip": self.ip,
             "listen": {
-                "front": f"{self.ip}:8689",
-                "readiness": f"{self.ip}:8687",
-                "control": f"{self.ip}:8683",
+                "front": self.front,
+                "readiness": self.readiness,
+                "control": self.control,
             },
             "portRange": [7360, 7375],
             "limits": {"cpuShare": 0.717, "cores": 3, "memoryMb": 330},
@@ -499,6 +533,7 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
             limit=2**22,
+            preexec_fn=end_with_parent,
         )
         self.reading = asyncio.create_task(self._read(self.process.stdout))
 
@@ -539,7 +574,7 @@
     async def ready(self):
         """Return whether the host answers that it is ready."""
         try:
-            status, _, _ = await call(f"{self.ip}:8687", "GET", "/-/readiness", {})
+            status, _, _ = await call(self.readiness, "GET", "/-/readiness", {})
         except (OSError, EOFError, TimeoutError):
             return False
         return status == 200
@@ -605,7 +640,7 @@
         """Send one request; return what the client knows of it at its end."""
         if self.reader is None:
             self.reader, self.writer = await asyncio.open_connection(
-                self.host.ip, 8689, limit=2**24
+                *self.host.front.split(":"), limit=2**24
             )
         request = new_id()
         named = {
@@ -666,6 +701,11 @@
         self.log_listeners = []
         self.config_version = 0
 
+    def address(self, number):
+        """Return an address with a free port."""
+        ip = f"{self.net}.{number}"
+        return f"{ip}:{free_port(ip)}"
+
     async def start(self, hosts, config):
         """Start everything and wait until all hosts are ready."""
         self.configure(config)
@@ -686,7 +726,7 @@
     def add_server(self, number, service, kind=Server, **options):
         """Add a server that starts with the world."""
         name = f"i-{service}-{number}"
-        address = f"{self.net}.{200 + len(self.servers)}:8000"
+        address = self.address(200 + len(self.servers))
         server = kind(self, name, service, address, **options)
         self.servers.append(server)
         return server
@@ -789,8 +829,9 @@
         "X-Deadline-Ms": "4000",
         "Content-Type": "application/json",
     }
-    address = f"{host.ip}:8689"
-    status, _, _ = await call(address, "POST", f"/pule252/{job}", headers, lot(items))
+    status, _, _ = await call(
+        host.front, "POST", f"/pule252/{job}", headers, lot(items)
+    )
     world.record("submitted", job=job, host=host.name, status=status, items=len(items))
     return status
 
@@ -799,8 +840,7 @@
     """Read results of a batch job; return status and body."""
     headers = AUTHORIZED | {"X-Deadline-Ms": "4000"}
     target = f"/-/lots/{job}?after={after}"
-    address = f"{host.ip}:8689"
-    status, _, body = await call(address, "GET", target, headers)
+    status, _, body = await call(host.front, "GET", target, headers)
     found = json.loads(body) if status == 200 else {}
     world.record(
         "results",
@@ -827,6 +867,9 @@
 
     async def run(folder):
         world = World(folder, record)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(play(world, trouble), 110)
         finally:
@@ -835,7 +878,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             broken = asyncio.run(run(os.environ.get("KEEP_LOGS", folder)))
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             record("could_not_run", error=repr(error))
             print(f"could not run: {error!r}")
             sys.exit(2)
