Tell how long the event loop is busy, and what holds it

Cause: a host whose event loop stands still writes nothing: its log lines, metrics and readiness answers need that loop.

Change: each pass of the loop is timed (turmerictally_loop_busy_seconds); one of a quarter of a second or more has a line (loop_late). A thread looks every half a second and, while a pass is long, writes to standard error which function the loop is in and how much processor the process uses (loop_stalled).

Measured: entry_loop.feature, with a function that holds the loop until the line about it is there.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -28,6 +28,7 @@
     inflight,
     item_runner,
     jobs,
+    loop_monitor,
     messages,
     model,
     network,
@@ -95,17 +96,6 @@
     read_evacuation: model.ReadEvacuation
 
 
-class WakeUps(trio.abc.Instrument):
-    """Count how often the event loop woke up after blocking."""
-
-    def __init__(self) -> None:
-        self.count = 0
-
-    def after_io_wait(self, timeout: float) -> None:
-        """Count a wake-up unless other tasks were ready, so that nothing blocked."""
-        self.count += timeout > 0
-
-
 class Host:
     """Run one entry host; ``stop`` drains it."""
 
@@ -131,7 +121,7 @@
         self.stop_requested = trio.Event()
         self.row_changed = trio.Event()
         self.stopping = False
-        self.wake_ups = WakeUps()
+        self.loop_monitor = loop_monitor.LoopMonitor(self.trace)
         self.latencies = latency.Latencies(MAX_TEAM_HISTOGRAMS, self.clock)
         self._build_state(schema)
         self._build_request_path(codec)
@@ -484,7 +474,7 @@
 
     async def run(self) -> None:
         """Serve until stopped, then drain."""
-        trio.lowlevel.add_instrument(self.wake_ups)
+        trio.lowlevel.add_instrument(self.loop_monitor)
         self.trace.emit(
             "started",
             host=self.settings.host_id,
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -100,7 +100,13 @@
             f"{prefix}_process_cpu_seconds", "Processor.", time.process_time()
         ),
         prometheus_client.core.CounterMetricFamily(
-            f"{prefix}_wake_ups", "Of the process.", served.wake_ups.count
+            f"{prefix}_wake_ups", "Of the process.", served.loop_monitor.wake_ups
+        ),
+        exposition.duration_family(
+            "loop_busy_seconds",
+            "Of passes of the event loop, in which no other task runs.",
+            served.loop_monitor.busy_times,
+            served.loop_monitor.short_passes,
         ),
         prometheus_client.core.CounterMetricFamily(
             f"{prefix}_server_connections", "Opened.", served.pool.opened
--- a/turmerictally/metrics/exposition.py
+++ b/turmerictally/metrics/exposition.py
@@ -123,6 +123,22 @@
     return family
 
 
+def duration_family(
+    name: str, text: str, histogram: hdrh.histogram.HdrHistogram, short: int
+) -> Family:
+    """Return a histogram of durations, with ``short`` more below the first bound.
+
+    Their sum counts those as 0.
+    """
+    buckets, sum_s = _buckets(histogram)
+    return prometheus_client.core.HistogramMetricFamily(
+        f"{PREFIX}_{name}",
+        text,
+        [(bound, count + short) for bound, count in buckets],
+        sum_s,
+    )
+
+
 def _buckets(
     histogram: hdrh.histogram.HdrHistogram,
 ) -> tuple[list[tuple[str, float]], float]:
--- a/turmerictally/metrics/latency.py
+++ b/turmerictally/metrics/latency.py
@@ -73,7 +73,7 @@
             self.named_teams.add(team)
         label = team if team in self.named_teams else OTHER
         histogram = _get_or_create(self.histograms, Series(label, measure, work))
-        histogram.record_value(_to_units(seconds))
+        record_seconds(histogram, seconds)
 
     def _select_busiest_teams(self) -> None:
         self.next_review_at = self.clock.monotonic() + REVIEW_INTERVAL_S
@@ -133,7 +133,7 @@
     histograms: Histograms, measure: Measure, work: Work
 ) -> hdrh.histogram.HdrHistogram:
     """Return one histogram with the values of all teams."""
-    merged = _new_histogram()
+    merged = new_histogram()
     for series, histogram in histograms.items():
         if (series.measure, series.work) == (measure, work):
             merged.add(histogram)
@@ -154,7 +154,7 @@
 @functools.cache
 def upper_bounds() -> list[float]:
     """Return the upper bounds of a histogram's buckets, in seconds."""
-    empty = _new_histogram()
+    empty = new_histogram()
     values = map(empty.get_value_from_index, range(empty.counts_len))
     return [empty.get_highest_equivalent_value(v) * UNIT_S for v in values]
 
@@ -211,7 +211,7 @@
     histograms: Histograms, series: Series
 ) -> hdrh.histogram.HdrHistogram:
     if series not in histograms:
-        histograms[series] = _new_histogram()
+        histograms[series] = new_histogram()
     return histograms[series]
 
 
@@ -233,11 +233,14 @@
     return histogram.encode().decode("ascii")
 
 
-def _new_histogram() -> hdrh.histogram.HdrHistogram:
+def new_histogram() -> hdrh.histogram.HdrHistogram:
+    """Return an empty histogram of ``UNIT_S`` units."""
     return hdrh.histogram.HdrHistogram(
         1, int(MAX_LATENCY_S / UNIT_S), SIGNIFICANT_DIGITS
     )
 
 
-def _to_units(seconds: float) -> int:
-    return max(1, min(int(MAX_LATENCY_S / UNIT_S), round(seconds / UNIT_S)))
+def record_seconds(histogram: hdrh.histogram.HdrHistogram, seconds: float) -> None:
+    """Record a duration; one above an hour is recorded as an hour."""
+    units = max(1, min(int(MAX_LATENCY_S / UNIT_S), round(seconds / UNIT_S)))
+    histogram.record_value(units)
