Count a host's permits without going through them

Cause: a host counted its permits of a restricted server by hashing each 16 of them for each host of the fleet, in its event loop, on the way of a request (scheduling/server_rates.py, count_owned). Their number comes from outside: from a server's Server-Limit, from coldPerS of the configuration, from digests.

All loop_stalled lines of the five hosts have count_owned or _ranks on top, below may_send, with a full core.

Change: a permit belongs to the first host at or after its point on one of 64 rings. A host keeps its distances to the hosts before it and counts the permits in between arithmetically. As before, no two hosts that see each other own the same permit, whatever else they see. Counting takes the same time for any limit and number of hosts, and is repeated only if a distance or the number changed.

--- a/turmerictally/scheduling/server_rates.py
+++ b/turmerictally/scheduling/server_rates.py
@@ -1,18 +1,18 @@
 """Limit the rate of requests from all hosts to a server, without messages.
 
 Cold servers are limited, and those that name a limit of their own. A server's rate is
-divided into permits, each worth one request per period. A permit
-belongs to the host that ranks first for it among the hosts in the table, so two hosts
-that see each other's rows never own the same permit.
+divided into permits, each worth one request per period, of which two hosts that see
+each other's rows never own the same one.
 """
 
 import collections
 import collections.abc
-import hashlib
 import math
 
 import attrs
 
+from turmerictally.scheduling import permit_rings
+
 # Time between two requests on one permit. The rate is counted over one second; the
 # rest covers the difference in delay of two requests on busy hosts and links.
 PERMIT_PERIOD_S = 1.05
@@ -32,8 +32,6 @@
 # row must not restrict a server forever.
 MAX_COLD_S = 60.0
 MAX_START_TIMES = 2000  # servers whose start time is kept, the most recent ones
-RANK_BYTES = 4  # of a hash for each permit
-HASH_BYTES = 64
 
 
 @attrs.frozen
@@ -90,7 +88,7 @@
     ``until`` and ``usable_from`` are monotonic seconds; a server that only named a
     limit was never cold. ``reserved`` counts requests
     that are assigned to the server and wait for a connection. ``owned_permits`` is
-    cached for ``permits_inputs``: the hosts in the view and the number of permits.
+    cached for ``permits_inputs``: the rings' generation and the number of permits.
     """
 
     until: float = float("-inf")
@@ -98,7 +96,7 @@
     reserved: int = 0
     sent: int = 0
     send_times: collections.deque[float] = attrs.Factory(collections.deque)
-    permits_inputs: tuple[frozenset[str], int] | None = None
+    permits_inputs: tuple[int, int] | None = None
     owned_permits: int = 0
 
 
@@ -120,6 +118,10 @@
     start_times: dict[str, int] = attrs.Factory(dict)
     cached_view: HostTableView = attrs.field(factory=HostTableView)
     cached_at: float = float("-inf")
+    rings: permit_rings.PermitRings = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.rings = permit_rings.PermitRings(self.host)
 
     def record_start(self, server: str, start_ms: int) -> bool:
         """Record a server's start time; return whether it differs from the last one."""
@@ -196,6 +198,7 @@
         entry = self._entry(server)
         if now >= self.cached_at + VIEW_REFRESH_S:
             self.cached_view, self.cached_at = self.read_view(), now
+            self.rings.update(self.cached_view.hosts)
         rate = self._fleet_rate(server, now)
         # Long without the store, a host keeps its permits of named limits: such servers
         # may be most of all, for as long as it lasts.
@@ -204,10 +207,10 @@
             view.is_listed(self.host) if rate.is_named else view.is_settled(self.host)
         ):
             return 0
-        inputs = view.hosts, rate.permits
+        inputs = self.rings.generation, rate.permits
         if entry.permits_inputs != inputs:
             entry.permits_inputs = inputs
-            entry.owned_permits = count_owned(server, self.host, *inputs)
+            entry.owned_permits = self.rings.count_owned(server, rate.permits)
         return entry.owned_permits
 
     def expire(self, now: float) -> list[tuple[str, RestrictedServer]]:
@@ -255,30 +258,3 @@
             return FleetRate(int(rate), PERMIT_PERIOD_S, 1, is_named=False)
         period_s = PERMIT_PERIOD_S / rate if rate > 0 else float("inf")
         return FleetRate(1, period_s, 1, is_named=False)
-
-
-def count_owned(
-    server: str, host: str, hosts: collections.abc.Iterable[str], permits: int
-) -> int:
-    """Return for how many of a server's permits a host ranks first."""
-    per_hash = HASH_BYTES // RANK_BYTES
-    count = 0
-    for first in range(0, permits, per_hash):
-        own_ranks = _ranks(server, host, first)
-        candidates = list(range(min(per_hash, permits - first)))
-        for other in hosts:
-            if not candidates:
-                break
-            if other == host:
-                continue
-            ranks = _ranks(server, other, first)
-            candidates = [
-                n for n in candidates if (own_ranks[n], host) > (ranks[n], other)
-            ]
-        count += len(candidates)
-    return count
-
-
-def _ranks(server: str, host: str, first: int) -> list[bytes]:
-    hashed = hashlib.blake2b(f"{server}/{first}/{host}".encode()).digest()
-    return [hashed[n : n + RANK_BYTES] for n in range(0, HASH_BYTES, RANK_BYTES)]
--- a/turmerictally/tests/features/scheduling_cold.feature
+++ b/turmerictally/tests/features/scheduling_cold.feature
@@ -58,6 +58,15 @@
       | 100   |
       | 400   |
 
+  Scenario: Hosts that see each other own at most all permits, whatever else they see
+    When hosts that see each other, and others that differ, learn of numbers of permits
+    Then together they own at most the largest number of permits
+    And all but a hundredth of the permits, if they see the same
+
+  Scenario: What a host owns depends on the hosts that it sees, not on those it saw
+    When the hosts that a host sees change in any order
+    Then it owns as many permits as one that sees the last ones from the start
+
   Scenario Outline: Hosts that may not see all others send nothing to cold servers
     When a host requests a permit that <what>
     Then it uses <permits> for a cold server
