Find the requests of the last periods by bisection

Cause: of each restricted server that could take a request, a host compared the times of all requests that it had sent there within four periods, for each request (server_rates.py, _permits_used). With a large limit their number is that of the traffic.

What callers saw: nothing yet; a host's time for a request grew with its requests to servers with limits.

Change: the times are in order, so the first one within the periods is found by bisection, and old ones are dropped in blocks.

--- a/turmerictally/scheduling/server_rates.py
+++ b/turmerictally/scheduling/server_rates.py
@@ -5,7 +5,7 @@
 each other's rows never own the same one.
 """
 
-import collections
+import bisect
 import collections.abc
 import math
 
@@ -85,9 +85,9 @@
 class RestrictedServer:
     """Hold a cold or limited server's times and this host's requests to it.
 
-    ``until`` and ``usable_from`` are monotonic seconds; a server that only named a
-    limit was never cold. ``reserved`` counts requests
-    that are assigned to the server and wait for a connection. ``owned_permits`` is
+    ``until``, ``usable_from`` and ``send_times``, in order, are monotonic seconds; a
+    server that only named a limit was never cold. ``reserved`` counts requests that
+    are assigned to the server and wait for a connection. ``owned_permits`` is
     cached for ``permits_inputs``: the rings' generation and the number of permits.
     """
 
@@ -95,7 +95,7 @@
     usable_from: float = float("-inf")
     reserved: int = 0
     sent: int = 0
-    send_times: collections.deque[float] = attrs.Factory(collections.deque)
+    send_times: list[float] = attrs.Factory(list)
     permits_inputs: tuple[int, int] | None = None
     owned_permits: int = 0
 
@@ -236,10 +236,13 @@
         entry: RestrictedServer, now: float, rate: FleetRate, periods: int
     ) -> int:
         kept_s = max(2, rate.periods) * rate.period_s
-        while entry.send_times and entry.send_times[0] <= now - kept_s:
-            entry.send_times.popleft()
+        expired = bisect.bisect_right(entry.send_times, now - kept_s)
+        # Not one by one: that would move all the others each time.
+        if expired > len(entry.send_times) // 2:
+            del entry.send_times[:expired]
         since = now - periods * rate.period_s
-        return entry.reserved + sum(at > since for at in entry.send_times)
+        sent_before = bisect.bisect_right(entry.send_times, since)
+        return entry.reserved + len(entry.send_times) - sent_before
 
     def _fleet_rate(self, server: str, now: float) -> FleetRate:
         """Return a restricted server's rate, the lower one if there are two."""
--- a/turmerictally/tests/features/scheduling_permits.feature
+++ b/turmerictally/tests/features/scheduling_permits.feature
@@ -17,6 +17,12 @@
       | 5     | is cold and takes | 100000000     |
       | 61    | is cold and takes | 9000000000000 |
 
+  # Guards against hosts that go through all recent requests for each server and request.
+  Scenario: Whether a server may get a request is decided in as many steps at any load
+    Given a host that sees 5 hosts
+    When a server names a limit of 10000 a second, and the host sends it 10 requests, then 4000
+    Then deciding on one more takes at most 4 times the steps after 4000 than after 10
+
   # Guards against hosts that count all permits of all servers anew whenever a host restarts.
   Scenario: A host that comes or goes costs the others little
     Given a host that sees 400 hosts
--- a/turmerictally/tests/features/steps/scheduling_permits_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_permits_steps.py
@@ -110,3 +110,30 @@
 def fewer(context):
     average = statistics.mean(context.again_steps)
     assert average <= 0.5 * context.first_steps, (average, context.first_steps)
+
+
+@behave.when(
+    "a server names a limit of {limit:d} a second, and the host sends it {few:d} "
+    "requests, then {many:d}"
+)
+def sends(context, limit, few, many):
+    context.limits["s0"] = float(limit)
+    context.budgets.owned_permits("s0", context.now)
+    context.steps = []
+    for count in (few, many):
+        for _ in range(count):
+            context.now += 0.0001
+            context.budgets.reserve("s0", context.now)
+            context.budgets.record_send("s0", context.now)
+        with counted_steps() as counts:
+            assert context.budgets.may_send("s0", context.now)
+        context.steps += counts
+
+
+@behave.then(
+    "deciding on one more takes at most {factor:d} times the steps after {many:d} than "
+    "after {few:d}"
+)
+def flat(context, factor, many, few):
+    first, second = context.steps
+    assert second <= factor * first, context.steps
