Count a limited server for at most its own slots

Cause: the wait queue counts a server that named a limit for the slots that requests at that rate hold (entry/admission.py, conditions), without regard to how many it has. A large limit was thousands of slots.

What callers saw: those for whom there was no room waited until it was too late for them instead of being refused at once, and shares were not kept.

Change: the slots of a limited server are the lower of both.

The scenario failed before.

--- a/turmerictally/entry/admission.py
+++ b/turmerictally/entry/admission.py
@@ -124,12 +124,19 @@
         """Return the conditions on which decisions about a service are based.
 
         A server that named a limit counts for the slots that requests at this rate
-        hold, also if this host may send it none now: other hosts may.
+        hold, at most its own, also if this host may send it none now: other hosts may.
         """
         now = self.clock.monotonic()
         limits = self.inflight.limits_per_s(service)
         slots = sum(load.slots for load in loads if load.name not in limits)
-        slots += round(sum(limits.values()) * self.wait_queue.service_times.mean_s)
+        servers = self.inflight.registry.servers
+        mean_s = self.wait_queue.service_times.mean_s
+        slots += round(
+            sum(
+                min(servers[name].slots, per_s * mean_s)
+                for name, per_s in limits.items()
+            )
+        )
         report_times = [
             peer.received_at
             for peer in self.hosts.peers.values()
--- a/turmerictally/tests/features/entry_waiting.feature
+++ b/turmerictally/tests/features/entry_waiting.feature
@@ -12,6 +12,12 @@
     And each of them gets a retry time, spread over different values
     And their log lines contain the share, the queue position, the wait and the age
 
+  # Guards against callers who wait in vain, as a large limit counts for many slots.
+  Scenario: A limit above what a server's slots serve adds no room
+    When 30 callers arrive at once at a server that names a limit of 2000 a second
+    Then those beyond the slots are refused, each within 0.3 s and without being sent
+    And at most 2 of them waited first
+
   Scenario: A caller that disconnects while it waits is removed at once
     When 8 streams run and a waiting caller disconnects
     Then the wait queue is empty and the server never got its request
--- a/turmerictally/tests/features/steps/entry_waiting_steps.py
+++ b/turmerictally/tests/features/steps/entry_waiting_steps.py
@@ -6,7 +6,7 @@
 
 from turmerictally.entry import gossip, settings
 from turmerictally.entry import metrics as entry_metrics
-from turmerictally.scheduling import fair_shares
+from turmerictally.scheduling import fair_shares, server_rates
 from turmerictally.tests.support import users_platform
 
 QUEUEING = settings.Scheduling(fair_shares=True, waiting_room=True)
@@ -97,6 +97,24 @@
     play(context, main)
 
 
+@behave.when(
+    "30 callers arrive at once at a server that names a limit of {limit:d} a second"
+)
+def many_arrive_at_limit(context, limit):
+    async def main(world, nursery):
+        server = world.servers["s0"]
+        server.limit_per_s = limit
+        await trio.sleep(server_rates.VIEW_SETTLE_S + 1.0)
+        await ask(context, world)
+        context.replies.clear()
+        server.arrivals = 0
+        async with trio.open_nursery() as callers:
+            for _ in range(30):
+                callers.start_soon(ask, context, world)
+
+    play(context, main)
+
+
 @behave.when("30 callers arrive at once and the metrics are read")
 def many_arrive_and_read(context):
     many_arrive(context)
@@ -319,3 +337,9 @@
     context.clock.now = hosts.unreachable_s() + 0.01
     hosts.expire()
     assert [hosts.callers_waiting(name) for name in "ab"] == [0, 0]
+
+
+@behave.then("at most {count:d} of them waited first")
+def few_waited(context, count):
+    waited = [x for x in context.world.lines("waited") if x["outcome"] != "room"]
+    assert len(waited) <= count, len(waited)
