Take a limit that no server reaches for none, and say so

Cause: any number that a server named was kept as its limit, told to other hosts, and bound them. What was no number was passed over without a line.

Change: above 10,000 requests a second, more than any single server is sent, a limit is none, also to other hosts, which are told so in a form that every version reads. server_limit_ignored says what was named and why it is none.

--- a/turmerictally/entry/availability.py
+++ b/turmerictally/entry/availability.py
@@ -6,7 +6,7 @@
 import attrs
 
 from turmerictally import clock as clocks
-from turmerictally.entry import gossip, messages, model, registry
+from turmerictally.entry import decoding, gossip, messages, model, registry
 from turmerictally.entry import trace as traces
 from turmerictally.scheduling import evacuation, server_limits, server_rates
 from turmerictally.store import rows
@@ -24,7 +24,8 @@
     """Decide which servers may get new requests, given evacuations and warm-up.
 
     ``written_at`` and ``renewed_at`` are the monotonic times at which this process
-    first wrote and last renewed the host's own row.
+    first wrote and last renewed the host's own row. ``ignored_limits`` holds by server
+    what it names as its limit if that is none.
     """
 
     read: model.ReadEvacuation
@@ -36,6 +37,7 @@
     overshoot: float
     evacuations: evacuation.Evacuations = attrs.field(factory=evacuation.Evacuations)
     limits: server_limits.ServerLimits = attrs.field(factory=server_limits.ServerLimits)
+    ignored_limits: dict[str, str] = attrs.Factory(dict)
     on_limit_change: collections.abc.Callable[[], None] = lambda: None
     budgets: server_rates.RateBudgets = attrs.field(init=False)
     has_servers: bool = False
@@ -63,6 +65,28 @@
         if self.limits.record(name, server.born_ms, head.limit_per_s, now):
             self._log_limit(name, before, "its answer")
             self.on_limit_change()
+        if head.limit_text or name in self.ignored_limits:
+            self._record_ignored(server, head, now)
+
+    def _record_ignored(
+        self, server: model.Server, head: messages.ResponseHead, now: float
+    ) -> None:
+        """Log a limit that is none, once for as long as the server names it."""
+        name, text = server.instance, head.limit_text
+        before = self.ignored_limits.pop(name, None)
+        if not text or self.limits.per_s(name, now) is not None:
+            return
+        self.ignored_limits[name] = text
+        if len(self.ignored_limits) > server_limits.MAX_LIMITED_SERVERS:
+            del self.ignored_limits[next(iter(self.ignored_limits))]
+        if text != before:
+            self.trace.emit(
+                "server_limit_ignored",
+                server=name,
+                born_ms=server.born_ms,
+                named=decoding.loggable(text),
+                reason="not a rate" if head.limit_per_s is None else "out of reach",
+            )
 
     def receive_limits(self, host: str, report: server_limits.Report) -> None:
         """Apply the limits of servers that another host saw."""
--- a/turmerictally/entry/messages.py
+++ b/turmerictally/entry/messages.py
@@ -99,7 +99,7 @@
     server states that it did not run the request, ``leaving`` whether the server is
     about to stop and takes no new requests. ``keep_alive_s`` is the idle time-out that
     the server announces, and ``limit_per_s`` how many requests a second it takes from
-    all hosts together.
+    all hosts together, as ``limit_text`` says.
     """
 
     status: int
@@ -111,6 +111,7 @@
     is_event_stream: bool = False
     keep_alive_s: float | None = None
     limit_per_s: float | None = None
+    limit_text: str = ""
 
 
 class Codec(typing.Protocol):
--- a/turmerictally/platform/requests.py
+++ b/turmerictally/platform/requests.py
@@ -129,6 +129,7 @@
         ),
         keep_alive_s=float(timeout[1]) if timeout else None,
         limit_per_s=_rate(named, b"server-limit"),
+        limit_text=_text(named, b"server-limit"),
     )
 
 
--- a/turmerictally/scheduling/server_limits.py
+++ b/turmerictally/scheduling/server_limits.py
@@ -1,7 +1,9 @@
 """Track the request rates that backend servers name as their limits.
 
 A server in need names in its responses how many requests a second it takes from all
-hosts together. The limit holds for as long as responses to any host name it.
+hosts together. The limit holds for as long as responses to any host name it. One that
+no server reaches is none: it would only keep hosts from sending that may not use their
+permits yet.
 """
 
 import attrs
@@ -11,6 +13,8 @@
 # With a limit below one request in a second, in the mean times between two requests.
 LIMIT_TTL_REQUESTS = 3.0
 MAX_LIMITED_SERVERS = 1000
+# Requests a second above which a limit is none. More than any single server is sent.
+MAX_LIMIT_PER_S = 10_000.0
 
 # By server: its limit in requests a second (0 if none), the seconds since the sender
 # saw it, and the start time of the server's incarnation in milliseconds.
@@ -50,7 +54,7 @@
         """Record what a response named; return whether the server's limit changed."""
         if per_s is None and server not in self.latest:
             return False
-        found = NamedLimit(per_s or 0.0, now, born_ms)
+        found = NamedLimit(_binding(per_s or 0.0), now, born_ms)
         self.own.pop(server, None)
         self.own[server] = found
         if len(self.own) > MAX_LIMITED_SERVERS:
@@ -62,7 +66,9 @@
         return [
             server
             for server, (per_s, age_s, born_ms) in report.items()
-            if self._apply(server, NamedLimit(per_s, now - age_s, born_ms), now)
+            if self._apply(
+                server, NamedLimit(_binding(per_s), now - age_s, born_ms), now
+            )
         ]
 
     def per_s(self, server: str, now: float) -> float | None:
@@ -99,3 +105,8 @@
         previous = self.per_s(server, now)
         self.latest[server] = found
         return (found.per_s or None) != previous
+
+
+def _binding(per_s: float) -> float:
+    """Return a limit in requests a second, 0 if no server reaches it."""
+    return per_s if per_s <= MAX_LIMIT_PER_S else 0.0
--- a/turmerictally/tests/features/entry_server_limits.feature
+++ b/turmerictally/tests/features/entry_server_limits.feature
@@ -31,3 +31,22 @@
       | a server names a limit of          | 999999999     |
       | the configuration gives cold ones  | 100000000     |
       | the configuration gives cold ones  | 9000000000000 |
+
+  Scenario Outline: A limit that is none is passed over with a line that says so
+    Given five hosts and six servers
+    When callers ask while a server names "<text>" as its limit
+    Then all of them are served
+    And each host that heard of it logs once that "<text>" is <reason>
+
+    Examples:
+      | text       | reason       |
+      | 100000000  | out of reach |
+      | 1000000000 | not a rate   |
+      | 1e6        | not a rate   |
+      | 2 5        | not a rate   |
+
+  # Guards against callers refused by new hosts, which may not use permits for 12 s.
+  Scenario: New hosts send to servers whose limits no server reaches
+    Given five hosts and six servers
+    When callers ask at once after the start while all servers name "100000000"
+    Then all of them are served
--- a/turmerictally/tests/features/scheduling_limits.feature
+++ b/turmerictally/tests/features/scheduling_limits.feature
@@ -29,6 +29,15 @@
       | named 3 before it restarted | named 2 before that          | 3     |
       | names 3                     | has not responded for 20 s   | none  |
       | names 0.1                   | has not responded for 20 s   | 0.1   |
+      | names 3                     | names 100000000              | none  |
+      | names 100000000             | names 3                      | 3     |
+      | names 3                     | named 1e13 a second earlier  | 3     |
+      | names none                  | named 1e13 a second earlier  | none  |
+
+  # Guards against hosts of versions before, which hang on such a number in a digest.
+  Scenario: Other hosts are not told of a limit that no server reaches
+    When a host learns that a server names 3, and then that it names 100000000
+    Then it tells other hosts that the server names none
 
   # Guards against hosts that exit when batch items meet a server that just named a limit.
   Scenario: A server that nothing was sent to since it named a limit has idle permits
--- a/turmerictally/tests/features/steps/entry_server_limits_steps.py
+++ b/turmerictally/tests/features/steps/entry_server_limits_steps.py
@@ -197,3 +197,33 @@
     for server in context.world.servers.values():
         count = sum(at >= context.named_at for at in server.arrived_at)
         assert count >= 0.5 * part, (server.name, count, part)
+
+
+def ask_100_times(context, text, servers):
+    context.replies = []
+
+    async def main(world):
+        for server in list(world.servers.values())[:servers]:
+            server.limit_per_s = text
+        for _ in range(100):
+            await ask(context, world)
+
+    context.world = users_platform.play(main, hosts=context.hosts, servers=6)
+
+
+@behave.when('callers ask while a server names "{text}" as its limit')
+def one_names(context, text):
+    ask_100_times(context, text, 1)
+
+
+@behave.when('callers ask at once after the start while all servers name "{text}"')
+def all_name(context, text):
+    ask_100_times(context, text, 6)
+
+
+@behave.then('each host that heard of it logs once that "{text}" is {reason}')
+def logged_once(context, text, reason):
+    lines = context.world.lines("server_limit_ignored")
+    assert lines
+    assert all((x["named"], x["reason"]) == (text, reason) for x in lines), lines
+    assert len(lines) <= context.hosts, lines
--- a/turmerictally/tests/features/steps/scheduling_limits_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_limits_steps.py
@@ -82,6 +82,7 @@
             limits.record("s", incarnation, rate, now)
         now += 0.5
     context.limit = limits.per_s("s", now)
+    context.told = limits.report(now)
 
 
 @behave.then("the server's limit is {limit}")
@@ -90,6 +91,12 @@
     assert context.limit == expected, context.limit
 
 
+@behave.then("it tells other hosts that the server names none")
+def told_none(context):
+    per_s, _, _ = context.told["s"]
+    assert per_s == 0.0, context.told
+
+
 @behave.then("the permits of a server that just named 2 a second are idle")
 def idle(context):
     assert context.hosts[0].is_idle("s", 1.0)
