Ask a server that named a very low limit again

Once the four were sent nothing went there, so that nobody heard that the need was over.

Change: the lowest limit is one request in 15 s, well within what the rule leaves to any 4 s, and requests of low limits come one by one: they are counted over 15 s at most.

Measured: scheduling_limits.feature, "A server that named a very low limit is soon heard to name none" and one example of an old outline failed before (a limit still believed 20 s later, at 0.01 and 0.0001) and pass.

--- a/turmerictally/scheduling/server_limits.py
+++ b/turmerictally/scheduling/server_limits.py
@@ -12,6 +12,9 @@
 LIMIT_TTL_S = 15.0
 # With a limit below one request in a second, in the mean times between two requests.
 LIMIT_TTL_REQUESTS = 3.0
+# Lowest limit in requests a second. A server that gets none can't say that its need is
+# over.
+MIN_LIMIT_PER_S = 1 / LIMIT_TTL_S
 MAX_LIMITED_SERVERS = 1000
 # Requests a second above which a limit is none. More than any single server is sent.
 MAX_LIMIT_PER_S = 10_000.0
@@ -108,5 +111,7 @@
 
 
 def _binding(per_s: float) -> float:
-    """Return a limit in requests a second, 0 if no server reaches it."""
-    return per_s if per_s <= MAX_LIMIT_PER_S else 0.0
+    """Return the limit that hosts keep to, in requests a second, 0 for none."""
+    if not per_s or per_s > MAX_LIMIT_PER_S:
+        return 0.0
+    return max(MIN_LIMIT_PER_S, per_s)
--- a/turmerictally/scheduling/server_rates.py
+++ b/turmerictally/scheduling/server_rates.py
@@ -19,6 +19,9 @@
 # Periods over which requests are counted on permits of a named limit. Load comes in
 # waves, and what a quiet second leaves is used in the next one.
 LIMIT_PERIODS = 4
+# Longest time over which they are counted: a server that names a very low limit gets
+# its few requests one by one.
+MAX_LIMIT_WINDOW_S = 15.0
 # Time for a host's row to reach every other host's copy of the table. At 400 hosts,
 # which read it every 4 s, that is several reads, so a host cut off from the store keeps
 # its permits for some seconds.
@@ -250,7 +253,9 @@
         if limit is None:
             return self._cold_rate(server)
         permits = math.ceil(limit)
-        named = FleetRate(permits, permits / limit, LIMIT_PERIODS, is_named=True)
+        period_s = permits / limit
+        periods = min(LIMIT_PERIODS, max(1, int(MAX_LIMIT_WINDOW_S / period_s)))
+        named = FleetRate(permits, period_s, periods, is_named=True)
         if not self.is_cold(server, now):
             return named
         return min(named, self._cold_rate(server), key=lambda rate: rate.per_s)
--- a/turmerictally/tests/features/scheduling_limits.feature
+++ b/turmerictally/tests/features/scheduling_limits.feature
@@ -29,11 +29,25 @@
       | named 3 before it restarted | named 2 before that          | 3     |
       | names 3                     | has not responded for 20 s   | none  |
       | names 0.1                   | has not responded for 20 s   | 0.1   |
+      | names 0.0001                | has not responded for 50 s   | none  |
       | names 3                     | names 100000000              | none  |
       | names 100000000             | names 3                      | 3     |
       | names 3                     | named 1e13 a second earlier  | 3     |
       | names none                  | named 1e13 a second earlier  | none  |
 
+  # Guards against a server that gets nothing for minutes, as nobody hears that it may.
+  Scenario Outline: A server that named a very low limit is soon heard to name none
+    Given 5 hosts whose tables list each other
+    When each sends to a server that names <rate> a second for 2 s whenever it may
+    Then 20 s after that no host believes in a limit
+    And in any 4 s of that the server gets at most one and a half times what the limit allows plus 5
+
+    Examples:
+      | rate   |
+      | 0.2    |
+      | 0.01   |
+      | 0.0001 |
+
   # Guards against hosts of versions before, which hang on such a number in a digest.
   Scenario: Other hosts are not told of a limit that no server reaches
     When a host learns that a server names 3, and then that it names 100000000
--- a/turmerictally/tests/features/steps/scheduling_limits_steps.py
+++ b/turmerictally/tests/features/steps/scheduling_limits_steps.py
@@ -68,7 +68,7 @@
     now, born_ms = 100.0, 2000
     for text in (before, after):
         if "not responded" in text:
-            now += 20.0
+            now += float(text.split(" ")[-2])
             continue
         words = text.split(" ")
         rate = next((float(w) for w in words if w[0].isdigit()), None)
@@ -119,3 +119,38 @@
 @behave.then("the host {may} send there")
 def it_may(context, may):
     assert context.host.may_send("s", 1.0) == (may == "may")
+
+
+@behave.when(
+    "each sends to a server that names {rate:g} a second for 2 s whenever it may"
+)
+def low_limit(context, rate):
+    limits = server_limits.ServerLimits()
+    context.rate, context.times = rate, []
+    for host in context.hosts:
+        host.limit_of = lambda server: limits.per_s(server, context.now)
+    limits.record("s", 1, rate, 0.0)
+    for step in range(int(22.0 / STEP_S)):
+        context.now = step * STEP_S
+        for host in context.hosts:
+            limited = limits.per_s("s", context.now) is not None
+            if limited and host.may_send("s", context.now):
+                host.reserve("s", context.now)
+                host.record_send("s", context.now)
+                context.times.append(context.now)
+                named = rate if context.now < 2.0 else None
+                limits.record("s", 1, named, context.now)
+    context.limit = limits.per_s("s", context.now)
+
+
+@behave.then("20 s after that no host believes in a limit")
+def no_limit(context):
+    assert context.limit is None, (context.limit, context.times)
+
+
+@behave.then(
+    "in any 4 s of that the server gets at most one and a half times what the limit "
+    "allows plus 5"
+)
+def within_again(context):
+    within(context)
