Take a configured rate of cold servers that none reaches for none

Cause: coldPerS bound hosts however large it was. An operator who writes a very large number for "as many as you like" kept new hosts from all cold servers for 12 s.

Change: as for limits that servers name: above 10,000 requests a second a rate is none.

Measured: entry_cold.feature, two new examples of "What makes a server cold" failed before and pass.

--- a/turmerictally/entry/availability.py
+++ b/turmerictally/entry/availability.py
@@ -274,7 +274,8 @@
 
     def _rate_of(self, name: str) -> float:
         server = self.registry.servers.get(name)
-        return self._service_of(server).cold_per_s if server else 0.0
+        per_s = self._service_of(server).cold_per_s if server else 0.0
+        return server_limits.binding_rate(per_s)
 
     def _view(self) -> server_rates.HostTableView:
         now = self.clock.monotonic()
--- a/turmerictally/scheduling/server_limits.py
+++ b/turmerictally/scheduling/server_limits.py
@@ -57,7 +57,7 @@
         """Record what a response named; return whether the server's limit changed."""
         if per_s is None and server not in self.latest:
             return False
-        found = NamedLimit(_binding(per_s or 0.0), now, born_ms)
+        found = NamedLimit(_binding_limit(per_s or 0.0), now, born_ms)
         self.own.pop(server, None)
         self.own[server] = found
         if len(self.own) > MAX_LIMITED_SERVERS:
@@ -70,7 +70,7 @@
             server
             for server, (per_s, age_s, born_ms) in report.items()
             if self._apply(
-                server, NamedLimit(_binding(per_s), now - age_s, born_ms), now
+                server, NamedLimit(_binding_limit(per_s), now - age_s, born_ms), now
             )
         ]
 
@@ -110,8 +110,11 @@
         return (found.per_s or None) != previous
 
 
-def _binding(per_s: float) -> float:
+def binding_rate(per_s: float) -> float:
+    """Return a rate in requests a second, 0 for none if no server reaches it."""
+    return per_s if per_s <= MAX_LIMIT_PER_S else 0.0
+
+
+def _binding_limit(per_s: float) -> float:
     """Return the limit that hosts keep to, in requests a second, 0 for none."""
-    if not per_s or per_s > MAX_LIMIT_PER_S:
-        return 0.0
-    return max(MIN_LIMIT_PER_S, per_s)
+    return max(MIN_LIMIT_PER_S, binding_rate(per_s)) if binding_rate(per_s) else 0.0
--- a/turmerictally/tests/features/entry_cold.feature
+++ b/turmerictally/tests/features/entry_cold.feature
@@ -26,6 +26,9 @@
       | is back from an outage                         | not cold |
       | was there when the hosts started               | not cold |
       | registers for the first time, without a rate   | not cold |
+      | registers for the first time, at rate 10000    | cold     |
+      | registers for the first time, at rate 10001    | not cold |
+      | registers for the first time, at rate 9e12     | not cold |
       | said 2 s ago that it is cold for 2 s           | not cold |
       | says that it is cold for 2 s, then for 0 s     | cold     |
 
--- a/turmerictally/tests/features/steps/entry_cold_steps.py
+++ b/turmerictally/tests/features/steps/entry_cold_steps.py
@@ -89,6 +89,8 @@
     async def main(world):
         server = world.servers["s0"]
         limits = {"coldPerS": 0} if "without a rate" in event else {}
+        if "at rate" in event:
+            limits = {"coldPerS": float(event.split(" ")[-1])}
         world.configure(**service(**limits))
         await trio.sleep(1.0)
         if event.startswith("registers for the first time"):
