Bound the limit slots of a failure domain

Cause: limits.slots_per_domain had no upper bound, and a host sorts the slots of each domain by hash for each team that it meets, in its event loop (limits/layout.py). A very large number in the settings made it stand still.

What callers saw: found by reading.

Change: more than 1,024 is a fault of the settings, reported with its key.

Measured: settings.feature, "A failure domain has a limited number of limit slots", fails before and passes.

--- a/turmerictally/checks.py
+++ b/turmerictally/checks.py
@@ -6,6 +6,8 @@
 import attrs
 
 _PORT = re.compile(r"[0-9]{1,5}")
+# A host ranks the slots of each failure domain for each team that it meets.
+MAX_SLOTS_PER_DOMAIN = 1024
 
 
 @attrs.frozen
@@ -33,6 +35,9 @@
     faults.extend(_check_seeds(merged["membership"]["seeds"]))
     faults.extend(_check_tls(merged["tls"]))
     faults.extend(_check_domains(merged))
+    if merged["limits"]["slots_per_domain"] > MAX_SLOTS_PER_DOMAIN:
+        expected = f"expected a number up to {MAX_SLOTS_PER_DOMAIN}"
+        faults.append(Fault("limits.slots_per_domain", expected))
     return faults
 
 
--- a/turmerictally/tests/features/settings.feature
+++ b/turmerictally/tests/features/settings.feature
@@ -35,6 +35,19 @@
       limits.failure_domains: expected a list of names with the own one, luzon-a
       """
 
+  # Guards against hosts that hang as they rank a very large number of slots.
+  Scenario: A failure domain has a limited number of limit slots
+    Given the minimal settings
+    And these settings over them
+      """
+      limits: {slots_per_domain: 100000000}
+      """
+    When the settings are checked
+    Then the faults are
+      """
+      limits.slots_per_domain: expected a number up to 1024
+      """
+
   Scenario: The settings page lists every key with its default
     Then docs/settings.md has a row for each key and default
     And docs/settings-entry.md has a row for each key and default
