--- a/turmerictally/scheduling/permit_rings.py
+++ b/turmerictally/scheduling/permit_rings.py
@@ -1,4 +1,4 @@
-"""Divide permits among hosts without messages, at a cost that few permits set.
+"""Divide permits among hosts without messages, at a cost independent of their number.
 
 Each host has a point on each of several rings, and so does each permit on one of them.
 A permit belongs to the first host at or after its point. Of two hosts that see each
@@ -7,7 +7,7 @@
 whatever each sees of others, and however many permits each believes that there are.
 
 A host stores its distance to the host before it on each ring, and counts the permits in
-between arithmetically. Their number hardly matters for that.
+between arithmetically.
 """
 
 import functools
