Load the stall sampler and the permit rings only when they are needed

What callers saw: nothing; starts wait for each module.

Change: the sampler is loaded and started a second after the start, and the rings once a server is cold or names a limit.

--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -7,9 +7,11 @@
 import json
 import os
 import random
+import time
 import typing
 
 import attrs
+import hdrh.histogram
 import trio
 
 from turmerictally import clock as clocks
@@ -28,7 +30,6 @@
     inflight,
     item_runner,
     jobs,
-    loop_monitor,
     messages,
     model,
     network,
@@ -79,6 +80,10 @@
 # Of a starting host's first write of its row, if the others' rows cannot be read.
 MAX_ROW_DELAY_S = 1.0
 ROW_POLL_S = 0.02
+# Of one pass of the event loop, up to which it is only counted, and from which on it is
+# logged.
+SHORT_PASS_S, LATE_PASS_S = 0.005, 0.25
+SAMPLER_DELAY_S = 1.0  # until a starting host samples stalls of its event loop
 GARBAGE_DELAY_S = 1.0  # until a starting host looks for expired rows
 PROBE_INTERVAL_S = 0.25  # between attempts to reach a server while paths are lost
 DRAIN_POLL_S = 0.05  # between checks for connections that became idle
@@ -96,6 +101,42 @@
     read_evacuation: model.ReadEvacuation
 
 
+@attrs.define(eq=False)
+class LoopMonitor(trio.abc.Instrument):
+    """Record the busy time of each pass of the event loop, and count wake-ups.
+
+    ``short_passes`` counts those that ``busy_times`` leaves out. ``busy_since`` is the
+    monotonic time at which the current pass began, None while the loop waits, and
+    ``stack`` is where the sampler found it.
+    """
+
+    trace: traces.Trace
+    wake_ups: int = 0
+    busy_since: float | None = None
+    short_passes: int = 0
+    busy_times: hdrh.histogram.HdrHistogram = attrs.field(factory=latency.new_histogram)
+    stack: list[str] = attrs.Factory(list)
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Begin a pass; with a timeout of 0 other tasks were ready."""
+        self.wake_ups += timeout > 0
+        self.busy_since = time.monotonic()
+
+    def before_io_wait(self, timeout: float) -> None:
+        """End a pass, and log it if it took long."""
+        if self.busy_since is None:
+            return
+        busy_s = time.monotonic() - self.busy_since
+        self.busy_since = None
+        if busy_s < SHORT_PASS_S:
+            self.short_passes += 1
+            return
+        latency.record_seconds(self.busy_times, busy_s)
+        if busy_s >= LATE_PASS_S:
+            self.trace.emit("loop_late", busy_s=round(busy_s, 3), stack=self.stack)
+            self.stack = []
+
+
 class Host:
     """Run one entry host; ``stop`` drains it."""
 
@@ -121,7 +162,7 @@
         self.stop_requested = trio.Event()
         self.row_changed = trio.Event()
         self.stopping = False
-        self.loop_monitor = loop_monitor.LoopMonitor(self.trace)
+        self.loop_monitor = LoopMonitor(self.trace)
         self.latencies = latency.Latencies(MAX_TEAM_HISTOGRAMS, self.clock)
         self._build_state(schema)
         self._build_request_path(codec)
@@ -455,6 +496,12 @@
         module = importlib.import_module("turmerictally.entry.garbage_collector")
         return module.GarbageCollector(self.takeover, self.settings.batch.keep_s)
 
+    async def sample_stalls(self) -> None:
+        """Log where the event loop of this thread stands still, from soon on."""
+        await trio.sleep(SAMPLER_DELAY_S)
+        module = importlib.import_module("turmerictally.entry.stall_sampler")
+        module.StallSampler(self.loop_monitor).start()
+
     async def _collect_garbage(self) -> None:
         await trio.sleep(GARBAGE_DELAY_S)
         await self.garbage_collector.run()
--- a/turmerictally/entry/loop_monitor.py
+++ b/turmerictally/entry/stall_sampler.py
@@ -1,7 +1,7 @@
-"""Measure how long the event loop is busy between two waits, and tell what held it.
+"""Log from a thread where the event loop is while it does not get on.
 
 While the loop runs one task, no other one runs: no request, no readiness check, no log
-line. A stall is therefore reported by a thread of its own.
+line.
 """
 
 import contextlib
@@ -13,65 +13,24 @@
 import types
 
 import attrs
-import hdrh.histogram
-import trio
 
-from turmerictally.entry import trace as traces
-from turmerictally.metrics import latency
+from turmerictally.entry import host as hosts
 
-SHORT_S = 0.005  # of one pass of the loop, up to which it is only counted
-LATE_S = 0.25  # from which on it is logged
-STALL_S = 0.5  # from which on the sampler looks at what runs
+STALL_S = 0.5  # of one pass of the loop, from which on the sampler looks at what runs
 SAMPLE_S = 0.5
 REPORT_S = 5.0  # between two lines about one stall
 MAX_FRAMES = 8  # of a sampled stack, the innermost
 STANDARD_ERROR = 2
 
 
-@attrs.define(eq=False)
-class LoopMonitor(trio.abc.Instrument):
-    """Record the busy time of each pass of the event loop, and count wake-ups.
-
-    ``short_passes`` counts those that ``busy_times`` leaves out. ``busy_since`` is the
-    monotonic time at which the current pass began, None while the loop waits, and
-    ``stack`` is where the sampler found it.
-    """
-
-    trace: traces.Trace
-    wake_ups: int = 0
-    busy_since: float | None = None
-    short_passes: int = 0
-    busy_times: hdrh.histogram.HdrHistogram = attrs.field(factory=latency.new_histogram)
-    stack: list[str] = attrs.Factory(list)
-
-    def after_io_wait(self, timeout: float) -> None:
-        """Begin a pass; with a timeout of 0 other tasks were ready."""
-        self.wake_ups += timeout > 0
-        self.busy_since = time.monotonic()
-
-    def before_io_wait(self, timeout: float) -> None:
-        """End a pass, and log it if it took long."""
-        if self.busy_since is None:
-            return
-        busy_s = time.monotonic() - self.busy_since
-        self.busy_since = None
-        if busy_s < SHORT_S:
-            self.short_passes += 1
-            return
-        latency.record_seconds(self.busy_times, busy_s)
-        if busy_s >= LATE_S:
-            self.trace.emit("loop_late", busy_s=round(busy_s, 3), stack=self.stack)
-            self.stack = []
-
-
 @attrs.define(eq=False)
 class StallSampler:
-    """Log from a thread where the loop's thread is while a pass takes long.
+    """Log where the loop's thread is while a pass of the loop takes long.
 
     Processor use tells a loop that computes from a process that was suspended.
     """
 
-    monitor: LoopMonitor
+    monitor: hosts.LoopMonitor
     descriptor: int = STANDARD_ERROR
     thread_id: int = attrs.field(factory=threading.get_ident)
     reported_pass: float | None = None
--- a/turmerictally/platform/deployment.py
+++ b/turmerictally/platform/deployment.py
@@ -10,7 +10,7 @@
 
 from turmerictally import log, settings
 from turmerictally.cli import signals
-from turmerictally.entry import host, loop_monitor, network
+from turmerictally.entry import host, network
 from turmerictally.entry import settings as entry_settings
 from turmerictally.platform import codec, configuration, store
 
@@ -54,10 +54,10 @@
         except settings.SettingsError as error:
             sys.exit(str(error))
         _tune_gc()
-        loop_monitor.StallSampler(entry_host.loop_monitor).start()
         async with trio.open_nursery() as nursery:
             await nursery.start(signals.stop_on_signal, entry_host.stop)
             nursery.start_soon(_reload, hangups, entry_host, path)
+            nursery.start_soon(entry_host.sample_stalls)
             await entry_host.run()
             nursery.cancel_scope.cancel()
 
--- a/turmerictally/scheduling/server_rates.py
+++ b/turmerictally/scheduling/server_rates.py
@@ -7,11 +7,15 @@
 
 import bisect
 import collections.abc
+import functools
+import importlib
 import math
+import typing
 
 import attrs
 
-from turmerictally.scheduling import permit_rings
+if typing.TYPE_CHECKING:
+    from turmerictally.scheduling import permit_rings
 
 # Time between two requests on one permit. The rate is counted over one second; the
 # rest covers the difference in delay of two requests on busy hosts and links.
@@ -121,10 +125,13 @@
     start_times: dict[str, int] = attrs.Factory(dict)
     cached_view: HostTableView = attrs.field(factory=HostTableView)
     cached_at: float = float("-inf")
-    rings: permit_rings.PermitRings = attrs.field(init=False)
 
-    def __attrs_post_init__(self) -> None:
-        self.rings = permit_rings.PermitRings(self.host)
+    @functools.cached_property
+    def rings(self) -> "permit_rings.PermitRings":
+        """Return which permits belong to this host."""
+        # Imported once a server is restricted: starts wait for each module.
+        module = importlib.import_module("turmerictally.scheduling.permit_rings")
+        return module.PermitRings(self.host)
 
     def record_start(self, server: str, start_ms: int) -> bool:
         """Record a server's start time; return whether it differs from the last one."""
--- a/turmerictally/tests/features/steps/entry_loop_steps.py
+++ b/turmerictally/tests/features/steps/entry_loop_steps.py
@@ -10,7 +10,7 @@
 import prometheus_client.parser
 import trio
 
-from turmerictally.entry import loop_monitor, trace
+from turmerictally.entry import host, stall_sampler, trace
 from turmerictally.metrics import exposition
 
 MAX_HOLD_S = 60.0
@@ -20,11 +20,11 @@
     """Run ``main`` in a monitored loop; keep the lines of log and sampler."""
     reader, writer = os.pipe()
     log = trace.Trace("h0", writer)
-    context.monitor = loop_monitor.LoopMonitor(log)
+    context.monitor = host.LoopMonitor(log)
 
     async def run():
         trio.lowlevel.add_instrument(context.monitor)
-        loop_monitor.StallSampler(context.monitor, writer).start()
+        stall_sampler.StallSampler(context.monitor, writer).start()
         await trio.lowlevel.checkpoint()  # the first pass began before
         await main(reader)
 
@@ -54,14 +54,14 @@
 @behave.then("that line names the function")
 def named(context):
     assert context.stalled["event"] == "loop_stalled"
-    assert context.stalled["busy_s"] >= loop_monitor.STALL_S
+    assert context.stalled["busy_s"] >= stall_sampler.STALL_S
     assert any("hold_the_loop" in call for call in context.stalled["stack"])
 
 
 @behave.then("the line at the end of the pass names it too")
 def named_at_end(context):
     (line,) = [line for line in context.lines if line["event"] == "loop_late"]
-    assert line["busy_s"] >= loop_monitor.LATE_S
+    assert line["busy_s"] >= host.LATE_PASS_S
     assert any("hold_the_loop" in call for call in line["stack"])
 
 
