Sample the event loop once a second

Cause: each sample takes the interpreter's lock, for which the loop waits until the thread has run. On a machine that is far too busy that can take long.

Change: a sample a second instead of two.

--- a/turmerictally/entry/stall_sampler.py
+++ b/turmerictally/entry/stall_sampler.py
@@ -17,7 +17,7 @@
 from turmerictally.entry import host as hosts
 
 STALL_S = 0.5  # of one pass of the loop, from which on the sampler looks at what runs
-SAMPLE_S = 0.5
+SAMPLE_S = 1.0  # each sample interrupts the loop for as long as the thread takes
 REPORT_S = 5.0  # between two lines about one stall
 MAX_FRAMES = 8  # of a sampled stack, the innermost
 STANDARD_ERROR = 2
