--- a/review/lib3/standins.py
+++ b/review/lib3/standins.py
@@ -588,11 +588,14 @@
     """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 otherwise."""
 
     async def main():
+        # A script that is told to end ends what it started.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         world = World(case)
         try:
             async with asyncio.timeout(seconds):
                 return await play(world)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             world.record(f"could not run: {type(error).__name__}: {error}")
             return 2
         finally:
