--- a/review/11/case.py
+++ b/review/11/case.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import sys
+import time
 
 CASE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "lib3"))
@@ -13,8 +14,9 @@
 
 SERVERS = 7  # of which one is a share of 0.15
 FAILED_SHARE = 0.4
+SPELL_S = 5.0  # for which it fails them
 NOTES = 300
-PAUSE_S = 0.05
+PAUSE_S = 0.025
 
 
 async def send(world, note, attempts):
@@ -47,10 +49,13 @@
         for n in range(SERVERS)
     ]
     world.servers += servers
-    if world.trouble:
-        servers[0].grey = lambda request: rng.random() < FAILED_SHARE
     world.configure("llm")
     await world.start(3)
+    ends_at = time.monotonic() + SPELL_S
+    if world.trouble:
+        servers[0].grey = lambda request: (
+            time.monotonic() < ends_at and rng.random() < FAILED_SHARE
+        )
     attempts = {}
     async with asyncio.TaskGroup() as group:
         for number in range(NOTES):
