Load two modules fewer in an entry host

It loaded two that it doesn't need: the package of the command line, for the signals that it and the platform's program share, and the interface of the table service of deployments that stand alone, for three errors.

signals.py moves out of cli/, and the errors and check_status from store/table.py to store/rows.py; table.py still offers them under their names. Callers see no change.

--- a/turmerictally/cli/commands.py
+++ b/turmerictally/cli/commands.py
@@ -8,8 +8,8 @@
 import trio
 
 from turmerictally import demo as demo_module
-from turmerictally import host, log, settings
-from turmerictally.cli import client, measure, signals, standin, verbs
+from turmerictally import host, log, settings, signals
+from turmerictally.cli import client, measure, standin, verbs
 from turmerictally.entry import timeline
 from turmerictally.platform import deployment
 
--- a/turmerictally/cli/standin.py
+++ b/turmerictally/cli/standin.py
@@ -8,8 +8,7 @@
 import quart
 import trio
 
-from turmerictally import log, settings
-from turmerictally.cli import signals
+from turmerictally import log, settings, signals
 from turmerictally.standins import engine, engine_server, memory, serving
 from turmerictally.standins import server as platform_server
 from turmerictally.standins import service as plain_service
--- a/turmerictally/entry/json_client.py
+++ b/turmerictally/entry/json_client.py
@@ -8,7 +8,7 @@
 
 from turmerictally import clock as clocks
 from turmerictally.entry import decoding, network, pool
-from turmerictally.store import table
+from turmerictally.store import rows
 
 # Several times a page of 1 MB of rows in its encoding.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -25,7 +25,7 @@
 
 @attrs.define(eq=False)
 class JsonClient:
-    """Send requests to one address, and map failures to the errors of ``table``."""
+    """Send requests to one address, and map failures to the errors of ``rows``."""
 
     address: str
     timeout_s: float
@@ -41,7 +41,7 @@
         accepted_statuses: tuple[int, ...] = (),
         timeout_s: float | None = None,
     ) -> Response:
-        """Return the response; raises ``table.UnavailableError``.
+        """Return the response; raises ``rows.UnavailableError``.
 
         A status in ``accepted_statuses`` is returned, not raised. ``timeout_s``
         overrides the client's time-out, for long polls.
@@ -52,15 +52,15 @@
             with trio.fail_after(limit_s):
                 status, content = await self._exchange(method, target, data)
         except pool.ConnectError as error:
-            raise table.UnavailableError(f"not connected: {error}") from error
+            raise rows.UnavailableError(f"not connected: {error}") from error
         except (pool.BrokenError, trio.TooSlowError) as error:
             reason = str(error) or "timeout"
-            raise table.UnavailableError(reason, maybe_applied=is_write) from error
-        table.check_status(status, is_write, accepted_statuses)
+            raise rows.UnavailableError(reason, maybe_applied=is_write) from error
+        rows.check_status(status, is_write, accepted_statuses)
         try:
             return Response(status, decoding.read_json(content))
         except decoding.DecodeError as error:
-            raise table.UnavailableError("bad JSON", maybe_applied=is_write) from error
+            raise rows.UnavailableError("bad JSON", maybe_applied=is_write) from error
 
     async def _exchange(
         self, method: bytes, target: bytes, body: bytes
--- a/turmerictally/platform/deployment.py
+++ b/turmerictally/platform/deployment.py
@@ -8,8 +8,7 @@
 
 import trio
 
-from turmerictally import log, settings
-from turmerictally.cli import signals
+from turmerictally import log, settings, signals
 from turmerictally.entry import host, network
 from turmerictally.entry import settings as entry_settings
 from turmerictally.platform import codec, configuration, store
--- a/turmerictally/platform/store.py
+++ b/turmerictally/platform/store.py
@@ -8,7 +8,7 @@
 import attrs
 
 from turmerictally.entry import decoding, json_client, network
-from turmerictally.store import rows, table
+from turmerictally.store import rows
 
 MALFORMED = (KeyError, TypeError, ValueError, AttributeError, binascii.Error)
 VERSION = "schemaVersion"  # despite its name, of the row or the store
@@ -53,7 +53,7 @@
             commit = decoding.Object.of(response.body)
             return rows.Commit(commit.integer(VERSION), commit.number(NOW) / 1000)
         except MALFORMED as error:
-            raise table.UnavailableError("bad answer", maybe_applied=True) from error
+            raise rows.UnavailableError("bad answer", maybe_applied=True) from error
 
     async def read(
         self,
@@ -116,7 +116,7 @@
             more=page.flag("hasMore"),
         )
     except MALFORMED as error:
-        raise table.UnavailableError("bad answer") from error
+        raise rows.UnavailableError("bad answer") from error
 
 
 def _row(body: dict) -> rows.Row:
--- a/turmerictally/store/rows.py
+++ b/turmerictally/store/rows.py
@@ -4,8 +4,6 @@
 
 import attrs
 
-from turmerictally.store import table
-
 
 @attrs.frozen
 class Address:
@@ -55,6 +53,21 @@
         super().__init__("a row has changed")
 
 
+class UnavailableError(Exception):
+    """The platform did not respond, or not as its interface requires.
+
+    ``maybe_applied`` is True if a write may have been applied.
+    """
+
+    def __init__(self, reason: str, *, maybe_applied: bool = False) -> None:
+        self.maybe_applied = maybe_applied
+        super().__init__(reason)
+
+
+class OverloadedError(UnavailableError):
+    """The platform throttled a call; nothing was applied."""
+
+
 class HistoryLostError(Exception):
     """The feed no longer holds all changes since the requested version."""
 
@@ -62,7 +75,7 @@
 class RowStore(typing.Protocol):
     """Read, change and watch rows.
 
-    Each call raises ``table.UnavailableError`` if the store does not respond in time;
+    Each call raises ``UnavailableError`` if the store does not respond in time;
     if its ``maybe_applied`` is True, a transaction may still be applied later.
     """
 
@@ -95,4 +108,17 @@
         """
 
 
-UnavailableError = table.UnavailableError
+def check_status(
+    status: int, is_write: bool, accepted_statuses: tuple[int, ...]
+) -> None:
+    """Raise ``UnavailableError`` for an error status that is not accepted.
+
+    A write may have been applied after a 5xx status other than 503.
+    """
+    if status < 300 or status in accepted_statuses:
+        return
+    if status == 429:
+        raise OverloadedError("status 429")
+    refused = status == 503 or status < 500
+    maybe_applied = is_write and not refused
+    raise UnavailableError(f"status {status}", maybe_applied=maybe_applied)
--- a/turmerictally/store/table.py
+++ b/turmerictally/store/table.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from turmerictally.store import rows
+
 ABSENT = 0  # the version in a Check for a row that must not exist
 
 
@@ -54,19 +56,9 @@
         super().__init__(f"version check failed for {key}")
 
 
-class UnavailableError(Exception):
-    """The platform did not respond, or not as its interface requires.
-
-    ``maybe_applied`` is True if a write may have been applied.
-    """
-
-    def __init__(self, reason: str, *, maybe_applied: bool = False) -> None:
-        self.maybe_applied = maybe_applied
-        super().__init__(reason)
-
-
-class OverloadedError(UnavailableError):
-    """The platform throttled a call; nothing was applied."""
+UnavailableError = rows.UnavailableError
+OverloadedError = rows.OverloadedError
+check_status = rows.check_status
 
 
 class Table(typing.Protocol):
@@ -92,19 +84,3 @@
 
         Raises ``ConflictError`` if a check fails; then nothing is written.
         """
-
-
-def check_status(
-    status: int, is_write: bool, accepted_statuses: tuple[int, ...]
-) -> None:
-    """Raise ``UnavailableError`` for an error status that is not accepted.
-
-    A write may have been applied after a 5xx status other than 503.
-    """
-    if status < 300 or status in accepted_statuses:
-        return
-    if status == 429:
-        raise OverloadedError("status 429")
-    refused = status == 503 or status < 500
-    maybe_applied = is_write and not refused
-    raise UnavailableError(f"status {status}", maybe_applied=maybe_applied)
