Pass no server's 408, 429 or 503 on as a promise that it did not state

What callers saw: a request that may run once was answered 503, 429 or 408 with the server's stamp though a server had begun to work on it. Requests that may run again got 408 and 429 at once though another server had room.

Cause: whether a response states that its request did not run decided only whether the host sent it on. The status that its caller got was the server's in any case. 408 and 429 also counted as successes of the server, which therefore kept its full share of the traffic.

Change: server_verdicts.judge decides what a response tells of its request. A promise that its server does not state counts as a failure of the server, is tried elsewhere if the request may run again, and otherwise ends as the host's own 502, or 504 at the deadline. The log names the server's status, and a metric counts such responses.

It works because the fact that a promise rests on is now the server's statement about this request alone, in the one place where a promise leaves the forwarder.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -37,6 +37,7 @@
     prompt_quarantine,
     request_quarantine,
     server_speeds,
+    server_verdicts,
     stream_origins,
     wait_queue,
 )
@@ -179,6 +180,11 @@
     origin: stream_origins.Origin | None = None
     server_identity: incarnations.Identity = incarnations.Identity.UNKNOWN
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether a server may have run it, so that no refusal may deny it."""
+        return self.runs > 0
+
     @functools.cached_property
     def identity(self) -> str:
         """Return the digest by which the request is known when it comes again."""
@@ -218,7 +224,8 @@
     """Send requests to backend servers, and retry on others where that is allowed.
 
     ``in_check`` counts the broken-off runs by server of which it isn't known yet
-    whether the server has ended.
+    whether the server has ended, and ``unsupported_promises`` by status the responses
+    that promised to callers what their servers didn't state.
     """
 
     inflight: inflight.InFlight
@@ -239,6 +246,9 @@
     failover_budget: failover.FailoverBudget | None = None
     disabled: frozenset[mechanisms.Mechanism] = frozenset()
     in_check: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    unsupported_promises: collections.Counter[int] = attrs.field(
+        factory=collections.Counter
+    )
 
     async def run(self, pending: PendingRequest) -> str:
         """Forward a request and respond; return the outcome for the log."""
@@ -395,7 +405,7 @@
             # A request that a server may have run must not be refused for its rank,
             # nor one whose caller has its first events.
             rank=0.0
-            if pending.runs or pending.origin is not None
+            if pending.may_have_run or pending.origin is not None
             else fair_shares.request_rank(pending.request.request_id),
             size=pending.size,
             body_bytes=len(pending.body),
@@ -532,10 +542,10 @@
         elif result is AttemptResult.FIRST_EVENT_TIMEOUT:
             # Leaves the circuit as it is; ejection rests on all hosts' outcomes.
             self.inflight.record_error_response(name)
-        elif result in NOT_RUN_RESULTS or pending.response_head.status < 500:
-            self.inflight.record_success(name)
-        else:
+        elif result is AttemptResult.FAILED or _is_server_error(pending.response_head):
             self.inflight.record_error_response(name)
+        else:
+            self.inflight.record_success(name)
         if result is AttemptResult.BROKEN and pending.server_closed:
             await self._check_crash(pending, server)
         if result is not AttemptResult.DONE:
@@ -547,6 +557,7 @@
                 last_event=pending.last_event,
                 events=pending.attempt_events,
                 head=pending.response_head is not None,
+                status=_status(pending.response_head),
                 server_closed=pending.server_closed,
                 server_ended=pending.server_ended,
                 identity=pending.identity,
@@ -679,14 +690,13 @@
         self.prompts.record_answer(server, head, sent_at)
         if not connection.tunnelled:
             self.inflight.record_answer(sent_at)
-        if head.not_run:
+        if head.verdict is server_verdicts.Verdict.NOT_RUN:
             await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
             pending.reason = f"server answered {head.status}"
             return AttemptResult.NOT_RUN, head
         if head.status >= 300 or not head.is_event_stream:
             return await self._forward_buffered(pending, connection, head)
-        if not head.signed:
-            raise pool.BrokenError("answer without the server's signature")
+        _check_signed(head)
         await self._forward_stream(
             pending, server, connection, head, silence_timer, sent_at
         )
@@ -743,11 +753,13 @@
         """Pass on a response that is not a stream, once it is complete."""
         body = await connection.read_body(MAX_BUFFERED_RESPONSE_BYTES)
         await self.pool.check_sender(connection)
-        if head.status < 300 and not head.signed:
-            raise pool.BrokenError("answer without the server's signature")
-        if head.status >= 500 and not head.signed:
-            raise pool.BrokenError(f"answer {head.status} without a signature")
-        if head.status >= 500 and (
+        _check_signed(head)
+        verdict = head.verdict
+        if verdict is server_verdicts.Verdict.UNSUPPORTED_PROMISE:
+            self.unsupported_promises[head.status] += 1
+            pending.reason = f"server answered {head.status}: {verdict.value}"
+            return AttemptResult.FAILED, head
+        if verdict is server_verdicts.Verdict.SERVER_ERROR and (
             pending.route.repeatable or pending.response.started
         ):
             pending.server_error = (head, body)
@@ -757,11 +769,17 @@
             raise pool.BrokenError("resumed stream is no stream")
         if head.signed:
             self.prompts.record_first_event(pending.request.shared_parts)
+        await self._pass_on(pending, head, body)
+        return AttemptResult.DONE, head
+
+    async def _pass_on(
+        self, pending: PendingRequest, head: messages.ResponseHead, body: bytes
+    ) -> None:
+        """Pass on a server's response, whose status promises nothing."""
         await pending.response.start(
             head.status, self.codec.caller_headers(head), len(body)
         )
         await pending.response.finish(body)
-        return AttemptResult.DONE, head
 
     async def _forward_stream(
         self,
@@ -886,14 +904,10 @@
         elif pending.server_error is not None:
             head, body = pending.server_error
             outcome = "server error"
-            await response.start(
-                head.status, self.codec.caller_headers(head), len(body)
-            )
-            await response.finish(body)
-        elif pending.runs and at_deadline:
-            await response.refuse(Refusal.DEADLINE, pending.reason)
-        elif pending.runs:
-            await response.refuse(Refusal.BROKEN, pending.reason)
+            await self._pass_on(pending, head, body)
+        elif pending.may_have_run:
+            refusal = Refusal.DEADLINE if at_deadline else Refusal.BROKEN
+            await response.refuse(refusal, pending.reason)
         else:
             evacuated = pending.reason == availabilities.REASON_EVACUATED
             delay_s = self.rng.uniform(
@@ -908,6 +922,7 @@
             reason=pending.reason,
             sends=pending.sends,
             may_have_run=pending.runs,
+            server_status=_status(pending.response_head),
             last_event=pending.last_event,
             outcome=outcome,
             **(_refusal_log_fields(pending.refusal) if pending.refusal else {}),
@@ -967,7 +982,22 @@
 
 
 def _succeeded(head: messages.ResponseHead) -> bool:
-    return head.signed and head.status < Refusal.BAD_REQUEST.value
+    return head.signed and head.status < server_verdicts.FIRST_ERROR_STATUS
+
+
+def _is_server_error(head: messages.ResponseHead | None) -> bool:
+    """Return whether a response, if there is one, tells of the server's own failure."""
+    return head is not None and head.verdict is server_verdicts.Verdict.SERVER_ERROR
+
+
+def _status(head: messages.ResponseHead | None) -> int | None:
+    return None if head is None else head.status
+
+
+def _check_signed(head: messages.ResponseHead) -> None:
+    """Raise ``pool.BrokenError`` if a response can't be the server's own."""
+    if head.verdict is server_verdicts.Verdict.UNSIGNED:
+        raise pool.BrokenError(f"answer {head.status} without the server's signature")
 
 
 def choose_service(route: model.Route, rng: random.Random) -> str:
--- a/turmerictally/entry/handler.py
+++ b/turmerictally/entry/handler.py
@@ -194,7 +194,7 @@
         except http_server.CallerDisconnectedError:
             raise
         except Exception:
-            if not pending.runs:
+            if not pending.may_have_run:
                 self.quotas.refund(team)
                 retry_after_s = self.rng.uniform(*forwarder.RETRY_AFTER_S)
                 await exchange.fail(
@@ -203,7 +203,7 @@
                     retry_after_s,
                 )
             raise
-        if not pending.runs:
+        if not pending.may_have_run:
             self.quotas.refund(team)
         self._record_duration(exchange, route, pending.size)
         return outcome
--- a/turmerictally/entry/messages.py
+++ b/turmerictally/entry/messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from turmerictally.entry import jobs
+from turmerictally.scheduling import server_verdicts
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -113,6 +114,13 @@
     limit_per_s: float | None = None
     limit_text: str = ""
 
+    @property
+    def verdict(self) -> server_verdicts.Verdict:
+        """Return what the response tells of its request."""
+        return server_verdicts.judge(
+            self.status, signed=self.signed, not_run=self.not_run
+        )
+
 
 class Codec(typing.Protocol):
     """Translate requests, responses and batch requests from and to the wire format."""
--- a/turmerictally/entry/metrics.py
+++ b/turmerictally/entry/metrics.py
@@ -121,6 +121,7 @@
             "Idle, but had carried the request's id.",
             served.pool.passed_over,
         ),
+        _unsupported_promises(served),
         _stopping(served),
         _taken_up(served),
         _identified(served),
@@ -167,6 +168,17 @@
     return [crashes, refused]
 
 
+def _unsupported_promises(served: "host.Host") -> prometheus_client.core.Metric:
+    responses = prometheus_client.core.CounterMetricFamily(
+        f"{exposition.PREFIX}_unsupported_promises",
+        "Responses whose status says not run, without the server's statement.",
+        labels=["status"],
+    )
+    for status, count in served.forwarder.unsupported_promises.items():
+        responses.add_metric([str(status)], count)
+    return responses
+
+
 def _stopping(served: "host.Host") -> prometheus_client.core.Metric:
     requests = prometheus_client.core.CounterMetricFamily(
         f"{exposition.PREFIX}_stop_requests",
--- /dev/null
+++ b/turmerictally/tests/features/entry_promises.feature
@@ -0,0 +1,48 @@
+Feature: A caller is told that its request has not run only if that is known
+  # Guards against a server's failure that reaches a caller as a promise, so that the
+  # request comes again and runs twice (REFUSED).
+  Scenario Outline: A server's status that promises without a statement is no promise to the caller
+    When a server runs requests that may run once and then answers <status> <signed>
+    Then their callers get 502, each request ran once, and the log names its status
+
+    Examples:
+      | status | signed              |
+      | 503    | with a signature    |
+      | 429    | with a signature    |
+      | 408    | with a signature    |
+      | 503    | without a signature |
+      | 429    | without a signature |
+      | 408    | without a signature |
+
+  # Guards against callers that get a failure though another server has room.
+  Scenario Outline: A request that may run again is served by another server instead
+    When a server runs requests that may run again and then answers <status> <signed>
+    Then their callers get the response of the other server
+
+    Examples:
+      | status | signed              |
+      | 503    | with a signature    |
+      | 429    | with a signature    |
+      | 408    | with a signature    |
+
+  Scenario: What a server says for itself is passed on
+    When a server runs requests that may run once and then answers 404 with a signature
+    Then their callers get its response
+
+  # Guards against a server that goes on getting its share, as its failures count as successes.
+  Scenario Outline: A server that fails with such a status is ejected like one that answers 500
+    When a server fails many requests with <status>, and another one with 500 in a second play
+    Then it ran no more of them than that one, and was ejected
+
+    Examples:
+      | status |
+      | 429    |
+      | 408    |
+
+  Scenario: A refusal that states not to have run is still sent elsewhere
+    When a server refuses requests that may run once, stating that they have not run
+    Then their callers get the response of the other server
+
+  Scenario: The response to a request that no server may take is a true promise
+    When all servers refuse requests that may run once, stating that they have not run
+    Then their callers get 503 with a delay, and none of them ran
