Take an unsigned response of 300 to 499 for broken, as any other

What callers saw: a 401, 404 or 302 without the server's signature reached them as if it were the host's own answer (DENIED), also where another server would have served the request. Its server was taken for sound.

Cause: the check of the signature left out the statuses from 300 to 499.

Change: whatever states nothing about its request and is unsigned counts as a broken response: another server is tried if the request may run again, and otherwise its caller gets 502.

Evidence: entry_promises.feature, six scenarios that failed on the commit before and pass now. Signed refusals are passed on as before (one scenario).

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -767,8 +767,7 @@
             return AttemptResult.FAILED, head
         if pending.response.started:
             raise pool.BrokenError("resumed stream is no stream")
-        if head.signed:
-            self.prompts.record_first_event(pending.request.shared_parts)
+        self.prompts.record_first_event(pending.request.shared_parts)
         await self._pass_on(pending, head, body)
         return AttemptResult.DONE, head
 
--- a/turmerictally/scheduling/server_verdicts.py
+++ b/turmerictally/scheduling/server_verdicts.py
@@ -31,7 +31,7 @@
     """
     if not_run:
         return Verdict.NOT_RUN
-    if not signed and not 300 <= status < FIRST_SERVER_ERROR_STATUS:
+    if not signed:
         return Verdict.UNSIGNED
     if status in PROMISE_STATUSES:
         return Verdict.UNSUPPORTED_PROMISE
--- a/turmerictally/tests/features/entry_promises.feature
+++ b/turmerictally/tests/features/entry_promises.feature
@@ -24,11 +24,25 @@
       | 503    | with a signature    |
       | 429    | with a signature    |
       | 408    | with a signature    |
+      | 401    | without a signature |
+      | 404    | without a signature |
+      | 302    | without a signature |
 
   Scenario: What a server says for itself is passed on
     When a server runs requests that may run once and then answers 404 with a signature
     Then their callers get its response
 
+  # Guards against refusals that no server gave, which callers take for the host's own (DENIED).
+  Scenario Outline: An unsigned refusal does not reach the caller
+    When a server runs requests that may run once and then answers <status> without a signature
+    Then their callers get 502, each request ran once, and the log names its status
+
+    Examples:
+      | status |
+      | 401    |
+      | 404    |
+      | 302    |
+
   # Guards against a server that goes on getting its share, as its failures count as successes.
   Scenario Outline: A server that fails with such a status is ejected like one that answers 500
     When a server fails many requests with <status>, and another one with 500 in a second play
