Don't believe a success that states not to have run

What callers saw: nothing yet; found as kin of the server's 503. A response of 2xx or 3xx with X-Not-Executed counted as "not run", so that a request that may run once was sent to a second server although the first one may have run it.

Cause: the statement was believed with any status.

Change: such a response contradicts itself and counts as broken, for requests, streams and batch items alike.

--- a/turmerictally/entry/forwarder.py
+++ b/turmerictally/entry/forwarder.py
@@ -1016,6 +1016,11 @@
     for skipped in range(1 + MAX_SKIPPED_RESPONSES):
         raw_head = await connection.read_head()
         head = codec.read_head(raw_head.status, raw_head.headers)
+        if (
+            head.request_id in ("", request_id)
+            and head.verdict is server_verdicts.Verdict.CONTRADICTORY
+        ):
+            raise pool.BrokenError(f"answer {head.status}: {head.verdict.value}")
         if head.request_id == request_id:
             return head
         if not head.request_id:
--- a/turmerictally/scheduling/server_verdicts.py
+++ b/turmerictally/scheduling/server_verdicts.py
@@ -17,6 +17,7 @@
     """Name what a response tells of the request that it answers."""
 
     NOT_RUN = "states not to have run"
+    CONTRADICTORY = "success that states not to have run"
     UNSIGNED = "without the server's signature"
     UNSUPPORTED_PROMISE = "promise without a statement"
     SERVER_ERROR = "server error"
@@ -30,7 +31,8 @@
     states that the request did not run.
     """
     if not_run:
-        return Verdict.NOT_RUN
+        is_error = status >= FIRST_ERROR_STATUS
+        return Verdict.NOT_RUN if is_error else Verdict.CONTRADICTORY
     if not signed:
         return Verdict.UNSIGNED
     if status in PROMISE_STATUSES:
--- a/turmerictally/tests/features/entry_promises.feature
+++ b/turmerictally/tests/features/entry_promises.feature
@@ -53,6 +53,11 @@
       | 429    |
       | 408    |
 
+  # Guards against a second run of a request that a server says to have answered.
+  Scenario: A success that states not to have run is not believed
+    When a server runs requests that may run once and answers 200 that states not to have run
+    Then none of them ran at the other server or was answered as not run
+
   Scenario: A refusal that states not to have run is still sent elsewhere
     When a server refuses requests that may run once, stating that they have not run
     Then their callers get the response of the other server
--- a/turmerictally/tests/features/steps/entry_promises_steps.py
+++ b/turmerictally/tests/features/steps/entry_promises_steps.py
@@ -132,6 +132,28 @@
     assert ejected == {"s0"}, ejected
 
 
+@behave.when(
+    "a server runs requests that may run once and answers 200 that states not to have "
+    "run"
+)
+def contradicts(context):
+    def prepare(world):
+        world.servers["s0"].raw_answer = answer(
+            200, "X-Server-Stamp: s", "X-Not-Executed: 1"
+        )
+
+    context.failing = play(context, ONCE, prepare)
+
+
+@behave.then("none of them ran at the other server or was answered as not run")
+def none_twice(context):
+    failed = ran_at(context.failing)
+    assert failed
+    assert not failed & ran_at(context.world.servers["s1"])
+    for name, reply in context.replies:
+        assert name not in failed or reply.status == 502, (name, reply)
+
+
 @behave.when(
     "a server refuses requests that may run once, stating that they have not run"
 )
