Count the failed attempts of a batch item over all owners of its job

With answers of 422 and owners that are cut off from the store it ran a fourth time after three.

Cause: an owner counted an item's failures in its memory only. Its successor began with 0, after a planned stop as well, and an owner without the store had no channel at all to tell what it had learned.

Change: failures are counted by ownership of the job, which only one host writes and which only grows, so that rows, digests and memory merge by the highest count of each. An owner writes them at once into rows of the table of progress, under its usual condition, and tells them in digests until they are saved; what a host hears it uses when it takes the job over, and saves then. Items whose attempts are used up are ended before they are sent again. Only complete, signed answers count, never a run that was begun. Hosts of the version before pass the rows over and delete them with the job.

It works because each answer has one writer, and reaches a successor through whatever outlives the owner: the store, or the other hosts.

--- a/turmerictally/entry/gossip.py
+++ b/turmerictally/entry/gossip.py
@@ -98,7 +98,7 @@
     urgencies of its running items as in ``scheduling.item_order.urgency``, and under
     ``waiting_name`` of a service those of the most urgent items that wait for it. It
     also lists the streams that began lately, as ``scheduling.stream_origins`` names
-    them.
+    them, and the failed attempts of batch items, as ``scheduling.item_attempts`` does.
     ``waiting_urgencies`` holds the most urgent of all services, for hosts of versions
     that don't know those names. ``job_states`` holds the rows of job states that it
     wrote recently, each with its version.
--- a/turmerictally/entry/host.py
+++ b/turmerictally/entry/host.py
@@ -755,6 +755,7 @@
         self._on_heartbeat(digest)
         if digest.batch_urgencies:
             self.resumption.receive_digest(digest.batch_urgencies, digest.host)
+            self.worker.receive_attempts(digest.batch_urgencies, digest.host)
         if digest.paths_lost and digest.full:
             self.inflight.reconsider_ejections()
         if self.settings.host_id in digest.baseline_requests:
@@ -841,7 +842,8 @@
             batch_urgencies=gossip.named_urgencies(
                 self.inflight.batch_urgencies, waiting
             )
-            | self.resumption.digest_lists(),
+            | self.resumption.digest_lists()
+            | self.worker.reported_attempts(),
             accused_parts=self.prompts.report() if full else {},
             limits=self.availability.limits.report(self.clock.monotonic())
             if full
--- a/turmerictally/entry/item_runner.py
+++ b/turmerictally/entry/item_runner.py
@@ -66,7 +66,6 @@
     last_event: int | None = None
     saved_events: int = 0
     server_time_s: float = 0.0
-    errors: int = 0
     not_before: float = 0.0
     server: str = ""
     urgency: int = 0
@@ -216,7 +215,6 @@
             if head.status == 422:
                 return "impossible", head
             if head.status == 500:
-                task.errors += 1
                 return "error", head
             return f"answered {head.status}", head
         if not head.signed or not head.is_event_stream:
--- a/turmerictally/entry/jobs.py
+++ b/turmerictally/entry/jobs.py
@@ -10,20 +10,21 @@
 import msgspec
 
 from turmerictally.entry import decoding
-from turmerictally.scheduling import stream_origins
+from turmerictally.scheduling import item_attempts, stream_origins
 from turmerictally.store import rows
 
 # Tables of the row store.
 STATES = "jobs"  # one small row for each job, watched by every host
 ITEMS = "items"  # a job's items, written once
 RESULTS = "results"  # a job's results by position, written once
-PROGRESS = "progress"  # events of unfinished items, from which other hosts resume
+PROGRESS = "progress"  # events and failed attempts of items, for later owners
 SHARDS = 8  # partitions; each takes 200 transactions a second of 5 ms
 MAX_PIECE_BYTES = 60_000  # of a row's value, below the store's limit of 65,536
 MAX_TRANSACTION_BYTES = 900_000  # of values; the store's limit of 1 MB includes names
 MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024  # of a job's items, or of one result
 MAX_TRANSACTION_ROWS = 90  # below the store's limit of 100
 MAX_PROGRESS_ROWS = 50  # in one transaction, which may also release the job
+MAX_ATTEMPTS_ROWS = 40  # the same
 READ_PAGE_ROWS = 100
 MAX_READ_BYTES = 900_000  # of results in one response to a caller
 MAX_ID_LENGTH = 120  # of a job or an item; both are parts of row keys
@@ -118,6 +119,15 @@
     events: list[str] = attrs.field(repr=False)
 
 
+@attrs.frozen
+class SavedAttempts:
+    """Hold the value of a row of failed attempts; see ``item_attempts.Attempts``."""
+
+    errors: dict[decoding.Count, decoding.Count]
+    impossible: bool
+
+
+_ATTEMPTS_DECODER = msgspec.json.Decoder(SavedAttempts)
 # Rows of versions of hosts that didn't save where the events come from hold a list.
 _EVENTS_DECODER = msgspec.json.Decoder(SavedEvents | list[str])
 
@@ -258,9 +268,23 @@
     beginning: int = 0
 
 
+@attrs.frozen
+class SavedProgress:
+    """Hold what was saved of a job's unfinished items.
+
+    ``events`` is in the order of the rows, and ``attempts`` is by item.
+    """
+
+    events: list[Progress] = attrs.Factory(list)
+    attempts: dict[str, item_attempts.Attempts] = attrs.Factory(dict)
+
+
 _PROGRESS_KEY = re.compile(
     r"[^/]*/(?P<item>[^/]+)/(?P<version>[0-9]{1,16})/(?P<first>[0-9]{1,16})"
 )
+# Versions of hosts that didn't save attempts pass such a row over, and delete it with
+# the job's other rows.
+_ATTEMPTS_KEY = re.compile(r"[^/]*/(?P<item>[^/]+)/[0-9]{1,16}/attempts")
 _RESULT_KEY = re.compile(r"[^/]*/(?P<position>[0-9]{1,16})/[0-9]{1,16}")
 
 
@@ -314,6 +338,20 @@
     return puts, fitting
 
 
+def attempts_puts(
+    job: str,
+    ownership_version: int,
+    attempts: collections.abc.Mapping[str, item_attempts.Attempts],
+) -> dict[rows.Address, bytes]:
+    """Return the rows of items' failed attempts, one for each item and owner."""
+    return {
+        rows.Address(
+            PROGRESS, shard(job), f"{job}/{item}/{ownership_version:012d}/attempts"
+        ): msgspec.json.encode(SavedAttempts(known.errors, known.impossible))
+        for item, known in attempts.items()
+    }
+
+
 @attrs.define(eq=False)
 class JobStore:
     """Read and write batch jobs in the row store.
@@ -393,9 +431,9 @@
         )
         return [row.address for row in page.rows]
 
-    async def read_progress(self, job: str) -> list[Progress]:
-        """Return the saved progress of a job's items, in the order of the rows."""
-        progress = []
+    async def read_progress(self, job: str) -> SavedProgress:
+        """Return the saved progress of a job's items."""
+        progress = SavedProgress()
         start = f"{job}/"
         while True:
             page = await self.store.read(
@@ -403,7 +441,7 @@
             )
             for row in page.rows:
                 try:
-                    progress.append(_read_progress(row))
+                    _add_progress(progress, row)
                 except decoding.DecodeError as error:
                     self.on_unreadable(row, str(error))
             if not page.more or not page.rows:
@@ -455,6 +493,18 @@
     return item
 
 
+def _add_progress(progress: SavedProgress, row: rows.Row) -> None:
+    """Add what a row holds; raises ``decoding.DecodeError``."""
+    match = _ATTEMPTS_KEY.fullmatch(row.address.key)
+    if match is None:
+        progress.events.append(_read_progress(row))
+        return
+    saved = decoding.decode(_ATTEMPTS_DECODER, row.value)
+    attempts = item_attempts.Attempts(saved.errors, saved.impossible)
+    known = progress.attempts.get(match["item"], item_attempts.NONE)
+    progress.attempts[match["item"]] = known.merge(attempts)
+
+
 def _read_progress(row: rows.Row) -> Progress:
     """Return the progress in a row; raises ``decoding.DecodeError``."""
     match = _PROGRESS_KEY.fullmatch(row.address.key)
--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -103,14 +103,15 @@
             worker.trace.emit("job_not_taken", job=previous.job, reason=str(error))
             return
         finished = {result.id for result in results}
-        owned = worker.start_job(written, items, finished)
+        owned = worker.start_job(written, items, finished, progress.attempts)
         if owned is not None:
-            _resume(owned.tasks, jobs.join_progress(progress))
+            _resume(owned.tasks, jobs.join_progress(progress.events))
         worker.trace.emit(
             "job_taken",
             job=previous.job,
             owner_before=previous.owner,
             listed=previous.listed,
+            failed_attempts=sum(x.total for x in progress.attempts.values()),
             **_log_fields(evidence),
             outcome="ended or owned meanwhile"
             if owned is None
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -2,7 +2,9 @@
 
 import collections
 import collections.abc
+import itertools
 import logging
+import math
 import random
 
 import attrs
@@ -21,7 +23,13 @@
     watch,
 )
 from turmerictally.entry import trace as traces
-from turmerictally.scheduling import item_order, mechanisms, placement, stream_origins
+from turmerictally.scheduling import (
+    item_attempts,
+    item_order,
+    mechanisms,
+    placement,
+    stream_origins,
+)
 from turmerictally.store import rows
 
 logger = logging.getLogger(__name__)
@@ -51,7 +59,8 @@
     ``ownership_version`` is the version of the job's row at which this host became its
     owner. ``writing`` is set while a task writes rows of the job: one writer at a time.
     A ``dropped`` job is cancelled or no longer owned here. ``awaits_configuration`` is
-    set once its items have waited for a newer configuration.
+    set once its items have waited for a newer configuration. ``saved_attempts`` holds
+    by item the failed attempts that the store has.
     """
 
     versioned: jobs.VersionedState
@@ -61,6 +70,7 @@
     writing: bool = False
     dropped: bool = False
     awaits_configuration: bool = False
+    saved_attempts: dict[str, item_attempts.Attempts] = attrs.Factory(dict)
 
 
 @attrs.define(eq=False)
@@ -99,6 +109,7 @@
     max_running_items: int | None = None
     disabled: frozenset[mechanisms.Mechanism] = frozenset()
     refused_until: dict[str, float] = attrs.Factory(dict)
+    attempts: item_attempts.AttemptLog = attrs.field(factory=item_attempts.AttemptLog)
     can_go_on: collections.abc.Callable[[stream_origins.Origin], bool] = bool
 
     async def run(self) -> None:
@@ -127,10 +138,16 @@
         self.trace.emit("batch_error", item, step=step, error=type(error).__name__)
 
     def start_job(
-        self, versioned: jobs.VersionedState, items: list[jobs.Item], finished: set[str]
+        self,
+        versioned: jobs.VersionedState,
+        items: list[jobs.Item],
+        finished: set[str],
+        attempts: collections.abc.Mapping[str, item_attempts.Attempts] | None = None,
     ) -> OwnedJob | None:
         """Start the unfinished items of a job whose row names this host as owner.
 
+        ``attempts`` holds the failed attempts that the store has by item.
+
         A takeover may read the row before the store has responded to its writer, so
         both call this for the same job; the newer version wins. Returns None if this
         one has lost, or has ended meanwhile.
@@ -152,6 +169,9 @@
             if item.id not in finished
         }
         owned = OwnedJob(versioned, versioned.version, tasks)
+        owned.saved_attempts = dict(attempts or {})
+        for item, saved in owned.saved_attempts.items():
+            self.attempts.merge(versioned.state.job, item, saved)
         self.owned_jobs[versioned.state.job] = owned
         self.has_jobs.set()
         self.publish(versioned)
@@ -161,6 +181,7 @@
         )
         if newer is not None:
             self.apply_changes([newer])
+        self._start_writing(owned)
         return None if owned.dropped else owned
 
     def _remove_job(self, owned: OwnedJob) -> None:
@@ -234,6 +255,9 @@
     def apply_changes(self, changed: list[rows.Row]) -> None:
         """Apply changes by other hosts to owned jobs: cancellation or a new owner."""
         for row in changed:
+            versioned = self.job_states.by_id.get(row.address.key)
+            if versioned is None or not versioned.state.open:
+                self.attempts.forget(row.address.key)
             owned = self.owned_jobs.get(row.address.key)
             if owned is None or row.version <= owned.versioned.version:
                 continue
@@ -292,9 +316,7 @@
             )
         finally:
             owned.writing = False
-            if owned.unsaved_results and not owned.dropped:
-                owned.writing = True
-                self.nursery.start_soon(self._save_results, owned)
+            self._start_writing(owned)
 
     async def _release_job(self, owned: OwnedJob) -> None:
         while owned.writing or any(task.running for task in owned.tasks.values()):
@@ -305,6 +327,7 @@
         released = attrs.evolve(state, owner="", instance="")
         try:
             puts, _ = _rows_of_progress(owned, 1)
+            puts |= self._rows_of_attempts(owned)[0]
             self.on_state_change(
                 await self.job_store.replace_state(owned.versioned, released, puts)
             )
@@ -543,7 +566,7 @@
             job=owned.versioned.state.job,
             server=name,
             last_event=task.last_event,
-            errors=task.errors,
+            errors=self.attempts.find(owned.versioned.state.job, task.item.id).total,
             urgency=task.urgency,
             **self.inflight.speed_log_fields(name),
             **self.inflight.registry.log_fields(name),
@@ -568,6 +591,8 @@
         if now_s is not None and now_s >= state.created_s + state.retention_s:
             self._finish_item(owned, task, False, "retention is over")
             return None
+        if route is not None and self._give_up(owned, task, route):
+            return None
         if route is None:
             task.not_before = self.clock.monotonic() + CONFIGURATION_RECHECK_S
             if not owned.awaits_configuration:
@@ -669,12 +694,12 @@
             text = b"\n".join(task.event_data).decode("utf-8", "replace")
             self._finish_item(owned, task, True, "done", text)
             return
-        if outcome == "error" and self._attempts_exhausted(owned, task):
-            self._finish_item(owned, task, False, f"{task.errors} errors")
-            return
-        if outcome == "impossible":
-            self._finish_item(owned, task, False, "impossible")
-            return
+        if outcome in ("error", "impossible"):
+            self._record_failed_attempt(owned, task, outcome)
+            view = self.active_configuration.current
+            route = view.route(owned.versioned.state.hostname, task.item.path)
+            if self._give_up(owned, task, route):
+                return
         refusals = (item_runner.NOT_RUN, item_runner.UNIDENTIFIED)
         if outcome in refusals or outcome.startswith(("error", "answered")):
             self.refused_until[name] = now + REFUSAL_PAUSE_S
@@ -696,7 +721,7 @@
             events=task.run_events,
             server_closed=task.server_closed,
             shared_parts=self.runner.shared_parts(owned.versioned.state, task),
-            errors=task.errors,
+            errors=self.attempts.find(owned.versioned.state.job, task.item.id).total,
             outcome=outcome,
             **task.connection_fields,
         )
@@ -711,10 +736,90 @@
             parts = self.runner.shared_parts(owned.versioned.state, task)
             self.prompts.record_crash(task.item.id, server, parts)
 
-    def _attempts_exhausted(self, owned: OwnedJob, task: item_runner.ItemTask) -> bool:
-        view = self.active_configuration.current
-        route = view.route(owned.versioned.state.hostname, task.item.path)
-        return route is not None and task.errors >= route.max_attempts
+    def _record_failed_attempt(
+        self, owned: OwnedJob, task: item_runner.ItemTask, outcome: str
+    ) -> None:
+        """Count a server's answer that an item failed, and tell later owners of it.
+
+        The other hosts hear of it at once: this one may end before the row is written,
+        or be without the store.
+        """
+        job, item, now = owned.versioned.state.job, task.item.id, self.clock.monotonic()
+        if outcome == "impossible":
+            self.attempts.record_impossible(job, item, now)
+        else:
+            self.attempts.record_error(job, item, owned.ownership_version, now)
+        self.send_early_digest()
+        self._start_writing(owned)
+
+    def _give_up(
+        self,
+        owned: OwnedJob,
+        task: item_runner.ItemTask,
+        route: model.Route | None,
+    ) -> bool:
+        """End an item that must not run again; return whether it is ended."""
+        known = self.attempts.find(owned.versioned.state.job, task.item.id)
+        if route is None and not known.impossible:
+            return False
+        if not known.is_exhausted(math.inf if route is None else route.max_attempts):
+            return False
+        reason = "impossible" if known.impossible else f"{known.total} errors"
+        self._finish_item(owned, task, False, reason)
+        return True
+
+    def receive_attempts(self, entries: dict[str, list[int]], host: str) -> None:
+        """Add the failed attempts that another host's digest tells of."""
+        for name, values in entries.items():
+            found = item_attempts.read_digest(name, values)
+            if found is None:
+                continue
+            job, item, attempts = found
+            versioned = self.job_states.by_id.get(job)
+            has_ended = versioned is not None and not versioned.state.open
+            if has_ended or not self.attempts.merge(job, item, attempts):
+                continue
+            owned = self.owned_jobs.get(job)
+            self.trace.emit(
+                "attempts_heard",
+                item,
+                job=job,
+                host=host,
+                errors=attempts.total,
+                impossible=attempts.impossible,
+                owned=owned is not None,
+            )
+            if owned is not None:
+                self._start_writing(owned)
+
+    def reported_attempts(self) -> dict[str, list[int]]:
+        """Return the failed attempts that digests tell of."""
+        if not self.attempts.reported_until:
+            return {}
+        unsaved = {
+            (job, item)
+            for job, owned in self.owned_jobs.items()
+            for item in self._unsaved_attempts(owned)
+        }
+        return self.attempts.report(unsaved, self.clock.monotonic())
+
+    def _unsaved_attempts(self, owned: OwnedJob) -> dict[str, item_attempts.Attempts]:
+        """Return by item the failed attempts that the store may not have."""
+        known = self.attempts.by_job.get(owned.versioned.state.job, {})
+        return {
+            item: attempts
+            for item, attempts in known.items()
+            if attempts != owned.saved_attempts.get(item)
+        }
+
+    def _rows_of_attempts(
+        self, owned: OwnedJob
+    ) -> tuple[dict[rows.Address, bytes], dict[str, item_attempts.Attempts]]:
+        """Return rows of unsaved attempts that fit into a transaction, and those."""
+        unsaved = self._unsaved_attempts(owned)
+        fitting = dict(itertools.islice(unsaved.items(), jobs.MAX_ATTEMPTS_ROWS))
+        state = owned.versioned.state
+        return jobs.attempts_puts(state.job, owned.ownership_version, fitting), fitting
 
     def _finish_item(
         self,
@@ -736,24 +841,57 @@
             outcome="succeeded" if succeeded else "given up",
         )
         owned.unsaved_results.append(jobs.Result(task.item.id, succeeded, text))
-        if not owned.writing:
-            owned.writing = True
-            self.nursery.start_soon(self._save_results, owned)
+        self._start_writing(owned)
 
-    async def _save_results(self, owned: OwnedJob) -> None:
-        """Write results until none is left unsaved.
+    def _start_writing(self, owned: OwnedJob) -> None:
+        """Write what is unsaved, unless a task writes rows of the job already."""
+        unsaved = owned.unsaved_results or self._unsaved_attempts(owned)
+        if unsaved and not owned.writing and not owned.dropped:
+            owned.writing = True
+            self.nursery.start_soon(self._save, owned)
 
-        A retry writes the same results at the same positions: a caller may have read
-        them already.
-        """
+    async def _save(self, owned: OwnedJob) -> None:
+        """Write failed attempts at once, then results, until none is left unsaved."""
         try:
-            await trio.sleep(SAVE_DELAY_S)
-            while owned.unsaved_results and not owned.dropped:
-                await self._save_next_results(owned)
+            await self._save_attempts(owned)
+            await trio.sleep(SAVE_DELAY_S if owned.unsaved_results else 0.0)
+            while not owned.dropped:
+                if owned.unsaved_results:
+                    await self._save_next_results(owned)
+                elif self._unsaved_attempts(owned):
+                    await self._save_attempts(owned)
+                else:
+                    break
         finally:
             owned.writing = False
 
+    async def _save_attempts(self, owned: OwnedJob) -> None:
+        """Write failed attempts, so that later owners count them; try once."""
+        puts, written = self._rows_of_attempts(owned)
+        if not puts:
+            return
+        state = owned.versioned.state
+        try:
+            await self.job_store.add_rows(owned.versioned, puts)
+            owned.saved_attempts |= written
+        except rows.ConflictError as error:
+            current = [jobs.decode(row) for row in error.current_rows if row.value]
+            self._apply_state(owned, current[0] if current else None)
+        except rows.UnavailableError as error:
+            self.trace.emit(
+                "attempts_not_saved",
+                job=state.job,
+                items=len(written),
+                maybe_applied=error.maybe_applied,
+                reason=str(error),
+            )
+            await trio.sleep(SAVE_RETRY_S * self.rng.uniform(0.5, 1.5))
+
     async def _save_next_results(self, owned: OwnedJob) -> None:
+        """Write the next results; a retry writes the same ones at the same positions.
+
+        A caller may have read them already.
+        """
         first_position = owned.versioned.state.listed
         puts, count = _rows_of_results(
             owned.versioned.state.job, first_position, owned.unsaved_results
@@ -811,6 +949,8 @@
         owned.dropped = True
         self._cancel_items(owned)
         self._remove_job(owned)
+        # The new owner may not know of what this host couldn't save.
+        self.attempts.report_again(owned.versioned.state.job, self.clock.monotonic())
         self.trace.emit(
             "job_lost",
             job=owned.versioned.state.job,
--- a/turmerictally/tests/features/steps/entry_batch_steps.py
+++ b/turmerictally/tests/features/steps/entry_batch_steps.py
@@ -532,7 +532,8 @@
         world.slowness["s0"] = 8.0
         reply, context.ids = await submit(world, 0, count=8)
         await trio.sleep(5.5)
-        context.progress = await world.hosts[1].jobs.read_progress("j1")
+        progress = await world.hosts[1].jobs.read_progress("j1")
+        context.progress = progress.events
 
     play(context, main)
 
--- a/turmerictally/tests/features/steps/entry_malformed_steps.py
+++ b/turmerictally/tests/features/steps/entry_malformed_steps.py
@@ -524,10 +524,16 @@
     async def main():
         store = standin_rows.RowStore()
         job_store = jobs.JobStore(store.view("h0"))
+
+        async def read_progress():
+            progress = await job_store.read_progress("odd")
+            return progress.events or progress.attempts
+
         reads = {
             (jobs.ITEMS, "odd/0000"): lambda: job_store.read_items(state),
             (jobs.RESULTS, "odd/000000/00"): lambda: job_store.read_results("odd", 0),
-            (jobs.PROGRESS, "odd/i/1/1"): lambda: job_store.read_progress("odd"),
+            (jobs.PROGRESS, "odd/i/1/1"): read_progress,
+            (jobs.PROGRESS, "odd/i/1/attempts"): read_progress,
         }
         items = [
             ["/", "/a", {}, "", 1],
--- a/turmerictally/tests/support/users_platform.py
+++ b/turmerictally/tests/support/users_platform.py
@@ -93,6 +93,7 @@
         self.silent = False  # requests hang
         self.pauses = {}  # seconds of silence by the number of the event they precede
         self.status = 200
+        self.status_of = lambda run: self.status
         self.state = "ready"
         self.leaving = False  # each answer says that the server leaves
         self.endless = ""  # which part of an answer never ends
@@ -397,9 +398,10 @@
             if run.target.startswith(("/once/", "/look/")):
                 await trio.sleep(events * EVENT_S)
                 return await self.answer_whole(stream, parser, run)
-        if self.status != 200:
+        status = self.status_of(run)
+        if status != 200:
             named = [*self.named(run), ("Content-Length", "4")]
-            data = parser.send(h11.Response(status_code=self.status, headers=named))
+            data = parser.send(h11.Response(status_code=status, headers=named))
             data += parser.send(h11.Data(data=b"fail"))
             run.ended = "failed"
             await stream.send_all(data + parser.send(h11.EndOfMessage()))
