Name an item's failed attempts in one place of the worker

Cause: three places looked the attempts of an item up, and the check whether an item is to be given up asked twice for its route. Callers see no change.

--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -566,7 +566,7 @@
             job=owned.versioned.state.job,
             server=name,
             last_event=task.last_event,
-            errors=self.attempts.find(owned.versioned.state.job, task.item.id).total,
+            errors=self._attempts_of(owned, task).total,
             urgency=task.urgency,
             **self.inflight.speed_log_fields(name),
             **self.inflight.registry.log_fields(name),
@@ -591,7 +591,7 @@
         if now_s is not None and now_s >= state.created_s + state.retention_s:
             self._finish_item(owned, task, False, "retention is over")
             return None
-        if route is not None and self._give_up(owned, task, route):
+        if self._give_up(owned, task, route):
             return None
         if route is None:
             task.not_before = self.clock.monotonic() + CONFIGURATION_RECHECK_S
@@ -721,7 +721,7 @@
             events=task.run_events,
             server_closed=task.server_closed,
             shared_parts=self.runner.shared_parts(owned.versioned.state, task),
-            errors=self.attempts.find(owned.versioned.state.job, task.item.id).total,
+            errors=self._attempts_of(owned, task).total,
             outcome=outcome,
             **task.connection_fields,
         )
@@ -736,6 +736,11 @@
             parts = self.runner.shared_parts(owned.versioned.state, task)
             self.prompts.record_crash(task.item.id, server, parts)
 
+    def _attempts_of(
+        self, owned: OwnedJob, task: item_runner.ItemTask
+    ) -> item_attempts.Attempts:
+        return self.attempts.find(owned.versioned.state.job, task.item.id)
+
     def _record_failed_attempt(
         self, owned: OwnedJob, task: item_runner.ItemTask, outcome: str
     ) -> None:
@@ -759,9 +764,7 @@
         route: model.Route | None,
     ) -> bool:
         """End an item that must not run again; return whether it is ended."""
-        known = self.attempts.find(owned.versioned.state.job, task.item.id)
-        if route is None and not known.impossible:
-            return False
+        known = self._attempts_of(owned, task)
         if not known.is_exhausted(math.inf if route is None else route.max_attempts):
             return False
         reason = "impossible" if known.impossible else f"{known.total} errors"
--- a/turmerictally/scheduling/item_attempts.py
+++ b/turmerictally/scheduling/item_attempts.py
@@ -52,7 +52,7 @@
         }
         return Attempts(errors, self.impossible or other.impossible)
 
-    def is_exhausted(self, max_attempts: int) -> bool:
+    def is_exhausted(self, max_attempts: float) -> bool:
         """Return whether the item must not run again."""
         return self.impossible or 0 < self.total >= max_attempts
 
@@ -64,12 +64,12 @@
 class AttemptLog:
     """Hold the failed attempts of the items of open jobs that this host knows of.
 
-    ``items`` counts the items in ``by_job``. ``reported_until`` holds, for what this
+    ``item_count`` is that of all jobs. ``reported_until`` holds, for what this
     host saw itself, the monotonic time until which digests tell of it.
     """
 
     by_job: dict[str, dict[str, Attempts]] = attrs.Factory(dict)
-    items: int = 0
+    item_count: int = 0
     reported_until: dict[tuple[str, str], float] = attrs.Factory(dict)
 
     def find(self, job: str, item: str) -> Attempts:
@@ -110,14 +110,14 @@
     def forget(self, job: str) -> None:
         """Forget a job that has ended."""
         for item in self.by_job.pop(job, ()):
-            self.items -= 1
+            self.item_count -= 1
             self.reported_until.pop((job, item), None)
 
     def _keep(self, job: str, item: str, attempts: Attempts) -> None:
         by_item = self.by_job.setdefault(job, {})
-        self.items += item not in by_item
+        self.item_count += item not in by_item
         by_item[item] = attempts
-        while self.items > MAX_ITEMS and len(self.by_job) > 1:
+        while self.item_count > MAX_ITEMS and len(self.by_job) > 1:
             self.forget(next(iter(self.by_job)))
 
     def report(
