Don't pass a server's claim on that a request has not run

What callers of deployments that stand alone saw: nothing yet; found as kin of the server's 503. x-turmerictally-ran, by which a host tells whether a request may have run, reached them also if a server had sent it.

Cause: the header was missing among those that only a host sets.

Change: it is dropped from servers' responses.

--- a/turmerictally/errors.py
+++ b/turmerictally/errors.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+RAN_HEADER = "x-turmerictally-ran"  # tells callers one of ``Ran``
+
 
 class Ran(enum.Enum):
     """Tell whether the refused work was executed."""
@@ -199,7 +201,7 @@
 
     def headers(self) -> dict[str, str]:
         """Return the HTTP headers that belong to the answer."""
-        headers = {"x-turmerictally-ran": self.ran.value}
+        headers = {RAN_HEADER: self.ran.value}
         if self.retry_after_s is not None:
             headers["retry-after"] = str(max(1, round(self.retry_after_s + 0.499)))
         return headers
--- a/turmerictally/online/headers.py
+++ b/turmerictally/online/headers.py
@@ -2,6 +2,7 @@
 
 import urllib.parse
 
+from turmerictally import errors
 from turmerictally.online import messages
 
 REQUEST_ID = "x-request-id"
@@ -52,7 +53,16 @@
     {"access_token", "api_key", "api-key", "apikey", "key"}
 )
 INTERNAL_RESPONSE_HEADERS = frozenset(
-    {"content-length", "date", "server", "set-cookie", LOAD, REQUEST_ID}
+    {
+        "content-length",
+        "date",
+        "server",
+        "set-cookie",
+        LOAD,
+        REQUEST_ID,
+        # Only a host knows whether a request may have run.
+        errors.RAN_HEADER,
+    }
 )
 
 
--- a/turmerictally/tests/features/online.feature
+++ b/turmerictally/tests/features/online.feature
@@ -40,6 +40,12 @@
     When requests carry keys in headers, cookies, connection options and the query
     Then the backend servers saw none of them
 
+  # Guards against a server's claim that a request has not run, which callers take for
+  # the host's own.
+  Scenario: A server cannot tell in the host's name whether a request ran
+    When a service answers a confirmation with 503 and says in the host's name that it has not run
+    Then the caller gets its status without that claim
+
   Scenario: Retries stay within the budget in a brown-out
     When every server fails all requests
     Then attempts stay below 1.2 for each request
--- a/turmerictally/tests/features/steps/online_steps.py
+++ b/turmerictally/tests/features/steps/online_steps.py
@@ -423,6 +423,34 @@
     assert "application/json" in repr(context.seen)
 
 
+@behave.when(
+    "a service answers a confirmation with 503 and says in the host's name that it has "
+    "not run"
+)
+def claims_not_run(context):
+    async def main(fleet):
+        await fleet.add_service(B)
+
+        @fleet.apps[B].after_request
+        async def claim(response):
+            response.status_code = 503
+            response.headers[errors.RAN_HEADER] = errors.Ran.NOT_RUN.value
+            return response
+
+        host = await fleet.add_host("h0")
+        context.response = await host.pipeline.run(online.confirm())
+
+    online.run(main)
+
+
+@behave.then("the caller gets its status without that claim")
+def without_claim(context):
+    assert context.response.status == 503, context.response
+    names = {name.lower() for name, _ in context.response.headers}
+    assert "content-type" in names, names
+    assert errors.RAN_HEADER not in names, names
+
+
 def amplification(budget):
     counts = []
 
