Soak: servers fail some requests with a status that promises not run

Cause: the soak's servers refused truly and never failed after they had begun, so that a failure that reaches callers as a promise did not show.

Change: they fail one in forty of the online requests that they run with 408, 429 or 503, without X-Not-Executed. The check not_run judges it as before.

--- a/turmerictally/tests/soak/server.py
+++ b/turmerictally/tests/soak/server.py
@@ -3,7 +3,8 @@
 It writes a JSON line for each request that it begins or ends to work on. On SIGTERM it
 registers as draining, serves on for a while and leaves; on SIGUSR1 it leaves in the
 same way without saying so before. It refuses some of what comes for the first time, and
-writes the refusal once more if the same request comes again on the same connection.
+writes the refusal once more if the same request comes again on the same connection. It
+fails some of what it runs with a status by which callers know that it did not run.
 """
 
 import base64
@@ -27,6 +28,9 @@
 DRAIN_S = 2.0  # promised after the store knows that it drains
 LINGER_S = 2.0  # that it serves beyond that, so that late requests are seen
 REFUSED_ONE_IN = 4  # of the requests that come for the first time
+# Of the requests that it runs, items left out: those may fail three times only.
+FAILED_ONE_IN = 40
+FAILURES = (408, 429, 503)  # without stating that the request did not run
 STALL_S = 0.1  # by which a sleep may take too long on a busy machine
 COPY_LEAD_S = 0.5  # from the copy of a refusal to the run's first event, at least
 
@@ -43,6 +47,7 @@
         self.arrived = {}
         self.refused = {}  # by request: the connection and the refusal
         self.cold_until = 0.0
+        self.status_of = self.draw_status
 
     def remaining_ms(self):
         return max(0.0, self.cold_until - time.monotonic()) * 1000
@@ -56,6 +61,12 @@
             drawn += self.name
         return zlib.crc32(drawn.encode()) % REFUSED_ONE_IN == 0
 
+    def draw_status(self, run):
+        drawn = zlib.crc32(f"fails {run.request} at {self.name}".encode())
+        if run.target.startswith("/night/") or drawn % FAILED_ONE_IN:
+            return 200
+        return FAILURES[drawn // FAILED_ONE_IN % len(FAILURES)]
+
     async def answer(self, stream, parser, request, headers, body):
         name = headers["x-request-id"]
         new = name not in self.arrived
