Count a batch item's failed tries over all holders of its range

What callers of deployments that stand alone saw: nothing; servers got an item that always fails again as its range changed hands.

Cause: the holder counted failed tries in its memory only.

Change: the range's row has them (failed_tries), written with the next part also if no result is due.

--- a/turmerictally/batch/ranges.py
+++ b/turmerictally/batch/ranges.py
@@ -54,13 +54,20 @@
         done = int(self.range.done, 16)
         return [at for at in range(self.slice.items) if not done >> at & 1]
 
-    async def commit(self, results: list[Result], *, alone: int | None = None) -> None:
+    async def commit(
+        self,
+        results: list[Result],
+        failed_tries: dict[int, int],
+        *,
+        alone: int | None = None,
+    ) -> None:
         """Make results readable; the first commit of an item is the only one.
 
-        ``alone`` names the item that runs by itself next. Raises ``FencedError``
-        or ``lease.LapsedError``; the results are then not readable.
+        ``failed_tries`` counts those of items without a result, and ``alone`` names the
+        item that runs by itself next. Raises ``FencedError`` or ``lease.LapsedError``;
+        the results are then not readable.
         """
-        changed = attrs.evolve(self.range, alone=alone)
+        changed = attrs.evolve(self.range, alone=alone, failed_tries=failed_tries)
         if results:
             part = await self._store(results)
             done = records.union(changed.done, [r.offset for r in results])
--- a/turmerictally/batch/records.py
+++ b/turmerictally/batch/records.py
@@ -154,7 +154,8 @@
     ``done`` and ``started`` are bit sets over the range's items. ``fence`` grows
     with each change of holder. ``takeovers`` counts lost holders since the last
     progress. ``alone`` is the item that runs by itself, ``alone_tries`` counts the
-    holders lost while an item ran by itself.
+    holders lost while an item ran by itself. ``failed_tries`` counts the failed tries
+    of items without a result, over all holders.
     """
 
     state: RangeState = RangeState.OPEN
@@ -166,6 +167,7 @@
     started: str = "0"
     alone: int | None = None
     alone_tries: dict[int, int] = attrs.field(factory=dict)
+    failed_tries: dict[int, int] = attrs.field(factory=dict)
     parts: tuple[Part, ...] = ()
 
 
--- a/turmerictally/batch/work.py
+++ b/turmerictally/batch/work.py
@@ -57,6 +57,7 @@
     data: bytes = b""
     pending: list[ranges.Result] = attrs.Factory(list)
     pending_bytes: int = 0
+    failed_tries: dict[int, int] = attrs.Factory(dict)
     stopped: bool = False
     unstarted: int = 0
     sending: int = 0
@@ -79,6 +80,7 @@
     async def run(self) -> None:
         """Run the open items; return when the range is done or given back."""
         self.unstarted = len(self.claim.open_offsets())
+        self.failed_tries = dict(self.claim.range.failed_tries)
         self.last_sent = self.claim.kept.clock.monotonic()
         try:
             await self._run()
@@ -173,7 +175,8 @@
 
     async def _finish(self, item: files.Item, turn: context.Turn) -> ranges.Result:
         """Try an item until it has its final outcome."""
-        tries = 0
+        offset = self._offset(item)
+        tries = self.failed_tries.get(offset, 0)
         waits = 0
         while True:
             try:
@@ -181,6 +184,7 @@
             except errors.Error as error:
                 if self._counts(error):
                     tries += 1
+                    self.failed_tries[offset] = tries
                 if self._is_final(item, error, tries):
                     return self._failure(item, error, tries)
                 self.context.tally.retried += 1
@@ -307,6 +311,7 @@
 
     def _keep(self, result: ranges.Result) -> None:
         self.pending.append(result)
+        self.failed_tries.pop(result.offset, None)
         self.pending_bytes += len(result.line)
         self.context.tally.pending_bytes += len(result.line)
         if self.pending_bytes >= self.context.given.part_bytes:
@@ -340,8 +345,9 @@
     async def _commit(self, alone: int | None = None) -> None:
         async with self.lock:
             results = list(self.pending)
-            if results or alone is not None:
-                await self.claim.commit(results, alone=alone)
+            tried = self.failed_tries != self.claim.range.failed_tries
+            if results or tried or alone is not None:
+                await self.claim.commit(results, dict(self.failed_tries), alone=alone)
                 self._forget(len(results))
 
     async def _commit_early(self) -> None:
--- a/turmerictally/tests/features/batch.feature
+++ b/turmerictally/tests/features/batch.feature
@@ -71,6 +71,11 @@
     When a batch job holds items that are refused, broken or name no model
     Then these batch items fail with their reasons and all others complete
 
+  # Guards against tries that each holder of a range counts anew.
+  Scenario: An item's failed tries count over all holders of its range
+    When the host of an item that always fails is lost after each of its first two tries
+    Then the item was sent as often as it may fail, and has failed
+
   Scenario: A host without a configuration runs no batch items
     When one host has not learned the configuration and one learns a model late
     Then no batch item fails as unknown
--- a/turmerictally/tests/features/steps/batch_steps.py
+++ b/turmerictally/tests/features/steps/batch_steps.py
@@ -509,6 +509,46 @@
     assert not made.sends_of("nameless") and not made.faults
 
 
+@behave.when(
+    "the host of an item that always fails is lost after each of its first two tries"
+)
+def _(context):
+    async def body(nursery):
+        made = started(nursery, given=fleet.make_settings(part_s=0.1))
+        made.item_s = (0.05, 0.05)
+        job = await made.accept([fleet.item("broken", broken=True)])
+        nursery.start_soon(lose_senders, made)
+        return await made.follow(job.id), made
+
+    async def lose_senders(made):
+        lost = 0
+        while lost < 2:
+            await trio.sleep(0.01)
+            # By then the try has failed and is written, and no other one is under way.
+            if made.sends and trio.current_time() - made.sends[-1][0] >= 0.3:
+                name = made.sends[-1][1]
+                await next(host for host in made.hosts if host.name == name).crash()
+                lost += 1
+                await sent_again(made)
+
+    async def sent_again(made):
+        sent = len(made.sends)
+        while len(made.sends) == sent:
+            await trio.sleep(0.01)
+
+    context.progress, context.fleet = fleet.run(body)
+
+
+@behave.then("the item was sent as often as it may fail, and has failed")
+def _(context):
+    made = context.fleet
+    assert context.progress.counts == records.Counts(1, 0, 1)
+    sends = made.sends_of("broken")
+    assert sum(host.starts for host in made.hosts) > len(made.hosts), "none was lost"
+    assert len(sends) == made.given.batch.max_tries, sends
+    assert not made.faults
+
+
 @behave.when("one host has not learned the configuration and one learns a model late")
 def _(context):
     async def body(nursery):
