Read a 410 of the store without a body as history that is gone

What callers saw: hosts that were without the store for good once it had dropped its history, so that they learned of no server that drains, no new configuration and no key any more (DRAIN, CONFIG).

Cause: the client decoded each accepted response as JSON. A 410 without a body failed in that and counted as a store that doesn't answer; the host asked for the same history again.

Change: an accepted status without a body is returned with none.

--- a/turmerictally/entry/json_client.py
+++ b/turmerictally/entry/json_client.py
@@ -43,8 +43,8 @@
     ) -> Response:
         """Return the response; raises ``rows.UnavailableError``.
 
-        A status in ``accepted_statuses`` is returned, not raised. ``timeout_s``
-        overrides the client's time-out, for long polls.
+        A status in ``accepted_statuses`` is returned, not raised, with None as its body
+        if that is empty. ``timeout_s`` overrides the client's time-out, for long polls.
         """
         limit_s = self.timeout_s if timeout_s is None else timeout_s
         data = b"" if body is None else json.dumps(body).encode()
@@ -57,6 +57,8 @@
             reason = str(error) or "timeout"
             raise rows.UnavailableError(reason, maybe_applied=is_write) from error
         rows.check_status(status, is_write, accepted_statuses)
+        if not content and status in accepted_statuses:
+            return Response(status, None)
         try:
             return Response(status, decoding.read_json(content))
         except decoding.DecodeError as error:
--- a/turmerictally/tests/features/platform_adapter.feature
+++ b/turmerictally/tests/features/platform_adapter.feature
@@ -18,6 +18,17 @@
       | a broken body   | unavailable and maybe applied      |
       | status 412      | a conflict with the current rows   |
 
+  # Guards against hosts that are without the store for good, as it dropped its history and
+  # says so by the status alone.
+  Scenario Outline: A feed whose history is gone is told from a store that fails
+    When the store responds to a feed with 410 and <body>
+    Then the call fails as history lost
+
+    Examples:
+      | body        |
+      | no body     |
+      | a JSON body |
+
   # Guards against a malformed page or key that ends every host which reads a table.
   Scenario: Malformed responses of the store count as those of one that is unavailable
     When the store responds to reads with malformed pages
--- a/turmerictally/tests/features/steps/platform_adapter_steps.py
+++ b/turmerictally/tests/features/steps/platform_adapter_steps.py
@@ -106,6 +106,24 @@
     return results[0]
 
 
+@behave.when("the store responds to a feed with 410 and {body}")
+def responds_gone(context, body):
+    async def call(store):
+        try:
+            await store.changes("my", after=1, wait_s=1.0)
+        except (rows.HistoryLostError, rows.UnavailableError) as error:
+            return error
+        return None
+
+    data = b"" if body == "no body" else b"{}"
+    context.error = run_call(lambda *request: (410, data), call)
+
+
+@behave.then("the call fails as history lost")
+def history_lost(context):
+    assert isinstance(context.error, rows.HistoryLostError), repr(context.error)
+
+
 @behave.when("rows are changed, read and watched through the adapter")
 def through_adapter(context):
     context.calls = []
