Write failed attempts of items with the delay of results

Cause: each failure had a transaction of its own, also the last one of an item, whose result says as much. At a moment at which many items fail that is a call to the store for each. Callers see no change.

Change: failures wait 0.06 s, as results do, so that those which come close together share a transaction, and an item that has ended needs no row. Digests tell of them at once, as before, and until the result is saved.

--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -41,7 +41,8 @@
 # A server that refused an item, or answered it with an error, gets none for this long
 # while others have free slots.
 REFUSAL_PAUSE_S = 2.0
-SAVE_DELAY_S = 0.06  # lets results that finish close together share a transaction
+# Lets results and failures that come close together share a transaction.
+SAVE_DELAY_S = 0.06
 SAVE_RETRY_S = 0.4
 RELEASE_POLL_S = 0.02  # between checks for items that are still stopping
 # Bounds the work that an item loses when its host fails, at the cost of about one
@@ -72,6 +73,10 @@
     awaits_configuration: bool = False
     saved_attempts: dict[str, item_attempts.Attempts] = attrs.Factory(dict)
 
+    def unsaved_ids(self) -> list[str]:
+        """Return the items whose result is not saved yet."""
+        return [result.id for result in self.unsaved_results]
+
 
 @attrs.define(eq=False)
 class Worker:
@@ -802,17 +807,20 @@
         unsaved = {
             (job, item)
             for job, owned in self.owned_jobs.items()
-            for item in self._unsaved_attempts(owned)
+            for item in [*self._unsaved_attempts(owned), *owned.unsaved_ids()]
         }
         return self.attempts.report(unsaved, self.clock.monotonic())
 
     def _unsaved_attempts(self, owned: OwnedJob) -> dict[str, item_attempts.Attempts]:
-        """Return by item the failed attempts that the store may not have."""
+        """Return by unfinished item the failed attempts that the store may not have.
+
+        Of an item that has ended the result tells later owners enough.
+        """
         known = self.attempts.by_job.get(owned.versioned.state.job, {})
         return {
             item: attempts
             for item, attempts in known.items()
-            if attempts != owned.saved_attempts.get(item)
+            if item in owned.tasks and attempts != owned.saved_attempts.get(item)
         }
 
     def _rows_of_attempts(
@@ -854,16 +862,15 @@
             self.nursery.start_soon(self._save, owned)
 
     async def _save(self, owned: OwnedJob) -> None:
-        """Write failed attempts at once, then results, until none is left unsaved."""
+        """Write failed attempts and results until none is left unsaved."""
         try:
-            await self._save_attempts(owned)
-            await trio.sleep(SAVE_DELAY_S if owned.unsaved_results else 0.0)
+            await trio.sleep(SAVE_DELAY_S)
             while not owned.dropped:
+                if self._unsaved_attempts(owned):
+                    await self._save_attempts(owned)
                 if owned.unsaved_results:
                     await self._save_next_results(owned)
-                elif self._unsaved_attempts(owned):
-                    await self._save_attempts(owned)
-                else:
+                elif not self._unsaved_attempts(owned):
                     break
         finally:
             owned.writing = False
@@ -871,8 +878,6 @@
     async def _save_attempts(self, owned: OwnedJob) -> None:
         """Write failed attempts, so that later owners count them; try once."""
         puts, written = self._rows_of_attempts(owned)
-        if not puts:
-            return
         state = owned.versioned.state
         try:
             await self.job_store.add_rows(owned.versioned, puts)
