--- a/turmerictally/tests/features/entry_promises.feature
+++ b/turmerictally/tests/features/entry_promises.feature
@@ -2,31 +2,37 @@
   # Guards against a server's failure that reaches a caller as a promise, so that the
   # request comes again and runs twice (REFUSED).
   Scenario Outline: A server's status that promises without a statement is no promise to the caller
-    When a server runs requests that may run once and then answers <status> <signed>
+    When a server runs <kind> that may run once and then answers <status> <signed>
     Then their callers get 502, each request ran once, and the log names its status
 
     Examples:
-      | status | signed              |
-      | 503    | with a signature    |
-      | 429    | with a signature    |
-      | 408    | with a signature    |
-      | 503    | without a signature |
-      | 429    | without a signature |
-      | 408    | without a signature |
+      | kind     | status | signed              |
+      | requests | 503    | with a signature    |
+      | requests | 429    | with a signature    |
+      | requests | 408    | with a signature    |
+      | requests | 503    | without a signature |
+      | requests | 429    | without a signature |
+      | requests | 408    | without a signature |
+      | streams  | 503    | with a signature    |
+      | streams  | 429    | with a signature    |
+      | streams  | 408    | without a signature |
 
   # Guards against callers that get a failure though another server has room.
   Scenario Outline: A request that may run again is served by another server instead
-    When a server runs requests that may run again and then answers <status> <signed>
+    When a server runs <kind> and then answers <status> <signed>
     Then their callers get the response of the other server
 
     Examples:
-      | status | signed              |
-      | 503    | with a signature    |
-      | 429    | with a signature    |
-      | 408    | with a signature    |
-      | 401    | without a signature |
-      | 404    | without a signature |
-      | 302    | without a signature |
+      | kind                        | status | signed              |
+      | requests that may run again | 503    | with a signature    |
+      | requests that may run again | 429    | with a signature    |
+      | requests that may run again | 408    | with a signature    |
+      | requests that may run again | 401    | without a signature |
+      | requests that may run again | 404    | without a signature |
+      | requests that may run again | 302    | without a signature |
+      | streams that may be resumed | 503    | with a signature    |
+      | streams that may be resumed | 429    | with a signature    |
+      | streams that may be resumed | 404    | without a signature |
 
   Scenario: What a server says for itself is passed on
     When a server runs requests that may run once and then answers 404 with a signature
--- a/turmerictally/tests/features/steps/entry_promises_steps.py
+++ b/turmerictally/tests/features/steps/entry_promises_steps.py
@@ -7,8 +7,17 @@
 
 CALLERS = 6
 MANY = 60
-SHORT = {"X-Token-Usage": "10,5"}
-ONCE, AGAIN = "/once/1", "/look/1"
+EVENTS = 5
+SHORT = {"X-Token-Usage": f"10,{EVENTS}"}
+ALL_EVENTS = list(range(1, EVENTS + 1))
+ONCE = "/once/1"
+# The path of each kind of request, and whether its route lets streams be resumed.
+KINDS = {
+    "requests that may run once": (ONCE, False),
+    "requests that may run again": ("/look/1", False),
+    "streams that may run once": ("/ask/1", False),
+    "streams that may be resumed": ("/ask/1", True),
+}
 
 
 def route(name, kind):
@@ -37,7 +46,7 @@
     return [] if signed.startswith("without") else ["X-Server-Stamp: s"]
 
 
-def play(context, path, prepare, *, count=CALLERS):
+def play(context, path, prepare, *, count=CALLERS, resumable=False):
     """Send requests one after the other, while ``prepare`` has changed s0."""
     context.replies = []
 
@@ -53,21 +62,18 @@
             reply = await caller.ask(path, request_id=name, **SHORT)
             context.replies.append((name, reply))
 
-    context.world = users_platform.play(main, hosts=1, servers=2)
+    context.world = users_platform.play(main, hosts=1, servers=2, resumable=resumable)
     return context.world.servers["s0"]
 
 
-@behave.when(
-    "a server runs requests that may run {how} and then answers {what} {signed}"
-)
-def runs_and_answers(context, how, what, signed):
+@behave.when("a server runs {kind} and then answers {what} {signed}")
+def runs_and_answers(context, kind, what, signed):
     def prepare(world):
         world.servers["s0"].raw_answer = answer(what, *signature(signed))
 
-    path = ONCE if how == "once" else AGAIN
     context.status = int(what)
-
-    context.failing = play(context, path, prepare)
+    path, resumable = KINDS[kind]
+    context.failing = play(context, path, prepare, resumable=resumable)
 
 
 def ran_at(server):
@@ -103,7 +109,8 @@
 def other_response(context):
     assert context.failing.arrivals, "the failing server got no request"
     for _, reply in context.replies:
-        assert (reply.status, reply.body) == (200, b"whole"), reply
+        assert reply.status == 200 and reply.whole, reply
+        assert reply.body == b"whole" or reply.ids == ALL_EVENTS, reply
         assert reply.headers["x-server-stamp"] == "stamp-s1", reply
 
 
