Soak: some batch items fail at each run

Cause: no item failed in the soak, so that nothing checked whether one is given up after its attempts as its job changes owners.

Change: servers answer 500 to one in ten items at each run, and the check attempts wants three to nine such answers; kept_jobs wants them as dead_letter.

--- a/turmerictally/tests/soak/checks.py
+++ b/turmerictally/tests/soak/checks.py
@@ -19,6 +19,8 @@
 FIRST_EVENT_S = 1.0  # in which a fault may break a request off before its first event
 MIN_SERVERS = 2  # of a stream's version, so that it may go on
 NOT_RUN = (408, 421, 429, 503)
+MAX_ATTEMPTS = 3  # of an item, as the batch route says
+MAX_FAILED = 3 * MAX_ATTEMPTS  # answers that an item may get as its job changes owners
 QUOTA_WINDOW_S = 5.0
 QUOTA_OVERSHOOT = 0.1
 QUOTA_SLACK = 20
@@ -104,7 +106,7 @@
     """Return the broken promises, a line each; ``timed`` adds those with a clock."""
     found = []
     checks = [whole_answers, once, not_run, unasked, kept_jobs, recovered, exits]
-    checks += [distinct_answers, one_version]
+    checks += [distinct_answers, one_version, attempts]
     if timed:
         checks += [draining, evacuated, cold_servers, withdrawn_keys, quota, bounded]
         checks += [one_server, taken_up]
@@ -227,6 +229,10 @@
         if not job.whole or missing:
             yield f"job {job.job} lacks {len(missing)} of {len(job.items)} items"
         for item, state, text in job.results.values():
+            if world.fails_always(item):
+                if state != "dead_letter":
+                    yield f"item {item} of job {job.job} is {state}"
+                continue
             lines = text.split("\n")
             wanted = [f"{item}.{n} {_version(line)}" for n, line in enumerate(lines, 1)]
             whole = len(lines) == users_platform.EVENTS and lines == wanted
@@ -234,6 +240,19 @@
                 yield f"item {item} of job {job.job} is {state}: {text[:40]!r}"
 
 
+def attempts(record):
+    """An item that fails at each run gets its attempts, and few more."""
+    failed = collections.Counter(
+        end["request"] for end in record.ends if end["ended"] == "failed"
+    )
+    for job in record.jobs:
+        if job.cancelled or not job.whole:
+            continue
+        for item in filter(world.fails_always, job.items):
+            if not MAX_ATTEMPTS <= failed[item] <= MAX_FAILED:
+                yield f"item {item} of job {job.job} failed {failed[item]} times"
+
+
 def one_version(record):
     """What two versions wrote is never joined, also over several requests."""
     versions = collections.defaultdict(set)
--- a/turmerictally/tests/soak/server.py
+++ b/turmerictally/tests/soak/server.py
@@ -4,7 +4,8 @@
 registers as draining, serves on for a while and leaves; on SIGUSR1 it leaves in the
 same way without saying so before. It refuses some of what comes for the first time, and
 writes the refusal once more if the same request comes again on the same connection. It
-fails some of what it runs with a status by which callers know that it did not run.
+fails some of the requests that it runs with a status by which callers know that they
+did not run, and some batch items each time.
 """
 
 import base64
@@ -28,8 +29,7 @@
 DRAIN_S = 2.0  # promised after the store knows that it drains
 LINGER_S = 2.0  # that it serves beyond that, so that late requests are seen
 REFUSED_ONE_IN = 4  # of the requests that come for the first time
-# Of the requests that it runs, items left out: those may fail three times only.
-FAILED_ONE_IN = 40
+FAILED_ONE_IN = 40  # of the online requests that it runs
 FAILURES = (408, 429, 503)  # without stating that the request did not run
 STALL_S = 0.1  # by which a sleep may take too long on a busy machine
 COPY_LEAD_S = 0.5  # from the copy of a refusal to the run's first event, at least
@@ -62,8 +62,10 @@
         return zlib.crc32(drawn.encode()) % REFUSED_ONE_IN == 0
 
     def draw_status(self, run):
+        if run.target.startswith("/night/"):
+            return 500 if world.fails_always(run.request) else 200
         drawn = zlib.crc32(f"fails {run.request} at {self.name}".encode())
-        if run.target.startswith("/night/") or drawn % FAILED_ONE_IN:
+        if drawn % FAILED_ONE_IN:
             return 200
         return FAILURES[drawn // FAILED_ONE_IN % len(FAILURES)]
 
--- a/turmerictally/tests/soak/world.py
+++ b/turmerictally/tests/soak/world.py
@@ -6,6 +6,7 @@
 import random
 import time
 import types
+import zlib
 
 import httpx
 import trio
@@ -29,6 +30,12 @@
 STORE_TIMEOUT_S = 3.0
 BALANCER_S = 0.5
 MISSES = 2  # until a host gets no more callers
+FAILING_ITEMS_ONE_IN = 10
+
+
+def fails_always(item):
+    """Return whether servers answer 500 to each run of a batch item."""
+    return zlib.crc32(f"fails {item}".encode()) % FAILING_ITEMS_ONE_IN == 0
 
 
 class World:
