--- a/turmerictally/tests/features/soak.feature
+++ b/turmerictally/tests/features/soak.feature
@@ -34,6 +34,9 @@
       | one answer holds events of two versions            | one_version    |
       | a stream goes on at another version as it is taken up again | one_version |
       | an item's text holds events of two versions        | one_version    |
+      | an item that always fails gets ten answers         | attempts       |
+      | an item is given up after two answers              | attempts       |
+      | an item that always fails succeeds                 | kept_jobs      |
       | nothing is served after the last fault             | recovered      |
       | a host ends by itself                              | exits          |
       | a server gets a request 2.1 s after it leaves      | draining       |
--- a/turmerictally/tests/features/steps/soak_steps.py
+++ b/turmerictally/tests/features/steps/soak_steps.py
@@ -17,6 +17,7 @@
 
 HANG_GUARD_S = 180
 CALM_AT = 50.0
+FAILS = "p9"  # an item that servers fail at each run
 BODY = base64.b64encode(b"body").decode()
 IDS = list(range(1, users_platform.EVENTS + 1))
 
@@ -69,16 +70,30 @@
     return run | {"body": BODY, "target": "/ask/x", "after": None}
 
 
+def failed(at):
+    """Return the end of a run of the item that always fails."""
+    end = {"request": FAILS, "server": "s0-1", "arrived": at, "at": at + 0.01}
+    return end | {"ended": "failed"}
+
+
 @behave.given("a record of a run in which all went well")
 def good_record(context):
     text = "\n".join(f"i0.{number} v1" for number in IDS)
     job = checks.Job("j", {"i0": BODY}, True, [202], whole=True)
     job.results[0] = ("i0", "succeeded", text)
+    fails = checks.Job("k", {FAILS: BODY}, True, [202], whole=True)
+    fails.results[0] = (FAILS, "dead_letter", "")
     late = [asked(f"late{n}", at=CALM_AT + n) for n in range(10)]
     context.record = checks.Record(
         asked=[asked(), *late],
-        jobs=[job],
-        runs=[ran(), *(ran(a.request, a.at) for a in late), ran("i0", 20.0)],
+        jobs=[job, fails],
+        runs=[
+            ran(),
+            *(ran(a.request, a.at) for a in late),
+            ran("i0", 20.0),
+            *(ran(FAILS, at) for at in (20.0, 21.0, 22.0)),
+        ],
+        ends=[failed(at) for at in (20.0, 21.0, 22.0)],
         again=[{"request": "i0", "server": "s0-1", "copied": False}],
         calm_from=CALM_AT,
         quota=(1.0, 1.0),
@@ -218,6 +233,13 @@
     "a refused request comes again on its connection": lambda r: r.again.append(
         {"request": "r1", "server": "s0-1", "copied": True}
     ),
+    "an item that always fails gets ten answers": lambda r: r.ends.extend(
+        failed(30.0 + number) for number in range(7)
+    ),
+    "an item is given up after two answers": lambda r: r.ends.pop(),
+    "an item that always fails succeeds": lambda r: r.jobs[1].results.update(
+        {0: (FAILS, "succeeded", "")}
+    ),
     "an item runs at two servers for 0.41 s": _beside,
     "a stream runs at two servers after another host's fault": lambda r: (
         _beside(r, "r1"),
--- a/turmerictally/tests/soak/checks.py
+++ b/turmerictally/tests/soak/checks.py
@@ -243,7 +243,7 @@
 def attempts(record):
     """An item that fails at each run gets its attempts, and few more."""
     failed = collections.Counter(
-        end["request"] for end in record.ends if end["ended"] == "failed"
+        end["request"] for end in record.ends if end.get("ended") == "failed"
     )
     for job in record.jobs:
         if job.cancelled or not job.whole:
