Log failed attempts that a host hears of only at the job's owner

Callers see no change.

Change: attempts_heard is logged by owners only, and job_taken's failed_attempts has what the new owner knows, from the store and other hosts.

--- a/turmerictally/entry/takeover.py
+++ b/turmerictally/entry/takeover.py
@@ -111,7 +111,7 @@
             job=previous.job,
             owner_before=previous.owner,
             listed=previous.listed,
-            failed_attempts=sum(x.total for x in progress.attempts.values()),
+            failed_attempts=worker.attempts.total(previous.job),
             **_log_fields(evidence),
             outcome="ended or owned meanwhile"
             if owned is None
--- a/turmerictally/entry/worker.py
+++ b/turmerictally/entry/worker.py
@@ -788,6 +788,9 @@
             if has_ended or not self.attempts.merge(job, item, attempts):
                 continue
             owned = self.owned_jobs.get(job)
+            if owned is None:
+                # Counts if this host takes the job over.
+                continue
             self.trace.emit(
                 "attempts_heard",
                 item,
@@ -795,10 +798,8 @@
                 host=host,
                 errors=attempts.total,
                 impossible=attempts.impossible,
-                owned=owned is not None,
             )
-            if owned is not None:
-                self._start_writing(owned)
+            self._start_writing(owned)
 
     def reported_attempts(self) -> dict[str, list[int]]:
         """Return the failed attempts that digests tell of."""
--- a/turmerictally/scheduling/item_attempts.py
+++ b/turmerictally/scheduling/item_attempts.py
@@ -76,6 +76,10 @@
         """Return what is known of an item."""
         return self.by_job.get(job, {}).get(item, NONE)
 
+    def total(self, job: str) -> int:
+        """Return how many attempts of a job's items are known to have failed."""
+        return sum(known.total for known in self.by_job.get(job, {}).values())
+
     def record_error(self, job: str, item: str, ownership: int, now: float) -> Attempts:
         """Record that an attempt of this host failed."""
         return self._record(job, item, self.find(job, item).with_error(ownership), now)
